--- a/Makefile
+++ b/Makefile
@@ -19,13 +19,13 @@
 
 PKGS = libuv msgpack glib-2.0 yaml-0.1 jansson libxxhash openssl log4c
 CPPFLAGS += -D_GNU_SOURCE -DH2O_USE_LIBUV=1 -DWY_VERSION='"$(VERSION)"' \
-            -Isrc -Itests $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
+            -I. -Isrc -Itests $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
 CFLAGS += -std=c11 -g $(OPT) -Wall -Wextra -Werror -Wno-unused-parameter \
           -Wmissing-prototypes -Wstrict-prototypes -Wvla
-LDLIBS = -lh2o $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lm -lpthread
+LDLIBS = -lh2o -lhttp_parser $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lm -lpthread
 
 PROGRAMS = $(patsubst src/cmd/%.c,%,$(wildcard src/cmd/*.c))
-LIB_SRC = $(filter-out src/cmd/%,$(wildcard src/*/*.c))
+LIB_SRC = $(filter-out src/cmd/%,$(wildcard src/*/*.c)) $(wildcard platform/*.c)
 LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
 LIB = $(BUILD)/libwaxwing.a
 BINS = $(PROGRAMS:%=$(BUILD)/bin/%)
@@ -35,15 +35,18 @@
 BENCH_SRC = $(wildcard bench/*.c)
 BENCHES = $(BENCH_SRC:bench/%.c=$(BUILD)/bench/%)
 BENCH_HELP_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard bench/support/*.c))
-ALL_C = $(wildcard src/*/*.c tests/*.c tests/*/*.c bench/*.c bench/*/*.c fuzz/*.c)
-ALL_H = $(wildcard src/*/*.h tests/*.h tests/*/*.h bench/*.h bench/*/*.h fuzz/*.h)
+ALL_C = $(wildcard src/*/*.c platform/*.c tests/*.c tests/*/*.c bench/*.c bench/*/*.c fuzz/*.c)
+ALL_H = $(wildcard src/*/*.h platform/*.h tests/*.h tests/*/*.h bench/*.h bench/*/*.h fuzz/*.h)
 
 .SECONDARY:
-.PHONY: all config-page check-pages slopes capacity-page packages format lint test check bench \
+.PHONY: all deploy config-page check-pages slopes capacity-page packages format lint test check bench \
   bench-ci fuzz fuzz-targets demo install clean
 
 all: $(LIB) $(BINS)
 
+# What runs on the platform's machines.
+deploy: $(BUILD)/bin/wygated $(BUILD)/bin/wyorderd
+
 packages:
 	./scripts/install-packages.sh
 
@@ -171,5 +174,5 @@
 clean:
 	rm -rf build
 
--include $(wildcard $(BUILD)/src/*/*.d $(BUILD)/tests/*.d \
+-include $(wildcard $(BUILD)/src/*/*.d $(BUILD)/platform/*.d $(BUILD)/tests/*.d \
   $(BUILD)/tests/*/*.d $(BUILD)/bench/*.d $(BUILD)/bench/*/*.d)
--- /dev/null
+++ b/src/cmd/wyorderd.c
@@ -0,0 +1,70 @@
+/* wyorderd: beside one replica, orders it to load new versions of weights;
+   all work is in src/orders.  */
+#include <signal.h>
+#include <stdio.h>
+
+#include "config/program.h"
+#include "orders/orderer.h"
+#include "trace/note.h"
+
+enum
+{
+  CLOSING_TURNS = 20
+};
+
+static void
+on_signal (uv_signal_t *s, int number)
+{
+  uv_stop (s->loop);
+}
+
+static int
+run (const struct wy_orders_settings *settings)
+{
+  static const int numbers[] = { SIGTERM, SIGINT };
+  uv_signal_t signals[2];
+  uv_loop_t *loop = uv_default_loop ();
+  struct wy_orderer_daemon_options o = { .loop = loop,
+                                         .clock = wy_clock_system (),
+                                         .settings = settings };
+  struct wy_orderer_daemon *d;
+  int err = wy_orderer_daemon_new (&d, &o);
+
+  if (err)
+    {
+      fprintf (stderr, "wyorderd: cannot start: error %d\n", err);
+      return WY_EXIT_FAILED;
+    }
+  for (int i = 0; i < 2; i++)
+    {
+      uv_signal_init (loop, &signals[i]);
+      uv_signal_start (&signals[i], on_signal, numbers[i]);
+    }
+  uv_run (loop, UV_RUN_DEFAULT);
+  wy_orderer_daemon_free (d);
+  for (int i = 0; i < 2; i++)
+    uv_close ((uv_handle_t *)&signals[i], NULL);
+  for (int i = 0; i < CLOSING_TURNS; i++)
+    uv_run (loop, UV_RUN_NOWAIT);
+  wy_note_close ();
+  return WY_EXIT_OK;
+}
+
+int
+main (int argc, char **argv)
+{
+  static struct wy_orders_settings settings;
+  struct wy_program program
+      = { .name = "wyorderd",
+          .summary = "Orders the replica on this machine to load new versions"
+                     " of weights.",
+          .table = wy_orders_settings_table,
+          .n = wy_orders_settings_count,
+          .settings = &settings };
+  int rc = wy_program_start (&program, argc, argv);
+
+  if (rc >= 0)
+    return rc;
+  signal (SIGPIPE, SIG_IGN);
+  return run (&settings);
+}
--- a/src/config/program.c
+++ b/src/config/program.c
@@ -28,12 +28,12 @@
 /* Read the command line and load the settings.  Returns -1 when the program
    is to run on, or the exit code to end with.  */
 int
-wy_program_start (const struct wy_program *p, int argc, char **argv)
+wy_program_start (struct wy_program *p, int argc, char **argv)
 {
   gboolean version = FALSE;
   gboolean check_only = FALSE;
   gboolean describe_only = FALSE;
-  char *path = NULL;
+  static char *path; /* stays, for reloads */
   GOptionEntry entries[]
       = { { "config", 'c', 0, G_OPTION_ARG_FILENAME, &path,
             "Settings file (YAML)", "FILE" },
@@ -76,6 +76,6 @@
   else if (check_only)
     rc = WY_EXIT_OK;
   g_option_context_free (ctx);
-  g_free (path);
+  p->path = path;
   return rc;
 }
--- a/src/config/program.h
+++ b/src/config/program.h
@@ -20,8 +20,9 @@
   const struct wy_setting *table;
   size_t n;
   void *settings; /* zeroed */
+  const char *path; /* of the settings file, once started */
 };
 
-int wy_program_start (const struct wy_program *p, int argc, char **argv);
+int wy_program_start (struct wy_program *p, int argc, char **argv);
 
 #endif
--- /dev/null
+++ b/src/decide/load_turn.h
@@ -0,0 +1,26 @@
+/* Whose turn it is to load a new version of a model's weights.  */
+#ifndef WY_DECIDE_LOAD_TURN_H
+#define WY_DECIDE_LOAD_TURN_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+struct wy_load_turn_options
+{
+  uint32_t rank;     /* of this replica among those of the service */
+  uint32_t replicas; /* of the service, that take work */
+  uint32_t model;    /* position of the model among the service's */
+  uint32_t models;
+  int64_t version;
+  uint32_t load_ms; /* that one load takes */
+};
+
+struct wy_load_turn
+{
+  bool loads;        /* this replica serves the model */
+  uint32_t delay_ms; /* after the version was named */
+};
+
+struct wy_load_turn wy_load_turn (const struct wy_load_turn_options *o);
+
+#endif
--- /dev/null
+++ b/src/gate/env.h
@@ -0,0 +1,53 @@
+/* What the parts of the gate share.  */
+#ifndef WY_GATE_ENV_H
+#define WY_GATE_ENV_H
+
+#include <uv.h>
+
+#include "base/clock.h"
+#include "base/rng.h"
+#include "gate/routing.h"
+#include "gate/targets.h"
+#include "h1/client.h"
+#include "rows/rows.h"
+#include "trace/metrics.h"
+
+struct wy_gate_counters
+{
+  uint64_t *requests;
+  uint64_t *answered;
+  uint64_t *refused;
+  uint64_t *failed;
+  uint64_t *hung_up;
+  uint64_t *retries;
+  uint64_t *hedges;
+  uint64_t *items_started;
+  uint64_t *items_done;
+  uint64_t *items_broken;
+  uint64_t *jobs_accepted;
+  uint64_t *jobs_taken_over;
+  struct wy_hist *latency_us;
+  struct wy_hist *item_us;
+};
+
+struct wy_gate_env
+{
+  uv_loop_t *loop;
+  const struct wy_clock *clock;
+  const char *node; /* name of this instance */
+  const char *holder; /* this start of it */
+  const char *availability_zone;
+  struct wy_h1_client *http;
+  struct wy_rows *rows;
+  struct wy_targets *targets;
+  struct wy_routing *routing; /* in force; NULL before the first */
+  uint32_t entries;           /* alive, this one included */
+  bool stopping;
+  struct wy_rng rng;
+  struct wy_gate_counters count;
+};
+
+uint32_t wy_gate_in_flight_limit (const struct wy_gate_env *env,
+                                  const char *service);
+
+#endif
--- /dev/null
+++ b/src/gate/events.c
@@ -0,0 +1,153 @@
+/* Cuts a stream of events into whole events.
+
+   A replica may stop in the middle of an event, and what it sent of it must
+   reach nobody: the run that goes on elsewhere sends that event again.  */
+#include "gate/events.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "platform/request_wire.h"
+
+/* Prepare E for a stream.  */
+void
+wy_events_init (struct wy_events *e)
+{
+  e->held = g_string_new (NULL);
+  e->data = g_string_new (NULL);
+  e->last_id = -1;
+}
+
+/* Free what E holds.  */
+void
+wy_events_clear (struct wy_events *e)
+{
+  g_string_free (e->held, TRUE);
+  g_string_free (e->data, TRUE);
+}
+
+/* Drop an event cut short; the next bytes come from another run.  */
+void
+wy_events_reset (struct wy_events *e)
+{
+  g_string_truncate (e->held, 0);
+}
+
+/* Whether the stream has stopped inside an event.  */
+bool
+wy_events_in_midst (const struct wy_events *e)
+{
+  return e->held->len > 0;
+}
+
+static bool
+field_value (const char *line, size_t n, const char *name, const char **value,
+             size_t *value_n)
+{
+  size_t name_n = strlen (name);
+
+  if (n <= name_n || strncmp (line, name, name_n) != 0 || line[name_n] != ':')
+    return false;
+  *value = line + name_n + 1;
+  *value_n = n - name_n - 1;
+  if (*value_n && **value == ' ')
+    {
+      (*value)++;
+      (*value_n)--;
+    }
+  return true;
+}
+
+static int64_t
+parse_id (const char *p, size_t n)
+{
+  int64_t id = 0;
+
+  if (n == 0 || n > 15)
+    return -1;
+  for (size_t i = 0; i < n; i++)
+    {
+      if (p[i] < '0' || p[i] > '9')
+        return -1;
+      id = id * 10 + (p[i] - '0');
+    }
+  return id;
+}
+
+static void
+parse_event (struct wy_events *e, const char *p, size_t n,
+             struct wy_event *out)
+{
+  const char *end = p + n;
+  bool first_data = true;
+
+  memset (out, 0, sizeof *out);
+  out->raw = p;
+  out->raw_n = n;
+  out->id = -1;
+  out->version = -1;
+  g_string_truncate (e->data, 0);
+  while (p < end)
+    {
+      const char *nl = memchr (p, '\n', (size_t)(end - p));
+      size_t line_n = (size_t)((nl ? nl : end) - p);
+      const char *v;
+      size_t v_n;
+
+      if (line_n && p[line_n - 1] == '\r')
+        line_n--;
+      if (field_value (p, line_n, "id", &v, &v_n))
+        out->id = parse_id (v, v_n);
+      else if (field_value (p, line_n, "data", &v, &v_n))
+        {
+          if (!first_data)
+            g_string_append_c (e->data, '\n');
+          first_data = false;
+          g_string_append_len (e->data, v, (gssize)v_n);
+        }
+      else
+        wy_event_version (p, line_n, &out->version);
+      p = nl ? nl + 1 : end;
+    }
+  out->data = e->data->str;
+  out->data_n = e->data->len;
+}
+
+/* Length of the first whole event at P, its blank line included; 0: none.  */
+static size_t
+event_size (const char *p, size_t n)
+{
+  for (size_t i = 0; i + 1 < n; i++)
+    {
+      if (p[i] != '\n')
+        continue;
+      if (p[i + 1] == '\n')
+        return i + 2;
+      if (p[i + 1] == '\r' && i + 2 < n && p[i + 2] == '\n')
+        return i + 3;
+    }
+  return 0;
+}
+
+/* Take N more bytes of the stream and tell each event that is whole.  */
+void
+wy_events_feed (struct wy_events *e, const char *p, size_t n,
+                void (*on_event) (void *ctx, const struct wy_event *ev),
+                void *ctx)
+{
+  size_t at = 0;
+  size_t size;
+
+  g_string_append_len (e->held, p, (gssize)n);
+  while ((size = event_size (e->held->str + at, e->held->len - at)))
+    {
+      struct wy_event ev;
+
+      parse_event (e, e->held->str + at, size, &ev);
+      if (ev.id >= 0)
+        e->last_id = ev.id;
+      at += size;
+      on_event (ctx, &ev);
+    }
+  g_string_erase (e->held, 0, (gssize)at);
+}
--- /dev/null
+++ b/src/gate/gate.c
@@ -0,0 +1,578 @@
+/* The gate: its listeners, what it follows in the store, start and stop.  */
+#include "gate/gate.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "base/id.h"
+#include "gate/answer.h"
+#include "gate/env.h"
+#include "gate/members.h"
+#include "gate/proxy.h"
+#include "h1/server.h"
+#include "jobs/jobs.h"
+#include "platform/config_wire.h"
+#include "platform/replica_wire.h"
+#include "platform/request_wire.h"
+#include "rows/watch.h"
+#include "trace/note.h"
+
+enum
+{
+  CONNECT_TIMEOUT_MS = 400,
+  /* A kept connection whose peer names no time-out.  */
+  TARGET_IDLE_MS = 5000,
+  WATCH_GAP_MS = 150,
+  TICK_MS = 200,
+  RELAYS_MAX = 32,
+  MB = 1 << 20,
+  /* Share of the memory that bodies being read may take.  */
+  BODY_SHARE = 8,
+  /* Before a configuration is known; callers are refused then anyway.  */
+  START_HEADER_BYTES = 65536,
+  START_BODY_BYTES = 1 << 20,
+  START_HEADER_MS = 5000,
+  START_IDLE_MS = 60000,
+  /* The balancer asks once a second and acts on the second miss; connections
+     keep coming for so long after a stop is asked for.  */
+  BALANCER_MS = 2500,
+  /* What is left of the grace time when work is handed over, and when the
+     process ends.  */
+  HAND_OVER_SHARE = 2,
+  END_MARGIN_MS = 1200,
+  RETRY_AFTER_MS = 500,
+  /* Connections to one target that a gate may have though its share of the
+     limit is less.  */
+  CONNECTIONS_MIN = 1
+};
+
+struct wy_gate
+{
+  struct wy_gate_env env;
+  struct wy_gate_options o;
+  char incarnation[WY_ID_SIZE_BYTES];
+  char *holder;
+  struct wy_metrics *metrics;
+  struct wy_members *members;
+  struct wy_jobs *jobs;
+  struct wy_watch *operator_rows;
+  struct wy_watch *replicas;
+  struct wy_h1_server *callers;
+  struct wy_h1_server *ready;
+  struct wy_h1_server *peers;
+  struct wy_h1_server *metrics_server;
+  GArray *seeds; /* struct sockaddr_in */
+  uv_timer_t tick;
+  int64_t stop_asked_ms;
+  bool was_ready;
+  bool handed_over;
+  bool stopped;
+};
+
+/* Requests that this entry may have open at one target of SERVICE: its share
+   of the connections that the target takes from all entries together.  */
+uint32_t
+wy_gate_in_flight_limit (const struct wy_gate_env *env, const char *service)
+{
+  const struct wy_service *s = wy_routing_service (env->routing, service);
+  uint32_t share;
+
+  if (!s || !s->connection_limit)
+    return 0;
+  share = s->connection_limit / env->entries;
+  return MAX (share, CONNECTIONS_MIN);
+}
+
+static int64_t
+grace_ms (const struct wy_gate *g)
+{
+  return (int64_t)(g->o.settings->grace_s * WY_MS_PER_S);
+}
+
+static bool
+is_ready (const struct wy_gate *g)
+{
+  return !g->stop_asked_ms && g->env.routing
+         && wy_watch_is_synced (g->replicas);
+}
+
+static void
+set_limits (struct wy_gate *g)
+{
+  const struct wy_routing *r = g->env.routing;
+  struct wy_h1_limits l
+      = { .header_bytes = r ? r->header_limit_bytes : START_HEADER_BYTES,
+          .body_bytes = r ? r->body_limit_bytes : START_BODY_BYTES,
+          .header_timeout_ms = r ? r->header_timeout_ms : START_HEADER_MS,
+          .idle_timeout_ms = r ? r->idle_timeout_ms : START_IDLE_MS,
+          .held_bytes
+          = (uint64_t)g->o.settings->memory_mb * MB / BODY_SHARE };
+
+  wy_h1_server_set_limits (g->callers, &l);
+}
+
+/* A configuration is in force: versions only rise, whatever order they come
+   in.  */
+static void
+learn_config (struct wy_gate *g, const struct wy_row *row)
+{
+  const char *why;
+  struct wy_routing *r
+      = wy_config_decode (row->value, row->size_bytes, &why);
+
+  if (!r)
+    {
+      wy_note ("config.rejected", "row_version=%lld reason=%s",
+               (long long)row->version, why);
+      return;
+    }
+  if (g->env.routing && g->env.routing->version >= r->version)
+    {
+      wy_routing_free (r);
+      return;
+    }
+  wy_note ("config.in_force", "version=%lld before=%lld routes=%u",
+           (long long)r->version,
+           g->env.routing ? (long long)g->env.routing->version : 0LL,
+           r->routes->len);
+  wy_routing_free (g->env.routing);
+  g->env.routing = r;
+  set_limits (g);
+}
+
+static void
+on_operator_row (void *ctx, const struct wy_row *row)
+{
+  if (!row->deleted && wy_operator_row_kind (row->key) == WY_OPERATOR_CONFIG)
+    learn_config (ctx, row);
+}
+
+static void
+on_replica_row (void *ctx, const struct wy_row *row)
+{
+  struct wy_gate *g = ctx;
+  struct wy_replica info;
+  struct wy_target *t = wy_targets_find (g->env.targets, row->key);
+  const char *wrong;
+
+  if (row->deleted)
+    {
+      wy_note ("target.gone", "id=%s version=%lld", row->key,
+               (long long)row->version);
+      wy_targets_remove (g->env.targets, row->key);
+      return;
+    }
+  wrong = wy_replica_decode (row->key, row->value, row->size_bytes, &info);
+  if (wrong)
+    {
+      wy_note ("target.rejected", "id=%s version=%lld field=%s", row->key,
+               (long long)row->version, wrong);
+      wy_targets_remove (g->env.targets, row->key);
+      return;
+    }
+  if (!t || t->info.draining != info.draining || !t->listed)
+    wy_note ("target.seen", "id=%s service=%s zone=%s draining=%d version=%lld",
+             info.id, info.service, info.availability_zone, info.draining,
+             (long long)row->version);
+  wy_targets_set (g->env.targets, &info);
+  if (g->jobs)
+    wy_jobs_targets_changed (g->jobs);
+}
+
+static void
+set_relays (struct wy_gate *g)
+{
+  struct sockaddr_in a[RELAYS_MAX];
+  size_t n = wy_members_addresses (g->members, a, RELAYS_MAX);
+
+  for (guint i = 0; n == 0 && i < g->seeds->len; i++)
+    a[n++] = g_array_index (g->seeds, struct sockaddr_in, i);
+  wy_rows_set_relays (g->env.rows, a, n);
+}
+
+static void
+on_members (void *ctx)
+{
+  struct wy_gate *g = ctx;
+
+  if (g->members)
+    set_relays (g);
+}
+
+static void
+on_caller (void *ctx, struct wy_h1_request *r)
+{
+  struct wy_gate *g = ctx;
+  struct wy_request_info info;
+  struct wy_job_call call;
+  const struct wy_route *route;
+
+  wy_request_read (wy_h1_head (r), &info);
+  if (!g->env.routing)
+    {
+      wy_note ("request.ended", "id=%s outcome=refused status=503 "
+               "reason=no_config", info.id ? info.id : "");
+      wy_refuse (r, 503, "no_config", RETRY_AFTER_MS);
+      return;
+    }
+  wy_job_call_read (wy_h1_method (r), wy_h1_target (r), wy_h1_head (r), &call);
+  if (call.kind != WY_JOB_CALL_NONE)
+    {
+      wy_jobs_call (g->jobs, r, &call);
+      return;
+    }
+  route = info.host ? wy_routing_match (g->env.routing, info.host,
+                                        wy_h1_target (r))
+                    : NULL;
+  if (!route)
+    {
+      wy_note ("request.ended",
+               "id=%s outcome=refused status=404 reason=no_route config=%lld",
+               info.id ? info.id : "", (long long)g->env.routing->version);
+      wy_refuse (r, 404, "no_route", 0);
+    }
+  else if (route->kind == WY_ROUTE_JOB && !strcmp (wy_h1_method (r), "POST"))
+    wy_jobs_accept (g->jobs, r, route);
+  else
+    wy_proxy_start (&g->env, r, route);
+}
+
+static void
+on_ready_check (void *ctx, struct wy_h1_request *r)
+{
+  bool ready = is_ready (ctx);
+
+  wy_refuse (r, ready ? 200 : 503, ready ? "ready" : "not_ready", 0);
+}
+
+struct forward
+{
+  struct wy_h1_request *request;
+};
+
+static void
+on_forwarded (void *ctx, int status, const char *body, size_t n)
+{
+  static const struct wy_h1_pair type = { "Content-Type", "application/json" };
+  struct forward *f = ctx;
+
+  if (f->request)
+    wy_h1_respond (f->request, status, &type, 1, body, n);
+  g_free (f);
+}
+
+static void
+on_forward_hangup (void *ctx)
+{
+  ((struct forward *)ctx)->request = NULL;
+}
+
+/* A process that the store turns away sends its call through here.  */
+static void
+on_peer (void *ctx, struct wy_h1_request *r)
+{
+  struct wy_gate *g = ctx;
+  struct forward *f = g_new0 (struct forward, 1);
+  const char *body;
+  size_t n;
+
+  f->request = r;
+  wy_h1_on_hangup (r, on_forward_hangup, f);
+  body = wy_h1_body (r, &n);
+  wy_rows_forward (g->env.rows, wy_h1_method (r), wy_h1_target (r), body, n,
+                   on_forwarded, f);
+}
+
+static void
+on_metrics (void *ctx, struct wy_h1_request *r)
+{
+  static const struct wy_h1_pair type
+      = { "Content-Type", "text/plain; version=0.0.4" };
+  struct wy_gate *g = ctx;
+  GString *out = g_string_new (NULL);
+
+  wy_metrics_print (g->metrics, out);
+  wy_h1_respond (r, 200, &type, 1, out->str, out->len);
+  g_string_free (out, TRUE);
+}
+
+static int
+listen_at (struct wy_gate *g, struct wy_h1_server **out, const char *address,
+           void (*on_request) (void *ctx, struct wy_h1_request *r))
+{
+  struct sockaddr_in a;
+  char ip[INET_ADDRSTRLEN];
+  struct wy_h1_server_options o
+      = { .loop = g->o.loop,
+          .host = ip,
+          .limits = { .header_bytes = START_HEADER_BYTES,
+                      .body_bytes = (uint32_t)g->o.settings->object_bytes * 2,
+                      .header_timeout_ms = START_HEADER_MS,
+                      .idle_timeout_ms = START_IDLE_MS,
+                      .held_bytes
+                      = (uint64_t)g->o.settings->memory_mb * MB / BODY_SHARE },
+          .on_request = on_request,
+          .ctx = g };
+
+  if (!wy_address_parse (address, &a))
+    return WY_H1_EBIND;
+  uv_ip4_name (&a, ip, sizeof ip);
+  o.port = ntohs (a.sin_port);
+  return wy_h1_server_new (out, &o);
+}
+
+static int
+start_servers (struct wy_gate *g)
+{
+  const struct wy_gate_settings *s = g->o.settings;
+  int err = listen_at (g, &g->callers, s->callers, on_caller);
+
+  if (!err)
+    err = listen_at (g, &g->ready, s->ready, on_ready_check);
+  if (!err)
+    err = listen_at (g, &g->peers, s->peers, on_peer);
+  if (!err && *s->metrics)
+    err = listen_at (g, &g->metrics_server, s->metrics, on_metrics);
+  return err;
+}
+
+static void
+end_process (struct wy_gate *g, const char *why)
+{
+  if (g->stopped)
+    return;
+  g->stopped = true;
+  wy_note ("process.stop", "reason=%s requests=%u jobs=%u", why,
+           wy_h1_server_active (g->callers), wy_jobs_running (g->jobs));
+  g->o.on_stopped (g->o.ctx);
+}
+
+/* Work in progress is finished first; what is still open after half of the
+   grace time is handed over, by telling the others that this entry leaves.  */
+static void
+check_stop (struct wy_gate *g)
+{
+  int64_t since_ms
+      = wy_clock_mono_ms (g->env.clock) - g->stop_asked_ms;
+  bool idle = wy_h1_server_active (g->callers) == 0;
+
+  if (!g->handed_over
+      && (since_ms >= grace_ms (g) / HAND_OVER_SHARE
+          || (since_ms >= BALANCER_MS && wy_jobs_running (g->jobs) == 0)))
+    {
+      g->handed_over = true;
+      g->env.stopping = true;
+      wy_members_leave (g->members);
+      wy_note ("process.handing_over", "jobs=%u since_ms=%lld",
+               wy_jobs_running (g->jobs), (long long)since_ms);
+      return;
+    }
+  if (since_ms >= grace_ms (g) - END_MARGIN_MS)
+    end_process (g, "grace_over");
+  else if (g->handed_over && idle && wy_jobs_running (g->jobs) == 0)
+    end_process (g, "idle");
+}
+
+static void
+on_tick (uv_timer_t *t)
+{
+  struct wy_gate *g = t->data;
+  bool ready = is_ready (g);
+
+  if (ready != g->was_ready)
+    {
+      g->was_ready = ready;
+      wy_note (ready ? "process.ready" : "process.not_ready",
+               "config=%lld targets_age_ms=%lld",
+               g->env.routing ? (long long)g->env.routing->version : 0LL,
+               (long long)wy_watch_age_ms (g->replicas));
+    }
+  if (g->stop_asked_ms)
+    check_stop (g);
+}
+
+static void
+make_counters (struct wy_gate *g)
+{
+  struct wy_gate_counters *c = &g->env.count;
+  struct wy_metrics *m = g->metrics;
+
+  c->requests = wy_metrics_counter (m, "wy_gate_requests_total",
+                                    "Requests passed on");
+  c->answered = wy_metrics_counter (m, "wy_gate_answered_total",
+                                    "Answers of replicas passed back");
+  c->refused = wy_metrics_counter (m, "wy_gate_refused_total",
+                                   "Requests refused as not run");
+  c->failed = wy_metrics_counter (m, "wy_gate_failed_total",
+                                  "Requests that failed and may have run");
+  c->hung_up = wy_metrics_counter (m, "wy_gate_hung_up_total",
+                                   "Requests whose caller hung up");
+  c->retries = wy_metrics_counter (m, "wy_gate_retries_total",
+                                   "Tries that failed at one replica");
+  c->hedges = wy_metrics_counter (m, "wy_gate_hedges_total",
+                                  "Second replicas asked for being late");
+  c->items_started = wy_metrics_counter (m, "wy_gate_item_runs_total",
+                                         "Runs of job items started");
+  c->items_done = wy_metrics_counter (m, "wy_gate_items_total",
+                                      "Job items with a result");
+  c->items_broken = wy_metrics_counter (m, "wy_gate_item_runs_broken_total",
+                                        "Runs of job items that broke off");
+  c->jobs_accepted = wy_metrics_counter (m, "wy_gate_jobs_accepted_total",
+                                         "Jobs accepted here");
+  c->jobs_taken_over = wy_metrics_counter (m, "wy_gate_jobs_taken_over_total",
+                                           "Jobs taken over from others");
+  c->latency_us = wy_metrics_histogram (m, "wy_gate_answer_us",
+                                        "Time to a replica's whole answer");
+  c->item_us = wy_metrics_histogram (m, "wy_gate_item_us",
+                                     "Time from a job's acceptance to an"
+                                     " item's result");
+}
+
+static int
+start_store (struct wy_gate *g)
+{
+  struct wy_h1_client_options http = { .loop = g->o.loop,
+                                       .connect_timeout_ms
+                                       = CONNECT_TIMEOUT_MS,
+                                       .idle_timeout_ms = TARGET_IDLE_MS };
+  struct wy_rows_options rows
+      = { .loop = g->o.loop,
+          .clock = g->o.clock,
+          .seed = wy_hash64 (g->incarnation, WY_ID_LEN, 1) };
+
+  if (!wy_address_parse (g->o.settings->store, &rows.address))
+    return WY_H1_EBIND;
+  g->env.http = wy_h1_client_new (&http);
+  rows.http = g->env.http;
+  g->env.rows = wy_rows_new (&rows);
+  return 0;
+}
+
+static void
+read_seeds (struct wy_gate *g, const struct wy_gate_settings *s)
+{
+  g_array_set_size (g->seeds, 0);
+  for (guint i = 0; i < s->seeds->len; i++)
+    {
+      const char *text = g_ptr_array_index (s->seeds, i);
+      struct sockaddr_in a;
+
+      if (strcmp (text, s->peers) != 0 && wy_address_parse (text, &a))
+        g_array_append_val (g->seeds, a);
+    }
+}
+
+static void
+follow_store (struct wy_gate *g)
+{
+  uint64_t seed = wy_hash64 (g->incarnation, WY_ID_LEN, 2);
+  struct wy_watch_options w = { .loop = g->o.loop,
+                                .clock = g->o.clock,
+                                .rows = g->env.rows,
+                                .table = WY_OPERATOR_TABLE,
+                                .gap_ms = WATCH_GAP_MS,
+                                .seed = seed,
+                                .on_row = on_operator_row,
+                                .ctx = g };
+  struct wy_members_options m = { .env = &g->env,
+                                  .address = g->o.settings->peers,
+                                  .seed = seed + 2,
+                                  .on_change = on_members,
+                                  .ctx = g };
+  struct wy_jobs_options j
+      = { .env = &g->env,
+          .seed = seed + 3,
+          .piece_bytes = (uint32_t)g->o.settings->object_bytes };
+
+  g->operator_rows = wy_watch_new (&w);
+  w.table = WY_REPLICA_TABLE;
+  w.on_row = on_replica_row;
+  w.seed = seed + 1;
+  g->replicas = wy_watch_new (&w);
+  g->members = wy_members_new (&m);
+  set_relays (g);
+  j.members = g->members;
+  g->jobs = wy_jobs_new (&j);
+}
+
+/* Start a gate as O says and store it in OUT.  Returns 0 or WY_H1_EBIND.  */
+int
+wy_gate_new (struct wy_gate **out, const struct wy_gate_options *o)
+{
+  struct wy_gate *g = g_new0 (struct wy_gate, 1);
+  int err;
+
+  g->o = *o;
+  wy_id_new (o->clock, g->incarnation);
+  g->holder = g_strconcat (o->settings->name, "/", g->incarnation, NULL);
+  wy_note_open (o->loop, o->settings->name, g->incarnation);
+  wy_note ("process.start", "zone=%s store=%s memory_mb=%lld",
+           o->settings->availability_zone, o->settings->store,
+           (long long)o->settings->memory_mb);
+  g->metrics = wy_metrics_new ();
+  make_counters (g);
+  g->env.loop = o->loop;
+  g->env.clock = o->clock;
+  g->env.node = o->settings->name;
+  g->env.holder = g->holder;
+  g->env.availability_zone = o->settings->availability_zone;
+  g->env.entries = 1;
+  wy_rng_seed (&g->env.rng, wy_hash64 (g->incarnation, WY_ID_LEN, 0));
+  g->env.targets
+      = wy_targets_new (wy_hash64 (g->incarnation, WY_ID_LEN, 4));
+  g->seeds = g_array_new (FALSE, FALSE, sizeof (struct sockaddr_in));
+  read_seeds (g, o->settings);
+  err = start_store (g);
+  if (!err)
+    err = start_servers (g);
+  if (err)
+    return err;
+  follow_store (g);
+  uv_timer_init (o->loop, &g->tick);
+  g->tick.data = g;
+  uv_timer_start (&g->tick, on_tick, TICK_MS, TICK_MS);
+  *out = g;
+  return 0;
+}
+
+/* Stop within the grace time: no new connections, work in progress first.  */
+void
+wy_gate_stop (struct wy_gate *g)
+{
+  if (g->stop_asked_ms)
+    {
+      end_process (g, "asked_twice");
+      return;
+    }
+  g->stop_asked_ms = wy_clock_mono_ms (g->env.clock);
+  wy_note ("process.stopping", "requests=%u jobs=%u",
+           wy_h1_server_active (g->callers), wy_jobs_running (g->jobs));
+  wy_h1_server_announce_close (g->callers);
+}
+
+/* Take in settings that have changed; addresses stay as they are.  */
+void
+wy_gate_reload (struct wy_gate *g, const struct wy_gate_settings *s)
+{
+  read_seeds (g, s);
+  set_relays (g);
+  wy_note ("process.reloaded", "seeds=%u", g->seeds->len);
+}
+
+/* Close all of G; the loop must turn some times afterwards.  */
+void
+wy_gate_free (struct wy_gate *g)
+{
+  wy_h1_server_free (g->callers);
+  wy_h1_server_free (g->ready);
+  wy_h1_server_free (g->peers);
+  if (g->metrics_server)
+    wy_h1_server_free (g->metrics_server);
+  wy_jobs_free (g->jobs);
+  wy_members_free (g->members);
+  wy_watch_free (g->operator_rows);
+  wy_watch_free (g->replicas);
+  wy_rows_free (g->env.rows);
+  wy_h1_client_free (g->env.http);
+  uv_close ((uv_handle_t *)&g->tick, NULL);
+}
--- /dev/null
+++ b/src/gate/members.c
@@ -0,0 +1,331 @@
+/* The entries that are alive.
+
+   Each entry writes a row of its own some times a second, and the others see
+   it change.  There is no lease: a job's writes carry its row's version as a
+   condition, so an entry wrongly taken for gone can do no harm, it only
+   loses its jobs.  Silence is counted only while the store answers, else an
+   outage of the store would make everybody gone at once.  */
+#include "gate/members.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "base/id.h"
+#include "platform/replica_wire.h"
+#include "rows/watch.h"
+#include "trace/note.h"
+
+enum
+{
+  BEAT_MS = 500,
+  /* An entry whose beat did not change for so long, while the store answered,
+     is gone: four beats, so that one slow or lost write does not count.  */
+  GONE_AFTER_MS = 2000,
+  TICK_MS = 200,
+  /* Rows older than this do not count as the store's present answer.  */
+  FRESH_MS = 1000,
+  /* A tick that comes this late means that the process itself stood still,
+     and that its clock says nothing about the others.  */
+  STALL_MS = 1000,
+  WATCH_GAP_MS = 250,
+  NAME_SIZE_BYTES = 128
+};
+
+struct member
+{
+  char node[NAME_SIZE_BYTES];
+  char holder[NAME_SIZE_BYTES];
+  struct sockaddr_in address;
+  bool has_address;
+  bool leaving;
+  int64_t silent_ms;
+};
+
+struct wy_members
+{
+  struct wy_members_options o;
+  struct wy_watch *watch;
+  uv_timer_t beat;
+  uv_timer_t tick;
+  GHashTable *by_node; /* struct member */
+  int64_t ticked_ms;
+  uint64_t beats;
+  bool writing;
+  bool leaving;
+};
+
+static void
+copy (json_t *doc, const char *key, char *out)
+{
+  const char *v = json_string_value (json_object_get (doc, key));
+
+  g_strlcpy (out, v ? v : "", NAME_SIZE_BYTES);
+}
+
+static void
+changed (struct wy_members *m)
+{
+  m->o.env->entries = wy_members_alive (m);
+  if (m->o.on_change)
+    m->o.on_change (m->o.ctx);
+}
+
+static void
+on_row (void *ctx, const struct wy_row *row)
+{
+  struct wy_members *m = ctx;
+  struct member *e;
+  struct member was = { 0 };
+  json_t *doc;
+  const char *address;
+
+  if (row->deleted)
+    {
+      g_hash_table_remove (m->by_node, row->key);
+      changed (m);
+      return;
+    }
+  doc = json_loadb (row->value, row->size_bytes, 0, NULL);
+  e = g_hash_table_lookup (m->by_node, row->key);
+  if (e)
+    was = *e;
+  else
+    {
+      e = g_new0 (struct member, 1);
+      g_strlcpy (e->node, row->key, sizeof e->node);
+      g_hash_table_insert (m->by_node, e->node, e);
+    }
+  copy (doc, "holder", e->holder);
+  address = json_string_value (json_object_get (doc, "address"));
+  e->has_address = address && wy_address_parse (address, &e->address);
+  e->leaving = json_is_true (json_object_get (doc, "leaving"));
+  e->silent_ms = 0;
+  json_decref (doc);
+  if (strcmp (was.holder, e->holder) != 0 || was.leaving != e->leaving
+      || was.silent_ms >= GONE_AFTER_MS)
+    {
+      wy_note ("entry.seen", "node=%s holder=%s leaving=%d silent_ms=%lld",
+               e->node, e->holder, e->leaving, (long long)was.silent_ms);
+      changed (m);
+    }
+}
+
+static void
+on_tick (uv_timer_t *t)
+{
+  struct wy_members *m = t->data;
+  int64_t now_ms = wy_clock_mono_ms (m->o.env->clock);
+  int64_t passed_ms = now_ms - m->ticked_ms;
+  int64_t age_ms = wy_watch_age_ms (m->watch);
+  bool any = false;
+  GHashTableIter it;
+  gpointer p;
+
+  m->ticked_ms = now_ms;
+  if (passed_ms > STALL_MS || age_ms < 0 || age_ms > FRESH_MS)
+    return;
+  g_hash_table_iter_init (&it, m->by_node);
+  while (g_hash_table_iter_next (&it, NULL, &p))
+    {
+      struct member *e = p;
+      bool was_gone = e->silent_ms >= GONE_AFTER_MS;
+
+      e->silent_ms += passed_ms;
+      if (was_gone || e->silent_ms < GONE_AFTER_MS)
+        continue;
+      any = true;
+      wy_note ("entry.gone", "node=%s holder=%s silent_ms=%lld list_age_ms=%lld",
+               e->node, e->holder, (long long)e->silent_ms,
+               (long long)age_ms);
+    }
+  if (any)
+    changed (m);
+}
+
+static void
+on_beat_written (void *ctx, const struct wy_rows_result *r)
+{
+  ((struct wy_members *)ctx)->writing = false;
+}
+
+static void
+write_beat (struct wy_members *m)
+{
+  char value[512];
+  struct wy_row_write w
+      = { .table = WY_MEMBERS_TABLE, .key = m->o.env->node, .value = value };
+  struct wy_rows_tx tx = { .part = "", .writes = &w, .n_writes = 1 };
+
+  snprintf (value, sizeof value,
+            "{\"holder\":\"%s\",\"address\":\"%s\",\"leaving\":%s,"
+            "\"beat\":%llu}",
+            m->o.env->holder, m->o.address, m->leaving ? "true" : "false",
+            (unsigned long long)++m->beats);
+  w.size_bytes = strlen (value);
+  m->writing = true;
+  wy_rows_tx (m->o.env->rows, &tx, on_beat_written, m);
+}
+
+static void
+on_beat (uv_timer_t *t)
+{
+  struct wy_members *m = t->data;
+
+  if (!m->writing)
+    write_beat (m);
+}
+
+/* Start telling and following heartbeats as O says.  */
+struct wy_members *
+wy_members_new (const struct wy_members_options *o)
+{
+  struct wy_members *m = g_new0 (struct wy_members, 1);
+  struct wy_watch_options w = { .loop = o->env->loop,
+                                .clock = o->env->clock,
+                                .rows = o->env->rows,
+                                .table = WY_MEMBERS_TABLE,
+                                .gap_ms = WATCH_GAP_MS,
+                                .seed = o->seed,
+                                .on_row = on_row,
+                                .ctx = m };
+
+  m->o = *o;
+  m->by_node = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  m->watch = wy_watch_new (&w);
+  m->ticked_ms = wy_clock_mono_ms (o->env->clock);
+  uv_timer_init (o->env->loop, &m->beat);
+  m->beat.data = m;
+  uv_timer_start (&m->beat, on_beat, 0, BEAT_MS);
+  uv_timer_init (o->env->loop, &m->tick);
+  m->tick.data = m;
+  uv_timer_start (&m->tick, on_tick, TICK_MS, TICK_MS);
+  return m;
+}
+
+/* Stop.  The memory of M stays, since a call of it may be under way.  */
+void
+wy_members_free (struct wy_members *m)
+{
+  wy_watch_free (m->watch);
+  uv_close ((uv_handle_t *)&m->beat, NULL);
+  uv_close ((uv_handle_t *)&m->tick, NULL);
+}
+
+/* Tell the others that this entry is about to stop.  */
+void
+wy_members_leave (struct wy_members *m)
+{
+  m->leaving = true;
+  write_beat (m);
+}
+
+static bool
+is_alive (const struct member *e)
+{
+  return !e->leaving && e->silent_ms < GONE_AFTER_MS;
+}
+
+/* Number of entries alive; at least 1, this one.  */
+uint32_t
+wy_members_alive (const struct wy_members *m)
+{
+  GHashTableIter it;
+  gpointer p;
+  uint32_t n = 0;
+
+  g_hash_table_iter_init (&it, m->by_node);
+  while (g_hash_table_iter_next (&it, NULL, &p))
+    n += is_alive (p);
+  return n ? n : 1;
+}
+
+/* Whether HOLDER, "NODE/INCARNATION", will do no more work: its instance is
+   silent or leaving, or has started anew since.  */
+bool
+wy_members_is_gone (const struct wy_members *m, const char *holder)
+{
+  const char *slash = strchr (holder, '/');
+  char node[NAME_SIZE_BYTES];
+  const struct member *e;
+
+  if (!slash || (size_t)(slash - holder) >= sizeof node)
+    return true;
+  if (!wy_watch_is_synced (m->watch))
+    return false;
+  memcpy (node, holder, (size_t)(slash - holder));
+  node[slash - holder] = '\0';
+  e = g_hash_table_lookup (m->by_node, node);
+  return !e || !is_alive (e) || strcmp (e->holder, holder) != 0;
+}
+
+static uint64_t
+weight_of (const char *node, const char *key)
+{
+  return wy_hash64 (node, strlen (node), wy_hash64 (key, strlen (key), 0));
+}
+
+/* Place of this entry among those alive in the order that KEY gives them;
+   each key gives another, so that work without a holder spreads.  */
+uint32_t
+wy_members_rank (const struct wy_members *m, const char *key)
+{
+  const char *node = m->o.env->node;
+  uint64_t own = weight_of (node, key);
+  GHashTableIter it;
+  gpointer p;
+  uint32_t rank = 0;
+
+  g_hash_table_iter_init (&it, m->by_node);
+  while (g_hash_table_iter_next (&it, NULL, &p))
+    {
+      const struct member *e = p;
+
+      if (is_alive (e) && strcmp (e->node, node) != 0)
+        rank += weight_of (e->node, key) > own;
+    }
+  return rank;
+}
+
+/* Write the addresses of the other entries alive to OUT, MAX at most.  */
+size_t
+wy_members_addresses (const struct wy_members *m, struct sockaddr_in *out,
+                      size_t max)
+{
+  GHashTableIter it;
+  gpointer p;
+  size_t n = 0;
+
+  g_hash_table_iter_init (&it, m->by_node);
+  while (g_hash_table_iter_next (&it, NULL, &p) && n < max)
+    {
+      const struct member *e = p;
+
+      if (is_alive (e) && e->has_address
+          && strcmp (e->node, m->o.env->node) != 0)
+        out[n++] = e->address;
+    }
+  return n;
+}
+
+/* Where the entry of ROW takes calls to the store; false: it does not, or not
+   any more.  */
+bool
+wy_member_address (const struct wy_row *row, struct sockaddr_in *out)
+{
+  json_t *doc = json_loadb (row->value, row->size_bytes, 0, NULL);
+  const char *address = json_string_value (json_object_get (doc, "address"));
+  bool ok = address && wy_address_parse (address, out)
+            && !json_is_true (json_object_get (doc, "leaving"));
+
+  json_decref (doc);
+  return ok;
+}
+
+/* Age in ms of what is known; -1: nothing is.  */
+int64_t
+wy_members_age_ms (const struct wy_members *m)
+{
+  return wy_watch_age_ms (m->watch);
+}
--- /dev/null
+++ b/src/gate/members.h
@@ -0,0 +1,36 @@
+/* The entries that are alive, as their heartbeats in the store tell.  */
+#ifndef WY_GATE_MEMBERS_H
+#define WY_GATE_MEMBERS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <netinet/in.h>
+
+#include "gate/env.h"
+
+#define WY_MEMBERS_TABLE "wy-entries"
+
+struct wy_members;
+
+struct wy_members_options
+{
+  struct wy_gate_env *env;
+  const char *address; /* "IP:PORT" where peers' store calls are taken */
+  uint64_t seed;
+  void (*on_change) (void *ctx);
+  void *ctx;
+};
+
+struct wy_members *wy_members_new (const struct wy_members_options *o);
+void wy_members_free (struct wy_members *m);
+void wy_members_leave (struct wy_members *m);
+uint32_t wy_members_alive (const struct wy_members *m);
+bool wy_members_is_gone (const struct wy_members *m, const char *holder);
+uint32_t wy_members_rank (const struct wy_members *m, const char *key);
+size_t wy_members_addresses (const struct wy_members *m,
+                             struct sockaddr_in *out, size_t max);
+bool wy_member_address (const struct wy_row *row, struct sockaddr_in *out);
+int64_t wy_members_age_ms (const struct wy_members *m);
+
+#endif
--- /dev/null
+++ b/src/gate/proxy.h
@@ -0,0 +1,11 @@
+/* Passes a caller's request on to a replica and its answer back.  */
+#ifndef WY_GATE_PROXY_H
+#define WY_GATE_PROXY_H
+
+#include "gate/env.h"
+#include "h1/server.h"
+
+void wy_proxy_start (struct wy_gate_env *env, struct wy_h1_request *r,
+                     const struct wy_route *route);
+
+#endif
--- /dev/null
+++ b/src/gate/replica.h
@@ -0,0 +1,75 @@
+/* What is said of a replica: by itself in the list of replicas, and in its
+   own reports.  */
+#ifndef WY_GATE_REPLICA_H
+#define WY_GATE_REPLICA_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <netinet/in.h>
+
+enum
+{
+  WY_REPLICA_MODELS_MAX = 16,
+  WY_REPLICA_NAME_SIZE_BYTES = 128
+};
+
+struct wy_model_version
+{
+  char model[WY_REPLICA_NAME_SIZE_BYTES];
+  int64_t version;
+};
+
+/* Its entry in the list.  */
+struct wy_replica
+{
+  char id[WY_REPLICA_NAME_SIZE_BYTES];
+  char service[WY_REPLICA_NAME_SIZE_BYTES];
+  char availability_zone[WY_REPLICA_NAME_SIZE_BYTES];
+  struct sockaddr_in address;
+  uint32_t slots;
+  bool draining;
+  int64_t started_ms; /* wall time of its start; 0: not told */
+  struct wy_model_version models[WY_REPLICA_MODELS_MAX];
+  uint32_t n_models;
+};
+
+/* Its own report on the orders it has taken.  */
+struct wy_replica_report
+{
+  bool order_in_progress;
+  int64_t orders_accepted;
+  int64_t started_ms;
+  struct wy_model_version models[WY_REPLICA_MODELS_MAX];
+  uint32_t n_models;
+};
+
+enum wy_load_mode
+{
+  WY_LOAD_AFTER_RUNS, /* runs finish first */
+  WY_LOAD_UNDER_RUNS  /* runs go on under the new version */
+};
+
+/* An order to load a version of a model's weights.  */
+struct wy_load_order
+{
+  const char *model;
+  int64_t version;
+  enum wy_load_mode mode;
+  const char *holder;
+  int64_t generation;
+  int64_t orders_accepted; /* that the replica must have accepted so far */
+};
+
+enum wy_order_outcome
+{
+  WY_ORDER_ACCEPTED,
+  WY_ORDER_HOLDS, /* it is so already */
+  WY_ORDER_BUSY,  /* another is in progress, or the count differs */
+  WY_ORDER_FENCED,
+  WY_ORDER_INVALID,
+  WY_ORDER_NOT_HERE, /* another replica has the address */
+  WY_ORDER_UNKNOWN
+};
+
+#endif
--- /dev/null
+++ b/src/gate/routing.c
@@ -0,0 +1,154 @@
+/* Routing of callers' requests.  */
+#include "gate/routing.h"
+
+#include <string.h>
+#include <strings.h>
+
+static void
+free_route (gpointer p)
+{
+  struct wy_route *r = p;
+
+  g_free (r->name);
+  g_free (r->host);
+  g_free (r->prefix);
+  for (guint i = 0; i < r->splits->len; i++)
+    g_free (g_array_index (r->splits, struct wy_split, i).service);
+  g_array_free (r->splits, TRUE);
+  g_free (r);
+}
+
+static void
+free_service (gpointer p)
+{
+  struct wy_service *s = p;
+
+  g_free (s->name);
+  g_ptr_array_free (s->models, TRUE);
+  g_free (s);
+}
+
+/* An empty routing.  */
+struct wy_routing *
+wy_routing_new (void)
+{
+  struct wy_routing *r = g_new0 (struct wy_routing, 1);
+
+  r->routes = g_ptr_array_new_with_free_func (free_route);
+  r->services = g_ptr_array_new_with_free_func (free_service);
+  return r;
+}
+
+/* Free R, which may be NULL.  */
+void
+wy_routing_free (struct wy_routing *r)
+{
+  if (!r)
+    return;
+  g_ptr_array_free (r->routes, TRUE);
+  g_ptr_array_free (r->services, TRUE);
+  g_free (r);
+}
+
+/* Add an empty route to R.  */
+struct wy_route *
+wy_routing_add_route (struct wy_routing *r)
+{
+  struct wy_route *t = g_new0 (struct wy_route, 1);
+
+  t->splits = g_array_new (FALSE, FALSE, sizeof (struct wy_split));
+  g_ptr_array_add (r->routes, t);
+  return t;
+}
+
+/* Add an empty service to R.  */
+struct wy_service *
+wy_routing_add_service (struct wy_routing *r)
+{
+  struct wy_service *s = g_new0 (struct wy_service, 1);
+
+  s->models = g_ptr_array_new_with_free_func (g_free);
+  g_ptr_array_add (r->services, s);
+  return s;
+}
+
+static gint
+by_prefix_length (gconstpointer a, gconstpointer b)
+{
+  const struct wy_route *x = *(const struct wy_route *const *)a;
+  const struct wy_route *y = *(const struct wy_route *const *)b;
+  size_t m = strlen (x->prefix);
+  size_t n = strlen (y->prefix);
+
+  return m < n ? 1 : m > n ? -1 : 0;
+}
+
+/* Put the routes of R in the order in which they are matched.  */
+void
+wy_routing_seal (struct wy_routing *r)
+{
+  g_ptr_array_sort (r->routes, by_prefix_length);
+}
+
+static bool
+host_matches (const struct wy_route *r, const char *host)
+{
+  size_t n = strlen (r->host);
+
+  /* A port behind the name is not part of it.  */
+  return !strncasecmp (r->host, host, n)
+         && (host[n] == '\0' || host[n] == ':');
+}
+
+/* The route of HOST whose prefix is the longest that begins PATH; NULL:
+   none.  */
+const struct wy_route *
+wy_routing_match (const struct wy_routing *r, const char *host,
+                  const char *path)
+{
+  for (guint i = 0; i < r->routes->len; i++)
+    {
+      const struct wy_route *t = g_ptr_array_index (r->routes, i);
+
+      if (host_matches (t, host) && g_str_has_prefix (path, t->prefix))
+        return t;
+    }
+  return NULL;
+}
+
+/* The service NAME; NULL: none.  */
+const struct wy_service *
+wy_routing_service (const struct wy_routing *r, const char *name)
+{
+  for (guint i = 0; i < r->services->len; i++)
+    {
+      const struct wy_service *s = g_ptr_array_index (r->services, i);
+
+      if (!strcmp (s->name, name))
+        return s;
+    }
+  return NULL;
+}
+
+/* The service of R that the number DRAW chooses by the weights.  */
+const char *
+wy_route_service (const struct wy_route *r, uint32_t draw)
+{
+  uint64_t total = 0;
+  uint64_t at;
+
+  for (guint i = 0; i < r->splits->len; i++)
+    total += g_array_index (r->splits, struct wy_split, i).weight;
+  if (total == 0)
+    return g_array_index (r->splits, struct wy_split, 0).service;
+  at = draw % total;
+  for (guint i = 0; i < r->splits->len; i++)
+    {
+      const struct wy_split *s = &g_array_index (r->splits, struct wy_split, i);
+
+      if (at < s->weight)
+        return s->service;
+      at -= s->weight;
+    }
+  return g_array_index (r->splits, struct wy_split, 0).service;
+}
--- /dev/null
+++ b/src/gate/settings.c
@@ -0,0 +1,70 @@
+/* Settings of wygated.  */
+#include "gate/settings.h"
+
+#define FIELD(f) offsetof (struct wy_gate_settings, f)
+
+const struct wy_setting wy_gate_settings_table[] = {
+  { .key = "name",
+    .kind = WY_SETTING_TEXT,
+    .offset = FIELD (name),
+    .help = "Name of this instance, in logs and in the store" },
+  { .key = "availability_zone",
+    .kind = WY_SETTING_TEXT,
+    .offset = FIELD (availability_zone),
+    .fallback = "",
+    .help = "Targets in it are preferred among equals" },
+  { .key = "callers_address",
+    .kind = WY_SETTING_TEXT,
+    .offset = FIELD (callers),
+    .help = "IP:PORT on which callers are served" },
+  { .key = "ready_address",
+    .kind = WY_SETTING_TEXT,
+    .offset = FIELD (ready),
+    .help = "IP:PORT on which the balancer asks for readiness" },
+  { .key = "peers_address",
+    .kind = WY_SETTING_TEXT,
+    .offset = FIELD (peers),
+    .help = "IP:PORT on which calls to the store are taken from processes"
+            " that it turns away" },
+  { .key = "metrics_address",
+    .kind = WY_SETTING_TEXT,
+    .offset = FIELD (metrics),
+    .fallback = "",
+    .help = "IP:PORT of the metrics; empty: not served" },
+  { .key = "store_address",
+    .kind = WY_SETTING_TEXT,
+    .offset = FIELD (store),
+    .help = "IP:PORT of the store of rows and objects" },
+  { .key = "seeds",
+    .kind = WY_SETTING_LIST,
+    .offset = FIELD (seeds),
+    .help = "peers_address of some entries, used until the store has told"
+            " of all" },
+  { .key = "object_bytes",
+    .kind = WY_SETTING_NUMBER,
+    .offset = FIELD (object_bytes),
+    .fallback = "1048576",
+    .min = 4096,
+    .max = 1 << 30,
+    .unit = "bytes",
+    .help = "Largest object that the store takes; larger jobs are cut" },
+  { .key = "memory_mb",
+    .kind = WY_SETTING_NUMBER,
+    .offset = FIELD (memory_mb),
+    .fallback = "128",
+    .min = 16,
+    .max = 1 << 20,
+    .unit = "MB",
+    .help = "Memory of the process; an eighth of it holds bodies that are"
+            " being read" },
+  { .key = "grace_s",
+    .kind = WY_SETTING_REAL,
+    .offset = FIELD (grace_s),
+    .fallback = "8",
+    .min = 1,
+    .max = 600,
+    .unit = "s",
+    .help = "Time between the request to stop and the end by force" }
+};
+
+const size_t wy_gate_settings_count = G_N_ELEMENTS (wy_gate_settings_table);
--- /dev/null
+++ b/src/gate/settings.h
@@ -0,0 +1,25 @@
+/* Settings of wygated.  */
+#ifndef WY_GATE_SETTINGS_H
+#define WY_GATE_SETTINGS_H
+
+#include "config/settings.h"
+
+struct wy_gate_settings
+{
+  char *name;
+  char *availability_zone;
+  char *callers;  /* IP:PORT of the callers' interface */
+  char *ready;    /* IP:PORT of the readiness check */
+  char *peers;    /* IP:PORT for other processes of the system */
+  char *metrics;  /* IP:PORT, or "" */
+  char *store;    /* IP:PORT */
+  GPtrArray *seeds;
+  int64_t object_bytes;
+  int64_t memory_mb;
+  double grace_s;
+};
+
+extern const struct wy_setting wy_gate_settings_table[];
+extern const size_t wy_gate_settings_count;
+
+#endif
--- /dev/null
+++ b/src/gate/targets.c
@@ -0,0 +1,397 @@
+/* Beliefs about replicas and the choice between them.  */
+#include "gate/targets.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+enum
+{
+  /* A target that failed is left alone for this long, doubled with each
+     further failure: a crashed one comes back within some seconds, and each
+     try at it costs a request the time to connect.  */
+  AVOID_MIN_MS = 250,
+  AVOID_MAX_MS = 2000,
+  /* A target that turned work away is full, or loads weights: others first
+     for about the time that one running request needs.  */
+  AVOID_FULL_MS = 60,
+  /* One whose address another replica has is about to leave the list.  */
+  AVOID_ELSEWHERE_MS = 3000,
+  /* A load told in an answer says little after this time.  */
+  LOAD_TRUST_MS = 1000,
+  /* A slow target is believed to be slow for so long without new proof;
+     else it would never be tried again.  */
+  PACE_TRUST_MS = 4000
+};
+
+/* Weight of the newest sample in the smoothed pace: about the last five.  */
+static const double pace_weight = 0.2;
+/* Worth of a target in the same availability zone, as a share of the pace:
+   it only decides between equals.  */
+static const double near_bonus = 0.02;
+/* A full target costs this many paces for each request ahead, by slot.  */
+static const double queue_cost = 4.0;
+
+struct wy_targets
+{
+  GHashTable *by_id; /* struct wy_target */
+  struct wy_rng rng;
+};
+
+/* An empty set; SEED makes choices between equals differ between entries.  */
+struct wy_targets *
+wy_targets_new (uint64_t seed)
+{
+  struct wy_targets *t = g_new0 (struct wy_targets, 1);
+
+  t->by_id = g_hash_table_new (g_str_hash, g_str_equal);
+  wy_rng_seed (&t->rng, seed);
+  return t;
+}
+
+/* Free T and all targets.  */
+void
+wy_targets_free (struct wy_targets *t)
+{
+  GHashTableIter it;
+  gpointer g;
+
+  g_hash_table_iter_init (&it, t->by_id);
+  while (g_hash_table_iter_next (&it, NULL, &g))
+    g_free (g);
+  g_hash_table_destroy (t->by_id);
+  g_free (t);
+}
+
+static void
+collect (struct wy_targets *t, struct wy_target *g)
+{
+  if (g->listed || g->in_flight || g->held)
+    return;
+  if (g_hash_table_lookup (t->by_id, g->info.id) == g)
+    g_hash_table_remove (t->by_id, g->info.id);
+  g_free (g);
+}
+
+/* Take in the entry INFO of a replica.  */
+struct wy_target *
+wy_targets_set (struct wy_targets *t, const struct wy_replica *info)
+{
+  struct wy_target *g = wy_targets_find (t, info->id);
+  struct wy_model_version known[WY_REPLICA_MODELS_MAX];
+  uint32_t n_known = 0;
+
+  if (!g)
+    {
+      g = g_new0 (struct wy_target, 1);
+      g->info = *info;
+      g->listed = true;
+      g_hash_table_insert (t->by_id, g->info.id, g);
+      return g;
+    }
+  if (g->info.started_ms == info->started_ms && !g->info.draining)
+    {
+      memcpy (known, g->info.models, sizeof known);
+      n_known = g->info.n_models;
+    }
+  if (g->info.started_ms != info->started_ms)
+    {
+      g->failures = 0;
+      g->avoid_until_ms = 0;
+    }
+  g->info = *info;
+  g->listed = true;
+  /* Entries lag behind what answers have told: versions only rise.  */
+  for (uint32_t i = 0; i < n_known; i++)
+    wy_target_saw_version (g, known[i].model, known[i].version);
+  return g;
+}
+
+/* The replica ID has left the list.  */
+void
+wy_targets_remove (struct wy_targets *t, const char *id)
+{
+  struct wy_target *g = wy_targets_find (t, id);
+
+  if (!g)
+    return;
+  g->listed = false;
+  collect (t, g);
+}
+
+/* The target ID; NULL: not known.  */
+struct wy_target *
+wy_targets_find (struct wy_targets *t, const char *id)
+{
+  return g_hash_table_lookup (t->by_id, id);
+}
+
+static bool
+is_ready (const struct wy_target *g, const char *service)
+{
+  return g->listed && !g->info.draining && !strcmp (g->info.service, service);
+}
+
+/* Number of targets of SERVICE that take work.  */
+uint32_t
+wy_targets_ready (const struct wy_targets *t, const char *service)
+{
+  GHashTableIter it;
+  gpointer g;
+  uint32_t n = 0;
+
+  g_hash_table_iter_init (&it, t->by_id);
+  while (g_hash_table_iter_next (&it, NULL, &g))
+    n += is_ready (g, service);
+  return n;
+}
+
+/* The version of MODEL that G was last known to have; 0: not known.  */
+int64_t
+wy_target_version (const struct wy_target *g, const char *model)
+{
+  for (uint32_t i = 0; i < g->info.n_models; i++)
+    if (!strcmp (g->info.models[i].model, model))
+      return g->info.models[i].version;
+  return 0;
+}
+
+/* G has answered under VERSION of MODEL.  */
+void
+wy_target_saw_version (struct wy_target *g, const char *model, int64_t version)
+{
+  for (uint32_t i = 0; i < g->info.n_models; i++)
+    if (!strcmp (g->info.models[i].model, model))
+      {
+        if (g->info.models[i].version < version)
+          g->info.models[i].version = version;
+        return;
+      }
+}
+
+static bool
+was_tried (const struct wy_pick *p, const struct wy_target *g)
+{
+  for (uint32_t i = 0; i < p->n_tried; i++)
+    if (p->tried[i] == g)
+      return true;
+  return false;
+}
+
+/* Requests at G, of all callers, as far as this entry can tell.  */
+static uint32_t
+load_of (const struct wy_target *g, int64_t now_ms)
+{
+  int64_t load;
+
+  if (g->reported_ms == 0 || now_ms - g->reported_ms > LOAD_TRUST_MS)
+    return g->in_flight;
+  load = (int64_t)g->reported_load + g->in_flight - g->in_flight_then;
+  return load > (int64_t)g->in_flight ? (uint32_t)load : g->in_flight;
+}
+
+static bool
+fits (const struct wy_target *g, const struct wy_pick *p, int64_t now_ms)
+{
+  if (!is_ready (g, p->service) || was_tried (p, g))
+    return false;
+  if (p->in_flight_limit && g->in_flight >= p->in_flight_limit)
+    return false;
+  if (p->model && p->min_version > wy_target_version (g, p->model))
+    return false;
+  if (p->within_slots && load_of (g, now_ms) >= g->info.slots)
+    return false;
+  /* After a failure one request at a time shows whether it is back.  */
+  if (g->failures && g->in_flight)
+    return false;
+  return now_ms >= g->avoid_until_ms;
+}
+
+static double
+pace_of (const struct wy_target *g, double typical_ms, int64_t now_ms)
+{
+  if (g->pace_ms <= 0 || now_ms - g->pace_seen_ms > PACE_TRUST_MS)
+    return typical_ms;
+  return g->pace_ms;
+}
+
+/* Expected cost of one more request on G: its pace, rising a little with the
+   load while there are free slots, since a larger batch is a slower one, and
+   steeply beyond, where the request would wait for another to end.  */
+static double
+cost_of (const struct wy_target *g, const struct wy_pick *p, double typical_ms,
+         int64_t now_ms)
+{
+  double pace = pace_of (g, typical_ms, now_ms);
+  double load = (double)load_of (g, now_ms) / g->info.slots;
+  double cost = pace * (1 + load / 2);
+
+  if (load >= 1)
+    cost += pace * queue_cost * load;
+  if (p->availability_zone
+      && !strcmp (g->info.availability_zone, p->availability_zone))
+    cost -= pace * near_bonus;
+  return cost;
+}
+
+/* The pace that most targets of SERVICE keep: the mean over them; 1 when
+   none is known, so that costs can be compared.  */
+double
+wy_targets_typical_pace_ms (const struct wy_targets *t, const char *service)
+{
+  GHashTableIter it;
+  gpointer p;
+  double sum = 0;
+  uint32_t n = 0;
+
+  g_hash_table_iter_init (&it, t->by_id);
+  while (g_hash_table_iter_next (&it, NULL, &p))
+    {
+      const struct wy_target *g = p;
+
+      if (g->pace_ms <= 0 || !is_ready (g, service))
+        continue;
+      sum += g->pace_ms;
+      n++;
+    }
+  return n ? sum / n : 1;
+}
+
+/* Choose the target for a request.  It answers bursts that would pile up on
+   one replica and single replicas that have turned slow: the one with the
+   least expected cost gets the work, ties fall by chance so that the entries
+   do not all choose the same.  NULL: none fits now.  */
+struct wy_target *
+wy_targets_pick (struct wy_targets *t, const struct wy_pick *p, int64_t now_ms)
+{
+  double typical_ms = wy_targets_typical_pace_ms (t, p->service);
+  struct wy_target *best = NULL;
+  double best_cost = 0;
+  uint32_t ties = 0;
+  GHashTableIter it;
+  gpointer v;
+
+  g_hash_table_iter_init (&it, t->by_id);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    {
+      struct wy_target *g = v;
+      double cost;
+
+      if (!fits (g, p, now_ms))
+        continue;
+      cost = cost_of (g, p, typical_ms, now_ms);
+      if (!best || cost < best_cost)
+        {
+          best = g;
+          best_cost = cost;
+          ties = 1;
+        }
+      else if (cost == best_cost && wy_rng_below (&t->rng, ++ties) == 0)
+        best = g;
+    }
+  return best;
+}
+
+/* Slots free for requests as P describes, over all targets.  */
+uint32_t
+wy_targets_free_slots (struct wy_targets *t, const struct wy_pick *p,
+                       int64_t now_ms)
+{
+  GHashTableIter it;
+  gpointer v;
+  uint32_t n = 0;
+
+  g_hash_table_iter_init (&it, t->by_id);
+  while (g_hash_table_iter_next (&it, NULL, &v))
+    {
+      const struct wy_target *g = v;
+      uint32_t load = load_of (g, now_ms);
+
+      if (fits (g, p, now_ms) && load < g->info.slots)
+        n += g->info.slots - load;
+    }
+  return n;
+}
+
+/* Keep G while something points to it.  */
+void
+wy_target_hold (struct wy_target *g)
+{
+  g->held++;
+}
+
+/* Undo wy_target_hold.  */
+void
+wy_target_release (struct wy_targets *t, struct wy_target *g)
+{
+  g->held--;
+  collect (t, g);
+}
+
+/* A request goes to G.  */
+void
+wy_target_started (struct wy_target *g)
+{
+  g->in_flight++;
+}
+
+static void
+avoid (struct wy_target *g, int64_t ms, int64_t now_ms)
+{
+  if (g->avoid_until_ms < now_ms + ms)
+    g->avoid_until_ms = now_ms + ms;
+}
+
+/* A request at G has ended.  G may be freed by this.  */
+void
+wy_target_ended (struct wy_targets *t, struct wy_target *g,
+                 enum wy_target_outcome outcome, int64_t now_ms)
+{
+  g->in_flight--;
+  switch (outcome)
+    {
+    case WY_TARGET_ANSWERED:
+      g->failures = 0;
+      break;
+    case WY_TARGET_ABANDONED:
+      break;
+    case WY_TARGET_FULL:
+      avoid (g, AVOID_FULL_MS, now_ms);
+      break;
+    case WY_TARGET_BROKEN:
+    case WY_TARGET_SILENT:
+      {
+        uint32_t n = MIN (g->failures, 3);
+
+        /* Requests that break together are one failure.  */
+        if (now_ms >= g->avoid_until_ms)
+          g->failures++;
+        avoid (g, MIN (AVOID_MIN_MS << n, AVOID_MAX_MS), now_ms);
+        break;
+      }
+    case WY_TARGET_ELSEWHERE:
+      avoid (g, AVOID_ELSEWHERE_MS, now_ms);
+      break;
+    }
+  collect (t, g);
+}
+
+/* G has told its load, that of this entry included.  */
+void
+wy_target_loaded (struct wy_target *g, uint32_t load, int64_t now_ms)
+{
+  g->reported_load = load;
+  g->in_flight_then = g->in_flight;
+  g->reported_ms = now_ms;
+}
+
+/* G has done a unit of work in MS.  */
+void
+wy_target_paced (struct wy_target *g, double ms, int64_t now_ms)
+{
+  if (g->pace_ms <= 0 || now_ms - g->pace_seen_ms > PACE_TRUST_MS)
+    g->pace_ms = ms;
+  else
+    g->pace_ms += pace_weight * (ms - g->pace_ms);
+  g->pace_seen_ms = now_ms;
+}
--- /dev/null
+++ b/src/gate/targets.h
@@ -0,0 +1,77 @@
+/* What an entry believes of the replicas it sends work to, and which one it
+   chooses.  No input or output: rows, answers and failures are told to it.  */
+#ifndef WY_GATE_TARGETS_H
+#define WY_GATE_TARGETS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/rng.h"
+#include "gate/replica.h"
+
+struct wy_targets;
+
+struct wy_target
+{
+  struct wy_replica info;
+  bool listed;        /* still in the list of replicas */
+  uint32_t in_flight; /* requests of this entry */
+  uint32_t held;      /* others that point here */
+  uint32_t failures;  /* one after another */
+  int64_t avoid_until_ms;
+  uint32_t reported_load;  /* running and waiting, of all callers */
+  uint32_t in_flight_then; /* ours among them */
+  int64_t reported_ms;
+  double pace_ms; /* smoothed time of a unit of work; 0: not known */
+  int64_t pace_seen_ms;
+};
+
+enum wy_target_outcome
+{
+  WY_TARGET_ANSWERED,
+  WY_TARGET_ABANDONED,  /* by us, for no fault of its own */
+  WY_TARGET_FULL,       /* turned it away without running it */
+  WY_TARGET_BROKEN,     /* connection refused, reset, or a spoilt answer */
+  WY_TARGET_SILENT,     /* nothing in time */
+  WY_TARGET_ELSEWHERE   /* another replica has the address */
+};
+
+/* What a target must be to be chosen.  */
+struct wy_pick
+{
+  const char *service;
+  const char *availability_zone; /* of the entry; nearer targets win ties */
+  const char *model;             /* NULL: any */
+  int64_t min_version;
+  uint32_t in_flight_limit; /* of this entry on one target; 0: none */
+  bool within_slots;        /* only where a request starts at once */
+  const struct wy_target *const *tried;
+  uint32_t n_tried;
+};
+
+struct wy_targets *wy_targets_new (uint64_t seed);
+void wy_targets_free (struct wy_targets *t);
+struct wy_target *wy_targets_set (struct wy_targets *t,
+                                  const struct wy_replica *info);
+void wy_targets_remove (struct wy_targets *t, const char *id);
+struct wy_target *wy_targets_find (struct wy_targets *t, const char *id);
+uint32_t wy_targets_ready (const struct wy_targets *t, const char *service);
+struct wy_target *wy_targets_pick (struct wy_targets *t,
+                                   const struct wy_pick *p, int64_t now_ms);
+uint32_t wy_targets_free_slots (struct wy_targets *t, const struct wy_pick *p,
+                                int64_t now_ms);
+double wy_targets_typical_pace_ms (const struct wy_targets *t,
+                                   const char *service);
+
+void wy_target_hold (struct wy_target *g);
+void wy_target_release (struct wy_targets *t, struct wy_target *g);
+void wy_target_started (struct wy_target *g);
+void wy_target_ended (struct wy_targets *t, struct wy_target *g,
+                      enum wy_target_outcome outcome, int64_t now_ms);
+void wy_target_loaded (struct wy_target *g, uint32_t load, int64_t now_ms);
+void wy_target_paced (struct wy_target *g, double ms, int64_t now_ms);
+void wy_target_saw_version (struct wy_target *g, const char *model,
+                            int64_t version);
+int64_t wy_target_version (const struct wy_target *g, const char *model);
+
+#endif
--- /dev/null
+++ b/src/h1/client.h
@@ -0,0 +1,79 @@
+/* HTTP/1.1 client on libuv and http-parser that keeps its connections.
+
+   h2o's client closes after each call; targets charge for new connections
+   and let only so many be open, so here they are kept and the caller is told
+   enough to decide whether a request that failed may have been seen.  */
+#ifndef WY_H1_CLIENT_H
+#define WY_H1_CLIENT_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <netinet/in.h>
+#include <uv.h>
+
+#include "h1/head.h"
+#include "h1/server.h"
+
+struct wy_h1_client;
+struct wy_h1_call;
+
+struct wy_h1_answer
+{
+  int status;
+  const struct wy_h1_head *head;
+  bool framed; /* its end shows: by a length or by chunks */
+};
+
+struct wy_h1_call_options
+{
+  struct sockaddr_in address;
+  const char *method;
+  const char *target; /* path and query */
+  const struct wy_h1_pair *fields;
+  size_t n_fields;
+  const void *body;
+  size_t body_size_bytes;
+  bool has_body; /* send a length even if it is 0 */
+  bool fresh;    /* on a new connection only */
+  /* The head of the answer; the call may be cancelled within.  */
+  void (*on_head) (void *ctx, const struct wy_h1_answer *a);
+  void (*on_data) (void *ctx, const char *p, size_t n);
+  /* Comes once, last, unless the call is cancelled.  ERR 0: the answer is
+     whole; a wy_h1_error otherwise.  */
+  void (*on_end) (void *ctx, int err);
+  void *ctx;
+};
+
+struct wy_h1_client_options
+{
+  uv_loop_t *loop;
+  uint32_t connect_timeout_ms;
+  uint32_t idle_timeout_ms; /* of a kept connection, when the peer names none */
+};
+
+struct wy_h1_client_stats
+{
+  uint64_t opened;
+  uint64_t reused;
+  uint32_t open;
+  uint32_t idle;
+};
+
+struct wy_h1_client *wy_h1_client_new (const struct wy_h1_client_options *o);
+void wy_h1_client_free (struct wy_h1_client *c);
+void wy_h1_client_stats (const struct wy_h1_client *c,
+                         struct wy_h1_client_stats *out);
+uint32_t wy_h1_client_open_to (const struct wy_h1_client *c,
+                               const struct sockaddr_in *a);
+void wy_h1_client_forget (struct wy_h1_client *c,
+                          const struct sockaddr_in *a);
+
+struct wy_h1_call *wy_h1_call_start (struct wy_h1_client *c,
+                                     const struct wy_h1_call_options *o);
+void wy_h1_call_cancel (struct wy_h1_call *call);
+bool wy_h1_call_sent (const struct wy_h1_call *call);
+bool wy_h1_call_reused (const struct wy_h1_call *call);
+
+#endif
--- /dev/null
+++ b/src/h1/head.c
@@ -0,0 +1,156 @@
+/* Head of an HTTP/1.1 message.  */
+#include "h1/head.h"
+
+#include <string.h>
+#include <strings.h>
+
+/* Prepare H for its first message.  */
+void
+wy_h1_head_init (struct wy_h1_head *h)
+{
+  h->text = g_string_new (NULL);
+  h->fields = g_array_new (FALSE, FALSE, sizeof (struct wy_h1_field));
+  h->in_value = false;
+  h->has_url = false;
+}
+
+/* Forget the message, keep the memory for the next.  */
+void
+wy_h1_head_reset (struct wy_h1_head *h)
+{
+  g_string_truncate (h->text, 0);
+  g_array_set_size (h->fields, 0);
+  h->in_value = false;
+  h->has_url = false;
+}
+
+/* Free what H holds.  */
+void
+wy_h1_head_clear (struct wy_h1_head *h)
+{
+  g_string_free (h->text, TRUE);
+  g_array_free (h->fields, TRUE);
+}
+
+/* Append a piece of the request target.  */
+void
+wy_h1_head_url (struct wy_h1_head *h, const char *p, size_t n)
+{
+  g_string_append_len (h->text, p, (gssize)n);
+  h->has_url = true;
+}
+
+static struct wy_h1_field *
+last_field (struct wy_h1_head *h)
+{
+  return &g_array_index (h->fields, struct wy_h1_field, h->fields->len - 1);
+}
+
+/* Append a piece of a field's name; the first piece after a value starts the
+   next field.  */
+void
+wy_h1_head_name (struct wy_h1_head *h, const char *p, size_t n)
+{
+  if (h->in_value || h->fields->len == 0)
+    {
+      struct wy_h1_field f;
+
+      /* The NUL that ends what came before.  */
+      g_string_append_c (h->text, '\0');
+      f.name = (uint32_t)h->text->len;
+      f.value = 0;
+      g_array_append_val (h->fields, f);
+      h->in_value = false;
+    }
+  g_string_append_len (h->text, p, (gssize)n);
+}
+
+/* Append a piece of a field's value.  */
+void
+wy_h1_head_value (struct wy_h1_head *h, const char *p, size_t n)
+{
+  if (!h->in_value)
+    {
+      g_string_append_c (h->text, '\0');
+      last_field (h)->value = (uint32_t)h->text->len;
+      h->in_value = true;
+    }
+  g_string_append_len (h->text, p, (gssize)n);
+}
+
+/* The target of a request, with its query.  */
+const char *
+wy_h1_head_target (const struct wy_h1_head *h)
+{
+  return h->has_url ? h->text->str : "";
+}
+
+/* Number of fields.  */
+size_t
+wy_h1_head_count (const struct wy_h1_head *h)
+{
+  return h->fields->len;
+}
+
+/* The field I; valid until the head is reset.  */
+struct wy_h1_pair
+wy_h1_head_at (const struct wy_h1_head *h, size_t i)
+{
+  const struct wy_h1_field *f
+      = &g_array_index (h->fields, struct wy_h1_field, i);
+  struct wy_h1_pair p = { h->text->str + f->name,
+                          f->value ? h->text->str + f->value : "" };
+
+  return p;
+}
+
+/* The value of the first field NAME, in any case of letters; NULL: none.  */
+const char *
+wy_h1_head_get (const struct wy_h1_head *h, const char *name)
+{
+  for (size_t i = 0; i < h->fields->len; i++)
+    {
+      struct wy_h1_pair p = wy_h1_head_at (h, i);
+
+      if (!strcasecmp (p.name, name))
+        return p.value;
+    }
+  return NULL;
+}
+
+/* Bytes the head takes up.  */
+size_t
+wy_h1_head_size_bytes (const struct wy_h1_head *h)
+{
+  return h->text->len;
+}
+
+/* Whether the field NAME concerns one connection only (RFC 9110, 7.6.1) or
+   frames the body, and so is never passed on.  */
+bool
+wy_h1_is_connection_field (const char *name)
+{
+  static const char *const names[]
+      = { "connection",          "keep-alive",        "proxy-connection",
+          "transfer-encoding",   "te",                "trailer",
+          "upgrade",             "content-length",    "expect",
+          "proxy-authorization", "proxy-authenticate" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
+    if (!strcasecmp (name, names[i]))
+      return true;
+  return false;
+}
+
+/* Append the N fields at P to OUT.  */
+void
+wy_h1_write_fields (GString *out, const struct wy_h1_pair *p, size_t n)
+{
+  for (size_t i = 0; i < n; i++)
+    {
+      g_string_append (out, p[i].name);
+      g_string_append_len (out, ": ", 2);
+      g_string_append (out, p[i].value);
+      g_string_append_len (out, "\r\n", 2);
+    }
+}
--- /dev/null
+++ b/src/h1/head.h
@@ -0,0 +1,48 @@
+/* Head of an HTTP/1.1 message: the request line or status, and its fields.  */
+#ifndef WY_H1_HEAD_H
+#define WY_H1_HEAD_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+struct wy_h1_pair
+{
+  const char *name;
+  const char *value;
+};
+
+/* Texts lie one after another in TEXT, each with its NUL; fields hold their
+   offsets, so that a head is two allocations however many fields it has.  */
+struct wy_h1_head
+{
+  GString *text;
+  GArray *fields; /* struct wy_h1_field */
+  bool in_value;
+  bool has_url;
+};
+
+struct wy_h1_field
+{
+  uint32_t name;
+  uint32_t value;
+};
+
+void wy_h1_head_init (struct wy_h1_head *h);
+void wy_h1_head_reset (struct wy_h1_head *h);
+void wy_h1_head_clear (struct wy_h1_head *h);
+void wy_h1_head_url (struct wy_h1_head *h, const char *p, size_t n);
+void wy_h1_head_name (struct wy_h1_head *h, const char *p, size_t n);
+void wy_h1_head_value (struct wy_h1_head *h, const char *p, size_t n);
+const char *wy_h1_head_target (const struct wy_h1_head *h);
+const char *wy_h1_head_get (const struct wy_h1_head *h, const char *name);
+size_t wy_h1_head_count (const struct wy_h1_head *h);
+struct wy_h1_pair wy_h1_head_at (const struct wy_h1_head *h, size_t i);
+size_t wy_h1_head_size_bytes (const struct wy_h1_head *h);
+
+bool wy_h1_is_connection_field (const char *name);
+void wy_h1_write_fields (GString *out, const struct wy_h1_pair *p, size_t n);
+
+#endif
--- /dev/null
+++ b/src/h1/server.h
@@ -0,0 +1,78 @@
+/* HTTP/1.1 server on libuv and http-parser.
+
+   h2o's server does not read a connection while its request is being
+   answered, so a caller's hang-up shows only at the next write.  Here each
+   connection is read all the time, and the handler hears of a hang-up at
+   once.  */
+#ifndef WY_H1_SERVER_H
+#define WY_H1_SERVER_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <uv.h>
+
+#include "h1/head.h"
+
+enum wy_h1_error
+{
+  WY_H1_EBIND = -1001,
+  WY_H1_ECONNECT = -1002,  /* no connection: the peer has seen nothing */
+  WY_H1_ERESET = -1003,    /* broken off */
+  WY_H1_EPARTIAL = -1004,  /* closed before the answer was whole */
+  WY_H1_EMALFORMED = -1005 /* not an answer in HTTP/1.1 */
+};
+
+struct wy_h1_server;
+struct wy_h1_request;
+
+struct wy_h1_limits
+{
+  uint32_t header_bytes;
+  uint32_t body_bytes;
+  uint32_t header_timeout_ms; /* from the first byte to the end of the head */
+  uint32_t idle_timeout_ms;
+  uint64_t held_bytes; /* of bodies, over all connections */
+};
+
+struct wy_h1_server_options
+{
+  uv_loop_t *loop;
+  const char *host; /* IP number */
+  uint16_t port;    /* 0: any free port */
+  struct wy_h1_limits limits;
+  void (*on_request) (void *ctx, struct wy_h1_request *r);
+  void *ctx;
+};
+
+int wy_h1_server_new (struct wy_h1_server **out,
+                      const struct wy_h1_server_options *o);
+void wy_h1_server_set_limits (struct wy_h1_server *s,
+                              const struct wy_h1_limits *limits);
+uint16_t wy_h1_server_port (const struct wy_h1_server *s);
+uint32_t wy_h1_server_active (const struct wy_h1_server *s);
+uint32_t wy_h1_server_connections (const struct wy_h1_server *s);
+void wy_h1_server_announce_close (struct wy_h1_server *s);
+void wy_h1_server_stop (struct wy_h1_server *s);
+void wy_h1_server_free (struct wy_h1_server *s);
+
+const char *wy_h1_method (const struct wy_h1_request *r);
+const char *wy_h1_target (const struct wy_h1_request *r);
+const struct wy_h1_head *wy_h1_head (const struct wy_h1_request *r);
+const char *wy_h1_body (const struct wy_h1_request *r, size_t *n);
+int64_t wy_h1_received_ms (const struct wy_h1_request *r);
+
+void wy_h1_on_hangup (struct wy_h1_request *r, void (*cb) (void *ctx),
+                      void *ctx);
+void wy_h1_respond (struct wy_h1_request *r, int status,
+                    const struct wy_h1_pair *fields, size_t n_fields,
+                    const void *body, size_t n);
+void wy_h1_begin (struct wy_h1_request *r, int status,
+                  const struct wy_h1_pair *fields, size_t n_fields);
+void wy_h1_write (struct wy_h1_request *r, const void *p, size_t n);
+size_t wy_h1_unsent_bytes (const struct wy_h1_request *r);
+void wy_h1_finish (struct wy_h1_request *r);
+void wy_h1_break (struct wy_h1_request *r);
+
+#endif
--- /dev/null
+++ b/src/jobs/accept.c
@@ -0,0 +1,254 @@
+/* Accepts a submitted job: its body goes to the store, then its row, then the
+   submitter hears that it is kept.
+
+   A submission may come several times, at several entries; the row is written
+   on the condition that there is none, so one of them wins and the others
+   answer the same.  An answer that says "not accepted" is only given while
+   the row has not been asked for: after that, and until a read has settled
+   it, the submitter gets a status that promises nothing.  */
+#include "jobs/state.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "base/id.h"
+#include "gate/answer.h"
+#include "platform/job_wire.h"
+#include "trace/note.h"
+
+enum
+{
+  /* Tries to settle a write without an answer, each with the time limit of a
+     read; the submitter waits meanwhile.  */
+  SETTLE_TRIES = 4,
+  SETTLE_PAUSE_MS = 300,
+  PIECE_TRIES = 2,
+  RETRY_AFTER_MS = 400,
+  NAME_SIZE_BYTES = 320,
+  STATUS_ACCEPTED = 202
+};
+
+struct accept
+{
+  struct wy_jobs *jobs;
+  struct wy_h1_request *request; /* NULL: the submitter has hung up */
+  struct wy_job_record *record;
+  struct wy_job_spec *spec;
+  GString *body;
+  uint32_t next; /* piece */
+  uint32_t tries;
+  bool asked; /* the row may have been written */
+  int64_t started_ms;
+  uv_timer_t timer;
+};
+
+static void
+on_timer_closed (uv_handle_t *h)
+{
+  g_free (h->data);
+}
+
+static void
+end (struct accept *a, int status, const char *reason)
+{
+  struct wy_h1_request *r = a->request;
+
+  wy_note ("job.submitted",
+           "id=%s status=%d reason=%s items=%llu bytes=%zu ms=%lld",
+           a->record->id, status, reason,
+           (unsigned long long)a->record->total, a->body->len,
+           (long long)(wy_clock_mono_ms (a->jobs->env->clock)
+                       - a->started_ms));
+  if (r)
+    {
+      wy_h1_on_hangup (r, NULL, NULL);
+      if (status == STATUS_ACCEPTED)
+        wy_h1_respond (r, status, NULL, 0, "", 0);
+      else
+        wy_refuse (r, status, reason, status == 503 ? RETRY_AFTER_MS : 0);
+    }
+  wy_job_record_free (a->record);
+  wy_job_spec_free (a->spec);
+  g_string_free (a->body, TRUE);
+  uv_close ((uv_handle_t *)&a->timer, on_timer_closed);
+}
+
+static void
+on_hangup (void *ctx)
+{
+  ((struct accept *)ctx)->request = NULL;
+}
+
+static void
+accepted_here (struct accept *a, int64_t row_version)
+{
+  struct wy_jobs *j = a->jobs;
+
+  a->record->row_version = row_version;
+  (*j->env->count.jobs_accepted)++;
+  wy_jobs_learn (j, wy_job_record_copy (a->record));
+  if (!g_hash_table_contains (j->owned, a->record->id)
+      && !g_hash_table_contains (j->taking, a->record->id))
+    {
+      struct wy_owned *o = wy_jobs_own (j, a->record, a->spec);
+
+      a->spec = NULL;
+      wy_owned_pump (o);
+    }
+  end (a, STATUS_ACCEPTED, "kept");
+}
+
+static void write_row (struct accept *a);
+
+static void
+on_settle_timer (uv_timer_t *t)
+{
+  write_row (t->data);
+}
+
+static void
+on_row_written (void *ctx, const struct wy_rows_result *r)
+{
+  struct accept *a = ctx;
+  struct wy_job_record *found = NULL;
+
+  if (!r->err)
+    {
+      accepted_here (a, r->version);
+      return;
+    }
+  if (r->err == WY_ROWS_ECONFLICT)
+    {
+      if (r->n)
+        found = wy_job_record_decode (&r->rows[0]);
+      /* Our own write, performed although its answer was lost.  */
+      if (found && !strcmp (found->object, a->record->object)
+          && !strcmp (found->holder, a->record->holder)
+          && found->state == WY_JOB_OPEN)
+        accepted_here (a, found->row_version);
+      else
+        end (a, STATUS_ACCEPTED, "kept_before");
+      if (found)
+        wy_job_record_free (found);
+      return;
+    }
+  if (r->err != WY_ROWS_EREFUSED)
+    a->asked = true;
+  if (++a->tries < SETTLE_TRIES)
+    uv_timer_start (&a->timer, on_settle_timer, SETTLE_PAUSE_MS, 0);
+  else
+    end (a, a->asked ? 502 : 503, a->asked ? "unsettled" : "store_refused");
+}
+
+/* The same write serves to settle an earlier one: its condition shows whether
+   that was performed.  */
+static void
+write_row (struct accept *a)
+{
+  int64_t store_ms = wy_rows_store_now_ms (a->jobs->env->rows);
+
+  if (!a->asked)
+    a->record->accepted_ms = store_ms;
+  wy_job_record_write (a->jobs->env->rows, a->record, on_row_written, a);
+}
+
+static void put_next (struct accept *a);
+
+static void
+on_piece (void *ctx, const struct wy_rows_result *r)
+{
+  struct accept *a = ctx;
+
+  if (r->err && r->err != WY_ROWS_ECONFLICT)
+    {
+      if (r->err != WY_ROWS_EFULL && ++a->tries < PIECE_TRIES)
+        put_next (a);
+      else
+        end (a, 503, "store_refused");
+      return;
+    }
+  a->tries = 0;
+  if (++a->next < a->record->pieces)
+    put_next (a);
+  else
+    write_row (a);
+}
+
+static void
+put_next (struct accept *a)
+{
+  size_t at = (size_t)a->next * a->jobs->piece_bytes;
+  size_t n = MIN (a->body->len - at, a->jobs->piece_bytes);
+  char name[NAME_SIZE_BYTES];
+
+  snprintf (name, sizeof name, "%s.%u", a->record->object, a->next);
+  wy_rows_put_object (a->jobs->env->rows, name, a->body->str + at, n,
+                      on_piece, a);
+}
+
+static struct wy_job_record *
+new_record (struct wy_jobs *j, const struct wy_request_info *info,
+            const char *path, uint64_t total, size_t body_bytes)
+{
+  struct wy_job_record *r = g_new0 (struct wy_job_record, 1);
+  char unique[WY_ID_SIZE_BYTES];
+
+  /* Another entry may accept the same submission at the same time.  */
+  wy_id_new (j->env->clock, unique);
+  r->id = g_strdup (info->id);
+  r->holder = g_strdup (j->env->holder);
+  r->state = WY_JOB_OPEN;
+  r->host = g_strdup (info->host);
+  r->path = g_strdup (path);
+  r->object = g_strdup_printf ("job-%s-%s", info->id, unique);
+  r->pieces = (uint32_t)((body_bytes + j->piece_bytes - 1) / j->piece_bytes);
+  r->total = total;
+  return r;
+}
+
+/* Take in the job that R submits on ROUTE.  */
+void
+wy_jobs_accept (struct wy_jobs *j, struct wy_h1_request *r,
+                const struct wy_route *route)
+{
+  struct wy_request_info info;
+  struct wy_job_spec *spec;
+  struct accept *a;
+  const char *why;
+  const char *body;
+  size_t n;
+
+  wy_request_read (wy_h1_head (r), &info);
+  body = wy_h1_body (r, &n);
+  if (!info.id || !*info.id || strlen (info.id) >= sizeof ((struct wy_job_call *)0)->job)
+    {
+      wy_refuse (r, 400, "no_id", 0);
+      return;
+    }
+  if (wy_jobs_find (j, info.id))
+    {
+      wy_note ("job.submitted", "id=%s status=202 reason=known", info.id);
+      wy_h1_respond (r, STATUS_ACCEPTED, NULL, 0, "", 0);
+      return;
+    }
+  spec = wy_job_decode (body, n, &why);
+  if (!spec)
+    {
+      wy_note ("job.submitted", "id=%s status=400 reason=%s bytes=%zu",
+               info.id, why, n);
+      wy_refuse (r, 400, why, 0);
+      return;
+    }
+  a = g_new0 (struct accept, 1);
+  a->jobs = j;
+  a->request = r;
+  a->spec = spec;
+  a->body = g_string_new_len (body, (gssize)n);
+  a->record
+      = new_record (j, &info, wy_h1_target (r), spec->items->len, n);
+  a->started_ms = wy_clock_mono_ms (j->env->clock);
+  uv_timer_init (j->env->loop, &a->timer);
+  a->timer.data = a;
+  wy_h1_on_hangup (r, on_hangup, a);
+  put_next (a);
+}
--- /dev/null
+++ b/src/jobs/jobs.c
@@ -0,0 +1,424 @@
+/* All jobs as an entry sees them: who runs which.
+
+   A job is run by the entry whose name its row holds.  When that entry is
+   gone, another writes its own name there, on the condition that the row has
+   not changed; from then on nothing the first one writes for the job holds,
+   wherever it may be and whatever it believes.  */
+#include "jobs/state.h"
+
+#include <string.h>
+
+#include "trace/note.h"
+
+enum
+{
+  TICK_MS = 100,
+  WATCH_GAP_MS = 150,
+  /* Entries take over a job in an order of their own; each waits this much
+     longer than the one before it, so that mostly one writes.  */
+  RANK_DELAY_MS = 250
+};
+
+struct takeover
+{
+  struct wy_jobs *jobs;
+  struct wy_job_record *record; /* as it will be */
+  struct wy_job_spec *spec;
+  struct wy_owned *owned; /* its results are being read */
+  char *from;
+  int64_t started_ms;
+};
+
+/* The record of the job ID as last told; NULL: none.  */
+const struct wy_job_record *
+wy_jobs_find (const struct wy_jobs *j, const char *id)
+{
+  return g_hash_table_lookup (j->records, id);
+}
+
+static void
+free_record (gpointer p)
+{
+  wy_job_record_free (p);
+}
+
+static void
+forget_owned (struct wy_jobs *j, struct wy_owned *o)
+{
+  if (g_hash_table_lookup (j->owned, o->record->id) == o)
+    g_hash_table_remove (j->owned, o->record->id);
+  wy_owned_drop (o);
+}
+
+/* A newer row of a job is known; takes R over.  */
+void
+wy_jobs_learn (struct wy_jobs *j, struct wy_job_record *r)
+{
+  const struct wy_job_record *old = wy_jobs_find (j, r->id);
+  struct wy_owned *o = g_hash_table_lookup (j->owned, r->id);
+
+  if (old && old->row_version >= r->row_version)
+    {
+      wy_job_record_free (r);
+      return;
+    }
+  if (!old || old->state != r->state || strcmp (old->holder, r->holder) != 0)
+    wy_note ("job.seen", "id=%s state=%d holder=%s version=%lld", r->id,
+             r->state, r->holder, (long long)r->row_version);
+  g_hash_table_replace (j->records, r->id, r);
+  if (o && (r->state != WY_JOB_OPEN
+            || strcmp (r->holder, o->record->holder) != 0))
+    {
+      wy_note ("job.stopped", "id=%s state=%d holder=%s listed=%u of=%u",
+               r->id, r->state, r->holder, o->n_listed, o->n_items);
+      forget_owned (j, o);
+    }
+  else if (o)
+    o->record->row_version = r->row_version;
+}
+
+static void
+on_row (void *ctx, const struct wy_row *row)
+{
+  struct wy_jobs *j = ctx;
+  struct wy_job_record *r;
+
+  if (strcmp (row->key, WY_JOB_KEY) != 0)
+    return;
+  if (row->deleted)
+    {
+      struct wy_owned *o = g_hash_table_lookup (j->owned, row->part);
+
+      if (o)
+        forget_owned (j, o);
+      g_hash_table_remove (j->records, row->part);
+      return;
+    }
+  r = wy_job_record_decode (row);
+  if (r)
+    wy_jobs_learn (j, r);
+  else
+    wy_note ("job.unreadable", "id=%s version=%lld", row->part,
+             (long long)row->version);
+}
+
+static void
+on_listed (void *ctx, struct wy_owned *o)
+{
+  struct wy_jobs *j = ctx;
+
+  wy_note ("job.listed", "id=%s listed=%u of=%u waiting=%u", o->record->id,
+           o->n_listed, o->n_items, o->n_waiting);
+  wy_jobs_wake_readers (j, o->record->id);
+}
+
+static void
+on_done_written (void *ctx, const struct wy_rows_result *r)
+{
+}
+
+static void
+on_owned_end (void *ctx, struct wy_owned *o, enum wy_owned_end why)
+{
+  struct wy_jobs *j = ctx;
+
+  if (why == WY_OWNED_DONE)
+    {
+      struct wy_job_record *r = wy_job_record_copy (o->record);
+
+      wy_note ("job.done", "id=%s items=%u", r->id, o->n_items);
+      r->state = WY_JOB_DONE;
+      /* Saves the next start from reading all its results; nothing depends on
+         it, so a lost answer does no harm.  */
+      wy_job_record_write (j->env->rows, r, on_done_written, j);
+      wy_job_record_free (r);
+    }
+  forget_owned (j, o);
+}
+
+/* Run the job of R here.  Takes SPEC over.  */
+struct wy_owned *
+wy_jobs_own (struct wy_jobs *j, const struct wy_job_record *r,
+             struct wy_job_spec *spec)
+{
+  struct wy_owned_options o = { .env = j->env,
+                                .record = wy_job_record_copy (r),
+                                .spec = spec,
+                                .on_listed = on_listed,
+                                .on_end = on_owned_end,
+                                .ctx = j };
+  struct wy_owned *w = wy_owned_new (&o);
+
+  g_hash_table_insert (j->owned, w->record->id, w);
+  return w;
+}
+
+static void
+end_takeover (struct takeover *t, const char *outcome, int err)
+{
+  wy_note ("job.takeover",
+           "id=%s outcome=%s err=%d version=%lld ms=%lld", t->record->id,
+           outcome, err, (long long)t->record->row_version,
+           (long long)(wy_clock_mono_ms (t->jobs->env->clock)
+                       - t->started_ms));
+  g_hash_table_remove (t->jobs->taking, t->record->id);
+  wy_job_spec_free (t->spec);
+  wy_job_record_free (t->record);
+  g_free (t->from);
+  g_free (t);
+}
+
+static bool
+still_ours (struct takeover *t)
+{
+  const struct wy_job_record *r = wy_jobs_find (t->jobs, t->record->id);
+
+  return r && r->state == WY_JOB_OPEN && !strcmp (r->holder, t->record->holder)
+         && !g_hash_table_contains (t->jobs->owned, t->record->id);
+}
+
+static void read_listed (struct takeover *t);
+
+static void
+on_listed_read (void *ctx, const struct wy_rows_result *r)
+{
+  struct takeover *t = ctx;
+  struct wy_jobs *j = t->jobs;
+
+  if (r->err)
+    {
+      wy_owned_drop (t->owned);
+      end_takeover (t, "results_unread", r->err);
+      return;
+    }
+  for (size_t k = 0; k < r->n; k++)
+    {
+      struct wy_result *res
+          = wy_result_decode (r->rows[k].value, r->rows[k].size_bytes);
+
+      if (res)
+        wy_owned_restore (t->owned, res->item);
+      wy_result_free (res);
+    }
+  if (r->more && r->n)
+    {
+      g_free (t->from);
+      t->from = g_strconcat (r->rows[r->n - 1].key, "\x01", NULL);
+      read_listed (t);
+      return;
+    }
+  if (!still_ours (t))
+    {
+      wy_owned_drop (t->owned);
+      end_takeover (t, "lost", 0);
+      return;
+    }
+  (*j->env->count.jobs_taken_over)++;
+  g_hash_table_insert (j->owned, t->owned->record->id, t->owned);
+  t->owned->record->row_version
+      = wy_jobs_find (j, t->record->id)->row_version;
+  wy_note ("job.running", "id=%s listed=%u of=%u", t->record->id,
+           t->owned->n_listed, t->owned->n_items);
+  if (wy_owned_is_done (t->owned))
+    on_owned_end (j, t->owned, WY_OWNED_DONE);
+  else
+    wy_owned_pump (t->owned);
+  end_takeover (t, "running", 0);
+}
+
+static void
+read_listed (struct takeover *t)
+{
+  struct wy_rows_range range = { .table = WY_RESULTS_TABLE,
+                                 .part = t->record->id,
+                                 .from = t->from };
+
+  wy_rows_get (t->jobs->env->rows, &range, on_listed_read, t);
+}
+
+static void
+on_spec (void *ctx, int err, struct wy_job_spec *spec)
+{
+  struct takeover *t = ctx;
+  struct wy_owned_options o = { .env = t->jobs->env,
+                                .on_listed = on_listed,
+                                .on_end = on_owned_end,
+                                .ctx = t->jobs };
+
+  if (err || !still_ours (t))
+    {
+      wy_job_spec_free (spec);
+      end_takeover (t, err ? "body_unread" : "lost", err);
+      return;
+    }
+  o.record = wy_job_record_copy (t->record);
+  o.spec = spec;
+  t->owned = wy_owned_new (&o);
+  read_listed (t);
+}
+
+static void
+on_taken (void *ctx, const struct wy_rows_result *r)
+{
+  struct takeover *t = ctx;
+  struct wy_job_record *known;
+
+  if (r->err)
+    {
+      /* Without an answer the row shows what became of it.  */
+      end_takeover (t, "not_taken", r->err);
+      return;
+    }
+  t->record->row_version = r->version;
+  known = wy_job_record_copy (t->record);
+  wy_jobs_learn (t->jobs, known);
+  wy_job_load (t->jobs, t->record, on_spec, t);
+}
+
+static void
+take_over (struct wy_jobs *j, const struct wy_job_record *r)
+{
+  struct takeover *t = g_new0 (struct takeover, 1);
+
+  t->jobs = j;
+  t->record = wy_job_record_copy (r);
+  t->started_ms = wy_clock_mono_ms (j->env->clock);
+  g_hash_table_add (j->taking, g_strdup (r->id));
+  if (!strcmp (r->holder, j->env->holder))
+    {
+      wy_job_load (j, t->record, on_spec, t);
+      return;
+    }
+  wy_note ("job.taking", "id=%s from=%s version=%lld", r->id, r->holder,
+           (long long)r->row_version);
+  g_free (t->record->holder);
+  t->record->holder = g_strdup (j->env->holder);
+  wy_job_record_write (j->env->rows, t->record, on_taken, t);
+}
+
+static bool
+should_take (struct wy_jobs *j, const struct wy_job_record *r, int64_t now_ms)
+{
+  if (r->state != WY_JOB_OPEN || g_hash_table_contains (j->owned, r->id)
+      || g_hash_table_contains (j->taking, r->id))
+    return false;
+  if (!strcmp (r->holder, j->env->holder))
+    return true;
+  if (!wy_members_is_gone (j->members, r->holder))
+    return false;
+  return now_ms / RANK_DELAY_MS % (wy_members_rank (j->members, r->id) + 1)
+         == 0;
+}
+
+static void
+look_for_work (struct wy_jobs *j)
+{
+  int64_t now_ms = wy_clock_mono_ms (j->env->clock);
+  GPtrArray *found = g_ptr_array_new ();
+  GHashTableIter it;
+  gpointer p;
+
+  g_hash_table_iter_init (&it, j->records);
+  while (g_hash_table_iter_next (&it, NULL, &p))
+    if (should_take (j, p, now_ms))
+      g_ptr_array_add (found, p);
+  for (guint i = 0; i < found->len; i++)
+    take_over (j, g_ptr_array_index (found, i));
+  g_ptr_array_free (found, TRUE);
+}
+
+static gint
+by_age (gconstpointer a, gconstpointer b)
+{
+  const struct wy_owned *x = a;
+  const struct wy_owned *y = b;
+
+  if (x->record->accepted_ms == y->record->accepted_ms)
+    return 0;
+  return x->record->accepted_ms < y->record->accepted_ms ? -1 : 1;
+}
+
+static void
+each_owned (struct wy_jobs *j, void (*fn) (struct wy_owned *o))
+{
+  GList *all = g_list_sort (g_hash_table_get_values (j->owned), by_age);
+
+  for (GList *l = all; l; l = l->next)
+    fn (l->data);
+  g_list_free (all);
+}
+
+static void
+on_tick (uv_timer_t *t)
+{
+  struct wy_jobs *j = t->data;
+
+  each_owned (j, wy_owned_tick);
+  if (!j->env->stopping)
+    look_for_work (j);
+  wy_jobs_read_tick (j);
+}
+
+/* Targets have come or gone: waiting items may find one.  */
+void
+wy_jobs_targets_changed (struct wy_jobs *j)
+{
+  each_owned (j, wy_owned_pump);
+}
+
+/* Follow the jobs of the store and run those of this entry.  */
+struct wy_jobs *
+wy_jobs_new (const struct wy_jobs_options *o)
+{
+  struct wy_jobs *j = g_new0 (struct wy_jobs, 1);
+  struct wy_watch_options w = { .loop = o->env->loop,
+                                .clock = o->env->clock,
+                                .rows = o->env->rows,
+                                .table = WY_JOBS_TABLE,
+                                .all_parts = true,
+                                .gap_ms = WATCH_GAP_MS,
+                                .seed = o->seed,
+                                .on_row = on_row,
+                                .ctx = j };
+
+  j->env = o->env;
+  j->members = o->members;
+  j->piece_bytes = o->piece_bytes;
+  j->records
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_record);
+  j->owned = g_hash_table_new (g_str_hash, g_str_equal);
+  j->taking = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  g_queue_init (&j->waiting);
+  j->watch = wy_watch_new (&w);
+  uv_timer_init (o->env->loop, &j->tick);
+  j->tick.data = j;
+  uv_timer_start (&j->tick, on_tick, TICK_MS, TICK_MS);
+  return j;
+}
+
+/* Stop.  The memory of J stays, since calls of it may be under way.  */
+void
+wy_jobs_free (struct wy_jobs *j)
+{
+  GList *all = g_hash_table_get_values (j->owned);
+
+  for (GList *l = all; l; l = l->next)
+    forget_owned (j, l->data);
+  g_list_free (all);
+  wy_watch_free (j->watch);
+  uv_close ((uv_handle_t *)&j->tick, NULL);
+}
+
+/* Whether all jobs are known.  */
+bool
+wy_jobs_is_synced (const struct wy_jobs *j)
+{
+  return wy_watch_is_synced (j->watch);
+}
+
+/* Number of jobs run here.  */
+uint32_t
+wy_jobs_running (const struct wy_jobs *j)
+{
+  return g_hash_table_size (j->owned);
+}
--- /dev/null
+++ b/src/jobs/jobs.h
@@ -0,0 +1,34 @@
+/* All jobs as an entry sees them: their rows, the ones it runs, and the calls
+   on them.  */
+#ifndef WY_JOBS_JOBS_H
+#define WY_JOBS_JOBS_H
+
+#include "gate/env.h"
+#include "gate/members.h"
+#include "h1/server.h"
+#include "jobs/owned.h"
+#include "jobs/record.h"
+#include "platform/request_wire.h"
+
+struct wy_jobs;
+
+struct wy_jobs_options
+{
+  struct wy_gate_env *env;
+  struct wy_members *members;
+  uint64_t seed;
+  uint32_t piece_bytes; /* largest object that the store takes */
+};
+
+struct wy_jobs *wy_jobs_new (const struct wy_jobs_options *o);
+void wy_jobs_free (struct wy_jobs *j);
+bool wy_jobs_is_synced (const struct wy_jobs *j);
+uint32_t wy_jobs_running (const struct wy_jobs *j);
+void wy_jobs_targets_changed (struct wy_jobs *j);
+
+void wy_jobs_accept (struct wy_jobs *j, struct wy_h1_request *r,
+                     const struct wy_route *route);
+void wy_jobs_call (struct wy_jobs *j, struct wy_h1_request *r,
+                   const struct wy_job_call *call);
+
+#endif
--- /dev/null
+++ b/src/jobs/lister.c
@@ -0,0 +1,261 @@
+/* Lists results: writes them to the store's log of the job, at positions that
+   never change.
+
+   Each write carries the job's row at the version under which this entry
+   holds the job, so that an entry that has been taken for gone writes nothing
+   more, and the absence of a row at the first position it writes to, so that
+   a write whose answer was lost can be sent again: whichever of the two is
+   performed first, the other does nothing.  */
+#include "jobs/owned.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "trace/note.h"
+
+enum
+{
+  /* Results that end close together share a transaction; a part of the store
+     takes some hundred a second.  */
+  GATHER_MS = 15,
+  BATCH_MAX = 90,
+  /* Of results in one transaction, before base64; the store takes 1 MB.  */
+  BATCH_BYTES = 500000,
+  RETRY_MIN_MS = 50,
+  RETRY_MAX_MS = 500,
+  KEY_SIZE_BYTES = 16
+};
+
+static void write_batch (struct wy_owned *o);
+
+static void
+on_flush (uv_timer_t *t)
+{
+  struct wy_owned *o = t->data;
+
+  o->scheduled = false;
+  if (!o->writing && !o->dropped)
+    write_batch (o);
+}
+
+static void
+schedule (struct wy_owned *o, uint32_t delay_ms)
+{
+  if (o->scheduled || o->writing || o->dropped)
+    return;
+  o->scheduled = true;
+  uv_timer_start (&o->flush, on_flush, delay_ms, 0);
+}
+
+/* Results wait to be listed.  */
+void
+wy_lister_schedule (struct wy_owned *o)
+{
+  schedule (o, GATHER_MS);
+}
+
+static void
+key_of (uint32_t position, char out[KEY_SIZE_BYTES])
+{
+  snprintf (out, KEY_SIZE_BYTES, "%010u", position);
+}
+
+static void
+take_batch (struct wy_owned *o, char **values)
+{
+  size_t size = 0;
+
+  g_free (o->batch);
+  o->batch = g_new0 (struct wy_item *, BATCH_MAX);
+  o->n_batch = 0;
+  for (GList *l = o->ended.head; l && o->n_batch < BATCH_MAX; l = l->next)
+    {
+      struct wy_item *i = l->data;
+      char *value = wy_result_encode (i->result);
+
+      size += strlen (value);
+      if (o->n_batch && size > BATCH_BYTES)
+        {
+          g_free (value);
+          return;
+        }
+      values[o->n_batch] = value;
+      o->batch[o->n_batch++] = i;
+    }
+}
+
+static void
+listed (struct wy_owned *o, struct wy_item *i)
+{
+  i->state = WY_ITEM_LISTED;
+  o->n_listed++;
+  g_clear_pointer (&i->result, wy_result_free);
+  g_queue_remove (&o->ended, i);
+  g_string_free (i->text, TRUE);
+  i->text = g_string_new (NULL);
+}
+
+static void
+lose (struct wy_owned *o, const char *why)
+{
+  wy_note ("job.lost", "id=%s reason=%s listed=%u of=%u", o->record->id, why,
+           o->n_listed, o->n_items);
+  o->on_end (o->ctx, o, WY_OWNED_LOST);
+}
+
+static void
+progressed (struct wy_owned *o)
+{
+  o->write_failures = 0;
+  o->on_listed (o->ctx, o);
+  if (o->dropped)
+    return;
+  if (wy_owned_is_done (o))
+    o->on_end (o->ctx, o, WY_OWNED_DONE);
+  else if (o->ended.length)
+    schedule (o, 0);
+}
+
+static void
+retry (struct wy_owned *o)
+{
+  uint32_t n = MIN (o->write_failures, 4);
+
+  o->write_failures++;
+  schedule (o, MIN (RETRY_MIN_MS << n, RETRY_MAX_MS));
+}
+
+/* Rows that a write of ours with a lost answer has left: what they list is
+   listed.  */
+static void
+on_read_back (void *ctx, const struct wy_rows_result *r)
+{
+  struct wy_owned *o = ctx;
+  bool any = false;
+
+  if (!wy_owned_write_ended (o))
+    return;
+  for (size_t k = 0; !r->err && k < r->n; k++)
+    {
+      struct wy_result *res
+          = wy_result_decode (r->rows[k].value, r->rows[k].size_bytes);
+
+      for (GList *l = o->ended.head; res && l; l = l->next)
+        {
+          struct wy_item *i = l->data;
+
+          if (strcmp (i->spec->id, res->item) != 0)
+            continue;
+          listed (o, i);
+          any = true;
+          break;
+        }
+      wy_result_free (res);
+    }
+  if (any)
+    progressed (o);
+  else
+    retry (o);
+}
+
+static void
+read_back (struct wy_owned *o)
+{
+  char from[KEY_SIZE_BYTES];
+  struct wy_rows_range range
+      = { .table = WY_RESULTS_TABLE, .part = o->record->id, .from = from };
+
+  key_of (o->n_listed, from);
+  o->writing = true;
+  wy_rows_get (o->env->rows, &range, on_read_back, o);
+}
+
+/* A condition did not hold: the job is another's, has been ended, or an
+   earlier write of ours was performed after all.  */
+static void
+conflict (struct wy_owned *o, const struct wy_rows_result *r)
+{
+  bool present = false;
+
+  for (size_t k = 0; k < r->n; k++)
+    {
+      const struct wy_row *row = &r->rows[k];
+      struct wy_job_record *rec;
+
+      if (strcmp (row->key, WY_JOB_KEY) != 0)
+        {
+          present = present || row->version > 0;
+          continue;
+        }
+      rec = wy_job_record_decode (row);
+      if (!rec || rec->state == WY_JOB_ENDED
+          || strcmp (rec->holder, o->record->holder) != 0)
+        {
+          const char *why = !rec                           ? "row_gone"
+                            : rec->state == WY_JOB_ENDED ? "ended"
+                                                           : "taken_over";
+
+          wy_job_record_free (rec);
+          lose (o, why);
+          return;
+        }
+      o->record->row_version = rec->row_version;
+      wy_job_record_free (rec);
+    }
+  if (present)
+    read_back (o);
+  else
+    retry (o);
+}
+
+static void
+on_written (void *ctx, const struct wy_rows_result *r)
+{
+  struct wy_owned *o = ctx;
+
+  if (!wy_owned_write_ended (o))
+    return;
+  if (r->err == WY_ROWS_ECONFLICT)
+    conflict (o, r);
+  else if (r->err)
+    retry (o);
+  else
+    {
+      for (uint32_t k = 0; k < o->n_batch; k++)
+        listed (o, o->batch[k]);
+      progressed (o);
+    }
+}
+
+static void
+write_batch (struct wy_owned *o)
+{
+  char *values[BATCH_MAX];
+  char keys[BATCH_MAX][KEY_SIZE_BYTES];
+  struct wy_row_write writes[BATCH_MAX];
+  struct wy_row_ref conditions[2] = {
+    { WY_JOBS_TABLE, WY_JOB_KEY, o->record->row_version },
+    { WY_RESULTS_TABLE, keys[0], 0 },
+  };
+  struct wy_rows_tx tx = { .part = o->record->id,
+                           .conditions = conditions,
+                           .n_conditions = 2,
+                           .writes = writes };
+
+  if (o->ended.length == 0)
+    return;
+  take_batch (o, values);
+  for (uint32_t k = 0; k < o->n_batch; k++)
+    {
+      key_of (o->n_listed + k, keys[k]);
+      writes[k] = (struct wy_row_write){ .table = WY_RESULTS_TABLE,
+                                         .key = keys[k],
+                                         .value = values[k],
+                                         .size_bytes = strlen (values[k]) };
+    }
+  tx.n_writes = o->n_batch;
+  o->writing = true;
+  wy_rows_tx (o->env->rows, &tx, on_written, o);
+  for (uint32_t k = 0; k < o->n_batch; k++)
+    g_free (values[k]);
+}
--- /dev/null
+++ b/src/jobs/owned.c
@@ -0,0 +1,264 @@
+/* A job that this entry runs.  */
+#include "jobs/owned.h"
+
+#include <string.h>
+
+#include "trace/note.h"
+
+enum
+{
+  /* An item is given up this long after its time, since the clocks of the
+     store and of the submitter's request differ a little.  */
+  RETENTION_SLACK_MS = 1000
+};
+
+static int64_t
+now_of (const struct wy_owned *o)
+{
+  return wy_clock_mono_ms (o->env->clock);
+}
+
+static const struct wy_route *
+route_of (const struct wy_owned *o)
+{
+  const struct wy_route *r
+      = wy_routing_match (o->env->routing, o->record->host, o->record->path);
+
+  return r && r->kind == WY_ROUTE_JOB ? r : NULL;
+}
+
+/* Run the job O->record, all items from their start.  */
+struct wy_owned *
+wy_owned_new (const struct wy_owned_options *opt)
+{
+  struct wy_owned *o = g_new0 (struct wy_owned, 1);
+
+  o->env = opt->env;
+  o->record = opt->record;
+  o->spec = opt->spec;
+  o->on_listed = opt->on_listed;
+  o->on_end = opt->on_end;
+  o->ctx = opt->ctx;
+  o->n_items = o->spec->items->len;
+  o->n_waiting = o->n_items;
+  o->items = g_new0 (struct wy_item, o->n_items);
+  g_queue_init (&o->ended);
+  for (uint32_t k = 0; k < o->n_items; k++)
+    {
+      struct wy_item *i = &o->items[k];
+
+      i->job = o;
+      i->spec = g_ptr_array_index (o->spec->items, k);
+      i->text = g_string_new (NULL);
+      i->versions = g_array_new (FALSE, FALSE, sizeof (int64_t));
+      i->last_event = -1;
+    }
+  uv_timer_init (o->env->loop, &o->flush);
+  o->flush.data = o;
+  return o;
+}
+
+static void
+free_owned (struct wy_owned *o)
+{
+  for (uint32_t k = 0; k < o->n_items; k++)
+    {
+      struct wy_item *i = &o->items[k];
+
+      if (i->avoid)
+        wy_target_release (o->env->targets, i->avoid);
+      g_string_free (i->text, TRUE);
+      g_array_free (i->versions, TRUE);
+      wy_result_free (i->result);
+    }
+  g_free (o->items);
+  g_free (o->batch);
+  g_queue_clear (&o->ended);
+  wy_job_spec_free (o->spec);
+  wy_job_record_free (o->record);
+  g_free (o);
+}
+
+static void
+on_flush_closed (uv_handle_t *h)
+{
+  struct wy_owned *o = h->data;
+
+  /* A write under way still points here; its end frees the job.  */
+  if (!o->writing)
+    free_owned (o);
+  else
+    o->flush.data = NULL;
+}
+
+/* Stop running the job and free it when nothing points to it any more.  */
+void
+wy_owned_drop (struct wy_owned *o)
+{
+  if (o->dropped)
+    return;
+  o->dropped = true;
+  for (uint32_t k = 0; k < o->n_items; k++)
+    if (o->items[k].run)
+      wy_run_cancel (o->items[k].run);
+  uv_close ((uv_handle_t *)&o->flush, on_flush_closed);
+}
+
+/* A call to the store on behalf of O has ended.  False: O was dropped
+   meanwhile and must not be touched any more.  */
+bool
+wy_owned_write_ended (struct wy_owned *o)
+{
+  o->writing = false;
+  if (!o->dropped)
+    return true;
+  if (!o->flush.data)
+    free_owned (o);
+  return false;
+}
+
+/* ITEM has been listed by whoever ran the job before, at the next
+   position.  */
+void
+wy_owned_restore (struct wy_owned *o, const char *item)
+{
+  for (uint32_t k = 0; k < o->n_items; k++)
+    {
+      struct wy_item *i = &o->items[k];
+
+      if (i->state == WY_ITEM_LISTED || strcmp (i->spec->id, item) != 0)
+        continue;
+      i->state = WY_ITEM_LISTED;
+      o->n_waiting--;
+      o->n_listed++;
+      return;
+    }
+}
+
+/* The item I has its result: it waits to be listed.  */
+void
+wy_item_end (struct wy_item *i, bool given_up)
+{
+  struct wy_result *r = wy_result_new (i->spec->id);
+
+  r->given_up = given_up;
+  r->text = g_strdup (given_up ? "" : i->text->str);
+  if (!given_up)
+    for (guint k = 0; k < i->versions->len; k++)
+      wy_result_add_version (r, g_array_index (i->versions, int64_t, k));
+  if (i->state == WY_ITEM_WAITING)
+    i->job->n_waiting--;
+  i->state = WY_ITEM_ENDED;
+  i->result = r;
+  (*i->job->env->count.items_done)++;
+  g_queue_push_tail (&i->job->ended, i);
+  wy_lister_schedule (i->job);
+}
+
+static void
+give_up_all (struct wy_owned *o, const char *why)
+{
+  wy_note ("job.given_up", "id=%s reason=%s items=%u listed=%u", o->record->id,
+           why, o->n_items, o->n_listed);
+  for (uint32_t k = 0; k < o->n_items; k++)
+    {
+      struct wy_item *i = &o->items[k];
+
+      if (i->run)
+        {
+          wy_run_cancel (i->run);
+          i->state = WY_ITEM_WAITING;
+          o->n_waiting++;
+        }
+      if (i->state == WY_ITEM_WAITING)
+        wy_item_end (i, true);
+    }
+}
+
+static struct wy_target *
+pick_for (const struct wy_item *i, const char *service, int64_t now_ms)
+{
+  const struct wy_owned *o = i->job;
+  const struct wy_target *tried = i->avoid;
+  struct wy_pick q
+      = { .service = service,
+          .availability_zone = o->env->availability_zone,
+          .model = *o->spec->model ? o->spec->model : NULL,
+          .min_version = o->spec->min_version,
+          .in_flight_limit = wy_gate_in_flight_limit (o->env, service),
+          .within_slots = true,
+          .tried = &tried,
+          .n_tried = tried ? 1 : 0 };
+  struct wy_target *g = wy_targets_pick (o->env->targets, &q, now_ms);
+
+  /* The one that failed last is still better than none.  */
+  if (!g && tried)
+    {
+      q.n_tried = 0;
+      g = wy_targets_pick (o->env->targets, &q, now_ms);
+    }
+  return g;
+}
+
+/* Start what can be started, in the order of the list: whole groups early
+   are worth more to the trainer than many in part.  */
+void
+wy_owned_pump (struct wy_owned *o)
+{
+  const struct wy_route *route;
+  const char *service;
+  int64_t now_ms = now_of (o);
+
+  if (o->dropped || o->n_waiting == 0 || !o->env->routing
+      || o->env->stopping)
+    return;
+  route = route_of (o);
+  if (!route)
+    return;
+  service = wy_route_service (route, wy_rng_below (&o->env->rng, UINT32_MAX));
+  for (uint32_t k = 0; k < o->n_items && o->n_waiting; k++)
+    {
+      struct wy_item *i = &o->items[k];
+      struct wy_target *g;
+
+      if (i->state != WY_ITEM_WAITING || i->not_before_ms > now_ms)
+        continue;
+      g = pick_for (i, service, now_ms);
+      if (!g)
+        return;
+      wy_run_start (i, g, route);
+    }
+}
+
+static void
+check_time (struct wy_owned *o)
+{
+  const struct wy_route *route = route_of (o);
+  int64_t store_ms = wy_rows_store_now_ms (o->env->rows);
+
+  if (!route || !route->retention_ms || !store_ms || !o->n_waiting)
+    return;
+  if (store_ms - o->record->accepted_ms
+      > (int64_t)route->retention_ms + RETENTION_SLACK_MS)
+    give_up_all (o, "retention");
+}
+
+/* Look after runs and waiting items; called some times a second.  */
+void
+wy_owned_tick (struct wy_owned *o)
+{
+  if (o->dropped || !o->env->routing)
+    return;
+  for (uint32_t k = 0; k < o->n_items; k++)
+    if (o->items[k].run)
+      wy_run_check (o->items[k].run);
+  check_time (o);
+  wy_owned_pump (o);
+}
+
+/* Whether all results are listed.  */
+bool
+wy_owned_is_done (const struct wy_owned *o)
+{
+  return o->n_listed == o->n_items;
+}
--- /dev/null
+++ b/src/jobs/owned.h
@@ -0,0 +1,93 @@
+/* A job that this entry runs: its items, their runs, its result log.  */
+#ifndef WY_JOBS_OWNED_H
+#define WY_JOBS_OWNED_H
+
+#include "gate/env.h"
+#include "gate/events.h"
+#include "jobs/record.h"
+#include "jobs/result.h"
+#include "jobs/spec.h"
+
+enum wy_item_state
+{
+  WY_ITEM_WAITING,
+  WY_ITEM_RUNNING,
+  WY_ITEM_ENDED, /* its result waits to be listed */
+  WY_ITEM_LISTED
+};
+
+struct wy_run;
+
+struct wy_item
+{
+  struct wy_owned *job;
+  const struct wy_item_spec *spec;
+  enum wy_item_state state;
+  GString *text; /* of the events so far */
+  GArray *versions;
+  int64_t last_event; /* -1: none */
+  uint32_t failed_runs;
+  uint32_t runs;
+  int64_t not_before_ms;
+  struct wy_target *avoid; /* held; where the last run failed, or NULL */
+  struct wy_run *run;
+  struct wy_result *result;
+};
+
+/* Why a job is no longer this entry's.  */
+enum wy_owned_end
+{
+  WY_OWNED_DONE, /* all items are listed */
+  WY_OWNED_LOST  /* its row has another holder, or it has been ended */
+};
+
+struct wy_owned
+{
+  struct wy_gate_env *env;
+  struct wy_job_record *record;
+  struct wy_job_spec *spec;
+  struct wy_item *items;
+  uint32_t n_items;
+  uint32_t n_waiting;
+  uint32_t n_listed;
+  GQueue ended;      /* struct wy_item whose results wait */
+  bool dropped;
+  /* The write of results under way.  */
+  bool writing;
+  bool scheduled;
+  struct wy_item **batch;
+  uint32_t n_batch;
+  uint32_t write_failures;
+  uv_timer_t flush;
+  void (*on_listed) (void *ctx, struct wy_owned *o);
+  void (*on_end) (void *ctx, struct wy_owned *o, enum wy_owned_end why);
+  void *ctx;
+};
+
+struct wy_owned_options
+{
+  struct wy_gate_env *env;
+  struct wy_job_record *record; /* taken over */
+  struct wy_job_spec *spec;     /* taken over */
+  void (*on_listed) (void *ctx, struct wy_owned *o);
+  void (*on_end) (void *ctx, struct wy_owned *o, enum wy_owned_end why);
+  void *ctx;
+};
+
+struct wy_owned *wy_owned_new (const struct wy_owned_options *o);
+void wy_owned_drop (struct wy_owned *o);
+void wy_owned_restore (struct wy_owned *o, const char *item);
+bool wy_owned_write_ended (struct wy_owned *o);
+void wy_owned_pump (struct wy_owned *o);
+void wy_owned_tick (struct wy_owned *o);
+bool wy_owned_is_done (const struct wy_owned *o);
+
+void wy_item_end (struct wy_item *i, bool given_up);
+void wy_lister_schedule (struct wy_owned *o);
+
+void wy_run_start (struct wy_item *i, struct wy_target *g,
+                   const struct wy_route *route);
+void wy_run_cancel (struct wy_run *r);
+void wy_run_check (struct wy_run *r);
+
+#endif
--- /dev/null
+++ b/src/jobs/record.c
@@ -0,0 +1,114 @@
+/* The row of a job.  */
+#include "jobs/record.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+#include <jansson.h>
+
+static const char *const state_names[] = { "open", "ended", "done" };
+
+/* A copy of R.  */
+struct wy_job_record *
+wy_job_record_copy (const struct wy_job_record *r)
+{
+  struct wy_job_record *c = g_memdup2 (r, sizeof *r);
+
+  c->id = g_strdup (r->id);
+  c->holder = g_strdup (r->holder);
+  c->host = g_strdup (r->host);
+  c->path = g_strdup (r->path);
+  c->object = g_strdup (r->object);
+  return c;
+}
+
+/* Free R, which may be NULL.  */
+void
+wy_job_record_free (struct wy_job_record *r)
+{
+  if (!r)
+    return;
+  g_free (r->id);
+  g_free (r->holder);
+  g_free (r->host);
+  g_free (r->path);
+  g_free (r->object);
+  g_free (r);
+}
+
+/* R as the store keeps it; the caller frees it.  */
+char *
+wy_job_record_encode (const struct wy_job_record *r)
+{
+  json_t *doc = json_pack (
+      "{s:s, s:s, s:s, s:s, s:s, s:I, s:I, s:I}", "holder", r->holder, "state",
+      state_names[r->state], "host", r->host, "path", r->path, "object",
+      r->object, "pieces", (json_int_t)r->pieces, "total",
+      (json_int_t)r->total, "accepted_ms", (json_int_t)r->accepted_ms);
+  char *text = json_dumps (doc, JSON_COMPACT);
+  char *out = g_strdup (text);
+
+  free (text);
+  json_decref (doc);
+  return out;
+}
+
+static char *
+text_of (json_t *doc, const char *key)
+{
+  const char *v = json_string_value (json_object_get (doc, key));
+
+  return g_strdup (v ? v : "");
+}
+
+/* Read the record of a job from its row; NULL: it can't be read.  */
+struct wy_job_record *
+wy_job_record_decode (const struct wy_row *row)
+{
+  json_t *doc = json_loadb (row->value, row->size_bytes, 0, NULL);
+  const char *state = json_string_value (json_object_get (doc, "state"));
+  struct wy_job_record *r = NULL;
+
+  if (state)
+    {
+      r = g_new0 (struct wy_job_record, 1);
+      r->id = g_strdup (row->part);
+      r->holder = text_of (doc, "holder");
+      for (int i = 0; i < (int)G_N_ELEMENTS (state_names); i++)
+        if (!strcmp (state, state_names[i]))
+          r->state = (enum wy_job_state)i;
+      r->host = text_of (doc, "host");
+      r->path = text_of (doc, "path");
+      r->object = text_of (doc, "object");
+      r->pieces = (uint32_t)json_integer_value (json_object_get (doc, "pieces"));
+      r->total = (uint64_t)json_integer_value (json_object_get (doc, "total"));
+      r->accepted_ms
+          = json_integer_value (json_object_get (doc, "accepted_ms"));
+      r->row_version = row->version;
+    }
+  json_decref (doc);
+  return r;
+}
+
+/* Write R on the condition that its row still has the version in R.  */
+void
+wy_job_record_write (struct wy_rows *rows, const struct wy_job_record *r,
+                     wy_rows_cb *cb, void *ctx)
+{
+  char *value = wy_job_record_encode (r);
+  struct wy_row_ref condition
+      = { .table = WY_JOBS_TABLE, .key = WY_JOB_KEY, .version = r->row_version };
+  struct wy_row_write w = { .table = WY_JOBS_TABLE,
+                            .key = WY_JOB_KEY,
+                            .value = value,
+                            .size_bytes = strlen (value) };
+  struct wy_rows_tx tx = { .part = r->id,
+                           .conditions = &condition,
+                           .n_conditions = 1,
+                           .writes = &w,
+                           .n_writes = 1 };
+
+  wy_rows_tx (rows, &tx, cb, ctx);
+  g_free (value);
+}
--- /dev/null
+++ b/src/jobs/record.h
@@ -0,0 +1,44 @@
+/* What the store keeps of a job beside its items and results: one row, whose
+   version is the condition of every write for the job.  */
+#ifndef WY_JOBS_RECORD_H
+#define WY_JOBS_RECORD_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "rows/rows.h"
+
+#define WY_JOBS_TABLE "wy-jobs"
+#define WY_RESULTS_TABLE "wy-results"
+#define WY_JOB_KEY "job"
+
+enum wy_job_state
+{
+  WY_JOB_OPEN,
+  WY_JOB_ENDED, /* by its trainer */
+  WY_JOB_DONE   /* all items are listed */
+};
+
+struct wy_job_record
+{
+  char *id;
+  char *holder; /* entry that runs it, "NODE/INCARNATION" */
+  enum wy_job_state state;
+  char *host; /* these two find its route */
+  char *path;
+  char *object;    /* name of the submitted body in the store */
+  uint32_t pieces; /* that the body is cut into */
+  uint64_t total;  /* items */
+  int64_t accepted_ms; /* by the store's clock */
+  int64_t row_version;
+};
+
+struct wy_job_record *wy_job_record_copy (const struct wy_job_record *r);
+void wy_job_record_free (struct wy_job_record *r);
+char *wy_job_record_encode (const struct wy_job_record *r);
+struct wy_job_record *wy_job_record_decode (const struct wy_row *row);
+void wy_job_record_write (struct wy_rows *rows, const struct wy_job_record *r,
+                          wy_rows_cb *cb, void *ctx);
+
+#endif
--- /dev/null
+++ b/src/jobs/result.h
@@ -0,0 +1,25 @@
+/* Result of one item, as it is kept in the store.  */
+#ifndef WY_JOBS_RESULT_H
+#define WY_JOBS_RESULT_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+struct wy_result
+{
+  char *item;
+  bool given_up;
+  char *text;
+  GArray *versions; /* int64_t, of the weights that made the text, rising */
+};
+
+struct wy_result *wy_result_new (const char *item);
+void wy_result_free (struct wy_result *r);
+void wy_result_add_version (struct wy_result *r, int64_t version);
+char *wy_result_encode (const struct wy_result *r);
+struct wy_result *wy_result_decode (const void *p, size_t n);
+
+#endif
--- /dev/null
+++ b/src/jobs/run.c
@@ -0,0 +1,377 @@
+/* One run of an item on a replica.
+
+   The text so far outlives the run: when a run breaks off, another replica
+   goes on behind the last whole event.  What a run adds counts only if its
+   weights are new enough, and if the route wants one version alone, only if
+   they are the ones that made the text before it.  */
+#include "jobs/owned.h"
+
+#include <string.h>
+
+#include "gate/answer.h"
+#include "platform/request_wire.h"
+#include "trace/note.h"
+
+enum
+{
+  /* A run without an event for so long has lost its replica; loading weights
+     under a run pauses it for about a second.  */
+  SILENCE_MS = 2500,
+  /* Pauses before another run, so that a fault that stays is not met in a
+     tight loop.  */
+  RETRY_MS = 20,
+  RETRY_FAILED_MS = 100,
+  STATUS_OK = 200,
+  STATUS_NEVER = 422,
+  STATUS_FAILED = 500
+};
+
+/* Why a run is of no more use, found while its bytes are read.  */
+enum run_fault
+{
+  RUN_SOUND,
+  RUN_STALE,   /* weights older than the job allows */
+  RUN_MIXED,   /* other weights than the text so far, on a route for one */
+  RUN_FOREIGN, /* an answer to another request */
+  RUN_GAP      /* an event is missing */
+};
+
+struct wy_run
+{
+  struct wy_item *item;
+  struct wy_target *target;
+  struct wy_h1_call *call;
+  struct wy_events events;
+  int status;
+  bool not_run;
+  bool single_version;
+  enum run_fault fault;
+  int64_t version;
+  int64_t started_ms;
+  int64_t heard_ms;
+  uint32_t n_events;
+  uint32_t allowed_failures;
+};
+
+static int64_t
+now_of (const struct wy_run *r)
+{
+  return wy_clock_mono_ms (r->item->job->env->clock);
+}
+
+static const char *
+fault_name (enum run_fault f)
+{
+  switch (f)
+    {
+    case RUN_SOUND:
+      return "sound";
+    case RUN_STALE:
+      return "stale_weights";
+    case RUN_MIXED:
+      return "other_weights";
+    case RUN_FOREIGN:
+      return "foreign_answer";
+    case RUN_GAP:
+      return "event_missing";
+    }
+  return "";
+}
+
+static void
+free_run (struct wy_run *r, enum wy_target_outcome outcome)
+{
+  struct wy_gate_env *env = r->item->job->env;
+
+  r->item->run = NULL;
+  wy_events_clear (&r->events);
+  wy_target_ended (env->targets, r->target, outcome, now_of (r));
+  g_free (r);
+}
+
+static void
+log_run (const struct wy_run *r, const char *outcome)
+{
+  const struct wy_item *i = r->item;
+
+  wy_note ("item.run_ended",
+           "id=%s job=%s target=%s outcome=%s status=%d events=%u last=%lld "
+           "version=%lld min_version=%lld runs=%u ms=%lld silent_ms=%lld",
+           i->spec->id, i->job->record->id, r->target->info.id, outcome,
+           r->status, r->n_events, (long long)i->last_event,
+           (long long)r->version, (long long)i->job->spec->min_version,
+           i->runs, (long long)(now_of (r) - r->started_ms),
+           (long long)(now_of (r) - r->heard_ms));
+}
+
+static void
+set_avoid (struct wy_item *i, struct wy_target *g)
+{
+  if (i->avoid)
+    wy_target_release (i->job->env->targets, i->avoid);
+  i->avoid = g;
+  if (g)
+    wy_target_hold (g);
+}
+
+/* The item waits for another run.  */
+static void
+again (struct wy_run *r, enum wy_target_outcome outcome, int64_t pause_ms,
+       const char *why)
+{
+  struct wy_item *i = r->item;
+
+  log_run (r, why);
+  (*i->job->env->count.items_broken)++;
+  i->state = WY_ITEM_WAITING;
+  i->job->n_waiting++;
+  i->not_before_ms = now_of (r) + pause_ms;
+  set_avoid (i, r->target);
+  free_run (r, outcome);
+}
+
+static void
+forget_text (struct wy_item *i)
+{
+  g_string_truncate (i->text, 0);
+  g_array_set_size (i->versions, 0);
+  i->last_event = -1;
+}
+
+/* Stop R without a word; its item is gone or ends otherwise.  */
+void
+wy_run_cancel (struct wy_run *r)
+{
+  if (r->call)
+    wy_h1_call_cancel (r->call);
+  free_run (r, WY_TARGET_ABANDONED);
+}
+
+static bool
+has_other_version (const struct wy_item *i, int64_t version)
+{
+  for (guint k = 0; k < i->versions->len; k++)
+    if (g_array_index (i->versions, int64_t, k) != version)
+      return true;
+  return false;
+}
+
+static void
+check_version (struct wy_run *r)
+{
+  const struct wy_job_spec *spec = r->item->job->spec;
+
+  if (r->version < 0)
+    return;
+  wy_target_saw_version (r->target, spec->model, r->version);
+  if (r->version < spec->min_version)
+    r->fault = RUN_STALE;
+  else if (r->single_version && has_other_version (r->item, r->version))
+    r->fault = RUN_MIXED;
+}
+
+static void
+on_head (void *ctx, const struct wy_h1_answer *a)
+{
+  struct wy_run *r = ctx;
+  struct wy_answer_info info;
+
+  r->heard_ms = now_of (r);
+  r->status = a->status;
+  wy_answer_read (a->status, a->head, &info);
+  r->not_run = info.not_run;
+  if (info.has_load)
+    wy_target_loaded (r->target, info.running + info.waiting, r->heard_ms);
+  if (info.id && strcmp (info.id, r->item->spec->id) != 0)
+    r->fault = RUN_FOREIGN;
+  if (a->status != STATUS_OK || r->fault)
+    return;
+  r->version = info.version;
+  check_version (r);
+}
+
+static void
+add_version (struct wy_item *i, int64_t version)
+{
+  for (guint k = 0; k < i->versions->len; k++)
+    if (g_array_index (i->versions, int64_t, k) == version)
+      return;
+  g_array_append_val (i->versions, version);
+}
+
+static void
+on_event (void *ctx, const struct wy_event *ev)
+{
+  struct wy_run *r = ctx;
+  struct wy_item *i = r->item;
+
+  if (r->fault)
+    return;
+  if (ev->version >= 0)
+    {
+      r->version = ev->version;
+      check_version (r);
+      if (r->fault)
+        return;
+    }
+  if (ev->id < 0 || (i->last_event >= 0 && ev->id <= i->last_event))
+    return;
+  if (i->last_event >= 0 && ev->id != i->last_event + 1)
+    {
+      r->fault = RUN_GAP;
+      return;
+    }
+  if (i->last_event >= 0)
+    g_string_append_c (i->text, '\n');
+  g_string_append_len (i->text, ev->data, (gssize)ev->data_n);
+  i->last_event = ev->id;
+  r->n_events++;
+  if (r->version >= 0)
+    add_version (i, r->version);
+}
+
+static void
+stop_faulty (struct wy_run *r)
+{
+  struct wy_item *i = r->item;
+  enum run_fault fault = r->fault;
+
+  wy_h1_call_cancel (r->call);
+  r->call = NULL;
+  if (fault == RUN_MIXED)
+    forget_text (i);
+  again (r,
+         fault == RUN_FOREIGN || fault == RUN_GAP ? WY_TARGET_BROKEN
+                                                  : WY_TARGET_ABANDONED,
+         RETRY_MS, fault_name (fault));
+}
+
+static void
+on_data (void *ctx, const char *p, size_t n)
+{
+  struct wy_run *r = ctx;
+
+  r->heard_ms = now_of (r);
+  if (r->status == STATUS_OK && !r->fault)
+    wy_events_feed (&r->events, p, n, on_event, r);
+  if (r->fault)
+    stop_faulty (r);
+}
+
+static void
+complete (struct wy_run *r)
+{
+  struct wy_item *i = r->item;
+  int64_t took_ms = now_of (r) - r->started_ms;
+
+  if (r->n_events)
+    wy_target_paced (r->target, (double)took_ms / r->n_events, now_of (r));
+  log_run (r, "completed");
+  free_run (r, WY_TARGET_ANSWERED);
+  wy_item_end (i, false);
+}
+
+static void
+refused_by_replica (struct wy_run *r)
+{
+  struct wy_item *i = r->item;
+
+  if (r->status == STATUS_NEVER)
+    {
+      log_run (r, "never");
+      free_run (r, WY_TARGET_ANSWERED);
+      wy_item_end (i, true);
+    }
+  else if (r->status == STATUS_FAILED
+           && ++i->failed_runs >= r->allowed_failures)
+    {
+      log_run (r, "failed");
+      free_run (r, WY_TARGET_ANSWERED);
+      wy_item_end (i, true);
+    }
+  else
+    again (r, WY_TARGET_ANSWERED, RETRY_FAILED_MS, "replica_failed");
+}
+
+static void
+on_end (void *ctx, int err)
+{
+  struct wy_run *r = ctx;
+  struct wy_owned *job = r->item->job;
+
+  r->call = NULL;
+  if (r->fault)
+    again (r, WY_TARGET_BROKEN, RETRY_MS, fault_name (r->fault));
+  else if (err == WY_H1_ECONNECT)
+    again (r, WY_TARGET_BROKEN, RETRY_MS, "no_connection");
+  else if (err)
+    again (r, WY_TARGET_BROKEN, RETRY_MS, "broken_off");
+  else if (r->not_run)
+    again (r, r->status == 421 ? WY_TARGET_ELSEWHERE : WY_TARGET_FULL,
+           RETRY_MS, r->status == 421 ? "not_there" : "full");
+  else if (r->status != STATUS_OK)
+    refused_by_replica (r);
+  else if (wy_events_in_midst (&r->events) || r->item->last_event < 0)
+    again (r, WY_TARGET_BROKEN, RETRY_MS, "cut_short");
+  else
+    complete (r);
+  wy_owned_pump (job);
+}
+
+/* Run I on G, behind the text that it has.  */
+void
+wy_run_start (struct wy_item *i, struct wy_target *g,
+              const struct wy_route *route)
+{
+  struct wy_gate_env *env = i->job->env;
+  struct wy_run *r = g_new0 (struct wy_run, 1);
+  GArray *fields = g_array_new (FALSE, FALSE, sizeof (struct wy_h1_pair));
+  struct wy_forward_info f = { .replica = g->info.id,
+                               .time_left_ms = -1,
+                               .after_event = i->last_event,
+                               .id = i->spec->id,
+                               .host = i->job->record->host };
+  struct wy_h1_call_options o = { .address = g->info.address,
+                                  .method = "POST",
+                                  .target = i->spec->path,
+                                  .body = i->spec->body,
+                                  .body_size_bytes = i->spec->body_size_bytes,
+                                  .has_body = true,
+                                  .on_head = on_head,
+                                  .on_data = on_data,
+                                  .on_end = on_end,
+                                  .ctx = r };
+
+  r->item = i;
+  r->target = g;
+  r->version = -1;
+  r->single_version = route->single_version;
+  r->allowed_failures = route->attempts;
+  r->started_ms = now_of (r);
+  r->heard_ms = r->started_ms;
+  wy_events_init (&r->events);
+  i->run = r;
+  i->runs++;
+  i->state = WY_ITEM_RUNNING;
+  i->job->n_waiting--;
+  wy_item_fields ((const struct wy_h1_pair *)i->spec->fields->data,
+                  i->spec->fields->len, &f, fields);
+  o.fields = (const struct wy_h1_pair *)fields->data;
+  o.n_fields = fields->len;
+  wy_target_started (g);
+  (*env->count.items_started)++;
+  r->call = wy_h1_call_start (env->http, &o);
+  g_array_free (fields, TRUE);
+}
+
+/* End R if its replica has fallen silent, or left the list: what a replica
+   that is gone still sends may stop at any moment.  */
+void
+wy_run_check (struct wy_run *r)
+{
+  if (now_of (r) - r->heard_ms < SILENCE_MS)
+    return;
+  wy_h1_call_cancel (r->call);
+  r->call = NULL;
+  again (r, WY_TARGET_SILENT, RETRY_MS, "silent");
+}
--- /dev/null
+++ b/src/jobs/spec.h
@@ -0,0 +1,36 @@
+/* A job as its trainer submitted it: many requests, run later.  */
+#ifndef WY_JOBS_SPEC_H
+#define WY_JOBS_SPEC_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+#include "h1/head.h"
+
+struct wy_item_spec
+{
+  char *id;
+  char *path;
+  char *group;    /* items that share a prompt and count together */
+  GArray *fields; /* struct wy_h1_pair, owned texts */
+  unsigned char *body;
+  size_t body_size_bytes;
+  uint32_t expected_tokens; /* the submitter's guess; 0: none */
+};
+
+struct wy_job_spec
+{
+  int64_t step;
+  char *model;            /* "": none */
+  int64_t min_version;    /* of the weights */
+  uint32_t wanted_groups; /* after which the trainer ends the job */
+  GPtrArray *items;       /* struct wy_item_spec */
+};
+
+struct wy_job_spec *wy_job_spec_new (void);
+struct wy_item_spec *wy_job_spec_add (struct wy_job_spec *s);
+void wy_job_spec_free (struct wy_job_spec *s);
+
+#endif
--- /dev/null
+++ b/src/jobs/state.h
@@ -0,0 +1,35 @@
+/* Inside of src/jobs: the records known and the jobs run here.  */
+#ifndef WY_JOBS_STATE_H
+#define WY_JOBS_STATE_H
+
+#include "jobs/jobs.h"
+#include "rows/watch.h"
+
+struct wy_jobs
+{
+  struct wy_gate_env *env;
+  struct wy_members *members;
+  uint32_t piece_bytes;
+  struct wy_watch *watch;
+  uv_timer_t tick;
+  GHashTable *records; /* struct wy_job_record by id */
+  GHashTable *owned;   /* struct wy_owned by id */
+  GHashTable *taking;  /* ids whose takeover or load is under way */
+  GQueue waiting;      /* struct read: callers waiting for results */
+};
+
+const struct wy_job_record *wy_jobs_find (const struct wy_jobs *j,
+                                          const char *id);
+void wy_jobs_learn (struct wy_jobs *j, struct wy_job_record *r);
+struct wy_owned *wy_jobs_own (struct wy_jobs *j,
+                              const struct wy_job_record *r,
+                              struct wy_job_spec *spec);
+void wy_jobs_wake_readers (struct wy_jobs *j, const char *id);
+void wy_jobs_read_tick (struct wy_jobs *j);
+
+void wy_job_load (struct wy_jobs *j, const struct wy_job_record *r,
+                  void (*on_done) (void *ctx, int err,
+                                   struct wy_job_spec *spec),
+                  void *ctx);
+
+#endif
--- /dev/null
+++ b/src/orders/orderer.c
@@ -0,0 +1,658 @@
+/* Orders the replica on the same machine to load new versions.
+
+   Each order names the number of orders that the replica has accepted so far,
+   so that one carried out late, after a newer one, does nothing; and the
+   holder's generation, which a row in the store makes rise with each start.  */
+#include "orders/orderer.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/id.h"
+#include "decide/load_turn.h"
+#include "gate/members.h"
+#include "h1/client.h"
+#include "platform/config_wire.h"
+#include "platform/replica_wire.h"
+#include "platform/request_wire.h"
+#include "rows/watch.h"
+#include "trace/note.h"
+
+#define GENERATION_TABLE "wy-orderers"
+
+enum
+{
+  TICK_MS = 100,
+  WATCH_GAP_MS = 150,
+  CONNECT_TIMEOUT_MS = 500,
+  TARGET_IDLE_MS = 5000,
+  /* The replica is on the same machine; no answer by then is none.  */
+  CALL_TIMEOUT_MS = 1500,
+  /* A load was accepted and does not show: it is ordered again.  */
+  ORDER_RETRY_MS = 1500,
+  REFUSED_RETRY_MS = 400,
+  LIST_RETRY_MS = 300,
+  /* While nothing is named, how often the replica is asked which versions it
+     holds: it may have restarted.  */
+  REPORT_IDLE_MS = 1000,
+  REPORT_BUSY_MS = 150,
+  RELAYS_EVERY_MS = 5000,
+  RELAYS_MAX = 16,
+  MODELS_MAX = WY_REPLICA_MODELS_MAX,
+  FIRST_LOAD_MS = 950,
+  LOAD_MS_MAX = 5000,
+  NAME_SIZE_BYTES = 128
+};
+
+/* Share of a new measurement in the smoothed time of a load.  */
+static const double load_weight = 0.3;
+
+struct named
+{
+  struct wy_named_version v;
+  int64_t seen_ms;  /* when it was learned here */
+  int64_t due_ms;   /* 0: the list must be read for it first */
+  bool loads;       /* this replica is to load it */
+  bool single;
+};
+
+struct wy_orderer_daemon
+{
+  struct wy_orderer_daemon_options o;
+  char incarnation[WY_ID_SIZE_BYTES];
+  struct sockaddr_in target;
+  struct wy_h1_client *http;
+  struct wy_rows *rows;
+  struct wy_watch *operator_rows;
+  struct wy_routing *routing;
+  GArray *seeds;
+  uv_timer_t tick;
+  struct named named[MODELS_MAX];
+  uint32_t n_named;
+  char id[NAME_SIZE_BYTES]; /* of the replica; "": not known */
+  struct wy_replica_report report;
+  int64_t reported_ms; /* 0: never */
+  int64_t report_due_ms;
+  int64_t generation; /* 0: not drawn yet */
+  bool drawing;
+  bool listing;
+  int64_t list_due_ms;
+  int64_t relays_due_ms;
+  struct wy_h1_call *call; /* to the replica, one at a time */
+  bool call_is_order;
+  int64_t call_deadline_ms;
+  int call_status;
+  GString *answer;
+  struct named *ordered; /* the load under way, or NULL */
+  int64_t ordered_version;
+  int64_t ordered_ms;
+  int64_t order_due_ms;
+  double load_ms;
+};
+
+static int64_t
+now_of (const struct wy_orderer_daemon *d)
+{
+  return wy_clock_mono_ms (d->o.clock);
+}
+
+static int64_t
+held_version (const struct wy_orderer_daemon *d, const char *model)
+{
+  for (uint32_t i = 0; i < d->report.n_models; i++)
+    if (!strcmp (d->report.models[i].model, model))
+      return d->report.models[i].version;
+  return -1;
+}
+
+static struct named *
+named_of (struct wy_orderer_daemon *d, const char *model)
+{
+  for (uint32_t i = 0; i < d->n_named; i++)
+    if (!strcmp (d->named[i].v.model, model))
+      return &d->named[i];
+  if (d->n_named == MODELS_MAX)
+    return NULL;
+  return &d->named[d->n_named++];
+}
+
+static void
+learn_version (struct wy_orderer_daemon *d, const struct wy_row *row)
+{
+  struct wy_named_version v;
+  struct named *n;
+
+  if (!wy_named_version_decode (row->value, row->size_bytes, &v))
+    {
+      wy_note ("version.rejected", "key=%s row_version=%lld", row->key,
+               (long long)row->version);
+      return;
+    }
+  n = named_of (d, v.model);
+  if (!n || n->v.version >= v.version)
+    return;
+  n->v = v;
+  n->seen_ms = now_of (d);
+  n->due_ms = 0;
+  wy_note ("version.named", "model=%s version=%lld held=%lld", v.model,
+           (long long)v.version, (long long)held_version (d, v.model));
+}
+
+static void
+on_operator_row (void *ctx, const struct wy_row *row)
+{
+  struct wy_orderer_daemon *d = ctx;
+  struct wy_routing *r;
+  const char *why;
+
+  if (row->deleted)
+    return;
+  switch (wy_operator_row_kind (row->key))
+    {
+    case WY_OPERATOR_CONFIG:
+      r = wy_config_decode (row->value, row->size_bytes, &why);
+      if (r && (!d->routing || r->version > d->routing->version))
+        {
+          wy_routing_free (d->routing);
+          d->routing = r;
+        }
+      else
+        wy_routing_free (r);
+      break;
+    case WY_OPERATOR_VERSION:
+      learn_version (d, row);
+      break;
+    case WY_OPERATOR_OTHER:
+      break;
+    }
+}
+
+/* Position of MODEL among the models of this replica's service.  */
+static void
+model_place (const struct wy_orderer_daemon *d, const char *model,
+             uint32_t *place, uint32_t *n)
+{
+  const struct wy_service *s
+      = d->routing ? wy_routing_service (d->routing, d->o.settings->service)
+                   : NULL;
+
+  *place = 0;
+  *n = 1;
+  for (guint i = 0; s && i < s->models->len; i++)
+    if (!strcmp (g_ptr_array_index (s->models, i), model))
+      {
+        *place = i;
+        *n = s->models->len;
+      }
+}
+
+static bool
+wants_single_version (const struct wy_orderer_daemon *d)
+{
+  for (guint i = 0; d->routing && i < d->routing->routes->len; i++)
+    {
+      const struct wy_route *r = g_ptr_array_index (d->routing->routes, i);
+
+      for (guint k = 0; r->single_version && k < r->splits->len; k++)
+        if (!strcmp (g_array_index (r->splits, struct wy_split, k).service,
+                     d->o.settings->service))
+          return true;
+    }
+  return false;
+}
+
+static void
+set_turns (struct wy_orderer_daemon *d, uint32_t rank, uint32_t replicas)
+{
+  for (uint32_t i = 0; i < d->n_named; i++)
+    {
+      struct named *n = &d->named[i];
+      struct wy_load_turn_options o = { .rank = rank,
+                                        .replicas = replicas,
+                                        .version = n->v.version,
+                                        .load_ms = (uint32_t)d->load_ms };
+      struct wy_load_turn t;
+
+      if (n->due_ms)
+        continue;
+      model_place (d, n->v.model, &o.model, &o.models);
+      t = wy_load_turn (&o);
+      n->loads = t.loads;
+      n->due_ms = n->seen_ms + t.delay_ms;
+      wy_note ("version.turn",
+               "model=%s version=%lld loads=%d delay_ms=%u rank=%u of=%u",
+               n->v.model, (long long)n->v.version, n->loads, t.delay_ms,
+               rank, replicas);
+    }
+}
+
+static uint64_t
+order_of (const struct sockaddr_in *a)
+{
+  return (uint64_t)ntohl (a->sin_addr.s_addr) << 16 | ntohs (a->sin_port);
+}
+
+static void
+on_list (void *ctx, const struct wy_rows_result *r)
+{
+  struct wy_orderer_daemon *d = ctx;
+  uint32_t rank = 0;
+  uint32_t n = 0;
+  bool found = false;
+
+  d->listing = false;
+  d->list_due_ms = now_of (d) + LIST_RETRY_MS;
+  for (size_t i = 0; !r->err && i < r->n; i++)
+    {
+      struct wy_replica info;
+
+      if (wy_replica_decode (r->rows[i].key, r->rows[i].value,
+                             r->rows[i].size_bytes, &info)
+          || strcmp (info.service, d->o.settings->service) != 0)
+        continue;
+      if (order_of (&info.address) == order_of (&d->target))
+        {
+          g_strlcpy (d->id, info.id, sizeof d->id);
+          found = true;
+        }
+      else if (!info.draining)
+        rank += order_of (&info.address) < order_of (&d->target);
+      n += !info.draining;
+    }
+  if (found)
+    set_turns (d, rank, n);
+}
+
+static void
+read_list (struct wy_orderer_daemon *d)
+{
+  struct wy_rows_range range = { .table = WY_REPLICA_TABLE, .part = "" };
+
+  d->listing = true;
+  wy_rows_get (d->rows, &range, on_list, d);
+}
+
+static void
+on_members (void *ctx, const struct wy_rows_result *r)
+{
+  struct wy_orderer_daemon *d = ctx;
+  struct sockaddr_in a[RELAYS_MAX];
+  size_t n = 0;
+
+  for (size_t i = 0; !r->err && i < r->n && n < RELAYS_MAX; i++)
+    n += wy_member_address (&r->rows[i], &a[n]);
+  if (n)
+    wy_rows_set_relays (d->rows, a, n);
+}
+
+static void
+on_generation_drawn (void *ctx, const struct wy_rows_result *r);
+
+static void
+on_generation_read (void *ctx, const struct wy_rows_result *r)
+{
+  struct wy_orderer_daemon *d = ctx;
+  char value[32];
+  struct wy_row_ref condition
+      = { .table = GENERATION_TABLE, .key = d->o.settings->target };
+  struct wy_row_write w = { .table = GENERATION_TABLE,
+                            .key = d->o.settings->target,
+                            .value = value };
+  struct wy_rows_tx tx = { .part = "",
+                           .conditions = &condition,
+                           .n_conditions = 1,
+                           .writes = &w,
+                           .n_writes = 1 };
+  char *old;
+
+  if (r->err)
+    {
+      d->drawing = false;
+      return;
+    }
+  old = r->n ? g_strndup (r->rows[0].value, r->rows[0].size_bytes)
+             : g_strdup ("0");
+  condition.version = r->n ? r->rows[0].version : 0;
+  snprintf (value, sizeof value, "%lld", strtoll (old, NULL, 10) + 1);
+  w.size_bytes = strlen (value);
+  /* Known only when the write is confirmed; kept negative until then.  */
+  d->generation = -strtoll (value, NULL, 10);
+  g_free (old);
+  wy_rows_tx (d->rows, &tx, on_generation_drawn, d);
+}
+
+static void
+on_generation_drawn (void *ctx, const struct wy_rows_result *r)
+{
+  struct wy_orderer_daemon *d = ctx;
+
+  d->drawing = false;
+  d->generation = r->err ? 0 : -d->generation;
+  if (!r->err)
+    wy_note ("generation.drawn", "generation=%lld", (long long)d->generation);
+}
+
+static void
+draw_generation (struct wy_orderer_daemon *d)
+{
+  struct wy_rows_range range = { .table = GENERATION_TABLE, .part = "" };
+  char *to = g_strconcat (d->o.settings->target, "\x01", NULL);
+
+  range.from = d->o.settings->target;
+  range.to = to;
+  d->drawing = true;
+  wy_rows_get (d->rows, &range, on_generation_read, d);
+  g_free (to);
+}
+
+static void
+on_head (void *ctx, const struct wy_h1_answer *a)
+{
+  ((struct wy_orderer_daemon *)ctx)->call_status = a->status;
+}
+
+static void
+on_data (void *ctx, const char *p, size_t n)
+{
+  g_string_append_len (((struct wy_orderer_daemon *)ctx)->answer, p,
+                       (gssize)n);
+}
+
+static void
+learn_report (struct wy_orderer_daemon *d)
+{
+  struct wy_replica_report r;
+  int64_t now_ms = now_of (d);
+  int64_t version;
+
+  if (d->call_status != 200
+      || !wy_replica_report_decode (d->answer->str, d->answer->len, &r))
+    {
+      wy_note ("report.unreadable", "status=%d bytes=%zu", d->call_status,
+               d->answer->len);
+      return;
+    }
+  if (d->reported_ms && r.orders_accepted < d->report.orders_accepted)
+    wy_note ("target.restarted", "id=%s orders=%lld before=%lld", d->id,
+             (long long)r.orders_accepted,
+             (long long)d->report.orders_accepted);
+  d->report = r;
+  d->reported_ms = now_ms;
+  if (!d->ordered)
+    return;
+  version = held_version (d, d->ordered->v.model);
+  if (version >= d->ordered_version && !r.order_in_progress)
+    {
+      double took_ms = (double)(now_ms - d->ordered_ms);
+
+      if (took_ms < LOAD_MS_MAX)
+        d->load_ms += load_weight * (took_ms - d->load_ms);
+      wy_note ("version.loaded", "model=%s version=%lld ms=%.0f",
+               d->ordered->v.model, (long long)version, took_ms);
+      d->ordered = NULL;
+    }
+  else if (!r.order_in_progress
+           && now_ms - d->ordered_ms >= ORDER_RETRY_MS)
+    {
+      wy_note ("order.lost", "model=%s version=%lld ms=%lld",
+               d->ordered->v.model, (long long)d->ordered_version,
+               (long long)(now_ms - d->ordered_ms));
+      d->ordered = NULL;
+    }
+}
+
+static void
+learn_order (struct wy_orderer_daemon *d)
+{
+  enum wy_order_outcome outcome = wy_order_outcome_of (d->call_status);
+
+  wy_note ("order.answered", "model=%s version=%lld status=%d outcome=%d",
+           d->ordered ? d->ordered->v.model : "",
+           (long long)d->ordered_version, d->call_status, outcome);
+  d->report_due_ms = 0;
+  switch (outcome)
+    {
+    case WY_ORDER_ACCEPTED:
+    case WY_ORDER_HOLDS:
+    case WY_ORDER_UNKNOWN:
+      break;
+    case WY_ORDER_NOT_HERE:
+      d->id[0] = '\0';
+      d->ordered = NULL;
+      d->order_due_ms = now_of (d) + REFUSED_RETRY_MS;
+      break;
+    case WY_ORDER_BUSY:
+    case WY_ORDER_FENCED:
+    case WY_ORDER_INVALID:
+      d->ordered = NULL;
+      d->order_due_ms = now_of (d) + REFUSED_RETRY_MS;
+      break;
+    }
+}
+
+static void
+on_end (void *ctx, int err)
+{
+  struct wy_orderer_daemon *d = ctx;
+  bool order = d->call_is_order;
+
+  d->call = NULL;
+  if (err)
+    {
+      wy_note ("target.call_failed", "order=%d err=%d", order, err);
+      if (order && err == WY_H1_ECONNECT)
+        d->ordered = NULL;
+      d->order_due_ms = now_of (d) + REFUSED_RETRY_MS;
+      d->report_due_ms = now_of (d) + REFUSED_RETRY_MS;
+    }
+  else if (order)
+    learn_order (d);
+  else
+    learn_report (d);
+}
+
+static void
+call_target (struct wy_orderer_daemon *d, const char *method,
+             const char *target, const char *body)
+{
+  struct wy_forward_info f = { .time_left_ms = -1, .after_event = -1 };
+  GArray *fields = g_array_new (FALSE, FALSE, sizeof (struct wy_h1_pair));
+  struct wy_h1_pair type = { "Content-Type", "application/json" };
+  struct wy_h1_call_options o = { .address = d->target,
+                                  .method = method,
+                                  .target = target,
+                                  .body = body,
+                                  .body_size_bytes = body ? strlen (body) : 0,
+                                  .on_head = on_head,
+                                  .on_data = on_data,
+                                  .on_end = on_end,
+                                  .ctx = d };
+
+  f.host = d->o.settings->target;
+  if (body)
+    {
+      f.replica = d->id;
+      g_array_append_val (fields, type);
+    }
+  wy_item_fields (NULL, 0, &f, fields);
+  o.fields = (const struct wy_h1_pair *)fields->data;
+  o.n_fields = fields->len;
+  d->call_is_order = body != NULL;
+  d->call_status = 0;
+  d->call_deadline_ms = now_of (d) + CALL_TIMEOUT_MS;
+  g_string_truncate (d->answer, 0);
+  d->call = wy_h1_call_start (d->http, &o);
+  g_array_free (fields, TRUE);
+}
+
+static void
+order_load (struct wy_orderer_daemon *d, struct named *n)
+{
+  struct wy_load_order o = { .model = n->v.model,
+                             .version = n->v.version,
+                             .mode = wants_single_version (d)
+                                         ? WY_LOAD_AFTER_RUNS
+                                         : WY_LOAD_UNDER_RUNS,
+                             .holder = d->o.settings->name,
+                             .generation = d->generation,
+                             .orders_accepted = d->report.orders_accepted };
+  char *body = wy_load_order_body (&o);
+
+  d->ordered = n;
+  d->ordered_version = n->v.version;
+  d->ordered_ms = now_of (d);
+  wy_note ("order.sent",
+           "model=%s version=%lld held=%lld orders=%lld report_age_ms=%lld "
+           "after_named_ms=%lld",
+           n->v.model, (long long)n->v.version,
+           (long long)held_version (d, n->v.model),
+           (long long)d->report.orders_accepted,
+           (long long)(now_of (d) - d->reported_ms),
+           (long long)(now_of (d) - n->seen_ms));
+  call_target (d, "POST", WY_ORDER_TARGET, body);
+  g_free (body);
+}
+
+/* The named version that is to be loaded now; NULL: none.  */
+static struct named *
+next_load (struct wy_orderer_daemon *d, int64_t now_ms)
+{
+  for (uint32_t i = 0; i < d->n_named; i++)
+    {
+      struct named *n = &d->named[i];
+      int64_t held = held_version (d, n->v.model);
+
+      if (n->due_ms && n->loads && now_ms >= n->due_ms && held >= 0
+          && held < n->v.version)
+        return n;
+    }
+  return NULL;
+}
+
+static bool
+needs_list (const struct wy_orderer_daemon *d)
+{
+  if (!*d->id)
+    return true;
+  for (uint32_t i = 0; i < d->n_named; i++)
+    if (!d->named[i].due_ms)
+      return true;
+  return false;
+}
+
+static void
+work (struct wy_orderer_daemon *d, int64_t now_ms)
+{
+  struct named *n = next_load (d, now_ms);
+  bool fresh = d->reported_ms && now_ms - d->reported_ms <= REPORT_BUSY_MS * 2;
+
+  if (n && !d->ordered && d->generation > 0 && *d->id
+      && now_ms >= d->order_due_ms && fresh && !d->report.order_in_progress)
+    {
+      order_load (d, n);
+      return;
+    }
+  if (now_ms < d->report_due_ms)
+    return;
+  d->report_due_ms
+      = now_ms + (n || d->ordered ? REPORT_BUSY_MS : REPORT_IDLE_MS);
+  call_target (d, "GET", WY_REPORT_TARGET, NULL);
+}
+
+static void
+on_tick (uv_timer_t *t)
+{
+  struct wy_orderer_daemon *d = t->data;
+  int64_t now_ms = now_of (d);
+  struct wy_rows_range members = { .table = WY_MEMBERS_TABLE, .part = "" };
+
+  if (d->generation == 0 && !d->drawing)
+    draw_generation (d);
+  if (!d->listing && now_ms >= d->list_due_ms && needs_list (d))
+    read_list (d);
+  if (now_ms >= d->relays_due_ms)
+    {
+      d->relays_due_ms = now_ms + RELAYS_EVERY_MS;
+      wy_rows_get (d->rows, &members, on_members, d);
+    }
+  if (d->call && now_ms >= d->call_deadline_ms)
+    {
+      wy_h1_call_cancel (d->call);
+      d->call = NULL;
+      wy_note ("target.call_failed", "order=%d err=timeout",
+               d->call_is_order);
+    }
+  if (!d->call)
+    work (d, now_ms);
+}
+
+static void
+read_seeds (struct wy_orderer_daemon *d)
+{
+  struct sockaddr_in a[RELAYS_MAX];
+  size_t n = 0;
+
+  for (guint i = 0; i < d->o.settings->seeds->len && n < RELAYS_MAX; i++)
+    n += wy_address_parse (g_ptr_array_index (d->o.settings->seeds, i),
+                           &a[n]);
+  wy_rows_set_relays (d->rows, a, n);
+}
+
+/* Start ordering as O says and store the orderer in OUT.  Returns 0 or
+   WY_H1_EBIND for an address that can't be read.  */
+int
+wy_orderer_daemon_new (struct wy_orderer_daemon **out,
+                       const struct wy_orderer_daemon_options *o)
+{
+  struct wy_orderer_daemon *d = g_new0 (struct wy_orderer_daemon, 1);
+  struct wy_h1_client_options http = { .loop = o->loop,
+                                       .connect_timeout_ms
+                                       = CONNECT_TIMEOUT_MS,
+                                       .idle_timeout_ms = TARGET_IDLE_MS };
+  struct wy_rows_options rows = { .loop = o->loop, .clock = o->clock };
+  struct wy_watch_options w = { .loop = o->loop,
+                                .clock = o->clock,
+                                .table = WY_OPERATOR_TABLE,
+                                .gap_ms = WATCH_GAP_MS,
+                                .on_row = on_operator_row,
+                                .ctx = d };
+
+  d->o = *o;
+  d->load_ms = FIRST_LOAD_MS;
+  if (!wy_address_parse (o->settings->target, &d->target)
+      || !wy_address_parse (o->settings->store, &rows.address))
+    {
+      g_free (d);
+      return WY_H1_EBIND;
+    }
+  wy_id_new (o->clock, d->incarnation);
+  wy_note_open (o->loop, o->settings->name, d->incarnation);
+  wy_note ("process.start", "target=%s service=%s store=%s",
+           o->settings->target, o->settings->service, o->settings->store);
+  d->answer = g_string_new (NULL);
+  d->http = wy_h1_client_new (&http);
+  rows.http = d->http;
+  rows.seed = wy_hash64 (d->incarnation, WY_ID_LEN, 0);
+  d->rows = wy_rows_new (&rows);
+  read_seeds (d);
+  w.rows = d->rows;
+  w.seed = rows.seed + 1;
+  d->operator_rows = wy_watch_new (&w);
+  uv_timer_init (o->loop, &d->tick);
+  d->tick.data = d;
+  uv_timer_start (&d->tick, on_tick, TICK_MS, TICK_MS);
+  *out = d;
+  return 0;
+}
+
+/* Stop; the loop must turn some times afterwards.  */
+void
+wy_orderer_daemon_free (struct wy_orderer_daemon *d)
+{
+  wy_note ("process.stop", "reason=asked ordered=%d", d->ordered != NULL);
+  wy_watch_free (d->operator_rows);
+  wy_rows_free (d->rows);
+  wy_h1_client_free (d->http);
+  uv_close ((uv_handle_t *)&d->tick, NULL);
+}
--- /dev/null
+++ b/src/orders/orderer.h
@@ -0,0 +1,27 @@
+/* Orders the replica on the same machine to load new versions of weights.
+
+   Targets here do not check who orders them, so a holder that was paused and
+   wakes after its successor would give orders beside it.  One process a
+   replica, on the replica's own machine, needs no successor.  */
+#ifndef WY_ORDERS_ORDERER_H
+#define WY_ORDERS_ORDERER_H
+
+#include <uv.h>
+
+#include "base/clock.h"
+#include "orders/settings.h"
+
+struct wy_orderer_daemon;
+
+struct wy_orderer_daemon_options
+{
+  uv_loop_t *loop;
+  const struct wy_clock *clock;
+  const struct wy_orders_settings *settings;
+};
+
+int wy_orderer_daemon_new (struct wy_orderer_daemon **out,
+                           const struct wy_orderer_daemon_options *o);
+void wy_orderer_daemon_free (struct wy_orderer_daemon *d);
+
+#endif
--- /dev/null
+++ b/src/orders/settings.h
@@ -0,0 +1,20 @@
+/* Settings of wyorderd.  */
+#ifndef WY_ORDERS_SETTINGS_H
+#define WY_ORDERS_SETTINGS_H
+
+#include "config/settings.h"
+
+struct wy_orders_settings
+{
+  char *name;
+  char *target;  /* IP:PORT of the replica on this machine */
+  char *service; /* that the replica belongs to */
+  char *store;
+  char *metrics;
+  GPtrArray *seeds;
+};
+
+extern const struct wy_setting wy_orders_settings_table[];
+extern const size_t wy_orders_settings_count;
+
+#endif
--- /dev/null
+++ b/src/rows/rows.h
@@ -0,0 +1,142 @@
+/* Client of a store of versioned rows and raw objects, the one place where
+   anything lasts.
+
+   Each call ends in one of three ways that its caller must tell apart: done,
+   certainly not done (WY_ROWS_EREFUSED), or unknown (WY_ROWS_EUNKNOWN), in
+   which case it may still be performed seconds later if its condition holds
+   then.  */
+#ifndef WY_ROWS_ROWS_H
+#define WY_ROWS_ROWS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <netinet/in.h>
+#include <uv.h>
+
+#include "base/clock.h"
+
+enum wy_rows_error
+{
+  WY_ROWS_EREFUSED = -1101,  /* not done, and will not be */
+  WY_ROWS_EUNKNOWN = -1102,  /* no answer */
+  WY_ROWS_ECONFLICT = -1103, /* a condition did not hold */
+  WY_ROWS_EHISTORY = -1104,  /* the feed no longer reaches back so far */
+  WY_ROWS_ENOTFOUND = -1105,
+  WY_ROWS_EFULL = -1106,
+  WY_ROWS_EMALFORMED = -1107 /* an answer that can't be read */
+};
+
+struct wy_row
+{
+  const char *table;
+  const char *part;
+  const char *key;
+  const void *value;
+  size_t size_bytes;
+  int64_t version;
+  bool deleted;
+};
+
+struct wy_rows_result
+{
+  int err;
+  const struct wy_row *rows;
+  size_t n;
+  const char *const *names; /* of parts */
+  size_t n_names;
+  bool more;
+  int64_t version; /* the newest of the store */
+  int64_t now_ms;  /* the store's steady clock */
+  const void *object;
+  size_t object_size_bytes;
+};
+
+/* One row of a transaction: VERSION is the one it must have (0: none).  */
+struct wy_row_ref
+{
+  const char *table;
+  const char *key;
+  int64_t version;
+};
+
+struct wy_row_write
+{
+  const char *table;
+  const char *key;
+  const void *value;
+  size_t size_bytes;
+};
+
+/* All entries lie in PART.  */
+struct wy_rows_tx
+{
+  const char *part;
+  const struct wy_row_ref *conditions;
+  size_t n_conditions;
+  const struct wy_row_write *writes;
+  size_t n_writes;
+  const struct wy_row_ref *removals;
+  size_t n_removals;
+};
+
+struct wy_rows_range
+{
+  const char *table;
+  const char *part;
+  const char *from; /* NULL: from the first */
+  const char *to;   /* excluded; NULL: to the last */
+  uint32_t limit;   /* 0: the store's own */
+};
+
+/* How calls reach the store, for logs and metrics.  */
+struct wy_rows_stats
+{
+  uint64_t calls;
+  uint64_t direct_failed;
+  uint64_t relayed;
+  uint64_t relay_failed;
+  bool direct_ok;
+};
+
+struct wy_rows;
+struct wy_h1_client;
+
+struct wy_rows_options
+{
+  uv_loop_t *loop;
+  const struct wy_clock *clock;
+  struct wy_h1_client *http;
+  struct sockaddr_in address;
+  uint64_t seed;
+};
+
+typedef void wy_rows_cb (void *ctx, const struct wy_rows_result *r);
+
+struct wy_rows *wy_rows_new (const struct wy_rows_options *o);
+void wy_rows_free (struct wy_rows *s);
+void wy_rows_set_relays (struct wy_rows *s, const struct sockaddr_in *peers,
+                         size_t n);
+void wy_rows_stats (const struct wy_rows *s, struct wy_rows_stats *out);
+int64_t wy_rows_store_now_ms (const struct wy_rows *s);
+
+void wy_rows_get (struct wy_rows *s, const struct wy_rows_range *range,
+                  wy_rows_cb *cb, void *ctx);
+void wy_rows_parts (struct wy_rows *s, const char *table, const char *after,
+                    wy_rows_cb *cb, void *ctx);
+void wy_rows_feed (struct wy_rows *s, const char *table, int64_t after,
+                   uint32_t wait_ms, wy_rows_cb *cb, void *ctx);
+void wy_rows_tx (struct wy_rows *s, const struct wy_rows_tx *tx,
+                 wy_rows_cb *cb, void *ctx);
+void wy_rows_put_object (struct wy_rows *s, const char *name, const void *p,
+                         size_t n, wy_rows_cb *cb, void *ctx);
+void wy_rows_get_object (struct wy_rows *s, const char *name, wy_rows_cb *cb,
+                         void *ctx);
+void wy_rows_forward (struct wy_rows *s, const char *method,
+                      const char *target, const void *body, size_t n,
+                      void (*on_done) (void *ctx, int status, const char *body,
+                                       size_t n),
+                      void *ctx);
+
+#endif
--- /dev/null
+++ b/src/rows/store.c
@@ -0,0 +1,451 @@
+/* Calls to the store: directly, or through another process of the system
+   when the store turns this one away.
+
+   The store may refuse, ignore or be cut off from a single instance while it
+   serves the others.  Such an instance would act on old configuration and
+   could confirm nothing; so after one failed call the next goes through a
+   peer, which passes it on unchanged, and the direct path is tried again
+   every second.  */
+#include "rows/rows.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+#include "base/rng.h"
+#include "h1/client.h"
+#include "platform/store_wire.h"
+#include "trace/note.h"
+
+enum
+{
+  /* The store answers in some ms, and within half a second when it is slow;
+     a call without an answer by then is taken for lost.  */
+  ROWS_TIMEOUT_MS = 1200,
+  TX_TIMEOUT_MS = 2000,
+  OBJECT_TIMEOUT_MS = 5000,
+  /* A feed's answer is due this long after its wait.  */
+  FEED_SLACK_MS = 600,
+  SWEEP_MS = 100,
+  /* How often the direct path is tried while it fails.  */
+  PROBE_MS = 1000,
+  RELAYS_MAX = 64
+};
+
+struct call
+{
+  struct wy_rows *store;
+  struct wy_h1_call *http;
+  enum wy_store_verb verb;
+  char *target;
+  const char *method;
+  GString *answer;
+  int status;
+  bool relayed;
+  int64_t deadline_ms;
+  wy_rows_cb *cb;
+  void (*forward_cb) (void *ctx, int status, const char *body, size_t n);
+  void *ctx;
+  GList link;
+};
+
+struct wy_rows
+{
+  uv_loop_t *loop;
+  const struct wy_clock *clock;
+  struct wy_h1_client *http;
+  struct sockaddr_in address;
+  struct sockaddr_in relays[RELAYS_MAX];
+  size_t n_relays;
+  size_t next_relay;
+  uv_timer_t sweep;
+  GQueue calls;
+  bool direct_ok;
+  int64_t probe_ms;
+  int64_t now_offset_ms; /* the store's clock less ours */
+  struct wy_rng rng;
+  struct wy_rows_stats stats;
+};
+
+static void
+free_call (struct call *k)
+{
+  g_queue_unlink (&k->store->calls, &k->link);
+  if (k->store->calls.length == 0)
+    uv_timer_stop (&k->store->sweep);
+  if (k->answer)
+    g_string_free (k->answer, TRUE);
+  g_free (k->target);
+  g_free (k);
+}
+
+static void
+note_path (struct wy_rows *s, bool ok, const char *why)
+{
+  if (ok == s->direct_ok)
+    return;
+  s->direct_ok = ok;
+  wy_note (ok ? "store.regained" : "store.lost", "path=direct reason=%s", why);
+}
+
+static void
+count_end (struct call *k, bool ok, const char *why)
+{
+  struct wy_rows *s = k->store;
+
+  if (k->relayed)
+    {
+      if (!ok)
+        s->stats.relay_failed++;
+      return;
+    }
+  if (!ok)
+    s->stats.direct_failed++;
+  note_path (s, ok, why);
+}
+
+static void
+deliver (struct call *k, const struct wy_rows_result *r)
+{
+  wy_rows_cb *cb = k->cb;
+  void *ctx = k->ctx;
+
+  if (r->now_ms)
+    k->store->now_offset_ms
+        = r->now_ms - wy_clock_mono_ms (k->store->clock);
+  if (k->forward_cb)
+    k->forward_cb (ctx, k->status, k->answer->str, k->answer->len);
+  else
+    cb (ctx, r);
+  free_call (k);
+}
+
+static void
+fail (struct call *k, int err, const char *why)
+{
+  struct wy_rows_result r = { .err = err };
+
+  count_end (k, false, why);
+  wy_note ("store.call_failed", "verb=%d via=%s outcome=%s reason=%s", k->verb,
+           k->relayed ? "peer" : "direct",
+           err == WY_ROWS_EREFUSED ? "not_done" : "unknown", why);
+  /* A peer is told what is known, by the codes that the store itself uses. */
+  k->status = err == WY_ROWS_EREFUSED ? 503 : 504;
+  g_string_truncate (k->answer, 0);
+  deliver (k, &r);
+}
+
+static void
+on_head (void *ctx, const struct wy_h1_answer *a)
+{
+  ((struct call *)ctx)->status = a->status;
+}
+
+static void
+on_data (void *ctx, const char *p, size_t n)
+{
+  g_string_append_len (((struct call *)ctx)->answer, p, (gssize)n);
+}
+
+static void
+on_end (void *ctx, int err)
+{
+  struct call *k = ctx;
+  struct wy_rows_result r = { 0 };
+  struct wy_store_answer *decoded;
+
+  if (err)
+    {
+      bool sent = wy_h1_call_sent (k->http);
+
+      k->http = NULL;
+      fail (k, sent ? WY_ROWS_EUNKNOWN : WY_ROWS_EREFUSED,
+            sent ? "broken_off" : "no_connection");
+      return;
+    }
+  k->http = NULL;
+  decoded = wy_store_decode (k->verb, k->status, k->answer->str,
+                             k->answer->len, &r);
+  if (r.err == WY_ROWS_EREFUSED || r.err == WY_ROWS_EUNKNOWN)
+    fail (k, r.err, k->status == 429 ? "rate" : "turned_away");
+  else
+    {
+      count_end (k, true, "answered");
+      deliver (k, &r);
+    }
+  wy_store_answer_free (decoded);
+}
+
+static void
+on_sweep (uv_timer_t *t)
+{
+  struct wy_rows *s = t->data;
+  int64_t now_ms = wy_clock_mono_ms (s->clock);
+  GList *l = s->calls.head;
+
+  while (l)
+    {
+      struct call *k = l->data;
+
+      l = l->next;
+      if (now_ms < k->deadline_ms)
+        continue;
+      if (k->http)
+        wy_h1_call_cancel (k->http);
+      k->http = NULL;
+      fail (k, WY_ROWS_EUNKNOWN, "timeout");
+      /* Its owner may have started or ended others.  */
+      l = s->calls.head;
+    }
+}
+
+/* Choose the path of a call: direct while that works, else a peer, but for
+   one call a second that tries the direct one.  */
+static const struct sockaddr_in *
+choose_path (struct wy_rows *s, bool forwarded, bool *relayed)
+{
+  int64_t now_ms = wy_clock_mono_ms (s->clock);
+
+  *relayed = false;
+  if (forwarded || s->direct_ok || s->n_relays == 0)
+    return &s->address;
+  if (now_ms >= s->probe_ms)
+    {
+      s->probe_ms = now_ms + PROBE_MS;
+      return &s->address;
+    }
+  *relayed = true;
+  s->stats.relayed++;
+  return &s->relays[s->next_relay++ % s->n_relays];
+}
+
+static uint32_t
+timeout_of (enum wy_store_verb verb)
+{
+  switch (verb)
+    {
+    case WY_STORE_GET:
+    case WY_STORE_PARTS:
+    case WY_STORE_FEED:
+      return ROWS_TIMEOUT_MS;
+    case WY_STORE_TX:
+      return TX_TIMEOUT_MS;
+    case WY_STORE_PUT_OBJECT:
+    case WY_STORE_GET_OBJECT:
+      return OBJECT_TIMEOUT_MS;
+    }
+  return ROWS_TIMEOUT_MS;
+}
+
+static struct call *
+new_call (struct wy_rows *s, enum wy_store_verb verb, char *target,
+          wy_rows_cb *cb, void *ctx)
+{
+  struct call *k = g_new0 (struct call, 1);
+
+  k->store = s;
+  k->verb = verb;
+  k->method = wy_store_method (verb);
+  k->target = target;
+  k->answer = g_string_new (NULL);
+  k->cb = cb;
+  k->ctx = ctx;
+  k->deadline_ms = wy_clock_mono_ms (s->clock) + timeout_of (verb);
+  k->link.data = k;
+  g_queue_push_tail_link (&s->calls, &k->link);
+  if (s->calls.length == 1)
+    uv_timer_start (&s->sweep, on_sweep, SWEEP_MS, SWEEP_MS);
+  s->stats.calls++;
+  return k;
+}
+
+static void
+start (struct call *k, const void *body, size_t n)
+{
+  struct wy_rows *s = k->store;
+  const struct sockaddr_in *a
+      = choose_path (s, k->forward_cb != NULL, &k->relayed);
+  char host[64];
+  char ip[INET_ADDRSTRLEN];
+  struct wy_h1_pair fields[3];
+  struct wy_h1_call_options o = { .address = *a,
+                                  .method = k->method,
+                                  .target = k->target,
+                                  .fields = fields,
+                                  .body = body,
+                                  .body_size_bytes = n,
+                                  .has_body = body != NULL,
+                                  .on_head = on_head,
+                                  .on_data = on_data,
+                                  .on_end = on_end,
+                                  .ctx = k };
+
+  uv_ip4_name (a, ip, sizeof ip);
+  g_snprintf (host, sizeof host, "%s:%u", ip, ntohs (a->sin_port));
+  fields[0].name = "Host";
+  fields[0].value = host;
+  o.n_fields = 1 + wy_store_fields (k->verb, fields + 1);
+  k->http = wy_h1_call_start (s->http, &o);
+}
+
+/* Read rows of a range, in the order of their keys.  */
+void
+wy_rows_get (struct wy_rows *s, const struct wy_rows_range *range,
+             wy_rows_cb *cb, void *ctx)
+{
+  start (new_call (s, WY_STORE_GET, wy_store_get_target (range), cb, ctx),
+         NULL, 0);
+}
+
+/* List the parts of TABLE that follow AFTER (NULL: from the first).  */
+void
+wy_rows_parts (struct wy_rows *s, const char *table, const char *after,
+               wy_rows_cb *cb, void *ctx)
+{
+  start (new_call (s, WY_STORE_PARTS, wy_store_parts_target (table, after),
+                   cb, ctx),
+         NULL, 0);
+}
+
+/* Wait up to WAIT_MS for changes of TABLE newer than AFTER.  */
+void
+wy_rows_feed (struct wy_rows *s, const char *table, int64_t after,
+              uint32_t wait_ms, wy_rows_cb *cb, void *ctx)
+{
+  struct call *k
+      = new_call (s, WY_STORE_FEED,
+                  wy_store_feed_target (table, after, wait_ms), cb, ctx);
+
+  k->deadline_ms = wy_clock_mono_ms (s->clock) + wait_ms + FEED_SLACK_MS;
+  start (k, NULL, 0);
+}
+
+/* Perform TX.  After WY_ROWS_ECONFLICT the result holds the rows of the
+   conditions as they are.  */
+void
+wy_rows_tx (struct wy_rows *s, const struct wy_rows_tx *tx, wy_rows_cb *cb,
+            void *ctx)
+{
+  struct call *k = new_call (s, WY_STORE_TX, wy_store_tx_target (), cb, ctx);
+  char *body = wy_store_tx_body (tx);
+
+  start (k, body, strlen (body));
+  g_free (body);
+}
+
+/* Store the N bytes at P under NAME; WY_ROWS_ECONFLICT when it exists.  */
+void
+wy_rows_put_object (struct wy_rows *s, const char *name, const void *p,
+                    size_t n, wy_rows_cb *cb, void *ctx)
+{
+  start (new_call (s, WY_STORE_PUT_OBJECT,
+                   wy_store_object_target (WY_STORE_PUT_OBJECT, name), cb,
+                   ctx),
+         p, n);
+}
+
+/* Fetch the object NAME.  */
+void
+wy_rows_get_object (struct wy_rows *s, const char *name, wy_rows_cb *cb,
+                    void *ctx)
+{
+  start (new_call (s, WY_STORE_GET_OBJECT,
+                   wy_store_object_target (WY_STORE_GET_OBJECT, name), cb,
+                   ctx),
+         NULL, 0);
+}
+
+/* Pass on a peer's call unchanged.  ON_DONE gets the store's answer, or 503
+   if the call was certainly not done and 504 if that is unknown.  */
+void
+wy_rows_forward (struct wy_rows *s, const char *method, const char *target,
+                 const void *body, size_t n,
+                 void (*on_done) (void *ctx, int status, const char *body,
+                                  size_t n),
+                 void *ctx)
+{
+  enum wy_store_verb verb;
+  struct call *k;
+
+  if (!wy_store_classify (method, target, &verb))
+    {
+      on_done (ctx, 404, "", 0);
+      return;
+    }
+  k = new_call (s, verb, g_strdup (target), NULL, ctx);
+  k->forward_cb = on_done;
+  if (verb == WY_STORE_FEED)
+    k->deadline_ms
+        += (int64_t)wy_store_feed_wait_ms (target) + FEED_SLACK_MS;
+  start (k, verb == WY_STORE_TX || verb == WY_STORE_PUT_OBJECT ? body : NULL,
+         verb == WY_STORE_TX || verb == WY_STORE_PUT_OBJECT ? n : 0);
+}
+
+/* A client of the store as O says.  */
+struct wy_rows *
+wy_rows_new (const struct wy_rows_options *o)
+{
+  struct wy_rows *s = g_new0 (struct wy_rows, 1);
+
+  s->loop = o->loop;
+  s->clock = o->clock;
+  s->http = o->http;
+  s->address = o->address;
+  s->direct_ok = true;
+  wy_rng_seed (&s->rng, o->seed);
+  s->next_relay = wy_rng_below (&s->rng, RELAYS_MAX);
+  g_queue_init (&s->calls);
+  uv_timer_init (o->loop, &s->sweep);
+  s->sweep.data = s;
+  return s;
+}
+
+static void
+on_sweep_closed (uv_handle_t *h)
+{
+  g_free (h->data);
+}
+
+/* End all calls without a word and free S on the next turn of the loop.  */
+void
+wy_rows_free (struct wy_rows *s)
+{
+  while (s->calls.head)
+    {
+      struct call *k = s->calls.head->data;
+
+      if (k->http)
+        wy_h1_call_cancel (k->http);
+      free_call (k);
+    }
+  uv_close ((uv_handle_t *)&s->sweep, on_sweep_closed);
+}
+
+/* Processes of the system that pass calls on, N of them.  */
+void
+wy_rows_set_relays (struct wy_rows *s, const struct sockaddr_in *peers,
+                    size_t n)
+{
+  if (n > RELAYS_MAX)
+    n = RELAYS_MAX;
+  memcpy (s->relays, peers, n * sizeof *peers);
+  s->n_relays = n;
+}
+
+/* Counts of S's calls.  */
+void
+wy_rows_stats (const struct wy_rows *s, struct wy_rows_stats *out)
+{
+  *out = s->stats;
+  out->direct_ok = s->direct_ok;
+}
+
+/* The store's steady clock as last told, carried on by our own; 0 before the
+   first answer.  */
+int64_t
+wy_rows_store_now_ms (const struct wy_rows *s)
+{
+  if (s->now_offset_ms == 0)
+    return 0;
+  return wy_clock_mono_ms (s->clock) + s->now_offset_ms;
+}
--- /dev/null
+++ b/src/rows/watch.c
@@ -0,0 +1,356 @@
+/* Follows a table by its feed, with a whole read beneath.
+
+   A feed can fall silent without closing, lose its history, or be refused to
+   this instance alone.  So each wait is short, each call has its own time
+   limit, and a feed that has lost its history starts over from a whole read,
+   which also tells which rows went away meanwhile.  */
+#include "rows/watch.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+#include "base/rng.h"
+#include "trace/note.h"
+
+enum
+{
+  /* Longer waits save calls but make a silent feed show later.  */
+  FEED_WAIT_MS = 700,
+  RETRY_MIN_MS = 60,
+  RETRY_MAX_MS = 600,
+  PART_READS_AT_ONCE = 8
+};
+
+struct wy_watch
+{
+  struct wy_watch_options o;
+  uv_timer_t timer;
+  struct wy_rng rng;
+  GHashTable *known; /* "part\nkey" -> generation of the read that told it */
+  uint64_t generation;
+  int64_t version; /* the feed goes on from here */
+  int64_t sync_version;
+  int64_t answered_ms;
+  int64_t called_ms;
+  uint32_t retry_ms;
+  char *from;       /* where the next page starts */
+  GPtrArray *parts; /* still to be read */
+  uint32_t reading;
+  bool read_failed;
+  bool synced;
+  bool calling;
+  bool closing;
+};
+
+struct part_read
+{
+  struct wy_watch *watch;
+  char *part;
+  uint64_t generation;
+};
+
+static void next_call (struct wy_watch *w);
+
+static void
+on_timer (uv_timer_t *t)
+{
+  next_call (t->data);
+}
+
+static void
+schedule (struct wy_watch *w, uint32_t delay_ms)
+{
+  w->calling = false;
+  if (!w->closing)
+    uv_timer_start (&w->timer, on_timer, delay_ms, 0);
+}
+
+static void
+schedule_retry (struct wy_watch *w)
+{
+  uint32_t jitter_ms = wy_rng_below (&w->rng, w->retry_ms + 1);
+
+  schedule (w, w->retry_ms / 2 + jitter_ms / 2);
+  w->retry_ms = MIN (w->retry_ms * 2, RETRY_MAX_MS);
+}
+
+static void
+schedule_next (struct wy_watch *w)
+{
+  int64_t now_ms = wy_clock_mono_ms (w->o.clock);
+  int64_t due_ms = w->called_ms + w->o.gap_ms;
+
+  w->retry_ms = RETRY_MIN_MS;
+  schedule (w, due_ms > now_ms ? (uint32_t)(due_ms - now_ms) : 0);
+}
+
+static char *
+key_of (const struct wy_row *row)
+{
+  return g_strconcat (row->part, "\n", row->key, NULL);
+}
+
+static void
+tell (struct wy_watch *w, const struct wy_row *row)
+{
+  char *key = key_of (row);
+
+  if (row->deleted)
+    g_hash_table_remove (w->known, key);
+  else
+    {
+      uint64_t *g = g_new (uint64_t, 1);
+
+      *g = w->generation;
+      g_hash_table_insert (w->known, g_strdup (key), g);
+    }
+  w->o.on_row (w->o.ctx, row);
+  g_free (key);
+}
+
+/* Rows that the whole read did not meet went away unseen.  */
+static void
+tell_lost (struct wy_watch *w)
+{
+  GHashTableIter it;
+  gpointer key;
+  gpointer g;
+
+  g_hash_table_iter_init (&it, w->known);
+  while (g_hash_table_iter_next (&it, &key, &g))
+    {
+      char **words;
+      struct wy_row row = { .table = w->o.table, .deleted = true };
+
+      if (*(uint64_t *)g == w->generation)
+        continue;
+      words = g_strsplit (key, "\n", 2);
+      row.part = words[0];
+      row.key = words[1];
+      row.version = w->sync_version;
+      g_hash_table_iter_remove (&it);
+      w->o.on_row (w->o.ctx, &row);
+      g_strfreev (words);
+    }
+}
+
+static void
+end_sync (struct wy_watch *w)
+{
+  tell_lost (w);
+  w->version = w->sync_version;
+  if (!w->synced)
+    wy_note ("watch.synced", "table=%s rows=%u version=%lld", w->o.table,
+             g_hash_table_size (w->known), (long long)w->version);
+  w->synced = true;
+  if (w->o.on_synced)
+    w->o.on_synced (w->o.ctx);
+  schedule_next (w);
+}
+
+static void
+start_sync (struct wy_watch *w)
+{
+  w->synced = false;
+  w->generation++;
+  w->sync_version = 0;
+  w->read_failed = false;
+  g_clear_pointer (&w->from, g_free);
+  g_ptr_array_set_size (w->parts, 0);
+}
+
+static void
+on_page (void *ctx, const struct wy_rows_result *r)
+{
+  struct wy_watch *w = ctx;
+
+  if (w->closing)
+    return;
+  if (r->err)
+    {
+      start_sync (w);
+      schedule_retry (w);
+      return;
+    }
+  w->answered_ms = wy_clock_mono_ms (w->o.clock);
+  /* Changes made while pages are read show in the feed from the first
+     page's version on.  */
+  if (w->sync_version == 0)
+    w->sync_version = r->version;
+  for (size_t i = 0; i < r->n; i++)
+    tell (w, &r->rows[i]);
+  if (!r->more || r->n == 0)
+    {
+      end_sync (w);
+      return;
+    }
+  g_free (w->from);
+  /* The least key behind the last one.  */
+  w->from = g_strconcat (r->rows[r->n - 1].key, "\x01", NULL);
+  schedule (w, 0);
+}
+
+static void read_parts (struct wy_watch *w);
+
+static void
+on_part (void *ctx, const struct wy_rows_result *r)
+{
+  struct part_read *p = ctx;
+  struct wy_watch *w = p->watch;
+
+  w->reading--;
+  if (!w->closing && p->generation == w->generation)
+    {
+      if (r->err)
+        w->read_failed = true;
+      for (size_t i = 0; i < r->n; i++)
+        tell (w, &r->rows[i]);
+      read_parts (w);
+    }
+  g_free (p->part);
+  g_free (p);
+}
+
+/* Read the parts listed, some at once; the feed starts when all are in.  */
+static void
+read_parts (struct wy_watch *w)
+{
+  while (w->parts->len && w->reading < PART_READS_AT_ONCE)
+    {
+      struct part_read *p = g_new0 (struct part_read, 1);
+      struct wy_rows_range range = { .table = w->o.table };
+
+      p->watch = w;
+      p->generation = w->generation;
+      p->part = g_ptr_array_steal_index_fast (w->parts, w->parts->len - 1);
+      range.part = p->part;
+      w->reading++;
+      wy_rows_get (w->o.rows, &range, on_part, p);
+    }
+  if (w->reading)
+    return;
+  if (w->read_failed)
+    {
+      start_sync (w);
+      schedule_retry (w);
+    }
+  else
+    end_sync (w);
+}
+
+static void
+on_parts (void *ctx, const struct wy_rows_result *r)
+{
+  struct wy_watch *w = ctx;
+
+  if (w->closing)
+    return;
+  if (r->err)
+    {
+      start_sync (w);
+      schedule_retry (w);
+      return;
+    }
+  w->answered_ms = wy_clock_mono_ms (w->o.clock);
+  if (w->sync_version == 0)
+    w->sync_version = r->version;
+  for (size_t i = 0; i < r->n_names; i++)
+    g_ptr_array_add (w->parts, g_strdup (r->names[i]));
+  if (r->more && r->n_names)
+    {
+      g_free (w->from);
+      w->from = g_strdup (r->names[r->n_names - 1]);
+      schedule (w, 0);
+      return;
+    }
+  read_parts (w);
+}
+
+static void
+on_feed (void *ctx, const struct wy_rows_result *r)
+{
+  struct wy_watch *w = ctx;
+
+  if (w->closing)
+    return;
+  if (r->err == WY_ROWS_EHISTORY)
+    {
+      wy_note ("watch.restarted", "table=%s reason=history version=%lld",
+               w->o.table, (long long)w->version);
+      start_sync (w);
+      schedule (w, 0);
+      return;
+    }
+  if (r->err)
+    {
+      schedule_retry (w);
+      return;
+    }
+  w->answered_ms = wy_clock_mono_ms (w->o.clock);
+  for (size_t i = 0; i < r->n; i++)
+    if (w->o.all_parts || !*r->rows[i].part)
+      tell (w, &r->rows[i]);
+  if (r->version > w->version)
+    w->version = r->version;
+  schedule_next (w);
+}
+
+static void
+next_call (struct wy_watch *w)
+{
+  struct wy_rows_range range
+      = { .table = w->o.table, .part = "", .from = w->from };
+
+  w->calling = true;
+  w->called_ms = wy_clock_mono_ms (w->o.clock);
+  if (w->synced)
+    wy_rows_feed (w->o.rows, w->o.table, w->version, FEED_WAIT_MS, on_feed, w);
+  else if (w->o.all_parts)
+    wy_rows_parts (w->o.rows, w->o.table, w->from, on_parts, w);
+  else
+    wy_rows_get (w->o.rows, &range, on_page, w);
+}
+
+/* Follow a table as O says.  */
+struct wy_watch *
+wy_watch_new (const struct wy_watch_options *o)
+{
+  struct wy_watch *w = g_new0 (struct wy_watch, 1);
+
+  w->o = *o;
+  w->retry_ms = RETRY_MIN_MS;
+  w->known = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  w->parts = g_ptr_array_new ();
+  wy_rng_seed (&w->rng, o->seed);
+  uv_timer_init (o->loop, &w->timer);
+  w->timer.data = w;
+  start_sync (w);
+  schedule (w, 0);
+  return w;
+}
+
+/* Stop following.  The memory of W stays until the store's client is freed,
+   since a call of it may be under way.  */
+void
+wy_watch_free (struct wy_watch *w)
+{
+  w->closing = true;
+  uv_close ((uv_handle_t *)&w->timer, NULL);
+}
+
+/* Whether all rows have been told.  */
+bool
+wy_watch_is_synced (const struct wy_watch *w)
+{
+  return w->synced;
+}
+
+/* Time in ms since the store last answered; -1 before the first answer.  */
+int64_t
+wy_watch_age_ms (const struct wy_watch *w)
+{
+  if (w->answered_ms == 0)
+    return -1;
+  return wy_clock_mono_ms (w->o.clock) - w->answered_ms;
+}
