Results longer than a row are cut into several rows

Cause: an item's text of 192 events is longer than a row of the store may be; the store refuses the transaction, which was sent again for ever, and the whole job stood still.

--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -482,7 +482,8 @@
   struct wy_jobs_options j
       = { .env = &g->env,
           .seed = seed + 3,
-          .piece_bytes = (uint32_t)g->o.settings->object_bytes };
+          .piece_bytes = (uint32_t)g->o.settings->object_bytes,
+          .row_bytes = (uint32_t)g->o.settings->row_bytes };
 
   g->operator_rows = wy_watch_new (&w);
   w.table = WY_REPLICA_TABLE;
--- a/src/gate/settings.h
+++ b/src/gate/settings.h
@@ -15,6 +15,7 @@
   char *store;    /* IP:PORT */
   GPtrArray *seeds;
   int64_t object_bytes;
+  int64_t row_bytes;
   int64_t memory_mb;
   double grace_s;
 };
--- a/src/jobs/jobs.c
+++ b/src/jobs/jobs.c
@@ -8,6 +8,7 @@
 
 #include <string.h>
 
+#include "jobs/result_rows.h"
 #include "trace/note.h"
 
 enum
@@ -16,7 +17,8 @@
   WATCH_GAP_MS = 150,
   /* Entries take over a job in an order of their own; each waits this much
      longer than the one before it, so that mostly one writes.  */
-  RANK_DELAY_MS = 250
+  RANK_DELAY_MS = 250,
+  ROW_MARGIN_BYTES = 64
 };
 
 struct takeover
@@ -144,6 +146,7 @@
   struct wy_owned_options o = { .env = j->env,
                                 .record = wy_job_record_copy (r),
                                 .spec = spec,
+                                .row_bytes = j->row_bytes,
                                 .on_listed = on_listed,
                                 .on_end = on_owned_end,
                                 .ctx = j };
@@ -184,6 +187,7 @@
 {
   struct takeover *t = ctx;
   struct wy_jobs *j = t->jobs;
+  GPtrArray *results;
 
   if (r->err)
     {
@@ -191,19 +195,20 @@
       end_takeover (t, "results_unread", r->err);
       return;
     }
-  for (size_t k = 0; k < r->n; k++)
+  results = g_ptr_array_new ();
+  wy_result_join (r, results);
+  for (guint k = 0; k < results->len; k++)
     {
-      struct wy_result *res
-          = wy_result_decode (r->rows[k].value, r->rows[k].size_bytes);
+      struct wy_result *res = g_ptr_array_index (results, k);
 
-      if (res)
-        wy_owned_restore (t->owned, res->item);
+      wy_owned_restore (t->owned, res->item);
       wy_result_free (res);
     }
-  if (r->more && r->n)
+  g_free (t->from);
+  t->from = results->len ? wy_result_next_from (r, t->owned->n_listed) : NULL;
+  g_ptr_array_free (results, TRUE);
+  if (t->from)
     {
-      g_free (t->from);
-      t->from = g_strconcat (r->rows[r->n - 1].key, "\x01", NULL);
       read_listed (t);
       return;
     }
@@ -241,6 +246,7 @@
 {
   struct takeover *t = ctx;
   struct wy_owned_options o = { .env = t->jobs->env,
+                                .row_bytes = t->jobs->row_bytes,
                                 .on_listed = on_listed,
                                 .on_end = on_owned_end,
                                 .ctx = t->jobs };
@@ -384,6 +390,8 @@
   j->env = o->env;
   j->members = o->members;
   j->piece_bytes = o->piece_bytes;
+  /* The store counts a row's bytes as they travel, in base64.  */
+  j->row_bytes = o->row_bytes / 4 * 3 - ROW_MARGIN_BYTES;
   j->records
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_record);
   j->owned = g_hash_table_new (g_str_hash, g_str_equal);
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -18,6 +18,7 @@
   struct wy_members *members;
   uint64_t seed;
   uint32_t piece_bytes; /* largest object that the store takes */
+  uint32_t row_bytes;   /* largest row */
 };
 
 struct wy_jobs *wy_jobs_new (const struct wy_jobs_options *o);
--- a/src/jobs/lister.c
+++ b/src/jobs/lister.c
@@ -8,9 +8,9 @@
    performed first, the other does nothing.  */
 #include "jobs/owned.h"
 
-#include <stdio.h>
 #include <string.h>
 
+#include "jobs/result_rows.h"
 #include "trace/note.h"
 
 enum
@@ -22,8 +22,7 @@
   /* Of results in one transaction, before base64; the store takes 1 MB.  */
   BATCH_BYTES = 500000,
   RETRY_MIN_MS = 50,
-  RETRY_MAX_MS = 500,
-  KEY_SIZE_BYTES = 16
+  RETRY_MAX_MS = 500
 };
 
 static void write_batch (struct wy_owned *o);
@@ -54,14 +53,10 @@
   schedule (o, GATHER_MS);
 }
 
+/* Take results off the queue for one transaction, up to its limits; their rows
+   go to ROWS.  */
 static void
-key_of (uint32_t position, char out[KEY_SIZE_BYTES])
-{
-  snprintf (out, KEY_SIZE_BYTES, "%010u", position);
-}
-
-static void
-take_batch (struct wy_owned *o, char **values)
+take_batch (struct wy_owned *o, GArray *rows)
 {
   size_t size = 0;
 
@@ -72,15 +67,19 @@
     {
       struct wy_item *i = l->data;
       char *value = wy_result_encode (i->result);
+      size_t n = strlen (value);
+      uint32_t n_rows = wy_result_row_count (n, o->row_bytes);
 
-      size += strlen (value);
-      if (o->n_batch && size > BATCH_BYTES)
+      size += n;
+      if (o->n_batch
+          && (size > BATCH_BYTES || rows->len + n_rows > BATCH_MAX))
         {
           g_free (value);
           return;
         }
-      values[o->n_batch] = value;
+      wy_result_split (value, o->n_listed + o->n_batch, o->row_bytes, rows);
       o->batch[o->n_batch++] = i;
+      g_free (value);
     }
 }
 
@@ -125,33 +124,45 @@
   schedule (o, MIN (RETRY_MIN_MS << n, RETRY_MAX_MS));
 }
 
+static void
+free_result (gpointer p)
+{
+  wy_result_free (p);
+}
+
+/* The result RES stands in the store: whether it was still waiting here.  */
+static bool
+list_known (struct wy_owned *o, const struct wy_result *res)
+{
+  for (GList *l = o->ended.head; l; l = l->next)
+    {
+      struct wy_item *i = l->data;
+
+      if (strcmp (i->spec->id, res->item) != 0)
+        continue;
+      listed (o, i);
+      return true;
+    }
+  return false;
+}
+
 /* Rows that a write of ours with a lost answer has left: what they list is
    listed.  */
 static void
 on_read_back (void *ctx, const struct wy_rows_result *r)
 {
   struct wy_owned *o = ctx;
+  GPtrArray *results;
   bool any = false;
 
   if (!wy_owned_write_ended (o))
     return;
-  for (size_t k = 0; !r->err && k < r->n; k++)
-    {
-      struct wy_result *res
-          = wy_result_decode (r->rows[k].value, r->rows[k].size_bytes);
-
-      for (GList *l = o->ended.head; res && l; l = l->next)
-        {
-          struct wy_item *i = l->data;
-
-          if (strcmp (i->spec->id, res->item) != 0)
-            continue;
-          listed (o, i);
-          any = true;
-          break;
-        }
-      wy_result_free (res);
-    }
+  results = g_ptr_array_new_with_free_func (free_result);
+  if (!r->err)
+    wy_result_join (r, results);
+  for (guint k = 0; k < results->len; k++)
+    any = list_known (o, g_ptr_array_index (results, k)) || any;
+  g_ptr_array_free (results, TRUE);
   if (any)
     progressed (o);
   else
@@ -161,11 +172,11 @@
 static void
 read_back (struct wy_owned *o)
 {
-  char from[KEY_SIZE_BYTES];
+  char from[WY_RESULT_KEY_SIZE_BYTES];
   struct wy_rows_range range
       = { .table = WY_RESULTS_TABLE, .part = o->record->id, .from = from };
 
-  key_of (o->n_listed, from);
+  wy_result_key (o->n_listed, from);
   o->writing = true;
   wy_rows_get (o->env->rows, &range, on_read_back, o);
 }
@@ -227,35 +238,48 @@
     }
 }
 
+static void
+free_rows (GArray *rows)
+{
+  for (guint k = 0; k < rows->len; k++)
+    g_free (g_array_index (rows, struct wy_result_row, k).value);
+  g_array_free (rows, TRUE);
+}
+
 static void
 write_batch (struct wy_owned *o)
 {
-  char *values[BATCH_MAX];
-  char keys[BATCH_MAX][KEY_SIZE_BYTES];
-  struct wy_row_write writes[BATCH_MAX];
+  GArray *rows;
+  struct wy_row_write *writes;
+  char first[WY_RESULT_KEY_SIZE_BYTES];
   struct wy_row_ref conditions[2] = {
     { WY_JOBS_TABLE, WY_JOB_KEY, o->record->row_version },
-    { WY_RESULTS_TABLE, keys[0], 0 },
+    { WY_RESULTS_TABLE, first, 0 },
   };
   struct wy_rows_tx tx = { .part = o->record->id,
                            .conditions = conditions,
-                           .n_conditions = 2,
-                           .writes = writes };
+                           .n_conditions = 2 };
 
   if (o->ended.length == 0)
     return;
-  take_batch (o, values);
-  for (uint32_t k = 0; k < o->n_batch; k++)
+  wy_result_key (o->n_listed, first);
+  rows = g_array_new (FALSE, FALSE, sizeof (struct wy_result_row));
+  take_batch (o, rows);
+  writes = g_new0 (struct wy_row_write, rows->len);
+  for (guint k = 0; k < rows->len; k++)
     {
-      key_of (o->n_listed + k, keys[k]);
+      const struct wy_result_row *row
+          = &g_array_index (rows, struct wy_result_row, k);
+
       writes[k] = (struct wy_row_write){ .table = WY_RESULTS_TABLE,
-                                         .key = keys[k],
-                                         .value = values[k],
-                                         .size_bytes = strlen (values[k]) };
+                                         .key = row->key,
+                                         .value = row->value,
+                                         .size_bytes = row->size_bytes };
     }
-  tx.n_writes = o->n_batch;
+  tx.writes = writes;
+  tx.n_writes = rows->len;
   o->writing = true;
   wy_rows_tx (o->env->rows, &tx, on_written, o);
-  for (uint32_t k = 0; k < o->n_batch; k++)
-    g_free (values[k]);
+  g_free (writes);
+  free_rows (rows);
 }
--- a/src/jobs/owned.c
+++ b/src/jobs/owned.c
@@ -36,6 +36,7 @@
   o->env = opt->env;
   o->record = opt->record;
   o->spec = opt->spec;
+  o->row_bytes = opt->row_bytes;
   o->on_listed = opt->on_listed;
   o->on_end = opt->on_end;
   o->ctx = opt->ctx;
--- a/src/jobs/owned.h
+++ b/src/jobs/owned.h
@@ -51,6 +51,7 @@
   uint32_t n_waiting;
   uint32_t n_listed;
   GQueue ended;      /* struct wy_item whose results wait */
+  size_t row_bytes; /* of a row in the store */
   bool dropped;
   /* The write of results under way.  */
   bool writing;
@@ -69,6 +70,7 @@
   struct wy_gate_env *env;
   struct wy_job_record *record; /* taken over */
   struct wy_job_spec *spec;     /* taken over */
+  size_t row_bytes;
   void (*on_listed) (void *ctx, struct wy_owned *o);
   void (*on_end) (void *ctx, struct wy_owned *o, enum wy_owned_end why);
   void *ctx;
--- a/src/jobs/read.c
+++ b/src/jobs/read.c
@@ -3,10 +3,10 @@
    once is listed always.  */
 #include "jobs/state.h"
 
-#include <stdio.h>
 #include <string.h>
 
 #include "gate/answer.h"
+#include "jobs/result_rows.h"
 #include "platform/job_wire.h"
 #include "trace/note.h"
 
@@ -19,8 +19,7 @@
   ANSWER_BYTES = 900000,
   RETRY_AFTER_MS = 300,
   END_TRIES = 6,
-  END_PAUSE_MS = 150,
-  KEY_SIZE_BYTES = 24
+  END_PAUSE_MS = 150
 };
 
 struct read
@@ -99,23 +98,21 @@
 {
   GPtrArray *results = g_ptr_array_new ();
   size_t size = 0;
+  guint n = 0;
 
-  for (size_t i = 0; i < r->n; i++)
+  wy_result_join (r, results);
+  while (n < results->len)
     {
-      struct wy_result *res;
+      const struct wy_result *res = g_ptr_array_index (results, n);
 
-      size += r->rows[i].size_bytes;
-      if (i && size > ANSWER_BYTES)
+      size += res->text ? strlen (res->text) : 0;
+      if (n && size > ANSWER_BYTES)
         break;
-      res = wy_result_decode (r->rows[i].value, r->rows[i].size_bytes);
-      if (!res)
-        break;
-      g_ptr_array_add (results, res);
+      n++;
     }
   respond_json (d, wy_results_encode (
-                       d->record->total, d->call.after + results->len,
-                       (struct wy_result *const *)results->pdata,
-                       results->len));
+                       d->record->total, d->call.after + n,
+                       (struct wy_result *const *)results->pdata, n));
   for (guint i = 0; i < results->len; i++)
     wy_result_free (g_ptr_array_index (results, i));
   g_ptr_array_free (results, TRUE);
@@ -155,13 +152,13 @@
 static void
 read_results (struct read *d)
 {
-  char from[KEY_SIZE_BYTES];
+  char from[WY_RESULT_KEY_SIZE_BYTES];
   struct wy_rows_range range = { .table = WY_RESULTS_TABLE,
                                  .part = d->call.job,
                                  .from = from,
                                  .limit = PAGE_ROWS };
 
-  snprintf (from, sizeof from, "%010llu", (unsigned long long)d->call.after);
+  wy_result_key (d->call.after, from);
   d->reading = true;
   wy_rows_get (d->jobs->env->rows, &range, on_results, d);
 }
--- a/src/jobs/state.h
+++ b/src/jobs/state.h
@@ -10,6 +10,7 @@
   struct wy_gate_env *env;
   struct wy_members *members;
   uint32_t piece_bytes;
+  size_t row_bytes;
   struct wy_watch *watch;
   uv_timer_t tick;
   GHashTable *records; /* struct wy_job_record by id */
