Targets that turn work away are tried with one request at a time

Cause: 1,129 of 3,672 arrivals were turned away, a whole job at a time, by replicas that were loading weights. Ruled out: full queues (12 of 12 slots are never exceeded by one entry).

--- a/src/cmd/wyorderd.c
+++ b/src/cmd/wyorderd.c
@@ -12,21 +12,26 @@
   CLOSING_TURNS = 20
 };
 
+/* The settings hold nothing that can change while the process runs, so a
+   request to read them again is only logged; without a handler it would end
+   the process.  */
 static void
 on_signal (uv_signal_t *s, int number)
 {
-  uv_stop (s->loop);
+  if (number == SIGHUP)
+    wy_note ("process.reloaded", "changed=0");
+  else
+    uv_stop (s->loop);
 }
 
 static int
 run (const struct wy_orders_settings *settings)
 {
-  static const int numbers[] = { SIGTERM, SIGINT };
-  uv_signal_t signals[2];
+  static const int numbers[] = { SIGTERM, SIGINT, SIGHUP };
+  uv_signal_t signals[G_N_ELEMENTS (numbers)];
   uv_loop_t *loop = uv_default_loop ();
-  struct wy_orderer_daemon_options o = { .loop = loop,
-                                         .clock = wy_clock_system (),
-                                         .settings = settings };
+  struct wy_orderer_daemon_options o
+      = { .loop = loop, .clock = wy_clock_system (), .settings = settings };
   struct wy_orderer_daemon *d;
   int err = wy_orderer_daemon_new (&d, &o);
 
@@ -35,14 +40,14 @@
       fprintf (stderr, "wyorderd: cannot start: error %d\n", err);
       return WY_EXIT_FAILED;
     }
-  for (int i = 0; i < 2; i++)
+  for (size_t i = 0; i < G_N_ELEMENTS (numbers); i++)
     {
       uv_signal_init (loop, &signals[i]);
       uv_signal_start (&signals[i], on_signal, numbers[i]);
     }
   uv_run (loop, UV_RUN_DEFAULT);
   wy_orderer_daemon_free (d);
-  for (int i = 0; i < 2; i++)
+  for (size_t i = 0; i < G_N_ELEMENTS (numbers); i++)
     uv_close ((uv_handle_t *)&signals[i], NULL);
   for (int i = 0; i < CLOSING_TURNS; i++)
     uv_run (loop, UV_RUN_NOWAIT);
--- a/src/config/program.h
+++ b/src/config/program.h
@@ -19,7 +19,7 @@
   const char *summary;
   const struct wy_setting *table;
   size_t n;
-  void *settings; /* zeroed */
+  void *settings;   /* zeroed */
   const char *path; /* of the settings file, once started */
 };
 
--- a/src/gate/env.h
+++ b/src/gate/env.h
@@ -34,7 +34,7 @@
 {
   uv_loop_t *loop;
   const struct wy_clock *clock;
-  const char *node; /* name of this instance */
+  const char *node;   /* name of this instance */
   const char *holder; /* this start of it */
   const char *availability_zone;
   struct wy_h1_client *http;
--- a/src/gate/events.h
+++ b/src/gate/events.h
@@ -12,15 +12,15 @@
 {
   const char *raw; /* the event with its blank line */
   size_t raw_n;
-  int64_t id;         /* -1: none */
-  const char *data;   /* its data lines, joined by line feeds */
+  int64_t id;       /* -1: none */
+  const char *data; /* its data lines, joined by line feeds */
   size_t data_n;
   int64_t version; /* of the weights from here on; -1: not told */
 };
 
 struct wy_events
 {
-  GString *held;   /* of an event not yet whole */
+  GString *held; /* of an event not yet whole */
   GString *data;
   int64_t last_id; /* -1: none yet */
 };
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -20,8 +20,9 @@
 enum
 {
   CONNECT_TIMEOUT_MS = 400,
-  /* A kept connection whose peer names no time-out.  */
-  TARGET_IDLE_MS = 5000,
+  /* Longest time that a connection is kept; peers that close sooner say so in
+     their answers.  */
+  TARGET_IDLE_MS = 60000,
   WATCH_GAP_MS = 150,
   TICK_MS = 200,
   RELAYS_MAX = 32,
@@ -105,8 +106,7 @@
           .body_bytes = r ? r->body_limit_bytes : START_BODY_BYTES,
           .header_timeout_ms = r ? r->header_timeout_ms : START_HEADER_MS,
           .idle_timeout_ms = r ? r->idle_timeout_ms : START_IDLE_MS,
-          .held_bytes
-          = (uint64_t)g->o.settings->memory_mb * MB / BODY_SHARE };
+          .held_bytes = (uint64_t)g->o.settings->memory_mb * MB / BODY_SHARE };
 
   wy_h1_server_set_limits (g->callers, &l);
 }
@@ -117,8 +117,7 @@
 learn_config (struct wy_gate *g, const struct wy_row *row)
 {
   const char *why;
-  struct wy_routing *r
-      = wy_config_decode (row->value, row->size_bytes, &why);
+  struct wy_routing *r = wy_config_decode (row->value, row->size_bytes, &why);
 
   if (!r)
     {
@@ -171,8 +170,9 @@
       return;
     }
   if (!t || t->info.draining != info.draining || !t->listed)
-    wy_note ("target.seen", "id=%s service=%s zone=%s draining=%d version=%lld",
-             info.id, info.service, info.availability_zone, info.draining,
+    wy_note ("target.seen",
+             "id=%s service=%s zone=%s draining=%d version=%lld", info.id,
+             info.service, info.availability_zone, info.draining,
              (long long)row->version);
   wy_targets_set (g->env.targets, &info);
   if (g->jobs)
@@ -210,8 +210,10 @@
   wy_request_read (wy_h1_head (r), &info);
   if (!g->env.routing)
     {
-      wy_note ("request.ended", "id=%s outcome=refused status=503 "
-               "reason=no_config", info.id ? info.id : "");
+      wy_note ("request.ended",
+               "id=%s outcome=refused status=503 "
+               "reason=no_config",
+               info.id ? info.id : "");
       wy_refuse (r, 503, "no_config", RETRY_AFTER_MS);
       return;
     }
@@ -221,9 +223,9 @@
       wy_jobs_call (g->jobs, r, &call);
       return;
     }
-  route = info.host ? wy_routing_match (g->env.routing, info.host,
-                                        wy_h1_target (r))
-                    : NULL;
+  route = info.host
+              ? wy_routing_match (g->env.routing, info.host, wy_h1_target (r))
+              : NULL;
   if (!route)
     {
       wy_note ("request.ended",
@@ -352,8 +354,7 @@
 static void
 check_stop (struct wy_gate *g)
 {
-  int64_t since_ms
-      = wy_clock_mono_ms (g->env.clock) - g->stop_asked_ms;
+  int64_t since_ms = wy_clock_mono_ms (g->env.clock) - g->stop_asked_ms;
   bool idle = wy_h1_server_active (g->callers) == 0;
 
   if (!g->handed_over
@@ -397,8 +398,8 @@
   struct wy_gate_counters *c = &g->env.count;
   struct wy_metrics *m = g->metrics;
 
-  c->requests = wy_metrics_counter (m, "wy_gate_requests_total",
-                                    "Requests passed on");
+  c->requests
+      = wy_metrics_counter (m, "wy_gate_requests_total", "Requests passed on");
   c->answered = wy_metrics_counter (m, "wy_gate_answered_total",
                                     "Answers of replicas passed back");
   c->refused = wy_metrics_counter (m, "wy_gate_refused_total",
@@ -431,10 +432,10 @@
 static int
 start_store (struct wy_gate *g)
 {
-  struct wy_h1_client_options http = { .loop = g->o.loop,
-                                       .connect_timeout_ms
-                                       = CONNECT_TIMEOUT_MS,
-                                       .idle_timeout_ms = TARGET_IDLE_MS };
+  struct wy_h1_client_options http
+      = { .loop = g->o.loop,
+          .connect_timeout_ms = CONNECT_TIMEOUT_MS,
+          .idle_timeout_ms = TARGET_IDLE_MS };
   struct wy_rows_options rows
       = { .loop = g->o.loop,
           .clock = g->o.clock,
@@ -519,8 +520,7 @@
   g->env.availability_zone = o->settings->availability_zone;
   g->env.entries = 1;
   wy_rng_seed (&g->env.rng, wy_hash64 (g->incarnation, WY_ID_LEN, 0));
-  g->env.targets
-      = wy_targets_new (wy_hash64 (g->incarnation, WY_ID_LEN, 4));
+  g->env.targets = wy_targets_new (wy_hash64 (g->incarnation, WY_ID_LEN, 4));
   g->seeds = g_array_new (FALSE, FALSE, sizeof (struct sockaddr_in));
   read_seeds (g, o->settings);
   err = start_store (g);
--- a/src/gate/members.c
+++ b/src/gate/members.c
@@ -136,9 +136,9 @@
       if (was_gone || e->silent_ms < GONE_AFTER_MS)
         continue;
       any = true;
-      wy_note ("entry.gone", "node=%s holder=%s silent_ms=%lld list_age_ms=%lld",
-               e->node, e->holder, (long long)e->silent_ms,
-               (long long)age_ms);
+      wy_note ("entry.gone",
+               "node=%s holder=%s silent_ms=%lld list_age_ms=%lld", e->node,
+               e->holder, (long long)e->silent_ms, (long long)age_ms);
     }
   if (any)
     changed (m);
--- a/src/gate/proxy.c
+++ b/src/gate/proxy.c
@@ -38,18 +38,19 @@
   UNSENT_LIMIT_BYTES = 4 << 20
 };
 
-struct try
-{
-  struct proxied *p;
-  struct wy_target *target; /* NULL: free */
-  struct wy_h1_call *call;
-  struct wy_answer *answer;
-  struct wy_answer_info info;
-  int64_t started_ms;
-  int64_t heard_ms;
-  bool bad;
-  bool not_run;
-};
+struct
+try
+  {
+    struct proxied *p;
+    struct wy_target *target; /* NULL: free */
+    struct wy_h1_call *call;
+    struct wy_answer *answer;
+    struct wy_answer_info info;
+    int64_t started_ms;
+    int64_t heard_ms;
+    bool bad;
+    bool not_run;
+  };
 
 struct proxied
 {
@@ -73,8 +74,8 @@
   uint32_t sends;
   int64_t after_event;
   bool may_have_run;
-  int64_t hedge_due_ms; /* 0: none */
-  int64_t round_due_ms; /* 0: none */
+  int64_t hedge_due_ms;    /* 0: none */
+  int64_t round_due_ms;    /* 0: none */
   struct wy_answer *spare; /* a replica's failure, if nothing better comes */
   struct try tries[TRIES_MAX];
   GPtrArray *tried; /* struct wy_target, held */
@@ -287,6 +288,7 @@
   struct proxied *p = t->p;
 
   t->heard_ms = now_of (p);
+  wy_target_heard (t->target);
   wy_answer_read (a->status, a->head, &t->info);
   if (t->info.has_load)
     wy_target_loaded (t->target, t->info.running + t->info.waiting,
@@ -364,7 +366,7 @@
       t->answer = NULL;
       try_failed (t, WY_TARGET_ANSWERED, true, "replica_failed");
     }
-  else
+  else if (t->answer)
     succeed (p, t);
 }
 
@@ -373,11 +375,10 @@
 {
   GArray *fields = g_array_new (FALSE, FALSE, sizeof (struct wy_h1_pair));
   int64_t now_ms = now_of (p);
-  struct wy_forward_info f = { .replica = g->info.id,
-                               .time_left_ms = p->has_deadline
-                                                   ? p->deadline_ms - now_ms
-                                                   : -1,
-                               .after_event = p->after_event };
+  struct wy_forward_info f
+      = { .replica = g->info.id,
+          .time_left_ms = p->has_deadline ? p->deadline_ms - now_ms : -1,
+          .after_event = p->after_event };
   struct wy_h1_call_options o = { .address = g->info.address,
                                   .method = wy_h1_method (p->request),
                                   .target = wy_h1_target (p->request),
@@ -395,7 +396,7 @@
   o.fields = (const struct wy_h1_pair *)fields->data;
   o.n_fields = fields->len;
   o.body = wy_h1_body (p->request, &o.body_size_bytes);
-  o.has_body = strcmp (o.method, "GET") && strcmp (o.method, "HEAD");
+  o.has_body = strcmp (o.method, "GET") != 0 && strcmp (o.method, "HEAD") != 0;
   wy_target_hold (g);
   g_ptr_array_add (p->tried, g);
   wy_target_started (g);
@@ -562,8 +563,8 @@
   p->resumable = route->resumable;
   p->id = g_strdup (info.id ? info.id : "");
   p->route = g_strdup (route->name);
-  p->service = g_strdup (wy_route_service (
-      route, wy_rng_below (&env->rng, UINT32_MAX)));
+  p->service = g_strdup (
+      wy_route_service (route, wy_rng_below (&env->rng, UINT32_MAX)));
   p->config_version = env->routing->version;
   p->attempts_left = route->attempts;
   p->after_event = info.after_event;
--- a/src/gate/routing.c
+++ b/src/gate/routing.c
@@ -144,7 +144,8 @@
   at = draw % total;
   for (guint i = 0; i < r->splits->len; i++)
     {
-      const struct wy_split *s = &g_array_index (r->splits, struct wy_split, i);
+      const struct wy_split *s
+          = &g_array_index (r->splits, struct wy_split, i);
 
       if (at < s->weight)
         return s->service;
--- a/src/gate/settings.h
+++ b/src/gate/settings.h
@@ -8,11 +8,11 @@
 {
   char *name;
   char *availability_zone;
-  char *callers;  /* IP:PORT of the callers' interface */
-  char *ready;    /* IP:PORT of the readiness check */
-  char *peers;    /* IP:PORT for other processes of the system */
-  char *metrics;  /* IP:PORT, or "" */
-  char *store;    /* IP:PORT */
+  char *callers; /* IP:PORT of the callers' interface */
+  char *ready;   /* IP:PORT of the readiness check */
+  char *peers;   /* IP:PORT for other processes of the system */
+  char *metrics; /* IP:PORT, or "" */
+  char *store;   /* IP:PORT */
   GPtrArray *seeds;
   int64_t object_bytes;
   int64_t row_bytes;
--- a/src/gate/targets.c
+++ b/src/gate/targets.c
@@ -12,9 +12,11 @@
      try at it costs a request the time to connect.  */
   AVOID_MIN_MS = 250,
   AVOID_MAX_MS = 2000,
-  /* A target that turned work away is full, or loads weights: others first
-     for about the time that one running request needs.  */
-  AVOID_FULL_MS = 60,
+  /* A target that turned work away is full, or loads weights for about a
+     second.  It is tried with one request at a time, first after this time,
+     then after twice as long, so that a whole job does not knock at it.  */
+  AVOID_FULL_MS = 50,
+  AVOID_FULL_MAX_MS = 200,
   /* One whose address another replica has is about to leave the list.  */
   AVOID_ELSEWHERE_MS = 3000,
   /* A load told in an answer says little after this time.  */
@@ -202,7 +204,7 @@
   if (p->within_slots && load_of (g, now_ms) >= g->info.slots)
     return false;
   /* After a failure one request at a time shows whether it is back.  */
-  if (g->failures && g->in_flight)
+  if ((g->failures && g->in_flight) || (g->refusals && g->unanswered))
     return false;
   return now_ms >= g->avoid_until_ms;
 }
@@ -333,6 +335,15 @@
 wy_target_started (struct wy_target *g)
 {
   g->in_flight++;
+  g->unanswered++;
+}
+
+/* G has begun to answer a request.  */
+void
+wy_target_heard (struct wy_target *g)
+{
+  if (g->unanswered)
+    g->unanswered--;
 }
 
 static void
@@ -348,15 +359,23 @@
                  enum wy_target_outcome outcome, int64_t now_ms)
 {
   g->in_flight--;
+  if (g->unanswered > g->in_flight)
+    g->unanswered = g->in_flight;
   switch (outcome)
     {
     case WY_TARGET_ANSWERED:
       g->failures = 0;
+      g->refusals = 0;
       break;
     case WY_TARGET_ABANDONED:
       break;
     case WY_TARGET_FULL:
-      avoid (g, AVOID_FULL_MS, now_ms);
+      /* Requests turned away together are one refusal.  */
+      if (now_ms >= g->avoid_until_ms)
+        g->refusals++;
+      avoid (g, MIN (AVOID_FULL_MS << MIN (g->refusals ? g->refusals - 1 : 0, 4),
+                     AVOID_FULL_MAX_MS),
+             now_ms);
       break;
     case WY_TARGET_BROKEN:
     case WY_TARGET_SILENT:
--- a/src/gate/targets.h
+++ b/src/gate/targets.h
@@ -19,6 +19,8 @@
   uint32_t held;      /* others that point here */
   uint32_t failures;  /* one after another */
   int64_t avoid_until_ms;
+  uint32_t refusals;   /* in a row, of work that it did not run */
+  uint32_t unanswered; /* of ours, sent and not begun to be answered */
   uint32_t reported_load;  /* running and waiting, of all callers */
   uint32_t in_flight_then; /* ours among them */
   int64_t reported_ms;
@@ -29,11 +31,11 @@
 enum wy_target_outcome
 {
   WY_TARGET_ANSWERED,
-  WY_TARGET_ABANDONED,  /* by us, for no fault of its own */
-  WY_TARGET_FULL,       /* turned it away without running it */
-  WY_TARGET_BROKEN,     /* connection refused, reset, or a spoilt answer */
-  WY_TARGET_SILENT,     /* nothing in time */
-  WY_TARGET_ELSEWHERE   /* another replica has the address */
+  WY_TARGET_ABANDONED, /* by us, for no fault of its own */
+  WY_TARGET_FULL,      /* turned it away without running it */
+  WY_TARGET_BROKEN,    /* connection refused, reset, or a spoilt answer */
+  WY_TARGET_SILENT,    /* nothing in time */
+  WY_TARGET_ELSEWHERE  /* another replica has the address */
 };
 
 /* What a target must be to be chosen.  */
@@ -68,6 +70,7 @@
 void wy_target_started (struct wy_target *g);
 void wy_target_ended (struct wy_targets *t, struct wy_target *g,
                       enum wy_target_outcome outcome, int64_t now_ms);
+void wy_target_heard (struct wy_target *g);
 void wy_target_loaded (struct wy_target *g, uint32_t load, int64_t now_ms);
 void wy_target_paced (struct wy_target *g, double ms, int64_t now_ms);
 void wy_target_saw_version (struct wy_target *g, const char *model,
--- a/src/h1/client.c
+++ b/src/h1/client.c
@@ -1,4 +1,4 @@
-/* HTTP/1.1 client: kept connections by address, one call at a time on each.  */
+/* HTTP/1.1 client: kept connections by address, one call at a time on each. */
 #include "h1/client.h"
 
 #include <stdlib.h>
@@ -218,7 +218,7 @@
   if (ms > k->client->idle_timeout_ms)
     ms = k->client->idle_timeout_ms;
   /* A short time-out leaves half of it.  */
-  return (uint32_t)(ms > 2 * KEEP_MARGIN_MS ? ms - KEEP_MARGIN_MS : ms / 2);
+  return (uint32_t)(ms / 2 > KEEP_MARGIN_MS ? ms - KEEP_MARGIN_MS : ms / 2);
 }
 
 /* Whether the end of the answer shows in it, so that a close in its midst is
@@ -569,8 +569,8 @@
   c->loop = o->loop;
   c->connect_timeout_ms = o->connect_timeout_ms;
   c->idle_timeout_ms = o->idle_timeout_ms;
-  c->peers = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free,
-                                    g_free);
+  c->peers
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   g_queue_init (&c->connecting);
   uv_timer_init (o->loop, &c->sweep);
   c->sweep.data = c;
--- a/src/h1/client.h
+++ b/src/h1/client.h
@@ -50,7 +50,8 @@
 {
   uv_loop_t *loop;
   uint32_t connect_timeout_ms;
-  uint32_t idle_timeout_ms; /* of a kept connection, when the peer names none */
+  uint32_t
+      idle_timeout_ms; /* of a kept connection, when the peer names none */
 };
 
 struct wy_h1_client_stats
@@ -67,8 +68,7 @@
                          struct wy_h1_client_stats *out);
 uint32_t wy_h1_client_open_to (const struct wy_h1_client *c,
                                const struct sockaddr_in *a);
-void wy_h1_client_forget (struct wy_h1_client *c,
-                          const struct sockaddr_in *a);
+void wy_h1_client_forget (struct wy_h1_client *c, const struct sockaddr_in *a);
 
 struct wy_h1_call *wy_h1_call_start (struct wy_h1_client *c,
                                      const struct wy_h1_call_options *o);
--- a/src/h1/head.c
+++ b/src/h1/head.c
@@ -98,8 +98,8 @@
 {
   const struct wy_h1_field *f
       = &g_array_index (h->fields, struct wy_h1_field, i);
-  struct wy_h1_pair p = { h->text->str + f->name,
-                          f->value ? h->text->str + f->value : "" };
+  struct wy_h1_pair p
+      = { h->text->str + f->name, f->value ? h->text->str + f->value : "" };
 
   return p;
 }
@@ -130,11 +130,17 @@
 bool
 wy_h1_is_connection_field (const char *name)
 {
-  static const char *const names[]
-      = { "connection",          "keep-alive",        "proxy-connection",
-          "transfer-encoding",   "te",                "trailer",
-          "upgrade",             "content-length",    "expect",
-          "proxy-authorization", "proxy-authenticate" };
+  static const char *const names[] = { "connection",
+                                       "keep-alive",
+                                       "proxy-connection",
+                                       "transfer-encoding",
+                                       "te",
+                                       "trailer",
+                                       "upgrade",
+                                       "content-length",
+                                       "expect",
+                                       "proxy-authorization",
+                                       "proxy-authenticate" };
 
   for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
     if (!strcasecmp (name, names[i]))
--- a/src/h1/server.c
+++ b/src/h1/server.c
@@ -224,8 +224,8 @@
                const void *body, size_t n)
 {
   GString *out = answer_head (r, status, fields, n_fields);
-  bool headless = status == 204 || status == 304
-                  || r->parser.method == HTTP_HEAD;
+  bool headless
+      = status == 204 || status == 304 || r->parser.method == HTTP_HEAD;
 
   if (status != 204)
     g_string_append_printf (out, "Content-Length: %zu\r\n", n);
@@ -452,9 +452,8 @@
   while (c->ahead->len && !c->closing && c->state != CONN_BUSY
          && c->state != CONN_LINGER)
     {
-      size_t used = http_parser_execute (&c->parser, &callbacks,
-                                         (const char *)c->ahead->data,
-                                         c->ahead->len);
+      size_t used = http_parser_execute (
+          &c->parser, &callbacks, (const char *)c->ahead->data, c->ahead->len);
       enum http_errno err = HTTP_PARSER_ERRNO (&c->parser);
 
       if (err != HPE_OK && err != HPE_PAUSED)
--- a/src/jobs/accept.c
+++ b/src/jobs/accept.c
@@ -53,12 +53,11 @@
 {
   struct wy_h1_request *r = a->request;
 
-  wy_note ("job.submitted",
-           "id=%s status=%d reason=%s items=%llu bytes=%zu ms=%lld",
-           a->record->id, status, reason,
-           (unsigned long long)a->record->total, a->body->len,
-           (long long)(wy_clock_mono_ms (a->jobs->env->clock)
-                       - a->started_ms));
+  wy_note (
+      "job.submitted",
+      "id=%s status=%d reason=%s items=%llu bytes=%zu ms=%lld", a->record->id,
+      status, reason, (unsigned long long)a->record->total, a->body->len,
+      (long long)(wy_clock_mono_ms (a->jobs->env->clock) - a->started_ms));
   if (r)
     {
       wy_h1_on_hangup (r, NULL, NULL);
@@ -182,8 +181,8 @@
   char name[NAME_SIZE_BYTES];
 
   snprintf (name, sizeof name, "%s.%u", a->record->object, a->next);
-  wy_rows_put_object (a->jobs->env->rows, name, a->body->str + at, n,
-                      on_piece, a);
+  wy_rows_put_object (a->jobs->env->rows, name, a->body->str + at, n, on_piece,
+                      a);
 }
 
 static struct wy_job_record *
@@ -220,7 +219,8 @@
 
   wy_request_read (wy_h1_head (r), &info);
   body = wy_h1_body (r, &n);
-  if (!info.id || !*info.id || strlen (info.id) >= sizeof ((struct wy_job_call *)0)->job)
+  if (!info.id || !*info.id
+      || strlen (info.id) >= sizeof ((struct wy_job_call *)0)->job)
     {
       wy_refuse (r, 400, "no_id", 0);
       return;
@@ -244,8 +244,7 @@
   a->request = r;
   a->spec = spec;
   a->body = g_string_new_len (body, (gssize)n);
-  a->record
-      = new_record (j, &info, wy_h1_target (r), spec->items->len, n);
+  a->record = new_record (j, &info, wy_h1_target (r), spec->items->len, n);
   a->started_ms = wy_clock_mono_ms (j->env->clock);
   uv_timer_init (j->env->loop, &a->timer);
   a->timer.data = a;
--- a/src/jobs/jobs.c
+++ b/src/jobs/jobs.c
@@ -68,8 +68,9 @@
     wy_note ("job.seen", "id=%s state=%d holder=%s version=%lld", r->id,
              r->state, r->holder, (long long)r->row_version);
   g_hash_table_replace (j->records, r->id, r);
-  if (o && (r->state != WY_JOB_OPEN
-            || strcmp (r->holder, o->record->holder) != 0))
+  if (o
+      && (r->state != WY_JOB_OPEN
+          || strcmp (r->holder, o->record->holder) != 0))
     {
       wy_note ("job.stopped", "id=%s state=%d holder=%s listed=%u of=%u",
                r->id, r->state, r->holder, o->n_listed, o->n_items);
@@ -159,11 +160,10 @@
 static void
 end_takeover (struct takeover *t, const char *outcome, int err)
 {
-  wy_note ("job.takeover",
-           "id=%s outcome=%s err=%d version=%lld ms=%lld", t->record->id,
-           outcome, err, (long long)t->record->row_version,
-           (long long)(wy_clock_mono_ms (t->jobs->env->clock)
-                       - t->started_ms));
+  wy_note (
+      "job.takeover", "id=%s outcome=%s err=%d version=%lld ms=%lld",
+      t->record->id, outcome, err, (long long)t->record->row_version,
+      (long long)(wy_clock_mono_ms (t->jobs->env->clock) - t->started_ms));
   g_hash_table_remove (t->jobs->taking, t->record->id);
   wy_job_spec_free (t->spec);
   wy_job_record_free (t->record);
@@ -220,8 +220,7 @@
     }
   (*j->env->count.jobs_taken_over)++;
   g_hash_table_insert (j->owned, t->owned->record->id, t->owned);
-  t->owned->record->row_version
-      = wy_jobs_find (j, t->record->id)->row_version;
+  t->owned->record->row_version = wy_jobs_find (j, t->record->id)->row_version;
   wy_note ("job.running", "id=%s listed=%u of=%u", t->record->id,
            t->owned->n_listed, t->owned->n_items);
   if (wy_owned_is_done (t->owned))
@@ -234,9 +233,8 @@
 static void
 read_listed (struct takeover *t)
 {
-  struct wy_rows_range range = { .table = WY_RESULTS_TABLE,
-                                 .part = t->record->id,
-                                 .from = t->from };
+  struct wy_rows_range range
+      = { .table = WY_RESULTS_TABLE, .part = t->record->id, .from = t->from };
 
   wy_rows_get (t->jobs->env->rows, &range, on_listed_read, t);
 }
--- a/src/jobs/lister.c
+++ b/src/jobs/lister.c
@@ -60,10 +60,8 @@
 {
   size_t size = 0;
 
-  g_free (o->batch);
-  o->batch = g_new0 (struct wy_item *, BATCH_MAX);
-  o->n_batch = 0;
-  for (GList *l = o->ended.head; l && o->n_batch < BATCH_MAX; l = l->next)
+  g_ptr_array_set_size (o->batch, 0);
+  for (GList *l = o->ended.head; l && o->batch->len < BATCH_MAX; l = l->next)
     {
       struct wy_item *i = l->data;
       char *value = wy_result_encode (i->result);
@@ -71,14 +69,14 @@
       uint32_t n_rows = wy_result_row_count (n, o->row_bytes);
 
       size += n;
-      if (o->n_batch
+      if (o->batch->len
           && (size > BATCH_BYTES || rows->len + n_rows > BATCH_MAX))
         {
           g_free (value);
           return;
         }
-      wy_result_split (value, o->n_listed + o->n_batch, o->row_bytes, rows);
-      o->batch[o->n_batch++] = i;
+      wy_result_split (value, o->n_listed + o->batch->len, o->row_bytes, rows);
+      g_ptr_array_add (o->batch, i);
       g_free (value);
     }
 }
@@ -202,9 +200,9 @@
       if (!rec || rec->state == WY_JOB_ENDED
           || strcmp (rec->holder, o->record->holder) != 0)
         {
-          const char *why = !rec                           ? "row_gone"
+          const char *why = !rec                         ? "row_gone"
                             : rec->state == WY_JOB_ENDED ? "ended"
-                                                           : "taken_over";
+                                                         : "taken_over";
 
           wy_job_record_free (rec);
           lose (o, why);
@@ -232,8 +230,8 @@
     retry (o);
   else
     {
-      for (uint32_t k = 0; k < o->n_batch; k++)
-        listed (o, o->batch[k]);
+      for (guint k = 0; k < o->batch->len; k++)
+        listed (o, g_ptr_array_index (o->batch, k));
       progressed (o);
     }
 }
@@ -256,9 +254,8 @@
     { WY_JOBS_TABLE, WY_JOB_KEY, o->record->row_version },
     { WY_RESULTS_TABLE, first, 0 },
   };
-  struct wy_rows_tx tx = { .part = o->record->id,
-                           .conditions = conditions,
-                           .n_conditions = 2 };
+  struct wy_rows_tx tx
+      = { .part = o->record->id, .conditions = conditions, .n_conditions = 2 };
 
   if (o->ended.length == 0)
     return;
--- a/src/jobs/owned.c
+++ b/src/jobs/owned.c
@@ -44,6 +44,7 @@
   o->n_waiting = o->n_items;
   o->items = g_new0 (struct wy_item, o->n_items);
   g_queue_init (&o->ended);
+  o->batch = g_ptr_array_new ();
   for (uint32_t k = 0; k < o->n_items; k++)
     {
       struct wy_item *i = &o->items[k];
@@ -73,7 +74,7 @@
       wy_result_free (i->result);
     }
   g_free (o->items);
-  g_free (o->batch);
+  g_ptr_array_free (o->batch, TRUE);
   g_queue_clear (&o->ended);
   wy_job_spec_free (o->spec);
   wy_job_record_free (o->record);
@@ -210,8 +211,7 @@
   const char *service;
   int64_t now_ms = now_of (o);
 
-  if (o->dropped || o->n_waiting == 0 || !o->env->routing
-      || o->env->stopping)
+  if (o->dropped || o->n_waiting == 0 || !o->env->routing || o->env->stopping)
     return;
   route = route_of (o);
   if (!route)
--- a/src/jobs/owned.h
+++ b/src/jobs/owned.h
@@ -50,14 +50,13 @@
   uint32_t n_items;
   uint32_t n_waiting;
   uint32_t n_listed;
-  GQueue ended;      /* struct wy_item whose results wait */
+  GQueue ended;     /* struct wy_item whose results wait */
   size_t row_bytes; /* of a row in the store */
   bool dropped;
   /* The write of results under way.  */
   bool writing;
   bool scheduled;
-  struct wy_item **batch;
-  uint32_t n_batch;
+  GPtrArray *batch; /* struct wy_item */
   uint32_t write_failures;
   uv_timer_t flush;
   void (*on_listed) (void *ctx, struct wy_owned *o);
--- a/src/jobs/read.c
+++ b/src/jobs/read.c
@@ -110,9 +110,9 @@
         break;
       n++;
     }
-  respond_json (d, wy_results_encode (
-                       d->record->total, d->call.after + n,
-                       (struct wy_result *const *)results->pdata, n));
+  respond_json (
+      d, wy_results_encode (d->record->total, d->call.after + n,
+                            (struct wy_result *const *)results->pdata, n));
   for (guint i = 0; i < results->len; i++)
     wy_result_free (g_ptr_array_index (results, i));
   g_ptr_array_free (results, TRUE);
@@ -198,8 +198,7 @@
 static void
 read_body (struct read *d)
 {
-  const struct wy_owned *o
-      = g_hash_table_lookup (d->jobs->owned, d->call.job);
+  const struct wy_owned *o = g_hash_table_lookup (d->jobs->owned, d->call.job);
 
   for (uint32_t k = 0; o && k < o->n_items; k++)
     {
@@ -322,8 +321,7 @@
 static void
 read_record (struct read *d)
 {
-  struct wy_rows_range range
-      = { .table = WY_JOBS_TABLE, .part = d->call.job };
+  struct wy_rows_range range = { .table = WY_JOBS_TABLE, .part = d->call.job };
 
   d->reading = true;
   wy_rows_get (d->jobs->env->rows, &range, on_record, d);
--- a/src/jobs/record.c
+++ b/src/jobs/record.c
@@ -81,7 +81,8 @@
       r->host = text_of (doc, "host");
       r->path = text_of (doc, "path");
       r->object = text_of (doc, "object");
-      r->pieces = (uint32_t)json_integer_value (json_object_get (doc, "pieces"));
+      r->pieces
+          = (uint32_t)json_integer_value (json_object_get (doc, "pieces"));
       r->total = (uint64_t)json_integer_value (json_object_get (doc, "total"));
       r->accepted_ms
           = json_integer_value (json_object_get (doc, "accepted_ms"));
@@ -97,8 +98,9 @@
                      wy_rows_cb *cb, void *ctx)
 {
   char *value = wy_job_record_encode (r);
-  struct wy_row_ref condition
-      = { .table = WY_JOBS_TABLE, .key = WY_JOB_KEY, .version = r->row_version };
+  struct wy_row_ref condition = { .table = WY_JOBS_TABLE,
+                                  .key = WY_JOB_KEY,
+                                  .version = r->row_version };
   struct wy_row_write w = { .table = WY_JOBS_TABLE,
                             .key = WY_JOB_KEY,
                             .value = value,
--- a/src/jobs/record.h
+++ b/src/jobs/record.h
@@ -27,9 +27,9 @@
   enum wy_job_state state;
   char *host; /* these two find its route */
   char *path;
-  char *object;    /* name of the submitted body in the store */
-  uint32_t pieces; /* that the body is cut into */
-  uint64_t total;  /* items */
+  char *object;        /* name of the submitted body in the store */
+  uint32_t pieces;     /* that the body is cut into */
+  uint64_t total;      /* items */
   int64_t accepted_ms; /* by the store's clock */
   int64_t row_version;
 };
--- a/src/jobs/result.c
+++ b/src/jobs/result.c
@@ -76,7 +76,7 @@
       r->given_up = json_is_true (json_object_get (doc, "given_up"));
       r->text = g_strdup (json_string_value (json_object_get (doc, "text")));
       json_array_foreach (json_object_get (doc, "versions"), i, v)
-        wy_result_add_version (r, json_integer_value (v));
+          wy_result_add_version (r, json_integer_value (v));
     }
   json_decref (doc);
   return r;
--- a/src/jobs/result_rows.c
+++ b/src/jobs/result_rows.c
@@ -46,8 +46,8 @@
 
       wy_result_key (position, row.key);
       if (i)
-        snprintf (row.key + POSITION_DIGITS,
-                  sizeof row.key - POSITION_DIGITS, ".%05u", i);
+        snprintf (row.key + POSITION_DIGITS, sizeof row.key - POSITION_DIGITS,
+                  ".%05u", i);
       row.size_bytes = MIN (n - at, row_bytes);
       row.value = g_memdup2 (value + at, row.size_bytes);
       g_array_append_val (out, row);
--- a/src/jobs/run.c
+++ b/src/jobs/run.c
@@ -178,6 +178,7 @@
 
   r->heard_ms = now_of (r);
   r->status = a->status;
+  wy_target_heard (r->target);
   wy_answer_read (a->status, a->head, &info);
   r->not_run = info.not_run;
   if (info.has_load)
@@ -186,6 +187,7 @@
     r->fault = RUN_FOREIGN;
   if (a->status != STATUS_OK || r->fault)
     return;
+  r->target->refusals = 0;
   r->version = info.version;
   check_version (r);
 }
--- a/src/jobs/spec.c
+++ b/src/jobs/spec.c
@@ -8,7 +8,8 @@
 
   for (guint f = 0; f < i->fields->len; f++)
     {
-      struct wy_h1_pair *pair = &g_array_index (i->fields, struct wy_h1_pair, f);
+      struct wy_h1_pair *pair
+          = &g_array_index (i->fields, struct wy_h1_pair, f);
 
       g_free ((char *)pair->name);
       g_free ((char *)pair->value);
--- a/src/jobs/state.h
+++ b/src/jobs/state.h
@@ -22,8 +22,7 @@
 const struct wy_job_record *wy_jobs_find (const struct wy_jobs *j,
                                           const char *id);
 void wy_jobs_learn (struct wy_jobs *j, struct wy_job_record *r);
-struct wy_owned *wy_jobs_own (struct wy_jobs *j,
-                              const struct wy_job_record *r,
+struct wy_owned *wy_jobs_own (struct wy_jobs *j, const struct wy_job_record *r,
                               struct wy_job_spec *spec);
 void wy_jobs_wake_readers (struct wy_jobs *j, const char *id);
 void wy_jobs_read_tick (struct wy_jobs *j);
--- a/src/orders/orderer.c
+++ b/src/orders/orderer.c
@@ -2,7 +2,7 @@
 
    Each order names the number of orders that the replica has accepted so far,
    so that one carried out late, after a newer one, does nothing; and the
-   holder's generation, which a row in the store makes rise with each start.  */
+   holder's generation, which a row in the store makes rise with each start. */
 #include "orders/orderer.h"
 
 #include <stdio.h>
@@ -51,9 +51,9 @@
 struct named
 {
   struct wy_named_version v;
-  int64_t seen_ms;  /* when it was learned here */
-  int64_t due_ms;   /* 0: the list must be read for it first */
-  bool loads;       /* this replica is to load it */
+  int64_t seen_ms; /* when it was learned here */
+  int64_t due_ms;  /* 0: the list must be read for it first */
+  bool loads;      /* this replica is to load it */
   bool single;
 };
 
@@ -222,8 +222,8 @@
       n->due_ms = n->seen_ms + t.delay_ms;
       wy_note ("version.turn",
                "model=%s version=%lld loads=%d delay_ms=%u rank=%u of=%u",
-               n->v.model, (long long)n->v.version, n->loads, t.delay_ms,
-               rank, replicas);
+               n->v.model, (long long)n->v.version, n->loads, t.delay_ms, rank,
+               replicas);
     }
 }
 
@@ -286,8 +286,7 @@
     wy_rows_set_relays (d->rows, a, n);
 }
 
-static void
-on_generation_drawn (void *ctx, const struct wy_rows_result *r);
+static void on_generation_drawn (void *ctx, const struct wy_rows_result *r);
 
 static void
 on_generation_read (void *ctx, const struct wy_rows_result *r)
@@ -392,8 +391,7 @@
                d->ordered->v.model, (long long)version, took_ms);
       d->ordered = NULL;
     }
-  else if (!r.order_in_progress
-           && now_ms - d->ordered_ms >= ORDER_RETRY_MS)
+  else if (!r.order_in_progress && now_ms - d->ordered_ms >= ORDER_RETRY_MS)
     {
       wy_note ("order.lost", "model=%s version=%lld ms=%lld",
                d->ordered->v.model, (long long)d->ordered_version,
@@ -489,14 +487,14 @@
 static void
 order_load (struct wy_orderer_daemon *d, struct named *n)
 {
-  struct wy_load_order o = { .model = n->v.model,
-                             .version = n->v.version,
-                             .mode = wants_single_version (d)
-                                         ? WY_LOAD_AFTER_RUNS
-                                         : WY_LOAD_UNDER_RUNS,
-                             .holder = d->o.settings->name,
-                             .generation = d->generation,
-                             .orders_accepted = d->report.orders_accepted };
+  struct wy_load_order o
+      = { .model = n->v.model,
+          .version = n->v.version,
+          .mode
+          = wants_single_version (d) ? WY_LOAD_AFTER_RUNS : WY_LOAD_UNDER_RUNS,
+          .holder = d->o.settings->name,
+          .generation = d->generation,
+          .orders_accepted = d->report.orders_accepted };
   char *body = wy_load_order_body (&o);
 
   d->ordered = n;
@@ -580,8 +578,7 @@
     {
       wy_h1_call_cancel (d->call);
       d->call = NULL;
-      wy_note ("target.call_failed", "order=%d err=timeout",
-               d->call_is_order);
+      wy_note ("target.call_failed", "order=%d err=timeout", d->call_is_order);
     }
   if (!d->call)
     work (d, now_ms);
@@ -594,8 +591,7 @@
   size_t n = 0;
 
   for (guint i = 0; i < d->o.settings->seeds->len && n < RELAYS_MAX; i++)
-    n += wy_address_parse (g_ptr_array_index (d->o.settings->seeds, i),
-                           &a[n]);
+    n += wy_address_parse (g_ptr_array_index (d->o.settings->seeds, i), &a[n]);
   wy_rows_set_relays (d->rows, a, n);
 }
 
@@ -606,10 +602,10 @@
                        const struct wy_orderer_daemon_options *o)
 {
   struct wy_orderer_daemon *d = g_new0 (struct wy_orderer_daemon, 1);
-  struct wy_h1_client_options http = { .loop = o->loop,
-                                       .connect_timeout_ms
-                                       = CONNECT_TIMEOUT_MS,
-                                       .idle_timeout_ms = TARGET_IDLE_MS };
+  struct wy_h1_client_options http
+      = { .loop = o->loop,
+          .connect_timeout_ms = CONNECT_TIMEOUT_MS,
+          .idle_timeout_ms = TARGET_IDLE_MS };
   struct wy_rows_options rows = { .loop = o->loop, .clock = o->clock };
   struct wy_watch_options w = { .loop = o->loop,
                                 .clock = o->clock,
--- a/src/orders/settings.c
+++ b/src/orders/settings.c
@@ -3,34 +3,34 @@
 
 #define FIELD(f) offsetof (struct wy_orders_settings, f)
 
-const struct wy_setting wy_orders_settings_table[] = {
-  { .key = "name",
-    .kind = WY_SETTING_TEXT,
-    .offset = FIELD (name),
-    .help = "Name of this instance, the holder in its orders" },
-  { .key = "target_address",
-    .kind = WY_SETTING_TEXT,
-    .offset = FIELD (target),
-    .help = "IP:PORT of the replica on this machine" },
-  { .key = "service",
-    .kind = WY_SETTING_TEXT,
-    .offset = FIELD (service),
-    .help = "Service that the replica belongs to" },
-  { .key = "metrics_address",
-    .kind = WY_SETTING_TEXT,
-    .offset = FIELD (metrics),
-    .fallback = "",
-    .help = "IP:PORT of the metrics; empty: not served" },
-  { .key = "store_address",
-    .kind = WY_SETTING_TEXT,
-    .offset = FIELD (store),
-    .help = "IP:PORT of the store of rows" },
-  { .key = "seeds",
-    .kind = WY_SETTING_LIST,
-    .offset = FIELD (seeds),
-    .help = "peers_address of some entries, used until the store has told"
-            " of all" }
-};
+const struct wy_setting wy_orders_settings_table[]
+    = { { .key = "name",
+          .kind = WY_SETTING_TEXT,
+          .offset = FIELD (name),
+          .help = "Name of this instance, the holder in its orders" },
+        { .key = "target_address",
+          .kind = WY_SETTING_TEXT,
+          .offset = FIELD (target),
+          .help = "IP:PORT of the replica on this machine" },
+        { .key = "service",
+          .kind = WY_SETTING_TEXT,
+          .offset = FIELD (service),
+          .help = "Service that the replica belongs to" },
+        { .key = "metrics_address",
+          .kind = WY_SETTING_TEXT,
+          .offset = FIELD (metrics),
+          .fallback = "",
+          .help = "IP:PORT of the metrics; empty: not served" },
+        { .key = "store_address",
+          .kind = WY_SETTING_TEXT,
+          .offset = FIELD (store),
+          .help = "IP:PORT of the store of rows" },
+        { .key = "seeds",
+          .kind = WY_SETTING_LIST,
+          .offset = FIELD (seeds),
+          .help
+          = "peers_address of some entries, used until the store has told"
+            " of all" } };
 
 const size_t wy_orders_settings_count
     = G_N_ELEMENTS (wy_orders_settings_table);
--- a/src/rows/store.c
+++ b/src/rows/store.c
@@ -111,8 +111,7 @@
   void *ctx = k->ctx;
 
   if (r->now_ms)
-    k->store->now_offset_ms
-        = r->now_ms - wy_clock_mono_ms (k->store->clock);
+    k->store->now_offset_ms = r->now_ms - wy_clock_mono_ms (k->store->clock);
   if (k->forward_cb)
     k->forward_cb (ctx, k->status, k->answer->str, k->answer->len);
   else
@@ -302,8 +301,8 @@
 wy_rows_parts (struct wy_rows *s, const char *table, const char *after,
                wy_rows_cb *cb, void *ctx)
 {
-  start (new_call (s, WY_STORE_PARTS, wy_store_parts_target (table, after),
-                   cb, ctx),
+  start (new_call (s, WY_STORE_PARTS, wy_store_parts_target (table, after), cb,
+                   ctx),
          NULL, 0);
 }
 
@@ -312,9 +311,8 @@
 wy_rows_feed (struct wy_rows *s, const char *table, int64_t after,
               uint32_t wait_ms, wy_rows_cb *cb, void *ctx)
 {
-  struct call *k
-      = new_call (s, WY_STORE_FEED,
-                  wy_store_feed_target (table, after, wait_ms), cb, ctx);
+  struct call *k = new_call (
+      s, WY_STORE_FEED, wy_store_feed_target (table, after, wait_ms), cb, ctx);
 
   k->deadline_ms = wy_clock_mono_ms (s->clock) + wait_ms + FEED_SLACK_MS;
   start (k, NULL, 0);
@@ -375,8 +373,7 @@
   k = new_call (s, verb, g_strdup (target), NULL, ctx);
   k->forward_cb = on_done;
   if (verb == WY_STORE_FEED)
-    k->deadline_ms
-        += (int64_t)wy_store_feed_wait_ms (target) + FEED_SLACK_MS;
+    k->deadline_ms += (int64_t)wy_store_feed_wait_ms (target) + FEED_SLACK_MS;
   start (k, verb == WY_STORE_TX || verb == WY_STORE_PUT_OBJECT ? body : NULL,
          verb == WY_STORE_TX || verb == WY_STORE_PUT_OBJECT ? n : 0);
 }
--- a/src/trace/note.c
+++ b/src/trace/note.c
@@ -64,8 +64,7 @@
     }
 }
 
-static void
-arm (void);
+static void arm (void);
 
 static void
 on_timer (uv_timer_t *t)
