Runs that stall or are slow move to another replica; longest items first

Change: a run without headway for five events of the usual pace, or 1.7 times slower than usual, goes on elsewhere from its last event (a prompt of 1,000 tokens is read again in some 5 ms), if a sound replica has a free slot; items start in the order of their expected length.

--- a/src/gate/targets.c
+++ b/src/gate/targets.c
@@ -1,6 +1,7 @@
 /* Beliefs about replicas and the choice between them.  */
 #include "gate/targets.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 #include <glib.h>
@@ -23,7 +24,10 @@
   LOAD_TRUST_MS = 1000,
   /* A slow target is believed to be slow for so long without new proof;
      else it would never be tried again.  */
-  PACE_TRUST_MS = 4000
+  PACE_TRUST_MS = 4000,
+  AVOID_STALLED_MS = 150,
+  /* Targets looked at for the typical pace; a sample of more is as good.  */
+  TYPICAL_MAX = 64
 };
 
 /* Weight of the newest sample in the smoothed pace: about the last five.  */
@@ -203,6 +207,9 @@
     return false;
   if (p->within_slots && load_of (g, now_ms) >= g->info.slots)
     return false;
+  if (p->pace_limit_ms > 0 && g->pace_ms > p->pace_limit_ms
+      && now_ms - g->pace_seen_ms <= PACE_TRUST_MS)
+    return false;
   /* After a failure one request at a time shows whether it is back.  */
   if ((g->failures && g->in_flight) || (g->refusals && g->unanswered))
     return false;
@@ -236,27 +243,38 @@
   return cost;
 }
 
-/* The pace that most targets of SERVICE keep: the mean over them; 1 when
-   none is known, so that costs can be compared.  */
+static int
+by_value (const void *a, const void *b)
+{
+  double x = *(const double *)a;
+  double y = *(const double *)b;
+
+  return x < y ? -1 : x > y;
+}
+
+/* The pace that most targets of SERVICE keep: the median over them, which a
+   few slow ones do not move; 1 when none is known, so that costs can be
+   compared.  */
 double
 wy_targets_typical_pace_ms (const struct wy_targets *t, const char *service)
 {
+  double pace[TYPICAL_MAX];
   GHashTableIter it;
   gpointer p;
-  double sum = 0;
   uint32_t n = 0;
 
   g_hash_table_iter_init (&it, t->by_id);
-  while (g_hash_table_iter_next (&it, NULL, &p))
+  while (g_hash_table_iter_next (&it, NULL, &p) && n < TYPICAL_MAX)
     {
       const struct wy_target *g = p;
 
-      if (g->pace_ms <= 0 || !is_ready (g, service))
-        continue;
-      sum += g->pace_ms;
-      n++;
+      if (g->pace_ms > 0 && is_ready (g, service))
+        pace[n++] = g->pace_ms;
     }
-  return n ? sum / n : 1;
+  if (n == 0)
+    return 1;
+  qsort (pace, n, sizeof *pace, by_value);
+  return pace[(n - 1) / 2];
 }
 
 /* Choose the target for a request.  It answers bursts that would pile up on
@@ -373,8 +391,9 @@
       /* Requests turned away together are one refusal.  */
       if (now_ms >= g->avoid_until_ms)
         g->refusals++;
-      avoid (g, MIN (AVOID_FULL_MS << MIN (g->refusals ? g->refusals - 1 : 0, 4),
-                     AVOID_FULL_MAX_MS),
+      avoid (g,
+             MIN (AVOID_FULL_MS << MIN (g->refusals ? g->refusals - 1 : 0, 4),
+                  AVOID_FULL_MAX_MS),
              now_ms);
       break;
     case WY_TARGET_BROKEN:
@@ -388,6 +407,10 @@
         avoid (g, MIN (AVOID_MIN_MS << n, AVOID_MAX_MS), now_ms);
         break;
       }
+    case WY_TARGET_STALLED:
+      g->refusals++;
+      avoid (g, AVOID_STALLED_MS, now_ms);
+      break;
     case WY_TARGET_ELSEWHERE:
       avoid (g, AVOID_ELSEWHERE_MS, now_ms);
       break;
--- a/src/gate/targets.h
+++ b/src/gate/targets.h
@@ -19,8 +19,8 @@
   uint32_t held;      /* others that point here */
   uint32_t failures;  /* one after another */
   int64_t avoid_until_ms;
-  uint32_t refusals;   /* in a row, of work that it did not run */
-  uint32_t unanswered; /* of ours, sent and not begun to be answered */
+  uint32_t refusals;       /* in a row, of work that it did not run */
+  uint32_t unanswered;     /* of ours, sent and not begun to be answered */
   uint32_t reported_load;  /* running and waiting, of all callers */
   uint32_t in_flight_then; /* ours among them */
   int64_t reported_ms;
@@ -35,6 +35,7 @@
   WY_TARGET_FULL,      /* turned it away without running it */
   WY_TARGET_BROKEN,    /* connection refused, reset, or a spoilt answer */
   WY_TARGET_SILENT,    /* nothing in time */
+  WY_TARGET_STALLED,   /* no headway now, as while it loads weights */
   WY_TARGET_ELSEWHERE  /* another replica has the address */
 };
 
@@ -47,6 +48,7 @@
   int64_t min_version;
   uint32_t in_flight_limit; /* of this entry on one target; 0: none */
   bool within_slots;        /* only where a request starts at once */
+  double pace_limit_ms;     /* not where work is slower; 0: anywhere */
   const struct wy_target *const *tried;
   uint32_t n_tried;
 };
--- a/src/jobs/jobs.c
+++ b/src/jobs/jobs.c
@@ -14,6 +14,7 @@
 enum
 {
   TICK_MS = 100,
+  STALL_MS = 60,
   WATCH_GAP_MS = 150,
   /* Entries take over a job in an order of their own; each waits this much
      longer than the one before it, so that mostly one writes.  */
@@ -352,12 +353,31 @@
   g_list_free (all);
 }
 
+static void
+check_owned (struct wy_owned *o)
+{
+  wy_owned_tick (o, true);
+}
+
+static void
+spare_owned (struct wy_owned *o)
+{
+  wy_owned_tick (o, false);
+}
+
 static void
 on_tick (uv_timer_t *t)
 {
   struct wy_jobs *j = t->data;
+  int64_t now_ms = wy_clock_mono_ms (j->env->clock);
 
-  each_owned (j, wy_owned_tick);
+  /* A tick that comes late means that this process stood still: what its
+     runs have sent meanwhile is still to be read.  */
+  if (now_ms - j->ticked_ms < TICK_MS + STALL_MS)
+    each_owned (j, check_owned);
+  else
+    each_owned (j, spare_owned);
+  j->ticked_ms = now_ms;
   if (!j->env->stopping)
     look_for_work (j);
   wy_jobs_read_tick (j);
--- a/src/jobs/owned.c
+++ b/src/jobs/owned.c
@@ -1,6 +1,7 @@
 /* A job that this entry runs.  */
 #include "jobs/owned.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 #include "trace/note.h"
@@ -27,6 +28,17 @@
   return r && r->kind == WY_ROUTE_JOB ? r : NULL;
 }
 
+static int
+by_expected_length (const void *a, const void *b)
+{
+  const struct wy_item *x = *(struct wy_item *const *)a;
+  const struct wy_item *y = *(struct wy_item *const *)b;
+
+  if (x->spec->expected_tokens != y->spec->expected_tokens)
+    return x->spec->expected_tokens > y->spec->expected_tokens ? -1 : 1;
+  return x < y ? -1 : 1;
+}
+
 /* Run the job O->record, all items from their start.  */
 struct wy_owned *
 wy_owned_new (const struct wy_owned_options *opt)
@@ -55,6 +67,10 @@
       i->versions = g_array_new (FALSE, FALSE, sizeof (int64_t));
       i->last_event = -1;
     }
+  o->order = g_new (struct wy_item *, o->n_items);
+  for (uint32_t k = 0; k < o->n_items; k++)
+    o->order[k] = &o->items[k];
+  qsort (o->order, o->n_items, sizeof *o->order, by_expected_length);
   uv_timer_init (o->env->loop, &o->flush);
   o->flush.data = o;
   return o;
@@ -74,6 +90,7 @@
       wy_result_free (i->result);
     }
   g_free (o->items);
+  g_free (o->order);
   g_ptr_array_free (o->batch, TRUE);
   g_queue_clear (&o->ended);
   wy_job_spec_free (o->spec);
@@ -177,38 +194,37 @@
     }
 }
 
-static struct wy_target *
-pick_for (const struct wy_item *i, const char *service, int64_t now_ms)
+/* Choose a target for I other than EXCEPT (NULL: any), and none that works
+   slower than PACE_LIMIT_MS (0: any).  */
+struct wy_target *
+wy_owned_pick (const struct wy_item *i, const struct wy_target *except,
+               double pace_limit_ms)
 {
   const struct wy_owned *o = i->job;
-  const struct wy_target *tried = i->avoid;
-  struct wy_pick q
-      = { .service = service,
-          .availability_zone = o->env->availability_zone,
-          .model = *o->spec->model ? o->spec->model : NULL,
-          .min_version = o->spec->min_version,
-          .in_flight_limit = wy_gate_in_flight_limit (o->env, service),
-          .within_slots = true,
-          .tried = &tried,
-          .n_tried = tried ? 1 : 0 };
-  struct wy_target *g = wy_targets_pick (o->env->targets, &q, now_ms);
-
-  /* The one that failed last is still better than none.  */
-  if (!g && tried)
-    {
-      q.n_tried = 0;
-      g = wy_targets_pick (o->env->targets, &q, now_ms);
-    }
-  return g;
+  const struct wy_route *route = route_of (o);
+  struct wy_pick q = { .availability_zone = o->env->availability_zone,
+                       .model = *o->spec->model ? o->spec->model : NULL,
+                       .min_version = o->spec->min_version,
+                       .within_slots = true,
+                       .pace_limit_ms = pace_limit_ms,
+                       .tried = &except,
+                       .n_tried = except ? 1 : 0 };
+
+  if (!route)
+    return NULL;
+  q.service
+      = wy_route_service (route, wy_rng_below (&i->job->env->rng, UINT32_MAX));
+  q.in_flight_limit = wy_gate_in_flight_limit (o->env, q.service);
+  return wy_targets_pick (o->env->targets, &q, now_of (o));
 }
 
-/* Start what can be started, in the order of the list: whole groups early
-   are worth more to the trainer than many in part.  */
+/* Start what can be started, what is expected to run longest first: the step
+   is ready when the last item of its groups is, and a long one started late
+   is what it waits for.  */
 void
 wy_owned_pump (struct wy_owned *o)
 {
   const struct wy_route *route;
-  const char *service;
   int64_t now_ms = now_of (o);
 
   if (o->dropped || o->n_waiting == 0 || !o->env->routing || o->env->stopping)
@@ -216,15 +232,17 @@
   route = route_of (o);
   if (!route)
     return;
-  service = wy_route_service (route, wy_rng_below (&o->env->rng, UINT32_MAX));
   for (uint32_t k = 0; k < o->n_items && o->n_waiting; k++)
     {
-      struct wy_item *i = &o->items[k];
+      struct wy_item *i = o->order[k];
       struct wy_target *g;
 
       if (i->state != WY_ITEM_WAITING || i->not_before_ms > now_ms)
         continue;
-      g = pick_for (i, service, now_ms);
+      g = wy_owned_pick (i, i->avoid, 0);
+      /* The one that failed last is still better than none.  */
+      if (!g && i->avoid)
+        g = wy_owned_pick (i, NULL, 0);
       if (!g)
         return;
       wy_run_start (i, g, route);
@@ -244,13 +262,14 @@
     give_up_all (o, "retention");
 }
 
-/* Look after runs and waiting items; called some times a second.  */
+/* Look after runs and waiting items; called some times a second.  Without
+   CHECK_RUNS their headway is not judged.  */
 void
-wy_owned_tick (struct wy_owned *o)
+wy_owned_tick (struct wy_owned *o, bool check_runs)
 {
   if (o->dropped || !o->env->routing)
     return;
-  for (uint32_t k = 0; k < o->n_items; k++)
+  for (uint32_t k = 0; check_runs && k < o->n_items; k++)
     if (o->items[k].run)
       wy_run_check (o->items[k].run);
   check_time (o);
--- a/src/jobs/owned.h
+++ b/src/jobs/owned.h
@@ -47,6 +47,7 @@
   struct wy_job_record *record;
   struct wy_job_spec *spec;
   struct wy_item *items;
+  struct wy_item **order; /* in which they are started */
   uint32_t n_items;
   uint32_t n_waiting;
   uint32_t n_listed;
@@ -80,7 +81,10 @@
 void wy_owned_restore (struct wy_owned *o, const char *item);
 bool wy_owned_write_ended (struct wy_owned *o);
 void wy_owned_pump (struct wy_owned *o);
-void wy_owned_tick (struct wy_owned *o);
+struct wy_target *wy_owned_pick (const struct wy_item *i,
+                                 const struct wy_target *except,
+                                 double pace_limit_ms);
+void wy_owned_tick (struct wy_owned *o, bool check_runs);
 bool wy_owned_is_done (const struct wy_owned *o);
 
 void wy_item_end (struct wy_item *i, bool given_up);
--- a/src/jobs/run.c
+++ b/src/jobs/run.c
@@ -14,9 +14,20 @@
 
 enum
 {
-  /* A run without an event for so long has lost its replica; loading weights
-     under a run pauses it for about a second.  */
+  /* A run without an event for so long has lost its replica, whether or not
+     another could take it.  */
   SILENCE_MS = 2500,
+  /* A run is moved to another replica, which reads its prompt and text again
+     in some ten ms, when it has made no headway for this many events of the
+     usual pace.  A replica that loads weights stands still for about a
+     second; one that has turned slow, or dark, for longer.  */
+  STALL_EVENTS = 5,
+  STALL_MIN_MS = 150,
+  /* Before its first event a run may have to wait its turn.  */
+  FIRST_STALL_EVENTS = 9,
+  FIRST_STALL_MIN_MS = 300,
+  /* Events after which a run's own pace is told from chance.  */
+  PACED_EVENTS = 6,
   /* Pauses before another run, so that a fault that stays is not met in a
      tight loop.  */
   RETRY_MS = 20,
@@ -26,6 +37,10 @@
   STATUS_FAILED = 500
 };
 
+/* A run this much slower than usual is moved, to a replica that is not.  */
+static const double slow_factor = 1.7;
+static const double sound_factor = 1.3;
+
 /* Why a run is of no more use, found while its bytes are read.  */
 enum run_fault
 {
@@ -36,6 +51,13 @@
   RUN_GAP      /* an event is missing */
 };
 
+enum headway
+{
+  HEADWAY_SOUND,
+  HEADWAY_STALLED,
+  HEADWAY_SLOW
+};
+
 struct wy_run
 {
   struct wy_item *item;
@@ -49,6 +71,7 @@
   int64_t version;
   int64_t started_ms;
   int64_t heard_ms;
+  int64_t first_ms; /* of the first event */
   uint32_t n_events;
   uint32_t allowed_failures;
 };
@@ -176,7 +199,6 @@
   struct wy_run *r = ctx;
   struct wy_answer_info info;
 
-  r->heard_ms = now_of (r);
   r->status = a->status;
   wy_target_heard (r->target);
   wy_answer_read (a->status, a->head, &info);
@@ -252,10 +274,19 @@
 on_data (void *ctx, const char *p, size_t n)
 {
   struct wy_run *r = ctx;
+  int64_t now_ms = now_of (r);
+  uint32_t before = r->n_events;
 
-  r->heard_ms = now_of (r);
   if (r->status == STATUS_OK && !r->fault)
     wy_events_feed (&r->events, p, n, on_event, r);
+  if (before && r->n_events > before)
+    wy_target_paced (r->target,
+                     (double)(now_ms - r->heard_ms) / (r->n_events - before),
+                     now_ms);
+  else if (r->n_events)
+    r->first_ms = now_ms;
+  if (r->n_events > before)
+    r->heard_ms = now_ms;
   if (r->fault)
     stop_faulty (r);
 }
@@ -264,10 +295,6 @@
 complete (struct wy_run *r)
 {
   struct wy_item *i = r->item;
-  int64_t took_ms = now_of (r) - r->started_ms;
-
-  if (r->n_events)
-    wy_target_paced (r->target, (double)took_ms / r->n_events, now_of (r));
   log_run (r, "completed");
   free_run (r, WY_TARGET_ANSWERED);
   wy_item_end (i, false);
@@ -366,14 +393,55 @@
   g_array_free (fields, TRUE);
 }
 
-/* End R if its replica has fallen silent, or left the list: what a replica
-   that is gone still sends may stop at any moment.  */
+static void
+stop (struct wy_run *r, enum wy_target_outcome outcome, const char *why)
+{
+  wy_h1_call_cancel (r->call);
+  r->call = NULL;
+  again (r, outcome, 0, why);
+}
+
+/* How R gets on, against the usual time of an event.  */
+static enum headway
+headway_of (const struct wy_run *r, double typical_ms)
+{
+  double silent_ms = (double)(now_of (r) - r->heard_ms);
+  double stall_ms = r->n_events ? MAX (STALL_EVENTS * typical_ms, STALL_MIN_MS)
+                                : MAX (FIRST_STALL_EVENTS * typical_ms,
+                                       FIRST_STALL_MIN_MS);
+  double pace_ms
+      = r->n_events > PACED_EVENTS
+            ? (double)(r->heard_ms - r->first_ms) / (r->n_events - 1)
+            : 0;
+
+  if (silent_ms > stall_ms)
+    return HEADWAY_STALLED;
+  return pace_ms > slow_factor * typical_ms ? HEADWAY_SLOW : HEADWAY_SOUND;
+}
+
+/* End R if its replica has fallen silent; move it if another replica would
+   bring it on faster.  */
 void
 wy_run_check (struct wy_run *r)
 {
-  if (now_of (r) - r->heard_ms < SILENCE_MS)
+  struct wy_gate_env *env = r->item->job->env;
+  double typical_ms
+      = wy_targets_typical_pace_ms (env->targets, r->target->info.service);
+  enum headway headway = HEADWAY_SOUND;
+
+  if (now_of (r) - r->heard_ms >= SILENCE_MS)
+    {
+      stop (r, WY_TARGET_SILENT, "silent");
+      return;
+    }
+  /* A pace of 1 ms stands for none known.  */
+  if (typical_ms > 1)
+    headway = headway_of (r, typical_ms);
+  if (headway == HEADWAY_SOUND
+      || !wy_owned_pick (r->item, r->target, typical_ms * sound_factor))
     return;
-  wy_h1_call_cancel (r->call);
-  r->call = NULL;
-  again (r, WY_TARGET_SILENT, RETRY_MS, "silent");
+  if (headway == HEADWAY_STALLED)
+    stop (r, WY_TARGET_STALLED, "stalled");
+  else
+    stop (r, WY_TARGET_ABANDONED, "slow");
 }
--- a/src/jobs/state.h
+++ b/src/jobs/state.h
@@ -13,6 +13,7 @@
   size_t row_bytes;
   struct wy_watch *watch;
   uv_timer_t tick;
+  int64_t ticked_ms;
   GHashTable *records; /* struct wy_job_record by id */
   GHashTable *owned;   /* struct wy_owned by id */
   GHashTable *taking;  /* ids whose takeover or load is under way */
