Replicas load the versions that their turn needs

Cause: loads queue at the store of weights: with three models and every version on four replicas each, a load took 2.3 to 4.1 s instead of 0.9 and some replicas were three versions behind. Ruled out: the order in which they start (the same total). Change: where jobs may lie one version behind, half of a model's replicas load the even versions and half the odd ones; the lag is learned from the jobs.

--- a/src/decide/load_turn.c
+++ b/src/decide/load_turn.c
@@ -1,40 +1,52 @@
 /* Whose turn it is to load a new version of a model's weights.
 
    Made for trainers that name a version every few seconds while its
-   predecessor may still be used.  Loading everywhere at once would leave no
-   replica to run samples, and loads slow each other down; so the replicas
-   take turns, a few at a time, and each knows its turn from its place in the
-   list alone, with nobody to coordinate them.  */
+   predecessor may still be used.  The store of weights feeds few loads at a
+   time: beyond about a fifth of the replicas each takes longer in proportion,
+   so that loading every version on every replica falls behind for good, and
+   a replica that loads runs nothing.  Each replica knows its turn from its
+   place in the list alone, with nobody to coordinate them.  */
 #include "decide/load_turn.h"
 
 enum
 {
-  /* At most one replica in this many loads at a time: the platform's engines
-     slow down beyond about a fifth of them.  */
+  /* Loads at a time, one for this many replicas: what the engines' store of
+     weights feeds at full speed.  */
   LOADING_DIVISOR = 5
 };
 
+static uint32_t
+at_once (uint32_t replicas)
+{
+  uint32_t n = (replicas + LOADING_DIVISOR / 2) / LOADING_DIVISOR;
+
+  return n ? n : 1;
+}
+
 /* The turn of one replica.  Where trainers have a model each, replicas are
-   dealt out between the models, since a load empties a replica's cache and is
-   wasted on one that the model's samples do not reach.  The order turns round
-   with each version: who was last for one is first for the next, and if that
-   comes early, skips a version rather than fall behind.  */
+   dealt out between the models, since each load is wasted on a replica that
+   the model's samples do not reach.  Where jobs may lie LAG versions behind,
+   a replica needs only each LAG + 1st version to be always of use; so with a
+   lag of one, half of the replicas load the even versions and half the odd
+   ones, and the half that does not load serves a step from the moment it is
+   asked for.  */
 struct wy_load_turn
 wy_load_turn (const struct wy_load_turn_options *o)
 {
   struct wy_load_turn t = { 0 };
   uint32_t models = o->models ? o->models : 1;
-  uint32_t at_once;
-  uint32_t place;
-  uint32_t n;
+  uint32_t period = o->lag + 1;
+  uint32_t place = o->rank / models;
+  uint32_t group = (o->replicas + models - 1) / models;
 
-  t.loads = o->replicas <= models || o->rank % models == o->model;
-  n = (o->replicas + models - 1) / models;
-  place = o->rank / models;
-  if (o->version % 2 && place < n)
-    place = n - 1 - place;
-  at_once = (o->replicas + LOADING_DIVISOR - 1) / LOADING_DIVISOR;
-  at_once = (at_once + models - 1) / models;
-  t.delay_ms = place / at_once * o->load_ms;
+  if (o->replicas > models && o->rank % models != o->model)
+    return t;
+  /* With a single replica, or fewer than turns, each loads all.  */
+  if (period > group)
+    period = group ? group : 1;
+  if (place % period != (uint64_t)o->version % period)
+    return t;
+  t.loads = true;
+  t.delay_ms = place / period / at_once (o->replicas) * o->load_ms;
   return t;
 }
--- a/src/decide/load_turn.h
+++ b/src/decide/load_turn.h
@@ -12,12 +12,13 @@
   uint32_t model;    /* position of the model among the service's */
   uint32_t models;
   int64_t version;
+  uint32_t lag;     /* jobs take weights that are so many versions older */
   uint32_t load_ms; /* that one load takes */
 };
 
 struct wy_load_turn
 {
-  bool loads;        /* this replica serves the model */
+  bool loads;        /* this replica is to load the version */
   uint32_t delay_ms; /* after the version was named */
 };
 
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -139,11 +139,34 @@
   set_limits (g);
 }
 
+static void
+learn_version (struct wy_gate *g, const struct wy_row *row)
+{
+  struct wy_named_version v;
+
+  if (wy_named_version_decode (row->value, row->size_bytes, &v))
+    wy_jobs_version_named (g->jobs, v.model, v.version);
+  else
+    wy_note ("version.rejected", "key=%s row_version=%lld", row->key,
+             (long long)row->version);
+}
+
 static void
 on_operator_row (void *ctx, const struct wy_row *row)
 {
-  if (!row->deleted && wy_operator_row_kind (row->key) == WY_OPERATOR_CONFIG)
-    learn_config (ctx, row);
+  if (row->deleted)
+    return;
+  switch (wy_operator_row_kind (row->key))
+    {
+    case WY_OPERATOR_CONFIG:
+      learn_config (ctx, row);
+      break;
+    case WY_OPERATOR_VERSION:
+      learn_version (ctx, row);
+      break;
+    case WY_OPERATOR_OTHER:
+      break;
+    }
 }
 
 static void
--- a/src/jobs/accept.c
+++ b/src/jobs/accept.c
@@ -85,6 +85,8 @@
 
   a->record->row_version = row_version;
   (*j->env->count.jobs_accepted)++;
+  if (a->spec)
+    wy_lags_accepted (j->lags, a->spec->model, a->spec->min_version);
   wy_jobs_learn (j, wy_job_record_copy (a->record));
   if (!g_hash_table_contains (j->owned, a->record->id)
       && !g_hash_table_contains (j->taking, a->record->id))
--- a/src/jobs/jobs.c
+++ b/src/jobs/jobs.c
@@ -383,6 +383,13 @@
   wy_jobs_read_tick (j);
 }
 
+/* A trainer has named VERSION of MODEL.  */
+void
+wy_jobs_version_named (struct wy_jobs *j, const char *model, int64_t version)
+{
+  wy_lags_named (j->lags, model, version);
+}
+
 /* Targets have come or gone: waiting items may find one.  */
 void
 wy_jobs_targets_changed (struct wy_jobs *j)
@@ -416,6 +423,7 @@
   j->taking = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   g_queue_init (&j->waiting);
   j->watch = wy_watch_new (&w);
+  j->lags = wy_lags_new (o->env);
   uv_timer_init (o->env->loop, &j->tick);
   j->tick.data = j;
   uv_timer_start (&j->tick, on_tick, TICK_MS, TICK_MS);
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -6,6 +6,7 @@
 #include "gate/env.h"
 #include "gate/members.h"
 #include "h1/server.h"
+#include "jobs/lag.h"
 #include "jobs/owned.h"
 #include "jobs/record.h"
 #include "platform/request_wire.h"
@@ -25,6 +26,8 @@
 void wy_jobs_free (struct wy_jobs *j);
 bool wy_jobs_is_synced (const struct wy_jobs *j);
 uint32_t wy_jobs_running (const struct wy_jobs *j);
+void wy_jobs_version_named (struct wy_jobs *j, const char *model,
+                            int64_t version);
 void wy_jobs_targets_changed (struct wy_jobs *j);
 
 void wy_jobs_accept (struct wy_jobs *j, struct wy_h1_request *r,
--- a/src/jobs/state.h
+++ b/src/jobs/state.h
@@ -12,6 +12,7 @@
   uint32_t piece_bytes;
   size_t row_bytes;
   struct wy_watch *watch;
+  struct wy_lags *lags;
   uv_timer_t tick;
   int64_t ticked_ms;
   GHashTable *records; /* struct wy_job_record by id */
--- a/src/orders/orderer.c
+++ b/src/orders/orderer.c
@@ -13,6 +13,7 @@
 #include "decide/load_turn.h"
 #include "gate/members.h"
 #include "h1/client.h"
+#include "jobs/lag.h"
 #include "platform/config_wire.h"
 #include "platform/replica_wire.h"
 #include "platform/request_wire.h"
@@ -77,6 +78,8 @@
   int64_t generation; /* 0: not drawn yet */
   bool drawing;
   bool listing;
+  uint32_t rank; /* of the replica among those of its service */
+  uint32_t replicas;
   int64_t list_due_ms;
   int64_t relays_due_ms;
   struct wy_h1_call *call; /* to the replica, one at a time */
@@ -203,8 +206,11 @@
 }
 
 static void
-set_turns (struct wy_orderer_daemon *d, uint32_t rank, uint32_t replicas)
+set_turns (struct wy_orderer_daemon *d, const struct wy_rows_result *lags)
 {
+  uint32_t rank = d->rank;
+  uint32_t replicas = d->replicas;
+
   for (uint32_t i = 0; i < d->n_named; i++)
     {
       struct named *n = &d->named[i];
@@ -217,13 +223,15 @@
       if (n->due_ms)
         continue;
       model_place (d, n->v.model, &o.model, &o.models);
+      o.lag = wy_lag_of (lags, n->v.model);
       t = wy_load_turn (&o);
       n->loads = t.loads;
       n->due_ms = n->seen_ms + t.delay_ms;
       wy_note ("version.turn",
-               "model=%s version=%lld loads=%d delay_ms=%u rank=%u of=%u",
+               "model=%s version=%lld loads=%d delay_ms=%u rank=%u of=%u "
+               "lag=%u",
                n->v.model, (long long)n->v.version, n->loads, t.delay_ms, rank,
-               replicas);
+               replicas, o.lag);
     }
 }
 
@@ -233,9 +241,20 @@
   return (uint64_t)ntohl (a->sin_addr.s_addr) << 16 | ntohs (a->sin_port);
 }
 
+static void
+on_lags (void *ctx, const struct wy_rows_result *r)
+{
+  struct wy_orderer_daemon *d = ctx;
+
+  d->listing = false;
+  if (!r->err)
+    set_turns (d, r);
+}
+
 static void
 on_list (void *ctx, const struct wy_rows_result *r)
 {
+  struct wy_rows_range lags = { .table = WY_LAG_TABLE, .part = "" };
   struct wy_orderer_daemon *d = ctx;
   uint32_t rank = 0;
   uint32_t n = 0;
@@ -260,8 +279,12 @@
         rank += order_of (&info.address) < order_of (&d->target);
       n += !info.draining;
     }
-  if (found)
-    set_turns (d, rank, n);
+  if (!found)
+    return;
+  d->rank = rank;
+  d->replicas = n;
+  d->listing = true;
+  wy_rows_get (d->rows, &lags, on_lags, d);
 }
 
 static void
