Text of items cut short by their job's end is kept for the next job

Cause: groups that a trainer gave up come again in a later job and take the longest time again. Change: the text so far goes to the store when a job is ended, if its weights fit a later job, and the next owner goes on from it.

--- a/src/decide/load_turn.c
+++ b/src/decide/load_turn.c
@@ -12,7 +12,9 @@
 {
   /* Loads at a time, one for this many replicas: what the engines' store of
      weights feeds at full speed.  */
-  LOADING_DIVISOR = 5
+  LOADING_DIVISOR = 5,
+  SPREAD_NUM = 1,
+  SPREAD_DEN = 2
 };
 
 static uint32_t
@@ -23,6 +25,19 @@
   return n ? n : 1;
 }
 
+/* Replicas that hold a model: as many as make its loads no more than they
+   would be if each model had its own share of the replicas and loaded every
+   version there, so that models can use each other's idle slots.  */
+static uint32_t
+group_size (const struct wy_load_turn_options *o, uint32_t models,
+            uint32_t period)
+{
+  uint32_t n = (o->replicas * (period * SPREAD_NUM) / SPREAD_DEN + models - 1)
+               / models;
+
+  return n < o->replicas ? n : o->replicas;
+}
+
 /* The turn of one replica.  Where trainers have a model each, replicas are
    dealt out between the models, since each load is wasted on a replica that
    the model's samples do not reach.  Where jobs may lie LAG versions behind,
@@ -36,14 +51,18 @@
   struct wy_load_turn t = { 0 };
   uint32_t models = o->models ? o->models : 1;
   uint32_t period = o->lag + 1;
-  uint32_t place = o->rank / models;
-  uint32_t group = (o->replicas + models - 1) / models;
+  uint32_t group = group_size (o, models, period);
+  uint32_t first = o->model * o->replicas / models;
+  uint32_t place;
 
-  if (o->replicas > models && o->rank % models != o->model)
+  if (o->replicas == 0)
+    return t;
+  place = (o->rank + o->replicas - first) % o->replicas;
+  if (place >= group)
     return t;
-  /* With a single replica, or fewer than turns, each loads all.  */
+  /* With fewer replicas than turns, each loads all.  */
   if (period > group)
-    period = group ? group : 1;
+    period = group;
   if (place % period != (uint64_t)o->version % period)
     return t;
   t.loads = true;
--- a/src/gate/targets.c
+++ b/src/gate/targets.c
@@ -35,6 +35,10 @@
 /* Worth of a target in the same availability zone, as a share of the pace:
    it only decides between equals.  */
 static const double near_bonus = 0.02;
+/* Text made under older weights than the newest can't be used by a later
+   job; a target that has only those costs as much more as one that is full
+   of running requests.  */
+static const double old_weights_cost = 0.5;
 /* A full target costs this many paces for each request ahead, by slot.  */
 static const double queue_cost = 4.0;
 
@@ -237,6 +241,8 @@
 
   if (load >= 1)
     cost += pace * queue_cost * load;
+  if (p->model && p->newest_version > wy_target_version (g, p->model))
+    cost += pace * old_weights_cost;
   if (p->availability_zone
       && !strcmp (g->info.availability_zone, p->availability_zone))
     cost -= pace * near_bonus;
--- a/src/gate/targets.h
+++ b/src/gate/targets.h
@@ -46,6 +46,7 @@
   const char *availability_zone; /* of the entry; nearer targets win ties */
   const char *model;             /* NULL: any */
   int64_t min_version;
+  int64_t newest_version;   /* preferred; 0: none */
   uint32_t in_flight_limit; /* of this entry on one target; 0: none */
   bool within_slots;        /* only where a request starts at once */
   double pace_limit_ms;     /* not where work is slower; 0: anywhere */
--- a/src/jobs/accept.c
+++ b/src/jobs/accept.c
@@ -13,6 +13,7 @@
 
 #include "base/id.h"
 #include "gate/answer.h"
+#include "jobs/carry.h"
 #include "platform/job_wire.h"
 #include "trace/note.h"
 
@@ -37,7 +38,10 @@
   GString *body;
   uint32_t next; /* piece */
   uint32_t tries;
-  bool asked; /* the row may have been written */
+  bool asked;             /* the row may have been written */
+  struct wy_carry *carry; /* text of its items; NULL: not read yet */
+  bool reading_carry;
+  bool ended;
   int64_t started_ms;
   uv_timer_t timer;
 };
@@ -69,6 +73,25 @@
   wy_job_record_free (a->record);
   wy_job_spec_free (a->spec);
   g_string_free (a->body, TRUE);
+  wy_carry_free (a->carry);
+  a->ended = true;
+  if (!a->reading_carry)
+    uv_close ((uv_handle_t *)&a->timer, on_timer_closed);
+}
+
+/* The text kept of earlier jobs is known; too late when the job runs.  */
+static void
+on_carry (void *ctx, struct wy_carry *c)
+{
+  struct accept *a = ctx;
+
+  a->reading_carry = false;
+  if (!a->ended)
+    {
+      a->carry = c;
+      return;
+    }
+  wy_carry_free (c);
   uv_close ((uv_handle_t *)&a->timer, on_timer_closed);
 }
 
@@ -94,6 +117,9 @@
       struct wy_owned *o = wy_jobs_own (j, a->record, a->spec);
 
       a->spec = NULL;
+      if (a->carry)
+        wy_note ("job.text_taken", "id=%s items=%u", a->record->id,
+                 wy_carry_apply (a->carry, o));
       wy_owned_pump (o);
     }
   end (a, STATUS_ACCEPTED, "kept");
@@ -251,5 +277,10 @@
   uv_timer_init (j->env->loop, &a->timer);
   a->timer.data = a;
   wy_h1_on_hangup (r, on_hangup, a);
+  if (*spec->model)
+    {
+      a->reading_carry = true;
+      wy_carry_read (j->env, spec->model, on_carry, a);
+    }
   put_next (a);
 }
--- a/src/jobs/jobs.c
+++ b/src/jobs/jobs.c
@@ -14,6 +14,8 @@
 enum
 {
   TICK_MS = 100,
+  /* Ticks between two looks at ended jobs whose runs go on.  */
+  LINGER_TICKS = 3,
   STALL_MS = 60,
   WATCH_GAP_MS = 150,
   /* Entries take over a job in an order of their own; each waits this much
@@ -53,6 +55,14 @@
   wy_owned_drop (o);
 }
 
+static void
+let_linger (struct wy_jobs *j, struct wy_owned *o)
+{
+  g_hash_table_remove (j->owned, o->record->id);
+  wy_owned_linger (o);
+  g_ptr_array_add (j->lingering, o);
+}
+
 /* A newer row of a job is known; takes R over.  */
 void
 wy_jobs_learn (struct wy_jobs *j, struct wy_job_record *r)
@@ -75,7 +85,10 @@
     {
       wy_note ("job.stopped", "id=%s state=%d holder=%s listed=%u of=%u",
                r->id, r->state, r->holder, o->n_listed, o->n_items);
-      forget_owned (j, o);
+      if (r->state == WY_JOB_ENDED && *o->spec->model)
+        let_linger (j, o);
+      else
+        forget_owned (j, o);
     }
   else if (o)
     o->record->row_version = r->row_version;
@@ -154,6 +167,7 @@
                                 .ctx = j };
   struct wy_owned *w = wy_owned_new (&o);
 
+  w->newest_version = wy_lags_newest (j->lags, spec->model);
   g_hash_table_insert (j->owned, w->record->id, w);
   return w;
 }
@@ -259,6 +273,7 @@
   o.record = wy_job_record_copy (t->record);
   o.spec = spec;
   t->owned = wy_owned_new (&o);
+  t->owned->newest_version = wy_lags_newest (t->jobs->lags, spec->model);
   read_listed (t);
 }
 
@@ -365,6 +380,20 @@
   wy_owned_tick (o, false);
 }
 
+static void
+tick_lingering (struct wy_jobs *j)
+{
+  for (guint i = j->lingering->len; i > 0; i--)
+    {
+      struct wy_owned *o = g_ptr_array_index (j->lingering, i - 1);
+
+      if (wy_owned_linger_tick (o))
+        continue;
+      g_ptr_array_remove_index_fast (j->lingering, i - 1);
+      wy_owned_drop (o);
+    }
+}
+
 static void
 on_tick (uv_timer_t *t)
 {
@@ -378,6 +407,8 @@
   else
     each_owned (j, spare_owned);
   j->ticked_ms = now_ms;
+  if (++j->ticks % LINGER_TICKS == 0)
+    tick_lingering (j);
   if (!j->env->stopping)
     look_for_work (j);
   wy_jobs_read_tick (j);
@@ -420,6 +451,7 @@
   j->records
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_record);
   j->owned = g_hash_table_new (g_str_hash, g_str_equal);
+  j->lingering = g_ptr_array_new ();
   j->taking = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   g_queue_init (&j->waiting);
   j->watch = wy_watch_new (&w);
@@ -439,6 +471,9 @@
   for (GList *l = all; l; l = l->next)
     forget_owned (j, l->data);
   g_list_free (all);
+  for (guint i = 0; i < j->lingering->len; i++)
+    wy_owned_drop (g_ptr_array_index (j->lingering, i));
+  g_ptr_array_set_size (j->lingering, 0);
   wy_watch_free (j->watch);
   uv_close ((uv_handle_t *)&j->tick, NULL);
 }
--- a/src/jobs/lag.c
+++ b/src/jobs/lag.c
@@ -82,6 +82,13 @@
     g->named = version;
 }
 
+/* The newest version of MODEL that has been named.  */
+int64_t
+wy_lags_newest (struct wy_lags *l, const char *model)
+{
+  return lag_for (l, model)->named;
+}
+
 static void
 on_told (void *ctx, const struct wy_rows_result *r)
 {
--- a/src/jobs/lister.c
+++ b/src/jobs/lister.c
@@ -33,14 +33,14 @@
   struct wy_owned *o = t->data;
 
   o->scheduled = false;
-  if (!o->writing && !o->dropped)
+  if (!o->writing && !o->dropped && !o->lingering)
     write_batch (o);
 }
 
 static void
 schedule (struct wy_owned *o, uint32_t delay_ms)
 {
-  if (o->scheduled || o->writing || o->dropped)
+  if (o->scheduled || o->writing || o->dropped || o->lingering)
     return;
   o->scheduled = true;
   uv_timer_start (&o->flush, on_flush, delay_ms, 0);
@@ -153,7 +153,7 @@
   GPtrArray *results;
   bool any = false;
 
-  if (!wy_owned_write_ended (o))
+  if (!wy_owned_write_ended (o) || o->lingering)
     return;
   results = g_ptr_array_new_with_free_func (free_result);
   if (!r->err)
@@ -222,7 +222,7 @@
 {
   struct wy_owned *o = ctx;
 
-  if (!wy_owned_write_ended (o))
+  if (!wy_owned_write_ended (o) || o->lingering)
     return;
   if (r->err == WY_ROWS_ECONFLICT)
     conflict (o, r);
--- a/src/jobs/owned.c
+++ b/src/jobs/owned.c
@@ -4,13 +4,16 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "jobs/carry.h"
 #include "trace/note.h"
 
 enum
 {
   /* An item is given up this long after its time, since the clocks of the
      store and of the submitter's request differ a little.  */
-  RETENTION_SLACK_MS = 1000
+  RETENTION_SLACK_MS = 1000,
+  /* Trainers submit the next step about a second after they end one.  */
+  LINGER_MS = 2000
 };
 
 static int64_t
@@ -66,6 +69,7 @@
       i->text = g_string_new (NULL);
       i->versions = g_array_new (FALSE, FALSE, sizeof (int64_t));
       i->last_event = -1;
+      i->carried_event = -1;
     }
   o->order = g_new (struct wy_item *, o->n_items);
   for (uint32_t k = 0; k < o->n_items; k++)
@@ -205,6 +209,7 @@
   struct wy_pick q = { .availability_zone = o->env->availability_zone,
                        .model = *o->spec->model ? o->spec->model : NULL,
                        .min_version = o->spec->min_version,
+                       .newest_version = o->newest_version,
                        .within_slots = true,
                        .pace_limit_ms = pace_limit_ms,
                        .tried = &except,
@@ -227,7 +232,8 @@
   const struct wy_route *route;
   int64_t now_ms = now_of (o);
 
-  if (o->dropped || o->n_waiting == 0 || !o->env->routing || o->env->stopping)
+  if (o->dropped || o->lingering || o->n_waiting == 0 || !o->env->routing
+      || o->env->stopping)
     return;
   route = route_of (o);
   if (!route)
@@ -276,6 +282,43 @@
   wy_owned_pump (o);
 }
 
+/* The job has been ended: what runs may go on for a while, so that a later
+   job with the same items finds more of their text, but nothing new starts.
+   O is still to be dropped.  */
+void
+wy_owned_linger (struct wy_owned *o)
+{
+  o->lingering = true;
+  o->lingers_until_ms = now_of (o) + LINGER_MS;
+  wy_carry_save (o, true);
+  for (uint32_t k = 0; k < o->n_items; k++)
+    {
+      struct wy_item *i = &o->items[k];
+
+      /* Text that no later job can use is not worth a slot.  */
+      if (i->run && i->carried_event < 0)
+        {
+          wy_run_cancel (i->run);
+          i->state = WY_ITEM_WAITING;
+          o->n_waiting++;
+        }
+    }
+}
+
+/* Store what runs have added.  Returns whether any still goes on.  */
+bool
+wy_owned_linger_tick (struct wy_owned *o)
+{
+  bool any = false;
+
+  wy_carry_save (o, false);
+  if (now_of (o) >= o->lingers_until_ms || o->env->stopping)
+    return false;
+  for (uint32_t k = 0; k < o->n_items; k++)
+    any = any || o->items[k].run;
+  return any;
+}
+
 /* Whether all results are listed.  */
 bool
 wy_owned_is_done (const struct wy_owned *o)
--- a/src/jobs/owned.h
+++ b/src/jobs/owned.h
@@ -25,7 +25,8 @@
   enum wy_item_state state;
   GString *text; /* of the events so far */
   GArray *versions;
-  int64_t last_event; /* -1: none */
+  int64_t last_event;    /* -1: none */
+  int64_t carried_event; /* last one stored for a later job; -1: none */
   uint32_t failed_runs;
   uint32_t runs;
   int64_t not_before_ms;
@@ -46,6 +47,7 @@
   struct wy_gate_env *env;
   struct wy_job_record *record;
   struct wy_job_spec *spec;
+  int64_t newest_version; /* of the weights, as named; 0: not known */
   struct wy_item *items;
   struct wy_item **order; /* in which they are started */
   uint32_t n_items;
@@ -54,6 +56,8 @@
   GQueue ended;     /* struct wy_item whose results wait */
   size_t row_bytes; /* of a row in the store */
   bool dropped;
+  bool lingering; /* ended: what runs goes on for the next job's sake */
+  int64_t lingers_until_ms;
   /* The write of results under way.  */
   bool writing;
   bool scheduled;
@@ -85,6 +89,8 @@
                                  const struct wy_target *except,
                                  double pace_limit_ms);
 void wy_owned_tick (struct wy_owned *o, bool check_runs);
+void wy_owned_linger (struct wy_owned *o);
+bool wy_owned_linger_tick (struct wy_owned *o);
 bool wy_owned_is_done (const struct wy_owned *o);
 
 void wy_item_end (struct wy_item *i, bool given_up);
--- a/src/jobs/state.h
+++ b/src/jobs/state.h
@@ -15,10 +15,12 @@
   struct wy_lags *lags;
   uv_timer_t tick;
   int64_t ticked_ms;
-  GHashTable *records; /* struct wy_job_record by id */
-  GHashTable *owned;   /* struct wy_owned by id */
-  GHashTable *taking;  /* ids whose takeover or load is under way */
-  GQueue waiting;      /* struct read: callers waiting for results */
+  uint64_t ticks;
+  GHashTable *records;  /* struct wy_job_record by id */
+  GHashTable *owned;    /* struct wy_owned by id */
+  GPtrArray *lingering; /* struct wy_owned whose jobs have been ended */
+  GHashTable *taking;   /* ids whose takeover or load is under way */
+  GQueue waiting;       /* struct read: callers waiting for results */
 };
 
 const struct wy_job_record *wy_jobs_find (const struct wy_jobs *j,
