--- a/src/decide/load_turn.c
+++ b/src/decide/load_turn.c
@@ -8,13 +8,14 @@
    place in the list alone, with nobody to coordinate them.  */
 #include "decide/load_turn.h"
 
+#include <glib.h>
+
 enum
 {
   /* Loads at a time, one for this many replicas: what the engines' store of
      weights feeds at full speed.  */
   LOADING_DIVISOR = 5,
-  SPREAD_NUM = 1,
-  SPREAD_DEN = 2
+  SPREAD_DIVISOR = 2
 };
 
 static uint32_t
@@ -25,17 +26,17 @@
   return n ? n : 1;
 }
 
-/* Replicas that hold a model: as many as make its loads no more than they
-   would be if each model had its own share of the replicas and loaded every
-   version there, so that models can use each other's idle slots.  */
+/* Replicas that hold a model: its share of them, and where a replica loads
+   few of the versions a larger one, so that models can use each other's idle
+   slots.  More than this and loads would queue at the store of weights.  */
 static uint32_t
 group_size (const struct wy_load_turn_options *o, uint32_t models,
             uint32_t period)
 {
-  uint32_t n = (o->replicas * (period * SPREAD_NUM) / SPREAD_DEN + models - 1)
-               / models;
+  uint32_t share = (o->replicas + models - 1) / models;
+  uint32_t n = (o->replicas * period / SPREAD_DIVISOR + models - 1) / models;
 
-  return n < o->replicas ? n : o->replicas;
+  return MIN (MAX (n, share), o->replicas);
 }
 
 /* The turn of one replica.  Where trainers have a model each, replicas are
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -44,7 +44,9 @@
   RETRY_AFTER_MS = 500,
   /* Connections to one target that a gate may have though its share of the
      limit is less.  */
-  CONNECTIONS_MIN = 1
+  CONNECTIONS_MIN = 1,
+  /* At most this part of the limit is one entry's because of its jobs.  */
+  SLOTS_SHARE = 4
 };
 
 struct wy_gate
@@ -77,11 +79,14 @@
 {
   const struct wy_service *s = wy_routing_service (env->routing, service);
   uint32_t share;
+  uint32_t slots;
 
   if (!s || !s->connection_limit)
     return 0;
   share = s->connection_limit / env->entries;
-  return MAX (share, CONNECTIONS_MIN);
+  /* Few entries run jobs at a time, and one alone can use all slots.  */
+  slots = MIN (s->slots, s->connection_limit / SLOTS_SHARE);
+  return MAX (MAX (share, slots), CONNECTIONS_MIN);
 }
 
 static int64_t
@@ -292,15 +297,19 @@
   ((struct forward *)ctx)->request = NULL;
 }
 
-/* A process that the store turns away sends its call through here.  */
+/* Another process of the system calls: an entry hands a job on, or a process
+   that the store turns away sends its call through here.  */
 static void
 on_peer (void *ctx, struct wy_h1_request *r)
 {
   struct wy_gate *g = ctx;
-  struct forward *f = g_new0 (struct forward, 1);
+  struct forward *f;
   const char *body;
   size_t n;
 
+  if (wy_jobs_take_handed (g->jobs, r))
+    return;
+  f = g_new0 (struct forward, 1);
   f->request = r;
   wy_h1_on_hangup (r, on_forward_hangup, f);
   body = wy_h1_body (r, &n);
@@ -572,6 +581,7 @@
   wy_note ("process.stopping", "requests=%u jobs=%u",
            wy_h1_server_active (g->callers), wy_jobs_running (g->jobs));
   wy_h1_server_announce_close (g->callers);
+  wy_members_drain (g->members);
 }
 
 /* Take in settings that have changed; addresses stay as they are.  */
--- a/src/gate/members.c
+++ b/src/gate/members.c
@@ -23,6 +23,8 @@
   /* An entry whose beat did not change for so long, while the store answered,
      is gone: four beats, so that one slow or lost write does not count.  */
   GONE_AFTER_MS = 2000,
+  /* One whose beat is late gets no new work.  */
+  DOUBTED_AFTER_MS = 1200,
   TICK_MS = 200,
   /* Rows older than this do not count as the store's present answer.  */
   FRESH_MS = 1000,
@@ -39,7 +41,8 @@
   char holder[NAME_SIZE_BYTES];
   struct sockaddr_in address;
   bool has_address;
-  bool leaving;
+  bool draining; /* takes no new jobs */
+  bool leaving;  /* its jobs are free */
   int64_t silent_ms;
 };
 
@@ -53,6 +56,7 @@
   int64_t ticked_ms;
   uint64_t beats;
   bool writing;
+  bool draining;
   bool leaving;
 };
 
@@ -100,6 +104,7 @@
   copy (doc, "holder", e->holder);
   address = json_string_value (json_object_get (doc, "address"));
   e->has_address = address && wy_address_parse (address, &e->address);
+  e->draining = json_is_true (json_object_get (doc, "draining"));
   e->leaving = json_is_true (json_object_get (doc, "leaving"));
   e->silent_ms = 0;
   json_decref (doc);
@@ -159,10 +164,10 @@
   struct wy_rows_tx tx = { .part = "", .writes = &w, .n_writes = 1 };
 
   snprintf (value, sizeof value,
-            "{\"holder\":\"%s\",\"address\":\"%s\",\"leaving\":%s,"
-            "\"beat\":%llu}",
-            m->o.env->holder, m->o.address, m->leaving ? "true" : "false",
-            (unsigned long long)++m->beats);
+            "{\"holder\":\"%s\",\"address\":\"%s\",\"draining\":%s,"
+            "\"leaving\":%s,\"beat\":%llu}",
+            m->o.env->holder, m->o.address, m->draining ? "true" : "false",
+            m->leaving ? "true" : "false", (unsigned long long)++m->beats);
   w.size_bytes = strlen (value);
   m->writing = true;
   wy_rows_tx (m->o.env->rows, &tx, on_beat_written, m);
@@ -213,6 +218,14 @@
   uv_close ((uv_handle_t *)&m->tick, NULL);
 }
 
+/* Tell the others that this entry takes no new jobs.  */
+void
+wy_members_drain (struct wy_members *m)
+{
+  m->draining = true;
+  write_beat (m);
+}
+
 /* Tell the others that this entry is about to stop.  */
 void
 wy_members_leave (struct wy_members *m)
@@ -266,6 +279,39 @@
   return wy_hash64 (node, strlen (node), wy_hash64 (key, strlen (key), 0));
 }
 
+/* The entry that work of KEY goes to: always the same one while it is alive,
+   so that its connections to the targets are used again.  False: this entry,
+   or none that is known; HOLDER and ADDRESS are set else.  */
+bool
+wy_members_choose (const struct wy_members *m, const char *key,
+                   const char **holder, struct sockaddr_in *address)
+{
+  const char *node = m->o.env->node;
+  uint64_t best = m->draining ? 0 : weight_of (node, key);
+  const struct member *found = NULL;
+  GHashTableIter it;
+  gpointer p;
+
+  g_hash_table_iter_init (&it, m->by_node);
+  while (g_hash_table_iter_next (&it, NULL, &p))
+    {
+      const struct member *e = p;
+      uint64_t w = weight_of (e->node, key);
+
+      if (!is_alive (e) || e->draining || !e->has_address
+          || e->silent_ms > DOUBTED_AFTER_MS || !strcmp (e->node, node)
+          || w <= best)
+        continue;
+      best = w;
+      found = e;
+    }
+  if (!found)
+    return false;
+  *holder = found->holder;
+  *address = found->address;
+  return true;
+}
+
 /* Place of this entry among those alive in the order that KEY gives them;
    each key gives another, so that work without a holder spreads.  */
 uint32_t
--- a/src/gate/members.h
+++ b/src/gate/members.h
@@ -27,6 +27,9 @@
 void wy_members_leave (struct wy_members *m);
 uint32_t wy_members_alive (const struct wy_members *m);
 bool wy_members_is_gone (const struct wy_members *m, const char *holder);
+void wy_members_drain (struct wy_members *m);
+bool wy_members_choose (const struct wy_members *m, const char *key,
+                        const char **holder, struct sockaddr_in *address);
 uint32_t wy_members_rank (const struct wy_members *m, const char *key);
 size_t wy_members_addresses (const struct wy_members *m,
                              struct sockaddr_in *out, size_t max);
--- a/src/h1/client.c
+++ b/src/h1/client.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/socket.h>
 
 #include <http_parser.h>
 
@@ -40,6 +41,7 @@
   bool sent; /* some bytes may have left */
   bool reused;
   bool active; /* a call is under way */
+  bool headed; /* the head of its answer is in */
   bool framed;
   bool complete; /* its answer is in */
   bool dirty;    /* not to be used again */
@@ -244,6 +246,7 @@
       return 0;
     }
   bodiless = !strcmp (k->o.method, "HEAD");
+  k->headed = true;
   k->framed = bodiless || is_framed (p);
   k->keep_ms = keep_ms_of (k);
   a.status = (int)p->status_code;
@@ -312,11 +315,27 @@
     fail (k, WY_H1_EMALFORMED);
 }
 
+/* Whether the connection was reset.  libuv reports the end of the stream when
+   it sees the hang-up right behind a short read, also where the peer has
+   reset the connection; an answer without a length would then be taken for
+   whole.  The error is still pending on the socket.  */
+static bool
+was_reset (const struct wy_h1_call *k)
+{
+  int err = 0;
+  socklen_t n = sizeof err;
+  uv_os_fd_t fd;
+
+  if (uv_fileno ((const uv_handle_t *)&k->tcp, &fd))
+    return true;
+  return getsockopt (fd, SOL_SOCKET, SO_ERROR, &err, &n) || err;
+}
+
 static void
 on_eof (struct wy_h1_call *k, ssize_t err)
 {
-  bool ends_by_close = k->active && !k->framed && k->parser.status_code >= 200
-                       && k->head.fields->len && err == UV_EOF;
+  bool ends_by_close = k->active && !k->framed && k->headed && err == UV_EOF
+                       && !was_reset (k);
 
   if (!ends_by_close)
     {
@@ -458,6 +477,7 @@
   k->sent = false;
   k->complete = false;
   k->framed = false;
+  k->headed = false;
   k->keep_ms = 0;
   k->since_ms = uv_now (c->loop);
   k->link.data = k;
--- a/src/jobs/accept.c
+++ b/src/jobs/accept.c
@@ -35,6 +35,7 @@
   struct wy_h1_request *request; /* NULL: the submitter has hung up */
   struct wy_job_record *record;
   struct wy_job_spec *spec;
+  struct sockaddr_in holder_address; /* where it is not this entry */
   GString *body;
   uint32_t next; /* piece */
   uint32_t tries;
@@ -111,8 +112,11 @@
   if (a->spec)
     wy_lags_accepted (j->lags, a->spec->model, a->spec->min_version);
   wy_jobs_learn (j, wy_job_record_copy (a->record));
-  if (!g_hash_table_contains (j->owned, a->record->id)
-      && !g_hash_table_contains (j->taking, a->record->id))
+  if (strcmp (a->record->holder, j->env->holder) != 0)
+    wy_jobs_hand_on (j, a->record, &a->holder_address, a->body->str,
+                     a->body->len);
+  else if (!g_hash_table_contains (j->owned, a->record->id)
+           && !g_hash_table_contains (j->taking, a->record->id))
     {
       struct wy_owned *o = wy_jobs_own (j, a->record, a->spec);
 
@@ -233,6 +237,21 @@
   return r;
 }
 
+/* Jobs of one model run on one entry, whose connections to the replicas are
+   open from the job before.  */
+static void
+choose_holder (struct accept *a)
+{
+  const char *holder;
+
+  if (!*a->spec->model
+      || !wy_members_choose (a->jobs->members, a->spec->model, &holder,
+                             &a->holder_address))
+    return;
+  g_free (a->record->holder);
+  a->record->holder = g_strdup (holder);
+}
+
 /* Take in the job that R submits on ROUTE.  */
 void
 wy_jobs_accept (struct wy_jobs *j, struct wy_h1_request *r,
@@ -273,11 +292,12 @@
   a->spec = spec;
   a->body = g_string_new_len (body, (gssize)n);
   a->record = new_record (j, &info, wy_h1_target (r), spec->items->len, n);
+  choose_holder (a);
   a->started_ms = wy_clock_mono_ms (j->env->clock);
   uv_timer_init (j->env->loop, &a->timer);
   a->timer.data = a;
   wy_h1_on_hangup (r, on_hangup, a);
-  if (*spec->model)
+  if (*spec->model && !strcmp (a->record->holder, j->env->holder))
     {
       a->reading_carry = true;
       wy_carry_read (j->env, spec->model, on_carry, a);
--- /dev/null
+++ b/src/jobs/hand_on.c
@@ -0,0 +1,206 @@
+/* Hands a job that has just been accepted to the entry that is to run it.
+
+   The row in the store already names that entry; this only saves it the time
+   to notice and to fetch the body.  If it does not answer, the job is taken
+   over here, as from an entry that is gone.  */
+#include "jobs/state.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "gate/answer.h"
+#include "jobs/carry.h"
+#include "platform/job_wire.h"
+#include "trace/note.h"
+
+#define HAND_ON_TARGET "/jobs/run"
+
+enum
+{
+  /* A peer answers in some ms; the step waits meanwhile.  */
+  TIMEOUT_MS = 400,
+  STATUS_TAKEN = 204
+};
+
+struct hand_on
+{
+  struct wy_jobs *jobs;
+  struct wy_job_record *record;
+  struct wy_h1_call *call;
+  int status;
+  uv_timer_t timer;
+};
+
+static void
+on_timer_closed (uv_handle_t *h)
+{
+  g_free (h->data);
+}
+
+static void
+end (struct hand_on *h, const char *outcome)
+{
+  bool taken = h->status == STATUS_TAKEN;
+  const struct wy_job_record *known = wy_jobs_find (h->jobs, h->record->id);
+
+  wy_note ("job.handed_on", "id=%s to=%s outcome=%s status=%d", h->record->id,
+           h->record->holder, outcome, h->status);
+  if (!taken && known && known->state == WY_JOB_OPEN
+      && known->row_version == h->record->row_version)
+    wy_jobs_take_over (h->jobs, known);
+  wy_job_record_free (h->record);
+  uv_close ((uv_handle_t *)&h->timer, on_timer_closed);
+}
+
+static void
+on_head (void *ctx, const struct wy_h1_answer *a)
+{
+  ((struct hand_on *)ctx)->status = a->status;
+}
+
+static void
+on_end (void *ctx, int err)
+{
+  end (ctx, err ? "no_answer" : "answered");
+}
+
+static void
+on_timeout (uv_timer_t *t)
+{
+  struct hand_on *h = t->data;
+
+  wy_h1_call_cancel (h->call);
+  h->status = 0;
+  end (h, "timeout");
+}
+
+/* Send the job of R with its BODY of N bytes to the entry at ADDRESS, which
+   R names as its holder.  */
+void
+wy_jobs_hand_on (struct wy_jobs *j, const struct wy_job_record *r,
+                 const struct sockaddr_in *address, const char *body, size_t n)
+{
+  struct hand_on *h = g_new0 (struct hand_on, 1);
+  char *record = wy_job_record_encode (r);
+  char version[32];
+  struct wy_h1_pair fields[] = { { "Host", "entry" },
+                                 { "Job", r->id },
+                                 { "Job-Row-Version", version },
+                                 { "Job-Record", record } };
+  struct wy_h1_call_options o = { .address = *address,
+                                  .method = "POST",
+                                  .target = HAND_ON_TARGET,
+                                  .fields = fields,
+                                  .n_fields = G_N_ELEMENTS (fields),
+                                  .body = body,
+                                  .body_size_bytes = n,
+                                  .on_head = on_head,
+                                  .on_end = on_end,
+                                  .ctx = h };
+
+  snprintf (version, sizeof version, "%lld", (long long)r->row_version);
+  h->jobs = j;
+  h->record = wy_job_record_copy (r);
+  uv_timer_init (j->env->loop, &h->timer);
+  h->timer.data = h;
+  uv_timer_start (&h->timer, on_timeout, TIMEOUT_MS, 0);
+  h->call = wy_h1_call_start (j->env->http, &o);
+  g_free (record);
+}
+
+struct start
+{
+  struct wy_jobs *jobs;
+  struct wy_job_record *record;
+  struct wy_job_spec *spec;
+};
+
+static void
+on_carry (void *ctx, struct wy_carry *c)
+{
+  struct start *s = ctx;
+  struct wy_jobs *j = s->jobs;
+  const struct wy_job_record *known = wy_jobs_find (j, s->record->id);
+
+  g_hash_table_remove (j->taking, s->record->id);
+  if (known && known->row_version == s->record->row_version
+      && !g_hash_table_contains (j->owned, s->record->id))
+    {
+      struct wy_owned *o = wy_jobs_own (j, s->record, s->spec);
+
+      s->spec = NULL;
+      wy_note ("job.running", "id=%s items=%u text_taken=%u", s->record->id,
+               o->n_items, wy_carry_apply (c, o));
+      wy_owned_pump (o);
+    }
+  wy_job_spec_free (s->spec);
+  wy_job_record_free (s->record);
+  wy_carry_free (c);
+  g_free (s);
+}
+
+static void
+start_job (struct wy_jobs *j, struct wy_job_record *r,
+           struct wy_job_spec *spec)
+{
+  struct start *s = g_new0 (struct start, 1);
+
+  s->jobs = j;
+  s->record = r;
+  s->spec = spec;
+  wy_jobs_learn (j, wy_job_record_copy (r));
+  g_hash_table_add (j->taking, g_strdup (r->id));
+  wy_carry_read (j->env, spec->model, on_carry, s);
+}
+
+static struct wy_job_record *
+read_record (struct wy_h1_request *r)
+{
+  const struct wy_h1_head *head = wy_h1_head (r);
+  const char *id = wy_h1_head_get (head, "Job");
+  const char *version = wy_h1_head_get (head, "Job-Row-Version");
+  const char *record = wy_h1_head_get (head, "Job-Record");
+  struct wy_row row = { .table = WY_JOBS_TABLE, .key = WY_JOB_KEY };
+
+  if (!id || !version || !record)
+    return NULL;
+  row.part = id;
+  row.value = record;
+  row.size_bytes = strlen (record);
+  row.version = g_ascii_strtoll (version, NULL, 10);
+  return wy_job_record_decode (&row);
+}
+
+/* Take a job that another entry hands on.  False: R is no such call.  */
+bool
+wy_jobs_take_handed (struct wy_jobs *j, struct wy_h1_request *r)
+{
+  struct wy_job_record *record;
+  struct wy_job_spec *spec = NULL;
+  const char *why;
+  const char *body;
+  size_t n;
+
+  if (strcmp (wy_h1_target (r), HAND_ON_TARGET) != 0)
+    return false;
+  record = read_record (r);
+  body = wy_h1_body (r, &n);
+  if (record && !strcmp (record->holder, j->env->holder) && !j->env->stopping)
+    spec = wy_job_decode (body, n, &why);
+  if (!spec)
+    {
+      wy_job_record_free (record);
+      wy_refuse (r, 409, "not_holder", 0);
+      return true;
+    }
+  wy_h1_respond (r, STATUS_TAKEN, NULL, 0, "", 0);
+  if (g_hash_table_contains (j->owned, record->id)
+      || g_hash_table_contains (j->taking, record->id))
+    {
+      wy_job_spec_free (spec);
+      wy_job_record_free (record);
+    }
+  else
+    start_job (j, record, spec);
+  return true;
+}
--- a/src/jobs/jobs.c
+++ b/src/jobs/jobs.c
@@ -295,8 +295,9 @@
   wy_job_load (t->jobs, t->record, on_spec, t);
 }
 
-static void
-take_over (struct wy_jobs *j, const struct wy_job_record *r)
+/* Make the job of R this entry's and run it.  */
+void
+wy_jobs_take_over (struct wy_jobs *j, const struct wy_job_record *r)
 {
   struct takeover *t = g_new0 (struct takeover, 1);
 
@@ -343,7 +344,7 @@
     if (should_take (j, p, now_ms))
       g_ptr_array_add (found, p);
   for (guint i = 0; i < found->len; i++)
-    take_over (j, g_ptr_array_index (found, i));
+    wy_jobs_take_over (j, g_ptr_array_index (found, i));
   g_ptr_array_free (found, TRUE);
 }
 
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -32,6 +32,7 @@
 
 void wy_jobs_accept (struct wy_jobs *j, struct wy_h1_request *r,
                      const struct wy_route *route);
+bool wy_jobs_take_handed (struct wy_jobs *j, struct wy_h1_request *r);
 void wy_jobs_call (struct wy_jobs *j, struct wy_h1_request *r,
                    const struct wy_job_call *call);
 
--- a/src/jobs/state.h
+++ b/src/jobs/state.h
@@ -28,6 +28,10 @@
 void wy_jobs_learn (struct wy_jobs *j, struct wy_job_record *r);
 struct wy_owned *wy_jobs_own (struct wy_jobs *j, const struct wy_job_record *r,
                               struct wy_job_spec *spec);
+void wy_jobs_take_over (struct wy_jobs *j, const struct wy_job_record *r);
+void wy_jobs_hand_on (struct wy_jobs *j, const struct wy_job_record *r,
+                      const struct sockaddr_in *address, const char *body,
+                      size_t n);
 void wy_jobs_wake_readers (struct wy_jobs *j, const char *id);
 void wy_jobs_read_tick (struct wy_jobs *j);
 
--- /dev/null
+++ b/src/standin/platform_replica.c
@@ -0,0 +1,393 @@
+/* Stand-in of a replica on the platform.  An event's data depends on its
+   number alone, so a text put together from several runs can be checked.  */
+#include "standin/platform_replica.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+enum
+{
+  HEADER_LIMIT_BYTES = 65536,
+  BODY_LIMIT_BYTES = 16 << 20,
+  IDLE_MS = 60000
+};
+
+struct run
+{
+  struct wy_platform_replica *replica;
+  struct wy_h1_request *request;
+  uv_timer_t timer;
+  int64_t next; /* event */
+  int64_t version;
+  uint32_t sent;
+  bool cut;
+  bool stall;
+};
+
+struct wy_platform_replica
+{
+  struct wy_platform_replica_options o;
+  struct wy_h1_server *server;
+  uv_timer_t load;
+  int64_t version;
+  int64_t loading; /* version; 0: none */
+  int64_t orders;
+  int64_t last_resume;
+  uint32_t runs;
+  uint32_t running;
+  struct wy_platform_replica_faults faults;
+};
+
+static bool
+take (uint32_t *count)
+{
+  if (*count == 0)
+    return false;
+  (*count)--;
+  return true;
+}
+
+/* Data of the event number EVENT.  */
+const char *
+wy_platform_replica_text (uint32_t event, char *out, size_t size)
+{
+  snprintf (out, size, "piece-%u", event);
+  return out;
+}
+
+static void
+on_timer_closed (uv_handle_t *h)
+{
+  g_free (h->data);
+}
+
+static void
+end_run (struct run *u)
+{
+  u->replica->running--;
+  uv_close ((uv_handle_t *)&u->timer, on_timer_closed);
+}
+
+static void
+on_gone (void *ctx)
+{
+  end_run (ctx);
+}
+
+static void
+send_event (struct run *u)
+{
+  char data[64];
+  char text[160];
+  int n = 0;
+
+  if (u->version != u->replica->version)
+    {
+      u->version = u->replica->version;
+      n = snprintf (text, sizeof text, "weight-versions: %lld\n",
+                    (long long)u->version);
+    }
+  n += snprintf (
+      text + n, sizeof text - (size_t)n, "id: %lld\ndata: %s\n\n",
+      (long long)u->next,
+      wy_platform_replica_text ((uint32_t)u->next, data, sizeof data));
+  wy_h1_write (u->request, text, (size_t)n);
+  u->next++;
+  u->sent++;
+}
+
+static void
+on_event_timer (uv_timer_t *t)
+{
+  struct run *u = t->data;
+  struct wy_platform_replica *r = u->replica;
+
+  if (u->next <= r->o.events)
+    send_event (u);
+  if (u->cut && u->sent >= r->faults.cut_after)
+    {
+      wy_h1_break (u->request);
+      end_run (u);
+    }
+  else if (u->stall)
+    uv_timer_stop (t);
+  else if (u->next > r->o.events)
+    {
+      wy_h1_on_hangup (u->request, NULL, NULL);
+      wy_h1_finish (u->request);
+      end_run (u);
+    }
+}
+
+static void
+stream (struct wy_platform_replica *r, struct wy_h1_request *q, const char *id)
+{
+  const char *after = wy_h1_head_get (wy_h1_head (q), "Last-Event-Id");
+  struct run *u = g_new0 (struct run, 1);
+  char version[24];
+  char load[48];
+  struct wy_h1_pair fields[]
+      = { { "Content-Type", "text/event-stream" },
+          { "Attempt-Id", take (&r->faults.foreign) ? "another" : id },
+          { "Response-Stamp", "stamp" },
+          { "Server-Load", load },
+          { "Weight-Versions", version } };
+
+  r->runs++;
+  r->running++;
+  r->last_resume = after ? g_ascii_strtoll (after, NULL, 10) : 0;
+  u->replica = r;
+  u->request = q;
+  u->version = r->version;
+  u->next = r->last_resume + 1;
+  u->cut = take (&r->faults.cuts);
+  u->stall = take (&r->faults.stalls);
+  snprintf (version, sizeof version, "%lld", (long long)r->version);
+  snprintf (load, sizeof load, "%u,0,%u", r->running, r->o.slots);
+  wy_h1_begin (q, 200, fields, G_N_ELEMENTS (fields));
+  uv_timer_init (r->o.loop, &u->timer);
+  u->timer.data = u;
+  uv_timer_start (&u->timer, on_event_timer, r->o.event_ms, r->o.event_ms);
+  wy_h1_on_hangup (q, on_gone, u);
+}
+
+static void
+report (struct wy_platform_replica *r, struct wy_h1_request *q)
+{
+  json_t *doc = json_pack ("{s:[{s:s, s:I}], s:b, s:I}", "models", "name",
+                           r->o.model ? r->o.model : "", "version",
+                           (json_int_t)r->version, "busy", r->loading != 0,
+                           "sequence", (json_int_t)r->orders);
+  char *text = json_dumps (doc, JSON_COMPACT);
+
+  wy_h1_respond (q, 200, NULL, 0, text, strlen (text));
+  free (text);
+  json_decref (doc);
+}
+
+static void
+on_loaded (uv_timer_t *t)
+{
+  struct wy_platform_replica *r = t->data;
+
+  r->version = r->loading;
+  r->loading = 0;
+}
+
+static int
+take_order (struct wy_platform_replica *r, json_t *doc)
+{
+  int64_t version = json_integer_value (json_object_get (doc, "version"));
+  json_t *expected = json_object_get (doc, "expectedRevision");
+
+  if (!json_is_string (json_object_get (doc, "holder"))
+      || !json_is_integer (json_object_get (doc, "fencingToken")))
+    return 400;
+  if (r->loading
+      || (json_is_integer (expected)
+          && json_integer_value (expected) != r->orders))
+    return 409;
+  if (r->version == version)
+    return 200;
+  r->orders++;
+  r->loading = version;
+  uv_timer_start (&r->load, on_loaded, r->faults.order_load_ms, 0);
+  return 202;
+}
+
+static void
+order (struct wy_platform_replica *r, struct wy_h1_request *q)
+{
+  size_t n;
+  const char *body = wy_h1_body (q, &n);
+  json_t *doc = json_loadb (body, n, 0, NULL);
+  int status = take_order (r, doc);
+
+  json_decref (doc);
+  if (take (&r->faults.lose_orders))
+    wy_h1_break (q);
+  else
+    wy_h1_respond (q, status, NULL, 0, "", 0);
+}
+
+static void
+plain (struct wy_platform_replica *r, struct wy_h1_request *q, int status,
+       const char *id)
+{
+  size_t n;
+  const char *body = wy_h1_body (q, &n);
+  struct wy_h1_pair fields[3]
+      = { { "Attempt-Id", take (&r->faults.foreign) ? "another" : id },
+          { "Server-Load", "0,0,4" },
+          { "Response-Stamp", "stamp" } };
+
+  /* The body comes back, so that a caller can tell its own answer.  */
+  wy_h1_respond (q, status, fields, take (&r->faults.unstamped) ? 2 : 3, body,
+                 n);
+}
+
+static void
+run (struct wy_platform_replica *r, struct wy_h1_request *q)
+{
+  const struct wy_h1_head *head = wy_h1_head (q);
+  const char *target = wy_h1_head_get (head, "Target-Instance");
+  const char *id = wy_h1_head_get (head, "Attempt-Id");
+  struct wy_h1_pair not_run = { "Not-Executed", "1" };
+
+  if (target && strcmp (target, r->o.id) != 0)
+    wy_h1_respond (q, 421, NULL, 0, "", 0);
+  else if (!id || take (&r->faults.refuse)
+           || (r->o.model && r->running >= r->o.slots))
+    wy_h1_respond (q, id ? 503 : 400, &not_run, 1, "", 0);
+  else if (take (&r->faults.lose))
+    {
+      r->runs++;
+      wy_h1_break (q);
+    }
+  else if (take (&r->faults.never))
+    plain (r, q, 422, id);
+  else if (take (&r->faults.fail))
+    {
+      r->runs++;
+      plain (r, q, 500, id);
+    }
+  else if (r->o.model)
+    stream (r, q, id);
+  else
+    {
+      r->runs++;
+      plain (r, q, 200, id);
+    }
+}
+
+static void
+on_request (void *ctx, struct wy_h1_request *q)
+{
+  struct wy_platform_replica *r = ctx;
+  const char *t = wy_h1_target (q);
+
+  if (r->faults.silent)
+    return;
+  if (!strcmp (t, "/api/report"))
+    report (r, q);
+  else if (!strcmp (t, "/api/order"))
+    order (r, q);
+  else
+    run (r, q);
+}
+
+/* Start a replica as O says; NULL: no port.  */
+struct wy_platform_replica *
+wy_platform_replica_new (const struct wy_platform_replica_options *o)
+{
+  struct wy_platform_replica *r = g_new0 (struct wy_platform_replica, 1);
+  struct wy_h1_server_options h
+      = { .loop = o->loop,
+          .host = "127.0.0.1",
+          .limits = { .header_bytes = HEADER_LIMIT_BYTES,
+                      .body_bytes = BODY_LIMIT_BYTES,
+                      .header_timeout_ms = IDLE_MS,
+                      .idle_timeout_ms = IDLE_MS,
+                      .held_bytes = UINT64_MAX / 2 },
+          .on_request = on_request,
+          .ctx = r };
+
+  r->o = *o;
+  r->version = 1;
+  if (wy_h1_server_new (&r->server, &h))
+    {
+      g_free (r);
+      return NULL;
+    }
+  uv_timer_init (o->loop, &r->load);
+  r->load.data = r;
+  return r;
+}
+
+/* Close all of R; the loop must turn afterwards.  */
+void
+wy_platform_replica_free (struct wy_platform_replica *r)
+{
+  wy_h1_server_free (r->server);
+  uv_close ((uv_handle_t *)&r->load, NULL);
+}
+
+/* The port R listens on.  */
+uint16_t
+wy_platform_replica_port (const struct wy_platform_replica *r)
+{
+  return wy_h1_server_port (r->server);
+}
+
+/* What goes wrong, to be changed at will.  */
+struct wy_platform_replica_faults *
+wy_platform_replica_faults (struct wy_platform_replica *r)
+{
+  return &r->faults;
+}
+
+/* R's entry in the list of replicas, in STATE; the caller frees it.  */
+char *
+wy_platform_replica_entry (const struct wy_platform_replica *r,
+                           const char *service, const char *state)
+{
+  return g_strdup_printf (
+      "{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\",\"zone\":\"z1\","
+      "\"version\":\"v1\",\"slots\":%u,\"state\":\"%s\","
+      "\"models\":[{\"name\":\"%s\",\"version\":%lld}],\"sequence\":1}",
+      service, wy_platform_replica_port (r), r->o.slots, state,
+      r->o.model ? r->o.model : "", (long long)r->version);
+}
+
+/* Requests and items that have begun to run.  */
+uint32_t
+wy_platform_replica_runs (const struct wy_platform_replica *r)
+{
+  return r->runs;
+}
+
+/* Streams that run now.  */
+uint32_t
+wy_platform_replica_running (const struct wy_platform_replica *r)
+{
+  return r->running;
+}
+
+/* Connections open now.  */
+uint32_t
+wy_platform_replica_connections (const struct wy_platform_replica *r)
+{
+  return wy_h1_server_connections (r->server);
+}
+
+/* Orders accepted.  */
+uint32_t
+wy_platform_replica_orders (const struct wy_platform_replica *r)
+{
+  return (uint32_t)r->orders;
+}
+
+/* Version of the weights in force.  */
+int64_t
+wy_platform_replica_version (const struct wy_platform_replica *r)
+{
+  return r->version;
+}
+
+/* Put other weights in force.  */
+void
+wy_platform_replica_set_version (struct wy_platform_replica *r,
+                                 int64_t version)
+{
+  r->version = version;
+}
+
+/* The event behind which the last stream was asked to go on.  */
+int64_t
+wy_platform_replica_last_resume (const struct wy_platform_replica *r)
+{
+  return r->last_resume;
+}
--- /dev/null
+++ b/src/standin/platform_replica.h
@@ -0,0 +1,56 @@
+/* Stand-in of a replica on the platform: runs requests and items, takes
+   orders to load weights, tells its load.  */
+#ifndef WY_STANDIN_PLATFORM_REPLICA_H
+#define WY_STANDIN_PLATFORM_REPLICA_H
+
+#include "h1/server.h"
+
+/* What goes wrong; all off when zeroed.  Counts run down with each request
+   that they hit.  */
+struct wy_platform_replica_faults
+{
+  uint32_t cut_after;   /* streams: broken off behind so many events, ... */
+  uint32_t cuts;        /* ... so often */
+  uint32_t stalls;      /* streams that stand still after one event */
+  uint32_t refuse;      /* turned away as not run */
+  uint32_t fail;        /* answered 500 */
+  uint32_t never;       /* answered 422 */
+  uint32_t foreign;     /* answered as if to another request */
+  uint32_t unstamped;   /* without the mark of a replica's answer */
+  uint32_t lose;        /* run, the answer lost */
+  uint32_t lose_orders; /* performed, not answered */
+  uint32_t order_load_ms;
+  bool silent;
+};
+
+struct wy_platform_replica_options
+{
+  uv_loop_t *loop;
+  const char *id;
+  uint32_t slots;
+  uint32_t events; /* of a stream */
+  uint32_t event_ms;
+  const char *model; /* NULL: a plain service */
+};
+
+struct wy_platform_replica;
+
+struct wy_platform_replica *
+wy_platform_replica_new (const struct wy_platform_replica_options *o);
+void wy_platform_replica_free (struct wy_platform_replica *r);
+uint16_t wy_platform_replica_port (const struct wy_platform_replica *r);
+struct wy_platform_replica_faults *
+wy_platform_replica_faults (struct wy_platform_replica *r);
+char *wy_platform_replica_entry (const struct wy_platform_replica *r,
+                                 const char *service, const char *state);
+uint32_t wy_platform_replica_runs (const struct wy_platform_replica *r);
+uint32_t wy_platform_replica_running (const struct wy_platform_replica *r);
+uint32_t wy_platform_replica_connections (const struct wy_platform_replica *r);
+uint32_t wy_platform_replica_orders (const struct wy_platform_replica *r);
+int64_t wy_platform_replica_version (const struct wy_platform_replica *r);
+void wy_platform_replica_set_version (struct wy_platform_replica *r,
+                                      int64_t version);
+int64_t wy_platform_replica_last_resume (const struct wy_platform_replica *r);
+const char *wy_platform_replica_text (uint32_t event, char *out, size_t size);
+
+#endif
--- /dev/null
+++ b/src/standin/platform_store.c
@@ -0,0 +1,662 @@
+/* Stand-in of the platform's store.  A call is performed in one turn of the
+   loop, so its answers are linearizable.  */
+#include "standin/platform_store.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  HEADER_LIMIT_BYTES = 65536,
+  BODY_LIMIT_BYTES = 16 << 20,
+  IDLE_MS = 60000,
+  PAGE_ROWS = 500,
+  PAGE_BYTES = 1 << 20,
+  ROW_LIMIT_BYTES = 65536,
+  TX_ENTRIES = 100,
+  WAIT_CHECK_MS = 5
+};
+
+struct row
+{
+  char *table;
+  char *part;
+  char *key;
+  char *value; /* base64 */
+  int64_t version;
+  bool deleted;
+};
+
+struct wait
+{
+  struct wy_platform_store *store;
+  struct wy_h1_request *request;
+  char *table;
+  int64_t after;
+  uint64_t until_ms;
+};
+
+struct late_tx
+{
+  struct wy_platform_store *store;
+  json_t *doc;
+  uv_timer_t timer;
+};
+
+struct wy_platform_store
+{
+  uv_loop_t *loop;
+  struct wy_h1_server *server;
+  uv_timer_t tick;
+  GPtrArray *rows;     /* struct row */
+  GHashTable *objects; /* GBytes by name */
+  GPtrArray *waits;    /* struct wait */
+  int64_t version;
+  uint64_t calls;
+  struct wy_platform_store_faults faults;
+};
+
+static void
+free_row (gpointer p)
+{
+  struct row *r = p;
+
+  g_free (r->table);
+  g_free (r->part);
+  g_free (r->key);
+  g_free (r->value);
+  g_free (r);
+}
+
+static void
+free_wait (gpointer p)
+{
+  struct wait *w = p;
+
+  g_free (w->table);
+  g_free (w);
+}
+
+static struct row *
+find (const struct wy_platform_store *s, const char *table, const char *part,
+      const char *key)
+{
+  for (guint i = 0; i < s->rows->len; i++)
+    {
+      struct row *r = g_ptr_array_index (s->rows, i);
+
+      if (!strcmp (r->key, key) && !strcmp (r->part, part)
+          && !strcmp (r->table, table))
+        return r;
+    }
+  return NULL;
+}
+
+static void
+set_row (struct wy_platform_store *s, const char *table, const char *part,
+         const char *key, const char *value)
+{
+  struct row *r = find (s, table, part, key);
+
+  if (!r)
+    {
+      r = g_new0 (struct row, 1);
+      r->table = g_strdup (table);
+      r->part = g_strdup (part);
+      r->key = g_strdup (key);
+      g_ptr_array_add (s->rows, r);
+    }
+  g_free (r->value);
+  r->value = g_strdup (value ? value : "");
+  r->deleted = !value;
+  r->version = s->version;
+}
+
+/* Write VALUE as the platform or another writer would.  */
+int64_t
+wy_platform_store_put (struct wy_platform_store *s, const char *table,
+                       const char *part, const char *key, const char *value)
+{
+  char *coded = g_base64_encode ((const guchar *)value, strlen (value));
+
+  s->version++;
+  set_row (s, table, part, key, coded);
+  g_free (coded);
+  return s->version;
+}
+
+/* Remove a row as its writer would.  */
+void
+wy_platform_store_drop (struct wy_platform_store *s, const char *table,
+                        const char *part, const char *key)
+{
+  s->version++;
+  set_row (s, table, part, key, NULL);
+}
+
+/* The value of a row as text, which the caller frees; NULL: none.  */
+char *
+wy_platform_store_value (const struct wy_platform_store *s, const char *table,
+                         const char *part, const char *key)
+{
+  const struct row *r = find (s, table, part, key);
+  gsize n;
+  guchar *p;
+  char *out;
+
+  if (!r || r->deleted)
+    return NULL;
+  p = g_base64_decode (r->value, &n);
+  out = g_strndup ((char *)p, n);
+  g_free (p);
+  return out;
+}
+
+/* Rows of a part.  */
+uint32_t
+wy_platform_store_count (const struct wy_platform_store *s, const char *table,
+                         const char *part)
+{
+  uint32_t n = 0;
+
+  for (guint i = 0; i < s->rows->len; i++)
+    {
+      const struct row *r = g_ptr_array_index (s->rows, i);
+
+      n += !r->deleted && !strcmp (r->table, table) && !strcmp (r->part, part);
+    }
+  return n;
+}
+
+/* Calls that have come.  */
+uint64_t
+wy_platform_store_calls (const struct wy_platform_store *s)
+{
+  return s->calls;
+}
+
+/* What goes wrong, to be changed at will.  */
+struct wy_platform_store_faults *
+wy_platform_store_faults (struct wy_platform_store *s)
+{
+  return &s->faults;
+}
+
+static void
+respond (struct wy_platform_store *s, struct wy_h1_request *r, int status,
+         json_t *doc)
+{
+  static const struct wy_h1_pair type = { "Content-Type", "application/json" };
+  char *text;
+
+  if (!doc)
+    doc = json_object ();
+  json_object_set_new (doc, "rowVersion", json_integer (s->version));
+  json_object_set_new (doc, "nowMs",
+                       json_integer ((json_int_t)uv_now (s->loop)));
+  text = json_dumps (doc, JSON_COMPACT);
+  wy_h1_respond (r, status, &type, 1, text, strlen (text));
+  free (text);
+  json_decref (doc);
+}
+
+static json_t *
+row_json (const struct row *r)
+{
+  json_t *o = json_pack ("{s:s, s:s, s:s, s:s, s:I}", "table", r->table,
+                         "part", r->part, "key", r->key, "value", r->value,
+                         "rowVersion", (json_int_t)r->version);
+
+  if (r->deleted)
+    json_object_set_new (o, "deleted", json_true ());
+  return o;
+}
+
+static char *
+query (const char *target, const char *name)
+{
+  const char *p = strchr (target, '?');
+  size_t n = strlen (name);
+
+  while (p)
+    {
+      p++;
+      if (!strncmp (p, name, n) && p[n] == '=')
+        {
+          const char *v = p + n + 1;
+
+          return g_uri_unescape_segment (v, v + strcspn (v, "&"), NULL);
+        }
+      p = strchr (p, '&');
+    }
+  return NULL;
+}
+
+static gint
+by_key (gconstpointer a, gconstpointer b)
+{
+  const struct row *x = *(struct row *const *)a;
+  const struct row *y = *(struct row *const *)b;
+
+  return strcmp (x->key, y->key);
+}
+
+static gint
+by_version (gconstpointer a, gconstpointer b)
+{
+  const struct row *x = *(struct row *const *)a;
+  const struct row *y = *(struct row *const *)b;
+
+  return x->version < y->version ? -1 : x->version > y->version;
+}
+
+static void
+get (struct wy_platform_store *s, struct wy_h1_request *r, const char *target)
+{
+  char *table = query (target, "table");
+  char *part = query (target, "part");
+  char *from = query (target, "from");
+  char *to = query (target, "to");
+  char *limit = query (target, "limit");
+  guint most = limit ? (guint)atoi (limit) : PAGE_ROWS;
+  GPtrArray *found = g_ptr_array_new ();
+  json_t *rows = json_array ();
+  size_t size = 0;
+  guint n = 0;
+
+  for (guint i = 0; table && part && i < s->rows->len; i++)
+    {
+      struct row *row = g_ptr_array_index (s->rows, i);
+
+      if (!row->deleted && !strcmp (row->table, table)
+          && !strcmp (row->part, part)
+          && (!from || strcmp (row->key, from) >= 0)
+          && (!to || strcmp (row->key, to) < 0))
+        g_ptr_array_add (found, row);
+    }
+  g_ptr_array_sort (found, by_key);
+  for (; n < found->len && n < MIN (most, PAGE_ROWS); n++)
+    {
+      const struct row *row = g_ptr_array_index (found, n);
+
+      size += strlen (row->value);
+      if (n && size > PAGE_BYTES)
+        break;
+      json_array_append_new (rows, row_json (row));
+    }
+  respond (
+      s, r, 200,
+      json_pack ("{s:o, s:b}", "rows", rows, "morePages", n < found->len));
+  g_ptr_array_free (found, TRUE);
+  g_free (table);
+  g_free (part);
+  g_free (from);
+  g_free (to);
+  g_free (limit);
+}
+
+static void
+parts (struct wy_platform_store *s, struct wy_h1_request *r,
+       const char *target)
+{
+  char *table = query (target, "table");
+  GHashTable *seen = g_hash_table_new (g_str_hash, g_str_equal);
+  json_t *list = json_array ();
+
+  for (guint i = 0; table && i < s->rows->len; i++)
+    {
+      const struct row *row = g_ptr_array_index (s->rows, i);
+
+      if (!row->deleted && !strcmp (row->table, table)
+          && g_hash_table_add (seen, row->part))
+        json_array_append_new (list, json_string (row->part));
+    }
+  respond (s, r, 200, json_pack ("{s:o, s:b}", "parts", list, "morePages", 0));
+  g_hash_table_destroy (seen);
+  g_free (table);
+}
+
+static bool
+answer_wait (struct wait *w)
+{
+  struct wy_platform_store *s = w->store;
+  GPtrArray *found = g_ptr_array_new ();
+  json_t *rows;
+
+  for (guint i = 0; i < s->rows->len; i++)
+    {
+      struct row *row = g_ptr_array_index (s->rows, i);
+
+      if (row->version > w->after && !strcmp (row->table, w->table))
+        g_ptr_array_add (found, row);
+    }
+  if (found->len == 0 && uv_now (s->loop) < w->until_ms)
+    {
+      g_ptr_array_free (found, TRUE);
+      return false;
+    }
+  g_ptr_array_sort (found, by_version);
+  rows = json_array ();
+  for (guint i = 0; i < found->len; i++)
+    json_array_append_new (rows, row_json (g_ptr_array_index (found, i)));
+  g_ptr_array_free (found, TRUE);
+  wy_h1_on_hangup (w->request, NULL, NULL);
+  respond (s, w->request, 200, json_pack ("{s:o}", "rows", rows));
+  return true;
+}
+
+static void
+on_tick (uv_timer_t *t)
+{
+  struct wy_platform_store *s = t->data;
+
+  for (guint i = s->waits->len; !s->faults.deaf && i > 0; i--)
+    if (answer_wait (g_ptr_array_index (s->waits, i - 1)))
+      g_ptr_array_remove_index (s->waits, i - 1);
+}
+
+static void
+on_wait_gone (void *ctx)
+{
+  struct wait *w = ctx;
+
+  g_ptr_array_remove (w->store->waits, w);
+}
+
+static void
+feed (struct wy_platform_store *s, struct wy_h1_request *r, const char *target)
+{
+  char *after = query (target, "after");
+  char *wait_ms = query (target, "waitMs");
+  struct wait *w;
+
+  if (s->faults.forget_history)
+    {
+      s->faults.forget_history = false;
+      respond (s, r, 410, NULL);
+    }
+  else
+    {
+      w = g_new0 (struct wait, 1);
+      w->store = s;
+      w->request = r;
+      w->table = query (target, "table");
+      w->after = after ? g_ascii_strtoll (after, NULL, 10) : 0;
+      w->until_ms = uv_now (s->loop)
+                    + (wait_ms ? g_ascii_strtoull (wait_ms, NULL, 10) : 0);
+      g_ptr_array_add (s->waits, w);
+      wy_h1_on_hangup (r, on_wait_gone, w);
+    }
+  g_free (after);
+  g_free (wait_ms);
+}
+
+static const char *
+text (json_t *o, const char *key)
+{
+  const char *v = json_string_value (json_object_get (o, key));
+
+  return v ? v : "";
+}
+
+static json_t *
+failed_conditions (const struct wy_platform_store *s, json_t *doc)
+{
+  json_t *out = json_array ();
+  bool failed = false;
+  json_t *c;
+  size_t i;
+
+  json_array_foreach (json_object_get (doc, "expectedRevision"), i, c)
+  {
+    const struct row *r
+        = find (s, text (c, "table"), text (c, "part"), text (c, "key"));
+    int64_t want = json_integer_value (json_object_get (c, "rowVersion"));
+    bool there = r && !r->deleted;
+
+    failed = failed || (there ? r->version : 0) != want;
+    if (there)
+      json_array_append_new (out, row_json (r));
+  }
+  if (failed)
+    return out;
+  json_decref (out);
+  return NULL;
+}
+
+/* Why DOC can't be a transaction; NULL: it can.  */
+static const char *
+invalid (json_t *doc)
+{
+  json_t *w;
+  size_t i;
+  size_t n = json_array_size (json_object_get (doc, "writes"))
+             + json_array_size (json_object_get (doc, "expectedRevision"))
+             + json_array_size (json_object_get (doc, "remove"));
+
+  if (!json_is_object (doc) || n > TX_ENTRIES)
+    return "entries";
+  json_array_foreach (json_object_get (doc, "writes"), i,
+                      w) if (!*text (w, "key")
+                             || strlen (text (w, "value"))
+                                    > ROW_LIMIT_BYTES) return "row";
+  return NULL;
+}
+
+/* Returns 200, or 412 with the rows of the conditions in OUT.  */
+static int
+perform (struct wy_platform_store *s, json_t *doc, json_t **out)
+{
+  json_t *w;
+  size_t i;
+
+  *out = failed_conditions (s, doc);
+  if (*out)
+    return 412;
+  s->version++;
+  json_array_foreach (json_object_get (doc, "writes"), i, w)
+      set_row (s, text (w, "table"), text (w, "part"), text (w, "key"),
+               text (w, "value"));
+  json_array_foreach (
+      json_object_get (doc, "remove"), i,
+      w) if (find (s, text (w, "table"), text (w, "part"), text (w, "key")))
+      set_row (s, text (w, "table"), text (w, "part"), text (w, "key"), NULL);
+  return 200;
+}
+
+static void
+on_late_closed (uv_handle_t *h)
+{
+  g_free (h->data);
+}
+
+static void
+on_late (uv_timer_t *t)
+{
+  struct late_tx *l = t->data;
+  json_t *rows;
+
+  perform (l->store, l->doc, &rows);
+  json_decref (rows);
+  json_decref (l->doc);
+  uv_close ((uv_handle_t *)t, on_late_closed);
+}
+
+static void
+perform_late (struct wy_platform_store *s, json_t *doc)
+{
+  struct late_tx *l = g_new0 (struct late_tx, 1);
+
+  l->store = s;
+  l->doc = json_incref (doc);
+  uv_timer_init (s->loop, &l->timer);
+  l->timer.data = l;
+  uv_timer_start (&l->timer, on_late, s->faults.late_ms, 0);
+}
+
+static void
+transact (struct wy_platform_store *s, struct wy_h1_request *r)
+{
+  size_t n;
+  const char *body = wy_h1_body (r, &n);
+  json_t *doc = json_loadb (body, n, 0, NULL);
+  json_t *rows = NULL;
+  int status;
+
+  if (invalid (doc))
+    respond (s, r, 400, NULL);
+  else if (s->faults.late)
+    {
+      s->faults.late--;
+      perform_late (s, doc);
+      wy_h1_break (r);
+    }
+  else
+    {
+      status = perform (s, doc, &rows);
+      if (s->faults.lose)
+        {
+          s->faults.lose--;
+          json_decref (rows);
+          wy_h1_break (r);
+        }
+      else
+        respond (s, r, status,
+                 rows ? json_pack ("{s:o}", "rows", rows) : NULL);
+    }
+  json_decref (doc);
+}
+
+static void
+put_object (struct wy_platform_store *s, struct wy_h1_request *r,
+            const char *name)
+{
+  size_t n;
+  const char *body = wy_h1_body (r, &n);
+
+  if (s->faults.refuse_put)
+    {
+      s->faults.refuse_put--;
+      respond (s, r, 507, NULL);
+    }
+  else if (g_hash_table_contains (s->objects, name))
+    respond (s, r, 412, NULL);
+  else
+    {
+      g_hash_table_insert (s->objects, g_strdup (name), g_bytes_new (body, n));
+      respond (s, r, 200, NULL);
+    }
+}
+
+static void
+get_object (struct wy_platform_store *s, struct wy_h1_request *r,
+            const char *name)
+{
+  GBytes *b = g_hash_table_lookup (s->objects, name);
+  gsize n = 0;
+  const void *p = b ? g_bytes_get_data (b, &n) : "";
+
+  wy_h1_respond (r, b ? 200 : 404, NULL, 0, p, n);
+}
+
+static bool
+disturbed (struct wy_platform_store *s, struct wy_h1_request *r)
+{
+  if (s->faults.silent)
+    return true; /* the caller's own time limit ends it */
+  if (s->faults.refuse)
+    {
+      s->faults.refuse--;
+      respond (s, r, 503, NULL);
+      return true;
+    }
+  if (s->faults.busy)
+    {
+      s->faults.busy--;
+      respond (s, r, 429, NULL);
+      return true;
+    }
+  return false;
+}
+
+static void
+on_request (void *ctx, struct wy_h1_request *r)
+{
+  struct wy_platform_store *s = ctx;
+  const char *t = wy_h1_target (r);
+
+  s->calls++;
+  if (disturbed (s, r))
+    return;
+  if (g_str_has_prefix (t, "/api/rows-get"))
+    get (s, r, t);
+  else if (g_str_has_prefix (t, "/api/rows-parts"))
+    parts (s, r, t);
+  else if (g_str_has_prefix (t, "/api/rows-feed"))
+    feed (s, r, t);
+  else if (g_str_has_prefix (t, "/api/rows-tx"))
+    transact (s, r);
+  else if (g_str_has_prefix (t, "/api/blob-put/"))
+    put_object (s, r, t + strlen ("/api/blob-put/"));
+  else if (g_str_has_prefix (t, "/api/blob-get/"))
+    get_object (s, r, t + strlen ("/api/blob-get/"));
+  else
+    respond (s, r, 404, NULL);
+}
+
+static void
+free_bytes (gpointer p)
+{
+  g_bytes_unref (p);
+}
+
+/* Start a store as O says; NULL: its port is taken.  */
+struct wy_platform_store *
+wy_platform_store_new (const struct wy_platform_store_options *o)
+{
+  struct wy_platform_store *s = g_new0 (struct wy_platform_store, 1);
+  struct wy_h1_server_options h
+      = { .loop = o->loop,
+          .host = "127.0.0.1",
+          .port = o->port,
+          .limits = { .header_bytes = HEADER_LIMIT_BYTES,
+                      .body_bytes = BODY_LIMIT_BYTES,
+                      .header_timeout_ms = IDLE_MS,
+                      .idle_timeout_ms = IDLE_MS,
+                      .held_bytes = UINT64_MAX / 2 },
+          .on_request = on_request,
+          .ctx = s };
+
+  if (wy_h1_server_new (&s->server, &h))
+    {
+      g_free (s);
+      return NULL;
+    }
+  s->loop = o->loop;
+  s->rows = g_ptr_array_new_with_free_func (free_row);
+  s->waits = g_ptr_array_new_with_free_func (free_wait);
+  s->objects
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_bytes);
+  uv_timer_init (o->loop, &s->tick);
+  s->tick.data = s;
+  uv_timer_start (&s->tick, on_tick, WAIT_CHECK_MS, WAIT_CHECK_MS);
+  return s;
+}
+
+/* Close all of S; the loop must turn afterwards.  Rows stay readable until
+   the process ends.  */
+void
+wy_platform_store_free (struct wy_platform_store *s)
+{
+  g_ptr_array_set_size (s->waits, 0);
+  wy_h1_server_free (s->server);
+  uv_close ((uv_handle_t *)&s->tick, NULL);
+}
+
+/* The port S listens on.  */
+uint16_t
+wy_platform_store_port (const struct wy_platform_store *s)
+{
+  return wy_h1_server_port (s->server);
+}
--- /dev/null
+++ b/src/standin/platform_store.h
@@ -0,0 +1,50 @@
+/* Stand-in of the platform's store of rows and objects, with its feed.  */
+#ifndef WY_STANDIN_PLATFORM_STORE_H
+#define WY_STANDIN_PLATFORM_STORE_H
+
+#include <jansson.h>
+
+#include "h1/server.h"
+
+/* What goes wrong; all off when zeroed.  Counts run down with each call that
+   they hit.  */
+struct wy_platform_store_faults
+{
+  uint32_t refuse; /* calls answered 503 and not performed */
+  uint32_t busy;   /* calls answered 429 */
+  uint32_t lose;   /* transactions performed, their answer lost */
+  uint32_t late;   /* transactions performed LATE_MS after, unanswered */
+  uint32_t late_ms;
+  bool silent;         /* no call is answered or performed */
+  bool forget_history; /* the next wait for changes is answered 410 */
+  bool deaf;           /* waits for changes never end */
+  uint32_t refuse_put; /* objects refused as too much */
+};
+
+struct wy_platform_store_options
+{
+  uv_loop_t *loop;
+  uint16_t port; /* 0: any free one */
+};
+
+struct wy_platform_store;
+
+struct wy_platform_store *
+wy_platform_store_new (const struct wy_platform_store_options *o);
+void wy_platform_store_free (struct wy_platform_store *s);
+uint16_t wy_platform_store_port (const struct wy_platform_store *s);
+struct wy_platform_store_faults *
+wy_platform_store_faults (struct wy_platform_store *s);
+int64_t wy_platform_store_put (struct wy_platform_store *s, const char *table,
+                               const char *part, const char *key,
+                               const char *value);
+void wy_platform_store_drop (struct wy_platform_store *s, const char *table,
+                             const char *part, const char *key);
+char *wy_platform_store_value (const struct wy_platform_store *s,
+                               const char *table, const char *part,
+                               const char *key);
+uint32_t wy_platform_store_count (const struct wy_platform_store *s,
+                                  const char *table, const char *part);
+uint64_t wy_platform_store_calls (const struct wy_platform_store *s);
+
+#endif
--- /dev/null
+++ b/tests/support/platform_world.c
@@ -0,0 +1,273 @@
+/* An entry's parts against stand-ins of the platform.  */
+#include "platform_world.h"
+
+#include <string.h>
+
+#include "platform/replica_wire.h"
+
+enum
+{
+  RUN_LIMIT_MS = 20000,
+  RUN_STEP_MS = 2,
+  CLOSE_ROUNDS = 200,
+  SLOTS = 4,
+  EVENT_MS = 2
+};
+
+static uint64_t
+now_ms (void)
+{
+  return uv_hrtime () / 1000000;
+}
+
+static void
+on_step (uv_timer_t *t)
+{
+}
+
+static void
+turn (struct platform_world *w)
+{
+  uv_timer_t step;
+
+  uv_timer_init (&w->loop, &step);
+  uv_timer_start (&step, on_step, RUN_STEP_MS, 0);
+  uv_run (&w->loop, UV_RUN_ONCE);
+  uv_close ((uv_handle_t *)&step, NULL);
+  uv_run (&w->loop, UV_RUN_NOWAIT);
+}
+
+/* Run the loop until COND holds; false: it did not in good time.  */
+bool
+platform_world_until (struct platform_world *w, bool (*cond) (void *ctx),
+                      void *ctx)
+{
+  uint64_t until_ms = now_ms () + RUN_LIMIT_MS;
+
+  while (!cond (ctx))
+    {
+      if (now_ms () >= until_ms)
+        return false;
+      turn (w);
+    }
+  return true;
+}
+
+/* Run the loop for MS.  */
+void
+platform_world_run_ms (struct platform_world *w, int64_t ms)
+{
+  uint64_t until_ms = now_ms () + (uint64_t)ms;
+
+  while (now_ms () < until_ms)
+    turn (w);
+}
+
+struct sockaddr_in
+platform_loopback (uint16_t port)
+{
+  struct sockaddr_in a;
+
+  uv_ip4_addr ("127.0.0.1", port, &a);
+  return a;
+}
+
+/* A store and a caller's client.  */
+void
+platform_world_init (struct platform_world *w)
+{
+  struct wy_platform_store_options s = { .loop = &w->loop };
+  struct wy_h1_client_options h = { .loop = &w->loop,
+                                    .connect_timeout_ms = 500,
+                                    .idle_timeout_ms = 5000 };
+
+  memset (w, 0, sizeof *w);
+  uv_loop_init (&w->loop);
+  w->store = wy_platform_store_new (&s);
+  w->client = wy_h1_client_new (&h);
+}
+
+static void
+make_counters (struct platform_world *w)
+{
+  struct wy_gate_counters *c = &w->env.count;
+  uint64_t **counters[]
+      = { &c->requests,     &c->answered,      &c->refused,
+          &c->failed,       &c->hung_up,       &c->retries,
+          &c->hedges,       &c->items_started, &c->items_done,
+          &c->items_broken, &c->jobs_accepted, &c->jobs_taken_over };
+  char name[32];
+
+  w->metrics = wy_metrics_new ();
+  for (size_t i = 0; i < G_N_ELEMENTS (counters); i++)
+    {
+      g_snprintf (name, sizeof name, "c%zu", i);
+      *counters[i] = wy_metrics_counter (w->metrics, name, "");
+    }
+  c->latency_us = wy_metrics_histogram (w->metrics, "latency", "");
+  c->item_us = wy_metrics_histogram (w->metrics, "item", "");
+}
+
+/* The shared parts of an entry named NODE.  */
+void
+platform_world_add_env (struct platform_world *w, const char *node)
+{
+  struct wy_h1_client_options h = { .loop = &w->loop,
+                                    .connect_timeout_ms = 500,
+                                    .idle_timeout_ms = 5000 };
+  struct wy_rows_options r
+      = { .loop = &w->loop, .clock = wy_clock_system (), .seed = 7 };
+
+  w->has_env = true;
+  w->env.loop = &w->loop;
+  w->env.clock = wy_clock_system ();
+  w->env.node = node;
+  w->env.holder = g_strconcat (node, "/1", NULL);
+  w->env.availability_zone = "z1";
+  w->env.entries = 1;
+  w->env.http = wy_h1_client_new (&h);
+  r.http = w->env.http;
+  r.address = platform_loopback (wy_platform_store_port (w->store));
+  w->env.rows = wy_rows_new (&r);
+  w->env.targets = wy_targets_new (7);
+  wy_rng_seed (&w->env.rng, 7);
+  make_counters (w);
+}
+
+/* A replica of the service "svc" that the entry knows of.  */
+struct wy_platform_replica *
+platform_world_add_replica (struct platform_world *w, const char *model,
+                            uint32_t events)
+{
+  static const char *const ids[] = { "i-1", "i-2", "i-3", "i-4" };
+  struct wy_platform_replica_options o = { .loop = &w->loop,
+                                           .id = ids[w->n_replicas],
+                                           .slots = SLOTS,
+                                           .events = events,
+                                           .event_ms = EVENT_MS,
+                                           .model = model };
+  struct wy_platform_replica *r = wy_platform_replica_new (&o);
+  char *entry = wy_platform_replica_entry (r, "svc", "ready");
+  struct wy_replica info;
+
+  if (!wy_replica_decode (o.id, entry, strlen (entry), &info))
+    wy_targets_set (w->env.targets, &info);
+  wy_platform_store_put (w->store, WY_REPLICA_TABLE, "", o.id, entry);
+  g_free (entry);
+  w->replicas[w->n_replicas++] = r;
+  return r;
+}
+
+/* One route, host "h" and prefix "/p/", to the service "svc".  */
+void
+platform_world_set_routing (struct platform_world *w, enum wy_route_kind kind,
+                            uint32_t attempts)
+{
+  struct wy_routing *r = wy_routing_new ();
+  struct wy_route *t = wy_routing_add_route (r);
+  struct wy_service *s = wy_routing_add_service (r);
+  struct wy_split split = { g_strdup ("svc"), 1 };
+
+  r->version = 1;
+  r->body_limit_bytes = 1 << 20;
+  r->header_limit_bytes = 1 << 16;
+  t->name = g_strdup ("r");
+  t->host = g_strdup ("h");
+  t->prefix = g_strdup ("/p/");
+  t->kind = kind;
+  t->timeout_ms = 2000;
+  t->target_latency_ms = 200;
+  t->attempts = attempts;
+  t->resumable = kind == WY_ROUTE_STREAM;
+  t->retention_ms = 40000;
+  g_array_append_val (t->splits, split);
+  s->name = g_strdup ("svc");
+  wy_routing_seal (r);
+  wy_routing_free (w->env.routing);
+  w->env.routing = r;
+}
+
+/* Close all.  */
+void
+platform_world_free (struct platform_world *w)
+{
+  for (uint32_t i = 0; i < w->n_replicas; i++)
+    wy_platform_replica_free (w->replicas[i]);
+  wy_platform_store_free (w->store);
+  if (w->has_env)
+    {
+      wy_rows_free (w->env.rows);
+      wy_h1_client_free (w->env.http);
+    }
+  wy_h1_client_free (w->client);
+  for (int i = 0; i < CLOSE_ROUNDS; i++)
+    uv_run (&w->loop, UV_RUN_NOWAIT);
+}
+
+static void
+on_head (void *ctx, const struct wy_h1_answer *h)
+{
+  struct platform_answer *a = ctx;
+
+  a->status = h->status;
+  a->stamp = g_strdup (wy_h1_head_get (h->head, "Response-Stamp"));
+  a->retry_after = g_strdup (wy_h1_head_get (h->head, "Retry-After"));
+}
+
+static void
+on_data (void *ctx, const char *p, size_t n)
+{
+  g_string_append_len (((struct platform_answer *)ctx)->body, p, (gssize)n);
+}
+
+static void
+on_end (void *ctx, int err)
+{
+  struct platform_answer *a = ctx;
+
+  a->done = true;
+  a->err = err;
+  a->call = NULL;
+}
+
+/* Call PORT on loopback as a caller does.  */
+struct platform_answer *
+platform_world_call (struct platform_world *w, uint16_t port,
+                     const char *method, const char *target,
+                     const struct wy_h1_pair *fields, size_t n_fields,
+                     const char *body)
+{
+  struct platform_answer *a = g_new0 (struct platform_answer, 1);
+  struct wy_h1_call_options o = { .address = platform_loopback (port),
+                                  .method = method,
+                                  .target = target,
+                                  .fields = fields,
+                                  .n_fields = n_fields,
+                                  .body = body,
+                                  .body_size_bytes = body ? strlen (body) : 0,
+                                  .on_head = on_head,
+                                  .on_data = on_data,
+                                  .on_end = on_end,
+                                  .ctx = a };
+
+  a->body = g_string_new (NULL);
+  a->call = wy_h1_call_start (w->client, &o);
+  return a;
+}
+
+bool
+platform_answer_done (void *answer)
+{
+  return ((struct platform_answer *)answer)->done;
+}
+
+void
+platform_answer_free (struct platform_answer *a)
+{
+  if (a->call)
+    wy_h1_call_cancel (a->call);
+  g_string_free (a->body, TRUE);
+  g_free (a->stamp);
+  g_free (a->retry_after);
+  g_free (a);
+}
