--- a/src/gate/members.c
+++ b/src/gate/members.c
@@ -53,6 +53,7 @@
   uv_timer_t beat;
   uv_timer_t tick;
   GHashTable *by_node; /* struct member */
+  GHashTable *unseen;  /* holder -> time at which it was first asked for */
   int64_t ticked_ms;
   uint64_t beats;
   bool writing;
@@ -198,6 +199,7 @@
 
   m->o = *o;
   m->by_node = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  m->unseen = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   m->watch = wy_watch_new (&w);
   m->ticked_ms = wy_clock_mono_ms (o->env->clock);
   uv_timer_init (o->env->loop, &m->beat);
@@ -254,10 +256,26 @@
   return n ? n : 1;
 }
 
+/* A holder that no row tells of may just have started, its job's row being
+   seen before its own: it is gone when that stays so.  */
+static bool
+is_gone_unseen (struct wy_members *m, const char *holder)
+{
+  int64_t now_ms = wy_clock_mono_ms (m->o.env->clock);
+  int64_t *since_ms = g_hash_table_lookup (m->unseen, holder);
+
+  if (since_ms)
+    return now_ms - *since_ms >= GONE_AFTER_MS;
+  since_ms = g_new (int64_t, 1);
+  *since_ms = now_ms;
+  g_hash_table_insert (m->unseen, g_strdup (holder), since_ms);
+  return false;
+}
+
 /* Whether HOLDER, "NODE/INCARNATION", will do no more work: its instance is
    silent or leaving, or has started anew since.  */
 bool
-wy_members_is_gone (const struct wy_members *m, const char *holder)
+wy_members_is_gone (struct wy_members *m, const char *holder)
 {
   const char *slash = strchr (holder, '/');
   char node[NAME_SIZE_BYTES];
@@ -270,7 +288,10 @@
   memcpy (node, holder, (size_t)(slash - holder));
   node[slash - holder] = '\0';
   e = g_hash_table_lookup (m->by_node, node);
-  return !e || !is_alive (e) || strcmp (e->holder, holder) != 0;
+  /* Incarnations are in the order of their starts.  */
+  if (!e || strcmp (holder, e->holder) > 0)
+    return is_gone_unseen (m, holder);
+  return !is_alive (e) || strcmp (e->holder, holder) != 0;
 }
 
 static uint64_t
--- a/src/gate/members.h
+++ b/src/gate/members.h
@@ -26,7 +26,7 @@
 void wy_members_free (struct wy_members *m);
 void wy_members_leave (struct wy_members *m);
 uint32_t wy_members_alive (const struct wy_members *m);
-bool wy_members_is_gone (const struct wy_members *m, const char *holder);
+bool wy_members_is_gone (struct wy_members *m, const char *holder);
 void wy_members_drain (struct wy_members *m);
 bool wy_members_choose (const struct wy_members *m, const char *key,
                         const char **holder, struct sockaddr_in *address);
--- a/src/gate/proxy.c
+++ b/src/gate/proxy.c
@@ -28,8 +28,11 @@
   /* The answer leaves this much before the caller's own limit, so that it
      arrives.  */
   REPLY_MARGIN_MS = 10,
-  /* All targets turned it away: they are asked again after this time.  */
+  /* All targets turned it away, or have just failed: they are asked again
+     after this time, for about as long as one of them takes to come back from
+     a refusal; a stream that has begun goes on trying to its time limit.  */
   ROUND_MS = 40,
+  ROUNDS_MAX = 6,
   RETRY_AFTER_FULL_MS = 200,
   RETRY_AFTER_NONE_MS = 500,
   /* A stream that pauses for so long has lost its replica.  */
@@ -72,6 +75,7 @@
   uint32_t attempts;
   uint32_t attempts_left; /* runs */
   uint32_t sends;
+  uint32_t rounds;
   int64_t after_event;
   bool may_have_run;
   int64_t hedge_due_ms;    /* 0: none */
@@ -242,7 +246,8 @@
         launch (p);
       return;
     }
-  if (!repeatable || p->attempts_left == 0 || p->sends >= SENDS_MAX)
+  if (!repeatable || p->attempts_left == 0
+      || (p->sends >= SENDS_MAX && !p->streaming))
     {
       give_up (p, false, reason);
       return;
@@ -457,7 +462,7 @@
   p->round_due_ms = 0;
   if (!t)
     return;
-  if (!g && !p->may_have_run)
+  if (!g && !any_running (p) && (is_repeatable (p) || !p->may_have_run))
     g = pick (p, true);
   if (g)
     {
@@ -475,7 +480,7 @@
       give_up (p, false, "no_target");
       return;
     }
-  if (++p->sends > SENDS_MAX)
+  if (++p->rounds > ROUNDS_MAX && !p->streaming)
     {
       give_up (p, false, "full");
       return;
--- a/src/jobs/owned.c
+++ b/src/jobs/owned.c
@@ -1,7 +1,6 @@
 /* A job that this entry runs.  */
 #include "jobs/owned.h"
 
-#include <stdlib.h>
 #include <string.h>
 
 #include "jobs/carry.h"
@@ -31,8 +30,8 @@
   return r && r->kind == WY_ROUTE_JOB ? r : NULL;
 }
 
-static int
-by_expected_length (const void *a, const void *b)
+static gint
+by_expected_length (gconstpointer a, gconstpointer b)
 {
   const struct wy_item *x = *(struct wy_item *const *)a;
   const struct wy_item *y = *(struct wy_item *const *)b;
@@ -71,10 +70,10 @@
       i->last_event = -1;
       i->carried_event = -1;
     }
-  o->order = g_new (struct wy_item *, o->n_items);
+  o->order = g_ptr_array_new ();
   for (uint32_t k = 0; k < o->n_items; k++)
-    o->order[k] = &o->items[k];
-  qsort (o->order, o->n_items, sizeof *o->order, by_expected_length);
+    g_ptr_array_add (o->order, &o->items[k]);
+  g_ptr_array_sort (o->order, by_expected_length);
   uv_timer_init (o->env->loop, &o->flush);
   o->flush.data = o;
   return o;
@@ -94,7 +93,7 @@
       wy_result_free (i->result);
     }
   g_free (o->items);
-  g_free (o->order);
+  g_ptr_array_free (o->order, TRUE);
   g_ptr_array_free (o->batch, TRUE);
   g_queue_clear (&o->ended);
   wy_job_spec_free (o->spec);
@@ -240,7 +239,7 @@
     return;
   for (uint32_t k = 0; k < o->n_items && o->n_waiting; k++)
     {
-      struct wy_item *i = o->order[k];
+      struct wy_item *i = g_ptr_array_index (o->order, k);
       struct wy_target *g;
 
       if (i->state != WY_ITEM_WAITING || i->not_before_ms > now_ms)
@@ -261,7 +260,8 @@
   const struct wy_route *route = route_of (o);
   int64_t store_ms = wy_rows_store_now_ms (o->env->rows);
 
-  if (!route || !route->retention_ms || !store_ms || !o->n_waiting)
+  if (!route || !route->retention_ms || !store_ms || !o->record->accepted_ms
+      || !o->n_waiting)
     return;
   if (store_ms - o->record->accepted_ms
       > (int64_t)route->retention_ms + RETENTION_SLACK_MS)
--- a/src/jobs/owned.h
+++ b/src/jobs/owned.h
@@ -49,7 +49,7 @@
   struct wy_job_spec *spec;
   int64_t newest_version; /* of the weights, as named; 0: not known */
   struct wy_item *items;
-  struct wy_item **order; /* in which they are started */
+  GPtrArray *order; /* of items, in which they are started */
   uint32_t n_items;
   uint32_t n_waiting;
   uint32_t n_listed;
--- a/src/rows/store.c
+++ b/src/rows/store.c
@@ -63,6 +63,7 @@
   bool direct_ok;
   int64_t probe_ms;
   int64_t now_offset_ms; /* the store's clock less ours */
+  bool has_now;
   struct wy_rng rng;
   struct wy_rows_stats stats;
 };
@@ -442,7 +443,7 @@
 int64_t
 wy_rows_store_now_ms (const struct wy_rows *s)
 {
-  if (s->now_offset_ms == 0)
+  if (!s->has_now)
     return 0;
   return wy_clock_mono_ms (s->clock) + s->now_offset_ms;
 }
--- a/src/trace/note.c
+++ b/src/trace/note.c
@@ -209,7 +209,8 @@
     arm ();
 }
 
-/* Start logging as PROCESS; INCARNATION tells its starts apart.  */
+/* Start logging as PROCESS; INCARNATION tells its starts apart.  When open
+   already, only the names change.  */
 void
 wy_note_open (struct uv_loop_s *loop, const char *process,
               const char *incarnation)
@@ -218,9 +219,11 @@
 
   if (flags >= 0)
     fcntl (STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
-  note.out = g_string_sized_new (FLUSH_BYTES);
   g_strlcpy (note.process, process, sizeof note.process);
   g_strlcpy (note.incarnation, incarnation, sizeof note.incarnation);
+  if (note.open)
+    return;
+  note.out = g_string_sized_new (FLUSH_BYTES);
   uv_timer_init (loop, &note.timer);
   uv_unref ((uv_handle_t *)&note.timer);
   note.open = true;
--- /dev/null
+++ b/tests/test_note.c
@@ -0,0 +1,84 @@
+/* Log lines on standard output.  */
+#include <criterion/criterion.h>
+#include <fcntl.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <jansson.h>
+#include <uv.h>
+
+#include "trace/note.h"
+
+static int fds[2];
+static uv_loop_t loop;
+
+static void
+start (void)
+{
+  cr_assert_eq (pipe (fds), 0);
+  cr_assert_geq (dup2 (fds[1], STDOUT_FILENO), 0);
+  uv_loop_init (&loop);
+  wy_note_open (&loop, "p-1", "inc");
+}
+
+/* Values from outside, such as an id with quotes, must not break the line
+   that an engineer greps for.  */
+Test (note, lines_are_json)
+{
+  char buffer[4096];
+  ssize_t n;
+  json_t *doc;
+
+  start ();
+  wy_note ("e.happened", "id=%s n=%d big=%s neg=%d", "a\"b\\\x01", 7,
+           "9876543210987654321", -3);
+  wy_note_flush ();
+  n = read (fds[0], buffer, sizeof buffer - 1);
+  cr_assert_gt (n, 0);
+  buffer[n] = '\0';
+  doc = json_loads (buffer, JSON_DISABLE_EOF_CHECK, NULL);
+  cr_assert_not_null (doc);
+  cr_expect_str_eq (json_string_value (json_object_get (doc, "event")),
+                    "e.happened");
+  cr_expect_str_eq (json_string_value (json_object_get (doc, "id")),
+                    "a\"b\\\x01");
+  cr_expect_eq (json_integer_value (json_object_get (doc, "n")), 7);
+  cr_expect_eq (json_integer_value (json_object_get (doc, "neg")), -3);
+  cr_expect (json_is_string (json_object_get (doc, "big")));
+  json_decref (doc);
+  wy_note_close ();
+}
+
+/* The reader has stopped reading, and a flood of lines comes.  The process
+   must neither wait for the reader nor keep the lines for ever; how many were
+   dropped is told when the reader is back.  */
+Test (note, flood_without_a_reader)
+{
+  enum
+  {
+    FLOOD = 20000,
+    PIPE_BYTES = 1 << 16
+  };
+  static char buffer[1 << 20];
+  size_t size = 0;
+  ssize_t n;
+
+  start ();
+  for (int i = 0; i < FLOOD; i++)
+    wy_note ("flood", "i=%d", i);
+  cr_expect_gt (wy_note_dropped (), 0);
+  fcntl (fds[0], F_SETFL, O_NONBLOCK);
+  /* The next second has a budget of its own.  */
+  usleep (1100000);
+  for (int round = 0; round < 50; round++)
+    {
+      while ((n = read (fds[0], buffer + size, sizeof buffer - 1 - size)) > 0)
+        size += (size_t)n;
+      wy_note ("after", "round=%d", round);
+      wy_note_flush ();
+    }
+  buffer[size] = '\0';
+  cr_expect_not_null (strstr (buffer, "log.dropped"));
+  cr_expect_lt (size, (size_t)FLOOD * 60);
+  wy_note_close ();
+}
--- /dev/null
+++ b/tests/test_orders.c
@@ -0,0 +1,152 @@
+/* Orders to load weights, from the process beside a replica.  */
+#include <criterion/criterion.h>
+#include <string.h>
+
+#include "orders/orderer.h"
+#include "platform/config_wire.h"
+#include "platform/replica_wire.h"
+#include "support/platform_world.h"
+
+static struct platform_world w;
+static struct wy_orders_settings settings;
+static struct wy_orderer_daemon *d;
+static char target[32];
+static char store[32];
+
+static void
+name_version (int64_t version)
+{
+  char value[64];
+
+  snprintf (value, sizeof value, "{\"model\":\"m\",\"version\":%lld}",
+            (long long)version);
+  wy_platform_store_put (w.store, WY_OPERATOR_TABLE, "", "version/m", value);
+}
+
+static void
+start_daemon (void)
+{
+  struct wy_orderer_daemon_options o = { .loop = &w.loop,
+                                         .clock = wy_clock_system (),
+                                         .settings = &settings };
+
+  cr_assert_eq (wy_orderer_daemon_new (&d, &o), 0);
+}
+
+static void
+start (void)
+{
+  struct wy_platform_replica *r;
+
+  platform_world_init (&w);
+  platform_world_add_env (&w, "unused");
+  r = platform_world_add_replica (&w, "m", 1);
+  wy_platform_replica_faults (r)->order_load_ms = 30;
+  snprintf (target, sizeof target, "127.0.0.1:%u",
+            wy_platform_replica_port (r));
+  snprintf (store, sizeof store, "127.0.0.1:%u",
+            wy_platform_store_port (w.store));
+  settings = (struct wy_orders_settings){ .name = "side-1",
+                                          .target = target,
+                                          .service = "svc",
+                                          .store = store,
+                                          .metrics = "",
+                                          .seeds = g_ptr_array_new () };
+  start_daemon ();
+}
+
+static void
+stop (void)
+{
+  wy_orderer_daemon_free (d);
+  platform_world_free (&w);
+}
+
+static bool
+has_version (void *ctx)
+{
+  return wy_platform_replica_version (w.replicas[0]) == *(int64_t *)ctx;
+}
+
+static bool
+loads (int64_t version)
+{
+  return platform_world_until (&w, has_version, &version);
+}
+
+Test (orders, named_version_is_loaded_once)
+{
+  start ();
+  name_version (2);
+  cr_expect (loads (2));
+  platform_world_run_ms (&w, 300);
+  cr_expect_eq (wy_platform_replica_orders (w.replicas[0]), 1);
+  name_version (3);
+  cr_expect (loads (3));
+  cr_expect_eq (wy_platform_replica_orders (w.replicas[0]), 2);
+  stop ();
+}
+
+/* The replica takes an order and its answer is lost.  It must not be ordered
+   twice for one version: each load empties its cache.  */
+Test (orders, lost_answer)
+{
+  start ();
+  wy_platform_replica_faults (w.replicas[0])->lose_orders = 1;
+  name_version (2);
+  cr_expect (loads (2));
+  platform_world_run_ms (&w, 300);
+  cr_expect_eq (wy_platform_replica_orders (w.replicas[0]), 1);
+  stop ();
+}
+
+/* The process is killed and starts again.  Its orders must carry a higher
+   generation than before, whatever the clocks say.  */
+Test (orders, generation_rises_with_each_start)
+{
+  char *before;
+  char *after;
+
+  start ();
+  name_version (2);
+  cr_expect (loads (2));
+  before = wy_platform_store_value (w.store, "wy-orderers", "", target);
+  wy_orderer_daemon_free (d);
+  platform_world_run_ms (&w, 20);
+  start_daemon ();
+  name_version (3);
+  cr_expect (loads (3));
+  after = wy_platform_store_value (w.store, "wy-orderers", "", target);
+  cr_expect_gt (atoll (after), atoll (before));
+  g_free (before);
+  g_free (after);
+  stop ();
+}
+
+/* The replica has started again and knows nothing of before: it is ordered
+   anew.  */
+Test (orders, restarted_replica_is_ordered_again)
+{
+  start ();
+  name_version (2);
+  cr_expect (loads (2));
+  wy_platform_replica_set_version (w.replicas[0], 1);
+  cr_expect (loads (2));
+  stop ();
+}
+
+/* The store is away when the process starts.  Without a generation it must
+   not order; when the store is back, it does.  */
+Test (orders, no_order_without_a_generation)
+{
+  platform_world_init (&w);
+  platform_world_free (&w);
+  start ();
+  wy_platform_store_faults (w.store)->refuse = 1000000;
+  name_version (2);
+  platform_world_run_ms (&w, 300);
+  cr_expect_eq (wy_platform_replica_orders (w.replicas[0]), 0);
+  wy_platform_store_faults (w.store)->refuse = 0;
+  cr_expect (loads (2));
+  stop ();
+}
--- /dev/null
+++ b/tests/test_platform_wire.c
@@ -0,0 +1,239 @@
+/* Decoders of what the platform says: good ones, and all ways in which others
+   write nonsense.  */
+#include <criterion/criterion.h>
+#include <string.h>
+
+#include "platform/config_wire.h"
+#include "platform/job_wire.h"
+#include "platform/replica_wire.h"
+#include "platform/request_wire.h"
+#include "platform/store_wire.h"
+
+#define ENTRY(service, address, state, slots)                                 \
+  "{\"service\":" service ",\"address\":" address ",\"zone\":\"z\","          \
+  "\"state\":" state ",\"slots\":" slots "}"
+
+/* Entries come from other writers too.  One that can't be read must name no
+   replica, and say which field is wrong.  */
+Test (wire, replica_entries)
+{
+  static const struct
+  {
+    const char *text;
+    const char *wrong;
+  } rows[] = {
+    { ENTRY ("\"s\"", "\"10.0.0.1:80\"", "\"ready\"", "4"), NULL },
+    { ENTRY ("\"s\"", "\"10.0.0.1:80\"", "\"draining\"", "4"), NULL },
+    { ENTRY ("\"s\"", "\"10.0.0.1:80\"", "\"resting\"", "4"), "state" },
+    { ENTRY ("\"s\"", "\"10.0.0.1:80\"", "7", "4"), "state" },
+    { ENTRY ("\"s\"", "\"10.0.0.1:80\"", "\"ready\"", "\"4\""), "slots" },
+    { ENTRY ("\"s\"", "\"10.0.0.1:80\"", "\"ready\"", "0"), "slots" },
+    { ENTRY ("\"s\"", "\"10.0.0.1\"", "\"ready\"", "4"), "address" },
+    { ENTRY ("\"s\"", "\"10.0.0.1:99999\"", "\"ready\"", "4"), "address" },
+    { ENTRY ("\"s\"", "\"host:80\"", "\"ready\"", "4"), "address" },
+    { ENTRY ("{}", "\"10.0.0.1:80\"", "\"ready\"", "4"), "service" },
+    { ENTRY ("\"\"", "\"10.0.0.1:80\"", "\"ready\"", "4"), "service" },
+    { "{", "json" },
+    { "[]", "json" },
+    { "\xff\xfe", "json" },
+    { "", "json" },
+  };
+
+  for (size_t i = 0; i < sizeof rows / sizeof *rows; i++)
+    {
+      struct wy_replica r;
+      const char *wrong
+          = wy_replica_decode ("i-1", rows[i].text, strlen (rows[i].text), &r);
+
+      cr_expect (g_strcmp0 (wrong, rows[i].wrong) == 0, "row %zu: %s", i,
+                 wrong ? wrong : "taken");
+    }
+}
+
+Test (wire, configuration)
+{
+  static const char good[]
+      = "{\"version\":7,\"routes\":["
+        "{\"name\":\"a\",\"host\":\"h\",\"prefix\":\"/a/\",\"kind\":\"safe\","
+        "\"service\":\"s\",\"attempts\":2,\"timeoutMs\":900},"
+        "{\"name\":\"b\",\"host\":\"h\",\"prefix\":\"/a/b/\","
+        "\"kind\":\"new-kind\",\"trafficSplit\":"
+        "[{\"service\":\"s\",\"weight\":90},{\"service\":\"t\","
+        "\"weight\":10}]}],"
+        "\"services\":[{\"name\":\"s\",\"connectionLimit\":9,"
+        "\"engine\":{\"slots\":4,\"models\":[{\"name\":\"m\"}]}}],"
+        "\"limits\":{\"maxBodyBytes\":5}}";
+  static const char *const bad[]
+      = { "",
+          "{}",
+          "{\"version\":\"7\"}",
+          "{\"version\":7,\"routes\":[{}]}",
+          "{\"version\":7,\"routes\":[{\"host\":\"h\",\"prefix\":\"/\","
+          "\"kind\":\"safe\"}]}",
+          "{\"version\":7,\"services\":[{}]}" };
+  const char *why;
+  struct wy_routing *r = wy_config_decode (good, strlen (good), &why);
+  const struct wy_route *t;
+
+  cr_assert_not_null (r, "%s", why);
+  cr_expect_eq (r->version, 7);
+  cr_expect_eq (r->body_limit_bytes, 5);
+  t = wy_routing_match (r, "h", "/a/b/c");
+  cr_assert_not_null (t);
+  /* A kind that is not known is not repeated.  */
+  cr_expect_eq (t->kind, WY_ROUTE_NON_IDEMPOTENT);
+  cr_expect_eq (t->splits->len, 2);
+  cr_expect_eq (t->attempts, 1);
+  cr_expect_eq (wy_routing_service (r, "s")->slots, 4);
+  wy_routing_free (r);
+  for (size_t i = 0; i < sizeof bad / sizeof *bad; i++)
+    cr_expect_null (wy_config_decode (bad[i], strlen (bad[i]), &why),
+                    "row %zu", i);
+}
+
+Test (wire, named_versions)
+{
+  struct wy_named_version v;
+  static const char good[] = "{\"model\":\"m\",\"version\":3}";
+  static const char bad[] = "{\"model\":\"m\",\"version\":\"3\"}";
+
+  cr_expect (wy_named_version_decode (good, strlen (good), &v));
+  cr_expect_eq (v.version, 3);
+  cr_expect_not (wy_named_version_decode (bad, strlen (bad), &v));
+  cr_expect_eq (wy_operator_row_kind ("config"), WY_OPERATOR_CONFIG);
+  cr_expect_eq (wy_operator_row_kind ("version/m"), WY_OPERATOR_VERSION);
+  cr_expect_eq (wy_operator_row_kind ("other"), WY_OPERATOR_OTHER);
+}
+
+/* A field of an item that holds a line break would reach the replica as a
+   field, or a request, that nobody sent.  */
+Test (wire, item_fields_can_not_smuggle)
+{
+  static const char job[]
+      = "{\"items\":[{\"id\":\"a\",\"path\":\"/p/\",\"headers\":{"
+        "\"Model\":\"m\",\"X\":\"1\\r\\nEvil: 1\",\"Y\\r\\nEvil\":\"1\"}}]}";
+  const char *why;
+  struct wy_job_spec *s = wy_job_decode (job, strlen (job), &why);
+  const struct wy_item_spec *i;
+
+  cr_assert_not_null (s);
+  i = g_ptr_array_index (s->items, 0);
+  cr_expect_eq (i->fields->len, 1);
+  wy_job_spec_free (s);
+}
+
+Test (wire, job_calls)
+{
+  static const struct
+  {
+    const char *method;
+    const char *target;
+    enum wy_job_call_kind kind;
+  } rows[] = {
+    { "GET", "/api/lots/j?after=3", WY_JOB_CALL_RESULTS },
+    { "DELETE", "/api/lots/j", WY_JOB_CALL_END },
+    { "GET", "/api/items/j?id=i", WY_JOB_CALL_ITEM_BODY },
+    { "GET", "/api/items/j", WY_JOB_CALL_NONE },
+    { "POST", "/api/lots/j", WY_JOB_CALL_NONE },
+    { "GET", "/api/lots/", WY_JOB_CALL_NONE },
+    { "GET", "/other", WY_JOB_CALL_NONE },
+  };
+  struct wy_h1_head head;
+  struct wy_job_call call;
+
+  wy_h1_head_init (&head);
+  for (size_t i = 0; i < sizeof rows / sizeof *rows; i++)
+    {
+      wy_job_call_read (rows[i].method, rows[i].target, &head, &call);
+      cr_expect_eq (call.kind, rows[i].kind, "row %zu", i);
+    }
+  wy_job_call_read ("GET", "/api/lots/j?after=12", &head, &call);
+  cr_expect_eq (call.after, 12);
+  wy_h1_head_clear (&head);
+}
+
+static void
+field (struct wy_h1_head *h, const char *name, const char *value)
+{
+  wy_h1_head_name (h, name, strlen (name));
+  wy_h1_head_value (h, value, strlen (value));
+}
+
+/* What concerns one connection stays on it; what the entry sets replaces what
+   the caller sent, so that a caller can't choose the replica.  */
+Test (wire, forwarded_fields)
+{
+  struct wy_h1_head h;
+  struct wy_forward_info f
+      = { .replica = "i-1", .time_left_ms = 40, .after_event = -1 };
+  GArray *out = g_array_new (FALSE, FALSE, sizeof (struct wy_h1_pair));
+  GString *text = g_string_new (NULL);
+
+  wy_h1_head_init (&h);
+  wy_h1_head_url (&h, "/x", 2);
+  field (&h, "Host", "h");
+  field (&h, "Attempt-Id", "a");
+  field (&h, "Connection", "keep-alive");
+  field (&h, "Transfer-Encoding", "chunked");
+  field (&h, "target-instance", "i-9");
+  field (&h, "Deadline-Milliseconds", "900");
+  field (&h, "X-Own", "1");
+  wy_forward_fields (&h, &f, out);
+  wy_h1_write_fields (text, (const struct wy_h1_pair *)out->data, out->len);
+  cr_expect_str_eq (text->str, "Host: h\r\nAttempt-Id: a\r\nX-Own: 1\r\n"
+                               "Target-Instance: i-1\r\n"
+                               "Deadline-Milliseconds: 40\r\n");
+  g_string_free (text, TRUE);
+  g_array_free (out, TRUE);
+  wy_h1_head_clear (&h);
+}
+
+/* What an answer of the store says of the call: done, refused, unknown.  */
+Test (wire, store_answers)
+{
+  static const struct
+  {
+    int status;
+    const char *body;
+    int err;
+  } rows[] = {
+    { 200, "{\"rows\":[],\"rowVersion\":3,\"nowMs\":9}", 0 },
+    { 200, "garbage", WY_ROWS_EMALFORMED },
+    { 412, "{\"rows\":[]}", WY_ROWS_ECONFLICT },
+    { 410, "", WY_ROWS_EHISTORY },
+    { 429, "", WY_ROWS_EREFUSED },
+    { 503, "", WY_ROWS_EREFUSED },
+    { 403, "", WY_ROWS_EREFUSED },
+    { 504, "", WY_ROWS_EUNKNOWN },
+    { 507, "", WY_ROWS_EFULL },
+  };
+
+  for (size_t i = 0; i < sizeof rows / sizeof *rows; i++)
+    {
+      struct wy_rows_result r = { 0 };
+      struct wy_store_answer *a
+          = wy_store_decode (WY_STORE_TX, rows[i].status, rows[i].body,
+                             strlen (rows[i].body), &r);
+
+      cr_expect_eq (r.err, rows[i].err, "row %zu: %d", i, r.err);
+      wy_store_answer_free (a);
+    }
+}
+
+/* One row that can't be read must not hide the others.  */
+Test (wire, one_bad_row_hides_none)
+{
+  static const char body[]
+      = "{\"rows\":[{\"key\":\"a\",\"value\":\"MQ==\",\"rowVersion\":1},"
+        "{\"value\":1},7,{\"key\":\"b\",\"value\":\"!!\",\"rowVersion\":2}],"
+        "\"morePages\":false,\"rowVersion\":2,\"nowMs\":1}";
+  struct wy_rows_result r = { 0 };
+  struct wy_store_answer *a
+      = wy_store_decode (WY_STORE_GET, 200, body, strlen (body), &r);
+
+  cr_expect_eq (r.n, 2);
+  cr_expect_str_eq (r.rows[0].key, "a");
+  cr_expect_eq (memcmp (r.rows[0].value, "1", 1), 0);
+  cr_expect_str_eq (r.rows[1].key, "b");
+  wy_store_answer_free (a);
+}
--- /dev/null
+++ b/tests/test_proxy.c
@@ -0,0 +1,273 @@
+/* Callers' requests on their way to a replica and back.  */
+#include <criterion/criterion.h>
+#include <string.h>
+
+#include "gate/proxy.h"
+#include "support/platform_world.h"
+
+static struct platform_world w;
+static struct wy_h1_server *server;
+
+static void
+on_request (void *ctx, struct wy_h1_request *r)
+{
+  wy_proxy_start (&w.env, r,
+                  wy_routing_match (w.env.routing, "h", wy_h1_target (r)));
+}
+
+static void
+start (enum wy_route_kind kind, uint32_t attempts)
+{
+  struct wy_h1_server_options o
+      = { .loop = &w.loop,
+          .host = "127.0.0.1",
+          .limits = { 65536, 1 << 20, 1000, 10000, 1 << 24 },
+          .on_request = on_request };
+
+  platform_world_init (&w);
+  platform_world_add_env (&w, "n1");
+  platform_world_set_routing (&w, kind, attempts);
+  cr_assert_eq (wy_h1_server_new (&server, &o), 0);
+}
+
+static void
+stop (void)
+{
+  wy_h1_server_free (server);
+  platform_world_free (&w);
+}
+
+static struct platform_answer *
+send_request (const char *time_left)
+{
+  struct wy_h1_pair fields[] = { { "Host", "h" },
+                                 { "Attempt-Id", "a-1" },
+                                 { "Deadline-Milliseconds", time_left } };
+
+  return platform_world_call (&w, wy_h1_server_port (server), "POST", "/p/x",
+                              fields, 3, "hello");
+}
+
+static struct platform_answer *
+ask (const char *time_left)
+{
+  struct platform_answer *a = send_request (time_left);
+
+  cr_assert (platform_world_until (&w, platform_answer_done, a));
+  return a;
+}
+
+static uint32_t
+total_runs (void)
+{
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < w.n_replicas; i++)
+    n += wy_platform_replica_runs (w.replicas[i]);
+  return n;
+}
+
+/* Each row: what goes wrong at the first replica asked, for a request that may
+   run twice and for one that may not: the answer and how often it ran.  */
+enum fault
+{
+  NONE,
+  REFUSE,
+  FAIL,
+  LOSE,
+  FOREIGN,
+  UNSTAMPED
+};
+
+static const struct
+{
+  enum fault fault;
+  enum wy_route_kind kind;
+  int status;
+  uint32_t runs;
+} rows[] = {
+  { NONE, WY_ROUTE_IDEMPOTENT, 200, 1 },
+  { NONE, WY_ROUTE_NON_IDEMPOTENT, 200, 1 },
+  { REFUSE, WY_ROUTE_IDEMPOTENT, 200, 1 },
+  { REFUSE, WY_ROUTE_NON_IDEMPOTENT, 200, 1 },
+  { FAIL, WY_ROUTE_IDEMPOTENT, 200, 2 },
+  { FAIL, WY_ROUTE_NON_IDEMPOTENT, 500, 1 },
+  { LOSE, WY_ROUTE_IDEMPOTENT, 200, 2 },
+  { LOSE, WY_ROUTE_NON_IDEMPOTENT, 502, 1 },
+  { FOREIGN, WY_ROUTE_IDEMPOTENT, 200, 2 },
+  { FOREIGN, WY_ROUTE_NON_IDEMPOTENT, 502, 1 },
+  { UNSTAMPED, WY_ROUTE_IDEMPOTENT, 200, 2 },
+  { UNSTAMPED, WY_ROUTE_NON_IDEMPOTENT, 502, 1 },
+};
+
+static void
+inject (struct wy_platform_replica_faults *f, enum fault fault)
+{
+  switch (fault)
+    {
+    case NONE:
+      break;
+    case REFUSE:
+      f->refuse = 1;
+      break;
+    case FAIL:
+      f->fail = 1;
+      break;
+    case LOSE:
+      f->lose = 1;
+      break;
+    case FOREIGN:
+      f->foreign = 1;
+      break;
+    case UNSTAMPED:
+      f->unstamped = 1;
+      break;
+    }
+}
+
+/* A replica fails in one of its ways.  The caller must get the whole answer
+   to its own request, from another replica where the request may run again;
+   one that may not must never run twice.  */
+Test (proxy, replica_faults)
+{
+  for (size_t i = 0; i < sizeof rows / sizeof *rows; i++)
+    {
+      struct platform_answer *a;
+
+      start (rows[i].kind, 2);
+      inject (wy_platform_replica_faults (
+                  platform_world_add_replica (&w, NULL, 0)),
+              rows[i].fault);
+      /* The second has the same fault if it happens to be asked first.  */
+      a = NULL;
+      if (rows[i].fault != NONE)
+        {
+          struct wy_replica far = wy_targets_find (w.env.targets, "i-1")->info;
+
+          platform_world_add_replica (&w, NULL, 0);
+          far = wy_targets_find (w.env.targets, "i-2")->info;
+          strcpy (far.availability_zone, "far");
+          wy_targets_set (w.env.targets, &far);
+        }
+      a = ask ("1500");
+      cr_expect_eq (a->status, rows[i].status, "row %zu: %d", i, a->status);
+      if (a->status == 200)
+        cr_expect_str_eq (a->body->str, "hello", "row %zu", i);
+      cr_expect_eq (total_runs (), rows[i].runs, "row %zu: %u runs", i,
+                    total_runs ());
+      platform_answer_free (a);
+      stop ();
+    }
+}
+
+/* No replica is left.  The caller must hear so at once and when to come back;
+   waiting for its time limit would help nobody.  */
+Test (proxy, no_target_is_told_at_once)
+{
+  struct platform_answer *a;
+  int64_t began_ms;
+
+  start (WY_ROUTE_IDEMPOTENT, 2);
+  began_ms = wy_clock_mono_ms (wy_clock_system ());
+  a = ask ("10000");
+  cr_expect_eq (a->status, 503);
+  cr_expect_not_null (a->retry_after);
+  cr_expect_lt (wy_clock_mono_ms (wy_clock_system ()) - began_ms, 5000);
+  platform_answer_free (a);
+  stop ();
+}
+
+/* Both replicas that may be asked say nothing.  At its time limit the caller
+   gets an answer that does not claim that the request has not run.  */
+Test (proxy, silence_ends_at_the_time_limit)
+{
+  struct platform_answer *a;
+
+  start (WY_ROUTE_IDEMPOTENT, 2);
+  for (int i = 0; i < 2; i++)
+    wy_platform_replica_faults (platform_world_add_replica (&w, NULL, 0))
+        ->silent
+        = true;
+  a = ask ("500");
+  cr_expect_eq (a->status, 504);
+  cr_expect_null (a->stamp);
+  platform_answer_free (a);
+  stop ();
+}
+
+/* The first replica has gone silent.  A request that may run twice must be
+   answered by the second long before the time limit.  */
+Test (proxy, silent_replica_is_hedged)
+{
+  struct platform_answer *a;
+  struct wy_replica far;
+
+  start (WY_ROUTE_IDEMPOTENT, 2);
+  wy_platform_replica_faults (platform_world_add_replica (&w, NULL, 0))->silent
+      = true;
+  platform_world_add_replica (&w, NULL, 0);
+  far = wy_targets_find (w.env.targets, "i-2")->info;
+  strcpy (far.availability_zone, "far");
+  wy_targets_set (w.env.targets, &far);
+  a = ask ("1900");
+  cr_expect_eq (a->status, 200);
+  cr_expect_eq (*w.env.count.hedges, 1);
+  platform_answer_free (a);
+  stop ();
+}
+
+/* A stream breaks off in the middle of an event.  The caller must see each
+   event once and whole, from whichever replica, and a proper end.  */
+Test (proxy, stream_goes_on_elsewhere)
+{
+  struct platform_answer *a;
+  GString *want = g_string_new (NULL);
+  char text[64];
+
+  start (WY_ROUTE_STREAM, 3);
+  for (int i = 0; i < 2; i++)
+    {
+      struct wy_platform_replica_faults *f = wy_platform_replica_faults (
+          platform_world_add_replica (&w, "m", 8));
+
+      f->cuts = 1;
+      f->cut_after = 3;
+    }
+  a = ask ("1900");
+  for (uint32_t i = 1; i <= 8; i++)
+    g_string_append_printf (want, "id: %u\ndata: %s\n\n", i,
+                            wy_platform_replica_text (i, text, sizeof text));
+  cr_expect_eq (a->err, 0);
+  cr_expect_eq (a->status, 200);
+  cr_expect_str_eq (a->body->str, want->str);
+  g_string_free (want, TRUE);
+  platform_answer_free (a);
+  stop ();
+}
+
+static bool
+nothing_runs (void *ctx)
+{
+  return wy_platform_replica_running (ctx) == 0;
+}
+
+static bool
+something_runs (void *ctx)
+{
+  return wy_platform_replica_running (ctx) > 0;
+}
+
+/* The caller hangs up.  The replica must be told, or it works for nobody.  */
+Test (proxy, hangup_reaches_the_replica)
+{
+  struct platform_answer *a;
+  struct wy_platform_replica *r;
+
+  start (WY_ROUTE_STREAM, 2);
+  r = platform_world_add_replica (&w, "m", 1000);
+  a = send_request ("1900");
+  cr_assert (platform_world_until (&w, something_runs, r));
+  platform_answer_free (a);
+  cr_expect (platform_world_until (&w, nothing_runs, r));
+  stop ();
+}
--- /dev/null
+++ b/tests/test_rows.c
@@ -0,0 +1,321 @@
+/* Client of the store: what became of a call whose answer is lost, other
+   paths to the store, and following a table.  */
+#include <criterion/criterion.h>
+#include <string.h>
+
+#include "rows/watch.h"
+#include "support/platform_world.h"
+
+struct result
+{
+  bool done;
+  int err;
+  size_t n;
+  int64_t version;
+};
+
+static struct platform_world w;
+
+static void
+on_result (void *ctx, const struct wy_rows_result *r)
+{
+  struct result *out = ctx;
+
+  out->done = true;
+  out->err = r->err;
+  out->n = r->n;
+  out->version = r->version;
+}
+
+static bool
+is_done (void *ctx)
+{
+  return ((struct result *)ctx)->done;
+}
+
+static struct result
+write_row (const char *key, const char *value, int64_t expected)
+{
+  struct wy_row_ref condition = { "t", key, expected };
+  struct wy_row_write write = { "t", key, value, strlen (value) };
+  struct wy_rows_tx tx = { .part = "",
+                           .conditions = &condition,
+                           .n_conditions = 1,
+                           .writes = &write,
+                           .n_writes = 1 };
+  struct result r = { 0 };
+
+  wy_rows_tx (w.env.rows, &tx, on_result, &r);
+  cr_assert (platform_world_until (&w, is_done, &r));
+  return r;
+}
+
+static void
+start (void)
+{
+  platform_world_init (&w);
+  platform_world_add_env (&w, "n1");
+}
+
+Test (rows, condition_decides)
+{
+  struct result r;
+
+  start ();
+  r = write_row ("k", "1", 0);
+  cr_expect_eq (r.err, 0);
+  cr_expect_gt (r.version, 0);
+  cr_expect_eq (write_row ("k", "2", 0).err, WY_ROWS_ECONFLICT);
+  cr_expect_eq (write_row ("k", "2", r.version).err, 0);
+  platform_world_free (&w);
+}
+
+/* The store refuses, is busy, loses its answer or says nothing.  A caller
+   that takes "unknown" for "not done" tells a submitter that its job does not
+   run, and then it runs.  */
+Test (rows, done_refused_or_unknown)
+{
+  struct wy_platform_store_faults *f;
+
+  start ();
+  f = wy_platform_store_faults (w.store);
+  f->refuse = 1;
+  cr_expect_eq (write_row ("a", "1", 0).err, WY_ROWS_EREFUSED);
+  f->busy = 1;
+  cr_expect_eq (write_row ("a", "1", 0).err, WY_ROWS_EREFUSED);
+  f->lose = 1;
+  cr_expect_eq (write_row ("a", "1", 0).err, WY_ROWS_EUNKNOWN);
+  /* It was performed, and the same write shows that.  */
+  cr_expect_eq (write_row ("a", "1", 0).err, WY_ROWS_ECONFLICT);
+  f->silent = true;
+  cr_expect_eq (write_row ("b", "1", 0).err, WY_ROWS_EUNKNOWN);
+  f->silent = false;
+  cr_expect_eq (write_row ("b", "1", 0).err, 0);
+  platform_world_free (&w);
+}
+
+/* A write is performed long after its sender has given it up and has written
+   again.  The condition must keep it from undoing the newer write.  */
+Test (rows, late_write_does_nothing)
+{
+  struct wy_platform_store_faults *f;
+  char *value;
+
+  start ();
+  f = wy_platform_store_faults (w.store);
+  f->late = 1;
+  f->late_ms = 60;
+  cr_expect_eq (write_row ("a", "old", 0).err, WY_ROWS_EUNKNOWN);
+  cr_expect_eq (write_row ("a", "new", 0).err, 0);
+  platform_world_run_ms (&w, 120);
+  value = wy_platform_store_value (w.store, "t", "", "a");
+  cr_expect_str_eq (value, "new");
+  g_free (value);
+  platform_world_free (&w);
+}
+
+static struct wy_rows *peer_rows;
+
+static void
+on_forwarded (void *ctx, int status, const char *body, size_t n)
+{
+  wy_h1_respond (ctx, status, NULL, 0, body, n);
+}
+
+static void
+on_peer (void *ctx, struct wy_h1_request *r)
+{
+  size_t n;
+  const char *body = wy_h1_body (r, &n);
+
+  wy_rows_forward (peer_rows, wy_h1_method (r), wy_h1_target (r), body, n,
+                   on_forwarded, r);
+}
+
+static void
+on_refuse_all (void *ctx, struct wy_h1_request *r)
+{
+  wy_h1_respond (r, 503, NULL, 0, "", 0);
+}
+
+static struct wy_h1_server *
+serve (void (*on_request) (void *ctx, struct wy_h1_request *r))
+{
+  struct wy_h1_server_options o
+      = { .loop = &w.loop,
+          .host = "127.0.0.1",
+          .limits = { 65536, 1 << 20, 1000, 10000, 1 << 24 },
+          .on_request = on_request };
+  struct wy_h1_server *s;
+
+  cr_assert_eq (wy_h1_server_new (&s, &o), 0);
+  return s;
+}
+
+/* The store turns one instance away while it serves the others.  Cut off, the
+   instance would go on with old configuration; through a peer it keeps up.  */
+Test (rows, turned_away_goes_through_a_peer)
+{
+  struct wy_h1_server *closed;
+  struct wy_h1_server *relay;
+  struct wy_rows_options o = { .loop = &w.loop, .clock = wy_clock_system () };
+  struct sockaddr_in peer;
+  struct wy_rows_stats stats;
+
+  start ();
+  peer_rows = w.env.rows;
+  closed = serve (on_refuse_all);
+  relay = serve (on_peer);
+  o.http = w.client;
+  o.address = platform_loopback (wy_h1_server_port (closed));
+  w.env.rows = wy_rows_new (&o);
+  peer = platform_loopback (wy_h1_server_port (relay));
+  wy_rows_set_relays (w.env.rows, &peer, 1);
+  cr_expect_eq (write_row ("a", "1", 0).err, WY_ROWS_EREFUSED);
+  /* One call a second still tries the direct path.  */
+  for (int i = 0; i < 3 && write_row ("a", "1", 0).err != 0; i++)
+    continue;
+  cr_expect_eq (write_row ("a", "1", 0).err, WY_ROWS_ECONFLICT);
+  wy_rows_stats (w.env.rows, &stats);
+  cr_expect_gt (stats.relayed, 0);
+  cr_expect_not (stats.direct_ok);
+  wy_rows_free (peer_rows);
+  wy_h1_server_free (closed);
+  wy_h1_server_free (relay);
+  platform_world_free (&w);
+}
+
+struct followed
+{
+  GHashTable *rows; /* value by "part/key" */
+  uint32_t synced;
+  const char *wanted_key;
+  const char *wanted; /* NULL: gone */
+};
+
+static void
+on_row (void *ctx, const struct wy_row *row)
+{
+  struct followed *f = ctx;
+  char *key = g_strdup_printf ("%s/%s", row->part, row->key);
+
+  if (row->deleted)
+    g_hash_table_remove (f->rows, key);
+  else
+    g_hash_table_insert (f->rows, g_strdup (key),
+                         g_strndup (row->value, row->size_bytes));
+  g_free (key);
+}
+
+static void
+on_synced (void *ctx)
+{
+  ((struct followed *)ctx)->synced++;
+}
+
+static bool
+has_wanted (void *ctx)
+{
+  const struct followed *f = ctx;
+
+  return f->synced
+         && g_strcmp0 (g_hash_table_lookup (f->rows, f->wanted_key), f->wanted)
+                == 0;
+}
+
+static bool
+comes (struct followed *f, const char *key, const char *value)
+{
+  f->wanted_key = key;
+  f->wanted = value;
+  return platform_world_until (&w, has_wanted, f);
+}
+
+static struct wy_watch *
+follow (struct followed *f, bool all_parts)
+{
+  struct wy_watch_options o = { .loop = &w.loop,
+                                .clock = wy_clock_system (),
+                                .rows = w.env.rows,
+                                .table = "t",
+                                .all_parts = all_parts,
+                                .on_row = on_row,
+                                .on_synced = on_synced,
+                                .ctx = f };
+
+  memset (f, 0, sizeof *f);
+  f->rows = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  return wy_watch_new (&o);
+}
+
+/* Rows change, go, and the store forgets its history in between, so that a
+   row goes unseen.  What is believed must follow all the same.  */
+Test (watch, follows_through_lost_history)
+{
+  struct followed f;
+  struct wy_watch *watch;
+  struct wy_platform_store_faults *faults;
+
+  start ();
+  faults = wy_platform_store_faults (w.store);
+  wy_platform_store_put (w.store, "t", "", "a", "1");
+  watch = follow (&f, false);
+  cr_expect (comes (&f, "/a", "1"));
+  wy_platform_store_put (w.store, "t", "", "a", "2");
+  cr_expect (comes (&f, "/a", "2"));
+  wy_platform_store_put (w.store, "t", "", "b", "1");
+  wy_platform_store_drop (w.store, "t", "", "a");
+  cr_expect (comes (&f, "/a", NULL));
+  faults->silent = true;
+  platform_world_run_ms (&w, 50);
+  wy_platform_store_drop (w.store, "t", "", "b");
+  wy_platform_store_put (w.store, "t", "", "c", "1");
+  faults->forget_history = true;
+  faults->silent = false;
+  cr_expect (comes (&f, "/c", "1"));
+  cr_expect (comes (&f, "/b", NULL));
+  wy_watch_free (watch);
+  platform_world_free (&w);
+}
+
+/* A wait for changes never ends, without its connection closing.  The change
+   made meanwhile must still show within about a second.  */
+Test (watch, silent_feed_is_left)
+{
+  struct followed f;
+  struct wy_watch *watch;
+  int64_t began_ms;
+
+  start ();
+  watch = follow (&f, false);
+  wy_platform_store_put (w.store, "t", "", "a", "1");
+  cr_expect (comes (&f, "/a", "1"));
+  wy_platform_store_faults (w.store)->deaf = true;
+  platform_world_run_ms (&w, 50);
+  wy_platform_store_put (w.store, "t", "", "a", "2");
+  wy_platform_store_put (w.store, "t", "", "b", "2");
+  began_ms = wy_clock_mono_ms (wy_clock_system ());
+  while (wy_clock_mono_ms (wy_clock_system ()) - began_ms < 1000)
+    platform_world_run_ms (&w, 50);
+  wy_platform_store_faults (w.store)->deaf = false;
+  cr_expect (comes (&f, "/b", "2"));
+  wy_watch_free (watch);
+  platform_world_free (&w);
+}
+
+Test (watch, all_parts_of_a_table)
+{
+  struct followed f;
+  struct wy_watch *watch;
+
+  start ();
+  wy_platform_store_put (w.store, "t", "p1", "k", "1");
+  wy_platform_store_put (w.store, "t", "p2", "k", "2");
+  watch = follow (&f, true);
+  cr_expect (comes (&f, "p1/k", "1"));
+  cr_expect (comes (&f, "p2/k", "2"));
+  wy_platform_store_put (w.store, "t", "p3", "k", "3");
+  cr_expect (comes (&f, "p3/k", "3"));
+  wy_watch_free (watch);
+  platform_world_free (&w);
+}
