--- a/src/jobs/lister.c
+++ b/src/jobs/lister.c
@@ -86,7 +86,8 @@
 {
   i->state = WY_ITEM_LISTED;
   o->n_listed++;
-  g_clear_pointer (&i->result, wy_result_free);
+  wy_result_free (i->result);
+  i->result = NULL;
   g_queue_remove (&o->ended, i);
   g_string_free (i->text, TRUE);
   i->text = g_string_new (NULL);
