A demo on a stand-in of the platform; logs with a catalogue; wyctl explain

Two gates and three orderers against store, replicas, a trainer and callers in one process that keep books; an engine falls silent, the store loses answers and history, a gate is killed and one stopped.

--- a/Makefile
+++ b/Makefile
@@ -40,7 +40,7 @@
 
 .SECONDARY:
 .PHONY: all deploy config-page check-pages slopes capacity-page packages format lint test check bench \
-  bench-ci fuzz fuzz-targets demo install clean
+  bench-ci fuzz fuzz-targets demo demo-platform install clean
 
 all: $(LIB) $(BINS)
 
@@ -85,12 +85,15 @@
 lint: $(patsubst %.c,build/tidy/%.ok,$(ALL_C))
 	$(Q)clang-format --dry-run -Werror $(ALL_C) $(ALL_H)
 
-# The page on settings is made from the programs; this fails when it is old.
+# The pages on settings and log lines are made from the programs; the check
+# fails when they are old.
 config-page: all
 	./scripts/config-page.sh $(BUILD)/bin > docs/CONFIG.md
+	./scripts/logs-page.sh > docs/LOGS.md
 check-pages: all
 	./scripts/slopes/page.sh | diff docs/CAPACITY.md -
 	./scripts/config-page.sh $(BUILD)/bin | diff docs/CONFIG.md -
+	./scripts/logs-page.sh | diff docs/LOGS.md -
 
 # Measures what each role costs (several minutes, bench packages needed) and
 # makes the capacity page from it.
@@ -140,6 +143,11 @@
 	$(MAKE) all
 	./scripts/demo.sh $(BUILD)/bin build/demo
 
+# The same on a platform that lists its replicas and keeps rows for us.
+demo-platform: packages
+	$(MAKE) all
+	./scripts/demo-platform.sh $(BUILD)/bin $(BUILD)/demo-platform
+
 # make faults SEED=n SECONDS=n: the yard under a seeded mix of faults.
 faults: SEED ?= 1
 faults: SECONDS ?= 60
--- a/scripts/config-page.sh
+++ b/scripts/config-page.sh
@@ -10,7 +10,7 @@
 `--config FILE` (YAML, one mapping) and `--check-config`. A fault is told as `FILE:LINE: key: what is wrong, what is
 allowed`, and the program ends with 2.
 T
-for p in wyentryd wyagentd wyctl; do
+for p in wyentryd wyagentd wygated wyorderd wyctl; do
   [ -x "$bin/$p" ] || continue
   printf '\n## %s\n\n| key | unit | default | allowed | meaning |\n|---|---|---|---|---|\n' "$p"
   "$bin/$p" --describe-settings
--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -55,6 +55,7 @@
 int wy_ctl_unblock (const struct wy_ctl *ctl, char **args, int n);
 int wy_ctl_events (const struct wy_ctl *ctl, char **args, int n);
 int wy_ctl_check (const struct wy_ctl *ctl, char **args, int n);
+int wy_ctl_explain (const struct wy_ctl *ctl, char **args, int n);
 int wy_ctl_main (int argc, char **argv);
 
 #endif
--- a/src/ctl/main.c
+++ b/src/ctl/main.c
@@ -29,6 +29,8 @@
     "events of an entry, or a time line of all files", wy_ctl_events },
   { "check", "FILE...", "verify the promises from timeline files",
     wy_ctl_check },
+  { "explain", "ID FILE...", "the story of an id from the processes' logs",
+    wy_ctl_explain },
 };
 
 static const struct wy_setting table[] = {
--- a/src/jobs/run.c
+++ b/src/jobs/run.c
@@ -347,6 +347,22 @@
   wy_owned_pump (job);
 }
 
+static void
+log_start (const struct wy_run *r)
+{
+  const struct wy_item *i = r->item;
+  const struct wy_target *g = r->target;
+  int64_t now_ms = now_of (r);
+
+  wy_note ("item.run_started",
+           "id=%s job=%s target=%s after=%lld run=%u in_flight=%u load=%u "
+           "load_age_ms=%lld pace_ms=%.0f held_version=%lld",
+           i->spec->id, i->job->record->id, g->info.id,
+           (long long)i->last_event, i->runs, g->in_flight, g->reported_load,
+           g->reported_ms ? (long long)(now_ms - g->reported_ms) : -1LL,
+           g->pace_ms, (long long)wy_target_version (g, i->job->spec->model));
+}
+
 /* Run I on G, behind the text that it has.  */
 void
 wy_run_start (struct wy_item *i, struct wy_target *g,
@@ -387,6 +403,7 @@
                   i->spec->fields->len, &f, fields);
   o.fields = (const struct wy_h1_pair *)fields->data;
   o.n_fields = fields->len;
+  log_start (r);
   wy_target_started (g);
   (*env->count.items_started)++;
   r->call = wy_h1_call_start (env->http, &o);
--- /dev/null
+++ b/src/standin/platform_callers.c
@@ -0,0 +1,79 @@
+/* Callers of the platform stand-in: small idempotent requests whose answer
+   must be their own body.  */
+#include "standin/platform.h"
+
+#include <stdio.h>
+#include <string.h>
+
+enum
+{
+  CALL_EVERY_MS = 40,
+  TRIES_MAX = 3,
+  STATUS_OK = 200,
+  STATUS_REFUSED = 503
+};
+
+static uv_timer_t timer;
+
+static void call_desk (struct wy_platform *p, uint32_t number, uint32_t tries);
+
+static void
+on_done (struct wy_platform_call *c, int err)
+{
+  struct wy_platform *p = c->platform;
+  char body[32];
+
+  snprintf (body, sizeof body, "call-%u", c->number);
+  if (!err && c->status == STATUS_OK)
+    {
+      p->books.answered++;
+      if (strcmp (c->body->str, body) != 0)
+        wy_platform_violation (p, "%s got another answer: %.40s", body,
+                               c->body->str);
+      return;
+    }
+  if (!err && c->status == STATUS_REFUSED && c->retry_after_s <= 0)
+    wy_platform_violation (p, "%s refused without a time to come back", body);
+  if (c->tries + 1 < TRIES_MAX)
+    {
+      p->books.retries++;
+      call_desk (p, c->number, c->tries + 1);
+    }
+  else if (!err && c->status == STATUS_REFUSED)
+    p->books.refused++;
+  else
+    p->books.failed++;
+}
+
+static void
+call_desk (struct wy_platform *p, uint32_t number, uint32_t tries)
+{
+  char id[48];
+  char body[32];
+  struct wy_platform_call *c;
+
+  snprintf (id, sizeof id, "call-%u-%u", number, tries);
+  snprintf (body, sizeof body, "call-%u", number);
+  c = wy_platform_call (p, "POST", WY_PLATFORM_CALLS "x", id, body);
+  c->number = number;
+  c->tries = tries;
+  c->on_done = on_done;
+}
+
+static void
+on_timer (uv_timer_t *t)
+{
+  struct wy_platform *p = t->data;
+
+  if (!p->ending)
+    call_desk (p, p->books.sent++, 0);
+}
+
+/* Call until the platform ends.  */
+void
+wy_platform_callers_start (struct wy_platform *p)
+{
+  uv_timer_init (p->standin->loop, &timer);
+  timer.data = p;
+  uv_timer_start (&timer, on_timer, CALL_EVERY_MS, CALL_EVERY_MS);
+}
--- /dev/null
+++ b/src/standin/platform_trainer.c
@@ -0,0 +1,315 @@
+/* Trainer of the platform stand-in: submits a step, reads its results, ends
+   it, names the next version, and in the end reads all steps once more.  */
+#include "standin/platform.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  GROUPS = 6,
+  GROUP_SIZE = 4,
+  ITEMS = GROUPS * GROUP_SIZE,
+  STEPS_MAX = 256,
+  PAUSE_MS = 100,
+  /* A step that has not all its results by then was lost.  */
+  STEP_LIMIT_MS = 12000,
+  STATUS_OK = 200,
+  STATUS_ACCEPTED = 202,
+  STATUS_REFUSED = 503
+};
+
+/* Results of a step as read, by position.  */
+struct step
+{
+  char id[32];
+  GPtrArray *results; /* char *, the JSON of each */
+  GHashTable *items;
+};
+
+static struct
+{
+  struct wy_platform *platform;
+  struct step steps[STEPS_MAX];
+  uint32_t n;       /* the step at hand */
+  uint32_t checked; /* in the end */
+  uint32_t check_at;
+  bool checking;
+  uint64_t began_ms;
+  uv_timer_t timer;
+  void (*next) (void);
+} trainer;
+
+static void submit (void);
+static void read_results (void);
+static void end_step (void);
+static void check_next (void);
+
+static void
+on_timer (uv_timer_t *t)
+{
+  trainer.next ();
+}
+
+static void
+later (void (*next) (void))
+{
+  trainer.next = next;
+  uv_timer_start (&trainer.timer, on_timer, PAUSE_MS, 0);
+}
+
+static struct step *
+step_at_hand (void)
+{
+  return &trainer.steps[trainer.n];
+}
+
+static char *
+job_text (void)
+{
+  GString *s = g_string_new (NULL);
+
+  g_string_append_printf (s,
+                          "{\"step\":%u,\"model\":\"%s\","
+                          "\"minimumVersion\":%u,\"desiredCount\":%d,"
+                          "\"items\":[",
+                          trainer.n, WY_PLATFORM_MODEL, MAX (trainer.n, 1),
+                          GROUPS);
+  for (int i = 0; i < ITEMS; i++)
+    g_string_append_printf (
+        s,
+        "%s{\"id\":\"s%u-%d\",\"path\":\"%s%d\",\"headers\":{\"Model\":"
+        "\"%s\"},\"body\":\"aGVsbG8=\",\"tokens\":9,\"group\":\"s%u-g%d\"}",
+        i ? "," : "", trainer.n, i, WY_PLATFORM_JOBS, i, WY_PLATFORM_MODEL,
+        trainer.n, i / GROUP_SIZE);
+  g_string_append (s, "]}");
+  return g_string_free (s, FALSE);
+}
+
+static void
+on_submitted (struct wy_platform_call *c, int err)
+{
+  if (!err && c->status == STATUS_ACCEPTED)
+    read_results ();
+  else
+    {
+      c->platform->books.retries++;
+      later (submit);
+    }
+}
+
+static void
+submit (void)
+{
+  char *body = job_text ();
+  struct wy_platform_call *c;
+
+  c = wy_platform_call (trainer.platform, "POST", WY_PLATFORM_JOBS "step",
+                        step_at_hand ()->id, body);
+  c->on_done = on_submitted;
+  g_free (body);
+}
+
+static void
+begin_step (void)
+{
+  struct step *s = step_at_hand ();
+
+  snprintf (s->id, sizeof s->id, "step-%u", trainer.n);
+  s->results = g_ptr_array_new_with_free_func (g_free);
+  s->items = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  trainer.began_ms = uv_now (trainer.platform->standin->loop);
+  submit ();
+}
+
+static char *
+whole_text (void)
+{
+  GString *s = g_string_new (NULL);
+  char piece[64];
+
+  for (uint32_t i = 1; i <= WY_PLATFORM_EVENTS; i++)
+    g_string_append_printf (s, "%s%s", i > 1 ? "\n" : "",
+                            wy_platform_replica_text (i, piece, sizeof piece));
+  return g_string_free (s, FALSE);
+}
+
+/* Check one new result of the step at hand against what was sent.  */
+static void
+check_result (struct step *s, json_t *r)
+{
+  struct wy_platform *p = trainer.platform;
+  const char *id = json_string_value (json_object_get (r, "id"));
+  const char *state = json_string_value (json_object_get (r, "state"));
+  const char *text = json_string_value (json_object_get (r, "text"));
+  char *want = whole_text ();
+  json_t *v;
+  size_t i;
+
+  if (!id || !g_hash_table_add (s->items, g_strdup (id)))
+    wy_platform_violation (p, "%s: item %s listed twice", s->id, id);
+  if (g_strcmp0 (state, "completed") != 0 || g_strcmp0 (text, want) != 0)
+    wy_platform_violation (p, "%s: item %s is not whole", s->id, id);
+  json_array_foreach (json_object_get (r, "versions"), i,
+                      v) if (json_integer_value (v) < MAX (trainer.n, 1))
+      wy_platform_violation (p, "%s: item %s made under version %lld", s->id,
+                             id, (long long)json_integer_value (v));
+  p->books.results++;
+  g_free (want);
+}
+
+/* Take in the results from position AT on.  */
+static void
+take_results (struct step *s, uint32_t at, json_t *doc)
+{
+  json_t *r;
+  size_t i;
+
+  json_array_foreach (json_object_get (doc, "results"), i, r)
+  {
+    char *text = json_dumps (r, JSON_COMPACT | JSON_SORT_KEYS);
+
+    if (at + i < s->results->len)
+      {
+        if (strcmp (g_ptr_array_index (s->results, at + i), text) != 0)
+          wy_platform_violation (trainer.platform, "%s: position %zu changed",
+                                 s->id, at + i);
+      }
+    else
+      {
+        check_result (s, r);
+        g_ptr_array_add (s->results, g_strdup (text));
+      }
+    free (text);
+  }
+}
+
+static void
+on_results (struct wy_platform_call *c, int err)
+{
+  struct step *s = step_at_hand ();
+  uint64_t age_ms
+      = uv_now (trainer.platform->standin->loop) - trainer.began_ms;
+
+  if (!err && c->status == STATUS_OK)
+    {
+      json_t *doc = json_loads (c->body->str, 0, NULL);
+
+      take_results (s, c->number, doc);
+      json_decref (doc);
+    }
+  else if (!err && c->status != STATUS_REFUSED)
+    wy_platform_violation (c->platform, "%s: read answered %d", s->id,
+                           c->status);
+  if (s->results->len == ITEMS)
+    end_step ();
+  else if (age_ms > STEP_LIMIT_MS)
+    {
+      wy_platform_violation (c->platform, "%s: %u of %d results in time",
+                             s->id, s->results->len, ITEMS);
+      end_step ();
+    }
+  else
+    later (read_results);
+}
+
+static void
+read_results (void)
+{
+  struct step *s = step_at_hand ();
+  char target[96];
+  struct wy_platform_call *c;
+
+  snprintf (target, sizeof target, "/api/lots/%s?after=%u", s->id,
+            s->results->len);
+  c = wy_platform_call (trainer.platform, "GET", target, NULL, NULL);
+  c->number = s->results->len;
+  c->on_done = on_results;
+}
+
+static void
+on_ended (struct wy_platform_call *c, int err)
+{
+  struct wy_platform *p = c->platform;
+
+  if (err || c->status != STATUS_OK)
+    {
+      p->books.retries++;
+      later (end_step);
+      return;
+    }
+  p->books.steps++;
+  if (p->ending || trainer.n + 1 == STEPS_MAX)
+    {
+      check_next ();
+      return;
+    }
+  trainer.n++;
+  wy_platform_name_version (p, (int64_t)trainer.n + 1);
+  later (begin_step);
+}
+
+static void
+end_step (void)
+{
+  char target[96];
+
+  snprintf (target, sizeof target, "/api/lots/%s", step_at_hand ()->id);
+  wy_platform_call (trainer.platform, "DELETE", target, NULL, NULL)->on_done
+      = on_ended;
+}
+
+static void
+on_checked (struct wy_platform_call *c, int err)
+{
+  struct step *s = &trainer.steps[trainer.checked];
+  json_t *doc;
+  size_t n;
+
+  if (err || c->status != STATUS_OK)
+    {
+      later (check_next);
+      return;
+    }
+  doc = json_loads (c->body->str, 0, NULL);
+  n = json_array_size (json_object_get (doc, "results"));
+  take_results (s, trainer.check_at, doc);
+  json_decref (doc);
+  trainer.check_at += (uint32_t)n;
+  if (n == 0 && trainer.check_at < s->results->len)
+    wy_platform_violation (c->platform, "%s: lost results from %u on", s->id,
+                           trainer.check_at);
+  if (n == 0 || trainer.check_at >= s->results->len)
+    {
+      trainer.checked++;
+      trainer.check_at = 0;
+    }
+  check_next ();
+}
+
+/* Read the steps from their starts again; what was listed must be there.  */
+static void
+check_next (void)
+{
+  char target[96];
+
+  if (trainer.checked > trainer.n)
+    {
+      wy_platform_finish (trainer.platform);
+      return;
+    }
+  snprintf (target, sizeof target, "/api/lots/%s?after=%u",
+            trainer.steps[trainer.checked].id, trainer.check_at);
+  wy_platform_call (trainer.platform, "GET", target, NULL, NULL)->on_done
+      = on_checked;
+}
+
+/* Train until the platform ends.  */
+void
+wy_platform_trainer_start (struct wy_platform *p)
+{
+  trainer.platform = p;
+  uv_timer_init (p->standin->loop, &trainer.timer);
+  later (begin_step);
+}
--- /dev/null
+++ b/tests/test_explain.c
@@ -0,0 +1,77 @@
+/* wyctl explain on logs with missing and torn lines.  */
+#include <criterion/criterion.h>
+#include <criterion/redirect.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "ctl/ctl.h"
+
+static const char gate[]
+    = "{\"t\":10.000,\"process\":\"g1\",\"incarnation\":\"a\","
+      "\"event\":\"job.submitted\",\"id\":\"j1\",\"status\":202}\n"
+      "{\"t\":10.500,\"process\":\"g1\",\"incarnation\":\"a\","
+      "\"event\":\"item.run_started\",\"id\":\"i1\",\"job\":\"j1\","
+      "\"target\":\"t1\"}\n"
+      "{\"t\":10.600,\"process\":\"g1\",\"incarnation\":\"a\","
+      "\"event\":\"item.run_started\",\"id\":\"i2\",\"job\":\"j1\","
+      "\"target\":\"t2\"}\n"
+      "{\"t\":11.000,\"process\":\"g1\",\"incarnation\":\"a\","
+      "\"event\":\"target.gone\",\"id\":\"t1\"}\n"
+      "{\"t\":11.100,\"process\":\"g1\",\"incarnation\":\"a\","
+      "\"event\":\"item.run_ended\",\"id\":\"i1\",\"job\":\"j1\","
+      "\"target\":\"t1\",\"outcome\":\"broken_off\"}\n"
+      "{\"t\":11.2,\"process\":\"g1\",\"incarn";
+static const char other[]
+    = "not a log line\n"
+      "{\"t\":10.900,\"process\":\"g2\",\"incarnation\":\"b\","
+      "\"event\":\"store.lost\",\"path\":\"direct\"}\n"
+      "{\"t\":10.950,\"process\":\"g2\",\"incarnation\":\"b\","
+      "\"event\":\"entry.gone\",\"node\":\"g3\"}\n";
+
+static char paths[2][64];
+
+static void
+write_file (char *path, const char *text)
+{
+  int fd;
+  char *name = NULL;
+
+  fd = g_file_open_tmp ("explain-XXXXXX", &name, NULL);
+  cr_assert_geq (fd, 0);
+  g_strlcpy (path, name, sizeof paths[0]);
+  g_free (name);
+  cr_assert (g_file_set_contents (path, text, -1, NULL));
+}
+
+static int
+explain (const char *id)
+{
+  struct wy_ctl ctl = { 0 };
+  char *args[] = { (char *)id, paths[0], paths[1] };
+
+  write_file (paths[0], gate);
+  write_file (paths[1], other);
+  return wy_ctl_explain (&ctl, args, 3);
+}
+
+/* An engineer has an item's id.  The story must hold its own lines in order,
+   its job's, and what happened to its target, and not its neighbours'.  */
+Test (explain, joins_what_belongs_together, .init = cr_redirect_stdout)
+{
+  cr_expect_eq (explain ("i1"), WY_CTL_OK);
+  fflush (stdout);
+  cr_expect_stdout_eq_str (
+      "   +0.000  g1                       job.submitted        id=j1 "
+      "status=202\n"
+      "   +0.500  g1                       item.run_started     id=i1 job=j1 "
+      "target=t1\n"
+      "   +0.950  g2                       entry.gone           node=g3\n"
+      "   +1.000  g1                       target.gone          id=t1\n"
+      "   +1.100  g1                       item.run_ended       id=i1 job=j1 "
+      "target=t1 outcome=broken_off\n");
+}
+
+Test (explain, nothing_known_is_said)
+{
+  cr_expect_eq (explain ("nobody"), WY_CTL_FAILED);
+}
