--- /dev/null
+++ b/src/gate/follow.c
@@ -0,0 +1,196 @@
+/* What the gate follows in the store: the operator's configuration, replicas,
+   other entries.  */
+#include "gate/gate_state.h"
+
+#include <string.h>
+
+#include "platform/config_wire.h"
+#include "platform/replica_wire.h"
+#include "trace/note.h"
+
+enum
+{
+  /* Least time between two waits for changes of a table: well under the
+     time within which a change must be in force everywhere.  */
+  WATCH_GAP_MS = 150,
+  RELAYS_MAX = 32
+};
+
+/* Hold callers to the limits of the configuration in force.  */
+void
+wy_gate_set_limits (struct wy_gate *g)
+{
+  const struct wy_routing *r = g->env.routing;
+  struct wy_h1_limits l = {
+    .header_bytes = r ? r->header_limit_bytes : WY_GATE_START_HEADER_BYTES,
+    .body_bytes = r ? r->body_limit_bytes : WY_GATE_START_BODY_BYTES,
+    .header_timeout_ms = r ? r->header_timeout_ms : WY_GATE_START_HEADER_MS,
+    .idle_timeout_ms = r ? r->idle_timeout_ms : WY_GATE_START_IDLE_MS,
+    .held_bytes
+    = (uint64_t)g->o.settings->memory_mb * WY_GATE_MB / WY_GATE_BODY_SHARE
+  };
+
+  wy_h1_server_set_limits (g->callers, &l);
+}
+
+/* A configuration is in force: versions only rise, whatever order they come
+   in.  */
+static void
+learn_config (struct wy_gate *g, const struct wy_row *row)
+{
+  const char *why;
+  struct wy_routing *r = wy_config_decode (row->value, row->size_bytes, &why);
+
+  if (!r)
+    {
+      wy_note ("config.rejected", "row_version=%lld reason=%s",
+               (long long)row->version, why);
+      return;
+    }
+  if (g->env.routing && g->env.routing->version >= r->version)
+    {
+      wy_routing_free (r);
+      return;
+    }
+  wy_note ("config.in_force", "version=%lld before=%lld routes=%u",
+           (long long)r->version,
+           g->env.routing ? (long long)g->env.routing->version : 0LL,
+           r->routes->len);
+  wy_routing_free (g->env.routing);
+  g->env.routing = r;
+  wy_gate_set_limits (g);
+}
+
+static void
+learn_version (struct wy_gate *g, const struct wy_row *row)
+{
+  struct wy_named_version v;
+
+  if (wy_named_version_decode (row->value, row->size_bytes, &v))
+    wy_jobs_version_named (g->jobs, v.model, v.version);
+  else
+    wy_note ("version.rejected", "key=%s row_version=%lld", row->key,
+             (long long)row->version);
+}
+
+static void
+on_operator_row (void *ctx, const struct wy_row *row)
+{
+  if (row->deleted)
+    return;
+  switch (wy_operator_row_kind (row->key))
+    {
+    case WY_OPERATOR_CONFIG:
+      learn_config (ctx, row);
+      break;
+    case WY_OPERATOR_VERSION:
+      learn_version (ctx, row);
+      break;
+    case WY_OPERATOR_OTHER:
+      break;
+    }
+}
+
+static void
+on_replica_row (void *ctx, const struct wy_row *row)
+{
+  struct wy_gate *g = ctx;
+  struct wy_replica info;
+  struct wy_target *t = wy_targets_find (g->env.targets, row->key);
+  const char *wrong;
+
+  if (row->deleted)
+    {
+      wy_note ("target.gone", "id=%s version=%lld", row->key,
+               (long long)row->version);
+      wy_targets_remove (g->env.targets, row->key);
+      return;
+    }
+  wrong = wy_replica_decode (row->key, row->value, row->size_bytes, &info);
+  if (wrong)
+    {
+      wy_note ("target.rejected", "id=%s version=%lld field=%s", row->key,
+               (long long)row->version, wrong);
+      wy_targets_remove (g->env.targets, row->key);
+      return;
+    }
+  if (!t || t->info.draining != info.draining || !t->listed)
+    wy_note ("target.seen",
+             "id=%s service=%s zone=%s draining=%d version=%lld", info.id,
+             info.service, info.availability_zone, info.draining,
+             (long long)row->version);
+  wy_targets_set (g->env.targets, &info);
+  if (g->jobs)
+    wy_jobs_targets_changed (g->jobs);
+}
+
+/* Tell the store's client which peers pass calls on.  */
+void
+wy_gate_set_relays (struct wy_gate *g)
+{
+  struct sockaddr_in a[RELAYS_MAX];
+  size_t n = wy_members_addresses (g->members, a, RELAYS_MAX);
+
+  for (guint i = 0; n == 0 && i < g->seeds->len; i++)
+    a[n++] = g_array_index (g->seeds, struct sockaddr_in, i);
+  wy_rows_set_relays (g->env.rows, a, n);
+}
+
+static void
+on_members (void *ctx)
+{
+  struct wy_gate *g = ctx;
+
+  if (g->members)
+    wy_gate_set_relays (g);
+}
+
+/* Take the peers that the settings S name.  */
+void
+wy_gate_read_seeds (struct wy_gate *g, const struct wy_gate_settings *s)
+{
+  g_array_set_size (g->seeds, 0);
+  for (guint i = 0; i < s->seeds->len; i++)
+    {
+      const char *text = g_ptr_array_index (s->seeds, i);
+      struct sockaddr_in a;
+
+      if (strcmp (text, s->peers) != 0 && wy_address_parse (text, &a))
+        g_array_append_val (g->seeds, a);
+    }
+}
+
+/* Follow what the store tells of the operator, replicas, entries and jobs.  */
+void
+wy_gate_follow_store (struct wy_gate *g)
+{
+  uint64_t seed = wy_hash64 (g->incarnation, WY_ID_LEN, 2);
+  struct wy_watch_options w = { .loop = g->o.loop,
+                                .clock = g->o.clock,
+                                .rows = g->env.rows,
+                                .table = WY_OPERATOR_TABLE,
+                                .gap_ms = WATCH_GAP_MS,
+                                .seed = seed,
+                                .on_row = on_operator_row,
+                                .ctx = g };
+  struct wy_members_options m = { .env = &g->env,
+                                  .address = g->o.settings->peers,
+                                  .seed = seed + 2,
+                                  .on_change = on_members,
+                                  .ctx = g };
+  struct wy_jobs_options j
+      = { .env = &g->env,
+          .seed = seed + 3,
+          .piece_bytes = (uint32_t)g->o.settings->object_bytes,
+          .row_bytes = (uint32_t)g->o.settings->row_bytes };
+
+  g->operator_rows = wy_watch_new (&w);
+  w.table = WY_REPLICA_TABLE;
+  w.on_row = on_replica_row;
+  w.seed = seed + 1;
+  g->replicas = wy_watch_new (&w);
+  g->members = wy_members_new (&m);
+  wy_gate_set_relays (g);
+  j.members = g->members;
+  g->jobs = wy_jobs_new (&j);
+}
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -1,20 +1,13 @@
 /* The gate: its listeners, what it follows in the store, start and stop.  */
-#include "gate/gate.h"
+#include "gate/gate_state.h"
 
 #include <stdio.h>
 #include <string.h>
 
-#include "base/id.h"
 #include "gate/answer.h"
-#include "gate/env.h"
-#include "gate/members.h"
 #include "gate/proxy.h"
-#include "h1/server.h"
-#include "jobs/jobs.h"
-#include "platform/config_wire.h"
 #include "platform/replica_wire.h"
 #include "platform/request_wire.h"
-#include "rows/watch.h"
 #include "trace/note.h"
 
 enum
@@ -23,17 +16,7 @@
   /* Longest time that a connection is kept; peers that close sooner say so in
      their answers.  */
   TARGET_IDLE_MS = 60000,
-  WATCH_GAP_MS = 150,
   TICK_MS = 200,
-  RELAYS_MAX = 32,
-  MB = 1 << 20,
-  /* Share of the memory that bodies being read may take.  */
-  BODY_SHARE = 8,
-  /* Before a configuration is known; callers are refused then anyway.  */
-  START_HEADER_BYTES = 65536,
-  START_BODY_BYTES = 1 << 20,
-  START_HEADER_MS = 5000,
-  START_IDLE_MS = 60000,
   /* The balancer asks once a second and acts on the second miss; connections
      keep coming for so long after a stop is asked for.  */
   BALANCER_MS = 2500,
@@ -49,29 +32,6 @@
   SLOTS_SHARE = 4
 };
 
-struct wy_gate
-{
-  struct wy_gate_env env;
-  struct wy_gate_options o;
-  char incarnation[WY_ID_SIZE_BYTES];
-  char *holder;
-  struct wy_metrics *metrics;
-  struct wy_members *members;
-  struct wy_jobs *jobs;
-  struct wy_watch *operator_rows;
-  struct wy_watch *replicas;
-  struct wy_h1_server *callers;
-  struct wy_h1_server *ready;
-  struct wy_h1_server *peers;
-  struct wy_h1_server *metrics_server;
-  GArray *seeds; /* struct sockaddr_in */
-  uv_timer_t tick;
-  int64_t stop_asked_ms;
-  bool was_ready;
-  bool handed_over;
-  bool stopped;
-};
-
 /* Requests that this entry may have open at one target of SERVICE: its share
    of the connections that the target takes from all entries together.  */
 uint32_t
@@ -102,131 +62,6 @@
          && wy_watch_is_synced (g->replicas);
 }
 
-static void
-set_limits (struct wy_gate *g)
-{
-  const struct wy_routing *r = g->env.routing;
-  struct wy_h1_limits l
-      = { .header_bytes = r ? r->header_limit_bytes : START_HEADER_BYTES,
-          .body_bytes = r ? r->body_limit_bytes : START_BODY_BYTES,
-          .header_timeout_ms = r ? r->header_timeout_ms : START_HEADER_MS,
-          .idle_timeout_ms = r ? r->idle_timeout_ms : START_IDLE_MS,
-          .held_bytes = (uint64_t)g->o.settings->memory_mb * MB / BODY_SHARE };
-
-  wy_h1_server_set_limits (g->callers, &l);
-}
-
-/* A configuration is in force: versions only rise, whatever order they come
-   in.  */
-static void
-learn_config (struct wy_gate *g, const struct wy_row *row)
-{
-  const char *why;
-  struct wy_routing *r = wy_config_decode (row->value, row->size_bytes, &why);
-
-  if (!r)
-    {
-      wy_note ("config.rejected", "row_version=%lld reason=%s",
-               (long long)row->version, why);
-      return;
-    }
-  if (g->env.routing && g->env.routing->version >= r->version)
-    {
-      wy_routing_free (r);
-      return;
-    }
-  wy_note ("config.in_force", "version=%lld before=%lld routes=%u",
-           (long long)r->version,
-           g->env.routing ? (long long)g->env.routing->version : 0LL,
-           r->routes->len);
-  wy_routing_free (g->env.routing);
-  g->env.routing = r;
-  set_limits (g);
-}
-
-static void
-learn_version (struct wy_gate *g, const struct wy_row *row)
-{
-  struct wy_named_version v;
-
-  if (wy_named_version_decode (row->value, row->size_bytes, &v))
-    wy_jobs_version_named (g->jobs, v.model, v.version);
-  else
-    wy_note ("version.rejected", "key=%s row_version=%lld", row->key,
-             (long long)row->version);
-}
-
-static void
-on_operator_row (void *ctx, const struct wy_row *row)
-{
-  if (row->deleted)
-    return;
-  switch (wy_operator_row_kind (row->key))
-    {
-    case WY_OPERATOR_CONFIG:
-      learn_config (ctx, row);
-      break;
-    case WY_OPERATOR_VERSION:
-      learn_version (ctx, row);
-      break;
-    case WY_OPERATOR_OTHER:
-      break;
-    }
-}
-
-static void
-on_replica_row (void *ctx, const struct wy_row *row)
-{
-  struct wy_gate *g = ctx;
-  struct wy_replica info;
-  struct wy_target *t = wy_targets_find (g->env.targets, row->key);
-  const char *wrong;
-
-  if (row->deleted)
-    {
-      wy_note ("target.gone", "id=%s version=%lld", row->key,
-               (long long)row->version);
-      wy_targets_remove (g->env.targets, row->key);
-      return;
-    }
-  wrong = wy_replica_decode (row->key, row->value, row->size_bytes, &info);
-  if (wrong)
-    {
-      wy_note ("target.rejected", "id=%s version=%lld field=%s", row->key,
-               (long long)row->version, wrong);
-      wy_targets_remove (g->env.targets, row->key);
-      return;
-    }
-  if (!t || t->info.draining != info.draining || !t->listed)
-    wy_note ("target.seen",
-             "id=%s service=%s zone=%s draining=%d version=%lld", info.id,
-             info.service, info.availability_zone, info.draining,
-             (long long)row->version);
-  wy_targets_set (g->env.targets, &info);
-  if (g->jobs)
-    wy_jobs_targets_changed (g->jobs);
-}
-
-static void
-set_relays (struct wy_gate *g)
-{
-  struct sockaddr_in a[RELAYS_MAX];
-  size_t n = wy_members_addresses (g->members, a, RELAYS_MAX);
-
-  for (guint i = 0; n == 0 && i < g->seeds->len; i++)
-    a[n++] = g_array_index (g->seeds, struct sockaddr_in, i);
-  wy_rows_set_relays (g->env.rows, a, n);
-}
-
-static void
-on_members (void *ctx)
-{
-  struct wy_gate *g = ctx;
-
-  if (g->members)
-    set_relays (g);
-}
-
 static void
 on_caller (void *ctx, struct wy_h1_request *r)
 {
@@ -339,12 +174,12 @@
   struct wy_h1_server_options o
       = { .loop = g->o.loop,
           .host = ip,
-          .limits = { .header_bytes = START_HEADER_BYTES,
+          .limits = { .header_bytes = WY_GATE_START_HEADER_BYTES,
                       .body_bytes = (uint32_t)g->o.settings->object_bytes * 2,
-                      .header_timeout_ms = START_HEADER_MS,
-                      .idle_timeout_ms = START_IDLE_MS,
-                      .held_bytes
-                      = (uint64_t)g->o.settings->memory_mb * MB / BODY_SHARE },
+                      .header_timeout_ms = WY_GATE_START_HEADER_MS,
+                      .idle_timeout_ms = WY_GATE_START_IDLE_MS,
+                      .held_bytes = (uint64_t)g->o.settings->memory_mb
+                                    * WY_GATE_MB / WY_GATE_BODY_SHARE },
           .on_request = on_request,
           .ctx = g };
 
@@ -481,54 +316,6 @@
   return 0;
 }
 
-static void
-read_seeds (struct wy_gate *g, const struct wy_gate_settings *s)
-{
-  g_array_set_size (g->seeds, 0);
-  for (guint i = 0; i < s->seeds->len; i++)
-    {
-      const char *text = g_ptr_array_index (s->seeds, i);
-      struct sockaddr_in a;
-
-      if (strcmp (text, s->peers) != 0 && wy_address_parse (text, &a))
-        g_array_append_val (g->seeds, a);
-    }
-}
-
-static void
-follow_store (struct wy_gate *g)
-{
-  uint64_t seed = wy_hash64 (g->incarnation, WY_ID_LEN, 2);
-  struct wy_watch_options w = { .loop = g->o.loop,
-                                .clock = g->o.clock,
-                                .rows = g->env.rows,
-                                .table = WY_OPERATOR_TABLE,
-                                .gap_ms = WATCH_GAP_MS,
-                                .seed = seed,
-                                .on_row = on_operator_row,
-                                .ctx = g };
-  struct wy_members_options m = { .env = &g->env,
-                                  .address = g->o.settings->peers,
-                                  .seed = seed + 2,
-                                  .on_change = on_members,
-                                  .ctx = g };
-  struct wy_jobs_options j
-      = { .env = &g->env,
-          .seed = seed + 3,
-          .piece_bytes = (uint32_t)g->o.settings->object_bytes,
-          .row_bytes = (uint32_t)g->o.settings->row_bytes };
-
-  g->operator_rows = wy_watch_new (&w);
-  w.table = WY_REPLICA_TABLE;
-  w.on_row = on_replica_row;
-  w.seed = seed + 1;
-  g->replicas = wy_watch_new (&w);
-  g->members = wy_members_new (&m);
-  set_relays (g);
-  j.members = g->members;
-  g->jobs = wy_jobs_new (&j);
-}
-
 /* Start a gate as O says and store it in OUT.  Returns 0 or WY_H1_EBIND.  */
 int
 wy_gate_new (struct wy_gate **out, const struct wy_gate_options *o)
@@ -554,13 +341,13 @@
   wy_rng_seed (&g->env.rng, wy_hash64 (g->incarnation, WY_ID_LEN, 0));
   g->env.targets = wy_targets_new (wy_hash64 (g->incarnation, WY_ID_LEN, 4));
   g->seeds = g_array_new (FALSE, FALSE, sizeof (struct sockaddr_in));
-  read_seeds (g, o->settings);
+  wy_gate_read_seeds (g, o->settings);
   err = start_store (g);
   if (!err)
     err = start_servers (g);
   if (err)
     return err;
-  follow_store (g);
+  wy_gate_follow_store (g);
   uv_timer_init (o->loop, &g->tick);
   g->tick.data = g;
   uv_timer_start (&g->tick, on_tick, TICK_MS, TICK_MS);
@@ -588,8 +375,8 @@
 void
 wy_gate_reload (struct wy_gate *g, const struct wy_gate_settings *s)
 {
-  read_seeds (g, s);
-  set_relays (g);
+  wy_gate_read_seeds (g, s);
+  wy_gate_set_relays (g);
   wy_note ("process.reloaded", "seeds=%u", g->seeds->len);
 }
 
--- /dev/null
+++ b/src/gate/gate_state.h
@@ -0,0 +1,53 @@
+/* Inside of the gate: all that it holds.  */
+#ifndef WY_GATE_GATE_STATE_H
+#define WY_GATE_GATE_STATE_H
+
+#include "base/id.h"
+#include "gate/env.h"
+#include "gate/gate.h"
+#include "gate/members.h"
+#include "h1/server.h"
+#include "jobs/jobs.h"
+#include "rows/watch.h"
+
+enum
+{
+  WY_GATE_MB = 1 << 20,
+  /* Share of the memory that bodies being read may take.  */
+  WY_GATE_BODY_SHARE = 8,
+  /* Before a configuration is known; callers are refused then anyway.  */
+  WY_GATE_START_HEADER_BYTES = 65536,
+  WY_GATE_START_BODY_BYTES = 1 << 20,
+  WY_GATE_START_HEADER_MS = 5000,
+  WY_GATE_START_IDLE_MS = 60000
+};
+
+struct wy_gate
+{
+  struct wy_gate_env env;
+  struct wy_gate_options o;
+  char incarnation[WY_ID_SIZE_BYTES];
+  char *holder;
+  struct wy_metrics *metrics;
+  struct wy_members *members;
+  struct wy_jobs *jobs;
+  struct wy_watch *operator_rows;
+  struct wy_watch *replicas;
+  struct wy_h1_server *callers;
+  struct wy_h1_server *ready;
+  struct wy_h1_server *peers;
+  struct wy_h1_server *metrics_server;
+  GArray *seeds; /* struct sockaddr_in */
+  uv_timer_t tick;
+  int64_t stop_asked_ms;
+  bool was_ready;
+  bool handed_over;
+  bool stopped;
+};
+
+void wy_gate_set_limits (struct wy_gate *g);
+void wy_gate_set_relays (struct wy_gate *g);
+void wy_gate_read_seeds (struct wy_gate *g, const struct wy_gate_settings *s);
+void wy_gate_follow_store (struct wy_gate *g);
+
+#endif
--- a/src/gate/proxy.c
+++ b/src/gate/proxy.c
@@ -6,12 +6,10 @@
    about half of the latency they are promised.  A non-idempotent one goes
    elsewhere only if the replica says, or the lack of a connection proves,
    that it has not run.  */
-#include "gate/proxy.h"
+#include "gate/proxy_state.h"
 
 #include <string.h>
 
-#include "gate/answer.h"
-#include "gate/events.h"
 #include "platform/request_wire.h"
 #include "trace/note.h"
 
@@ -20,7 +18,6 @@
   /* Sends that replicas turned away unrun do not count as attempts; this many
      bound them.  */
   SENDS_MAX = 8,
-  TRIES_MAX = 2, /* at once */
   /* Without a promised latency a second replica is asked after this share of
      the time limit.  */
   HEDGE_DIVISOR = 4,
@@ -33,202 +30,26 @@
      a refusal; a stream that has begun goes on trying to its time limit.  */
   ROUND_MS = 40,
   ROUNDS_MAX = 6,
-  RETRY_AFTER_FULL_MS = 200,
-  RETRY_AFTER_NONE_MS = 500,
   /* A stream that pauses for so long has lost its replica.  */
   STREAM_SILENCE_MS = 2000,
   /* A caller that reads too slowly is held back, not buffered for.  */
   UNSENT_LIMIT_BYTES = 4 << 20
 };
 
-struct
-try
-  {
-    struct proxied *p;
-    struct wy_target *target; /* NULL: free */
-    struct wy_h1_call *call;
-    struct wy_answer *answer;
-    struct wy_answer_info info;
-    int64_t started_ms;
-    int64_t heard_ms;
-    bool bad;
-    bool not_run;
-  };
-
-struct proxied
-{
-  struct wy_gate_env *env;
-  struct wy_h1_request *request;
-  uv_timer_t timer;
-  enum wy_route_kind kind;
-  bool resumable;
-  bool streaming; /* the answer has begun */
-  bool ended;
-  char *id;
-  char *route;
-  char *service;
-  int64_t config_version;
-  int64_t started_ms;
-  int64_t deadline_ms; /* the caller must have an answer */
-  bool has_deadline;
-  uint32_t hedge_ms;
-  uint32_t attempts;
-  uint32_t attempts_left; /* runs */
-  uint32_t sends;
-  uint32_t rounds;
-  int64_t after_event;
-  bool may_have_run;
-  int64_t hedge_due_ms;    /* 0: none */
-  int64_t round_due_ms;    /* 0: none */
-  struct wy_answer *spare; /* a replica's failure, if nothing better comes */
-  struct try tries[TRIES_MAX];
-  GPtrArray *tried; /* struct wy_target, held */
-  struct wy_events events;
-};
-
-static void launch (struct proxied *p);
+static void launch (struct wy_proxied *p);
 static void on_timer (uv_timer_t *timer);
 
-static int64_t
-now_of (const struct proxied *p)
-{
-  return wy_clock_mono_ms (p->env->clock);
-}
-
 static bool
-is_repeatable (const struct proxied *p)
+is_repeatable (const struct wy_proxied *p)
 {
   return p->kind == WY_ROUTE_IDEMPOTENT
          || (p->kind == WY_ROUTE_STREAM && p->resumable);
 }
 
-static void
-end_try (struct try *t, enum wy_target_outcome outcome)
-{
-  struct wy_target *g = t->target;
-
-  if (!g)
-    return;
-  if (t->call)
-    wy_h1_call_cancel (t->call);
-  t->call = NULL;
-  t->target = NULL;
-  wy_answer_free (t->answer);
-  t->answer = NULL;
-  wy_target_ended (t->p->env->targets, g, outcome, now_of (t->p));
-}
-
-static void
-on_timer_closed (uv_handle_t *h)
-{
-  g_free (h->data);
-}
-
-static void
-finish (struct proxied *p)
-{
-  p->ended = true;
-  for (size_t i = 0; i < TRIES_MAX; i++)
-    end_try (&p->tries[i], WY_TARGET_ABANDONED);
-  for (guint i = 0; i < p->tried->len; i++)
-    wy_target_release (p->env->targets, g_ptr_array_index (p->tried, i));
-  g_ptr_array_free (p->tried, TRUE);
-  wy_events_clear (&p->events);
-  wy_answer_free (p->spare);
-  g_free (p->id);
-  g_free (p->route);
-  g_free (p->service);
-  uv_close ((uv_handle_t *)&p->timer, on_timer_closed);
-}
-
-static void
-log_end (const struct proxied *p, const char *outcome, int status,
-         const char *reason)
-{
-  wy_note ("request.ended",
-           "id=%s route=%s service=%s config=%lld outcome=%s status=%d "
-           "reason=%s sends=%u ms=%lld",
-           p->id, p->route, p->service, (long long)p->config_version, outcome,
-           status, reason, p->sends, (long long)(now_of (p) - p->started_ms));
-}
-
-static void
-on_hangup (void *ctx)
-{
-  struct proxied *p = ctx;
-
-  p->request = NULL;
-  (*p->env->count.hung_up)++;
-  log_end (p, "hung_up", 0, "caller");
-  finish (p);
-}
-
-/* Give the request up.  503 promises that it has not run; where it may have,
-   502 and 504 promise nothing.  */
-static void
-give_up (struct proxied *p, bool late, const char *reason)
-{
-  struct wy_h1_request *r = p->request;
-  int status = !p->may_have_run ? 503 : late ? 504 : 502;
-  uint32_t after_ms
-      = strcmp (reason, "full") ? RETRY_AFTER_NONE_MS : RETRY_AFTER_FULL_MS;
-
-  p->request = NULL;
-  if (p->streaming)
-    {
-      (*p->env->count.failed)++;
-      log_end (p, "broken_off", 0, reason);
-      wy_h1_break (r);
-    }
-  else if (p->spare)
-    {
-      (*p->env->count.answered)++;
-      log_end (p, "answered", p->spare->status, "replica_failed");
-      wy_answer_send (p->spare, r);
-    }
-  else
-    {
-      (*(status == 503 ? p->env->count.refused : p->env->count.failed))++;
-      log_end (p, status == 503 ? "refused" : "failed", status, reason);
-      wy_refuse (r, status, reason, status == 503 ? after_ms : 0);
-    }
-  finish (p);
-}
-
-static void
-succeed (struct proxied *p, struct try *t)
-{
-  struct wy_h1_request *r = p->request;
-  struct wy_answer *a = t->answer;
-  int64_t now_ms = now_of (p);
-
-  p->request = NULL;
-  t->answer = NULL;
-  (*p->env->count.answered)++;
-  wy_hist_add (p->env->count.latency_us,
-               (uint64_t)(now_ms - p->started_ms) * WY_US_PER_MS);
-  wy_note ("request.ended",
-           "id=%s route=%s service=%s config=%lld outcome=answered status=%d "
-           "target=%s sends=%u ms=%lld target_ms=%lld",
-           p->id, p->route, p->service, (long long)p->config_version,
-           a->status, t->target->info.id, p->sends,
-           (long long)(now_ms - p->started_ms),
-           (long long)(now_ms - t->started_ms));
-  if (p->streaming)
-    wy_h1_finish (r);
-  else
-    wy_answer_send (a, r);
-  wy_answer_free (a);
-  if (p->kind != WY_ROUTE_STREAM)
-    wy_target_paced (t->target, (double)(now_ms - t->started_ms), now_ms);
-  end_try (t, WY_TARGET_ANSWERED);
-  finish (p);
-}
-
 static bool
-any_running (const struct proxied *p)
+any_running (const struct wy_proxied *p)
 {
-  for (size_t i = 0; i < TRIES_MAX; i++)
+  for (size_t i = 0; i < WY_PROXY_TRIES_MAX; i++)
     if (p->tries[i].target)
       return true;
   return false;
@@ -236,7 +57,7 @@
 
 /* A try has ended without an answer to pass on: go on or give up.  */
 static void
-go_on (struct proxied *p, const char *reason)
+go_on (struct wy_proxied *p, const char *reason)
 {
   bool repeatable = is_repeatable (p) || !p->may_have_run;
 
@@ -249,17 +70,17 @@
   if (!repeatable || p->attempts_left == 0
       || (p->sends >= SENDS_MAX && !p->streaming))
     {
-      give_up (p, false, reason);
+      wy_proxy_give_up (p, false, reason);
       return;
     }
   launch (p);
 }
 
 static void
-log_try (const struct try *t, const char *outcome)
+log_try (const struct wy_try *t, const char *outcome)
 {
   const struct wy_target *g = t->target;
-  int64_t now_ms = now_of (t->p);
+  int64_t now_ms = wy_proxy_now_ms (t->p);
 
   wy_note ("request.try_failed",
            "id=%s target=%s outcome=%s ms=%lld in_flight=%u failures=%u "
@@ -270,17 +91,17 @@
 }
 
 static void
-try_failed (struct try *t, enum wy_target_outcome outcome, bool ran,
+try_failed (struct wy_try *t, enum wy_target_outcome outcome, bool ran,
             const char *reason)
 {
-  struct proxied *p = t->p;
+  struct wy_proxied *p = t->p;
 
   log_try (t, reason);
   if (ran)
     p->may_have_run = true;
   else
     p->attempts_left++;
-  end_try (t, outcome);
+  wy_proxy_end_try (t, outcome);
   wy_events_reset (&p->events);
   (*p->env->count.retries)++;
   go_on (p, reason);
@@ -289,10 +110,10 @@
 static void
 on_head (void *ctx, const struct wy_h1_answer *a)
 {
-  struct try *t = ctx;
-  struct proxied *p = t->p;
+  struct wy_try *t = ctx;
+  struct wy_proxied *p = t->p;
 
-  t->heard_ms = now_of (p);
+  t->heard_ms = wy_proxy_now_ms (p);
   wy_target_heard (t->target);
   wy_answer_read (a->status, a->head, &t->info);
   if (t->info.has_load)
@@ -316,7 +137,7 @@
 static void
 on_event (void *ctx, const struct wy_event *ev)
 {
-  struct proxied *p = ctx;
+  struct wy_proxied *p = ctx;
 
   if (ev->id >= 0 && ev->id <= p->after_event)
     return;
@@ -328,10 +149,10 @@
 static void
 on_data (void *ctx, const char *bytes, size_t n)
 {
-  struct try *t = ctx;
-  struct proxied *p = t->p;
+  struct wy_try *t = ctx;
+  struct wy_proxied *p = t->p;
 
-  t->heard_ms = now_of (p);
+  t->heard_ms = wy_proxy_now_ms (p);
   if (t->bad)
     return;
   if (!p->streaming || t->answer->status != 200)
@@ -345,8 +166,8 @@
 static void
 on_end (void *ctx, int err)
 {
-  struct try *t = ctx;
-  struct proxied *p = t->p;
+  struct wy_try *t = ctx;
+  struct wy_proxied *p = t->p;
   bool sent = wy_h1_call_sent (t->call);
   int status = t->answer ? t->answer->status : 0;
 
@@ -372,14 +193,14 @@
       try_failed (t, WY_TARGET_ANSWERED, true, "replica_failed");
     }
   else if (t->answer)
-    succeed (p, t);
+    wy_proxy_succeed (p, t);
 }
 
 static void
-send_to (struct proxied *p, struct wy_target *g, struct try *t)
+send_to (struct wy_proxied *p, struct wy_target *g, struct wy_try *t)
 {
   GArray *fields = g_array_new (FALSE, FALSE, sizeof (struct wy_h1_pair));
-  int64_t now_ms = now_of (p);
+  int64_t now_ms = wy_proxy_now_ms (p);
   struct wy_forward_info f
       = { .replica = g->info.id,
           .time_left_ms = p->has_deadline ? p->deadline_ms - now_ms : -1,
@@ -412,7 +233,7 @@
 }
 
 static struct wy_target *
-pick (struct proxied *p, bool again)
+pick (struct wy_proxied *p, bool again)
 {
   struct wy_pick q
       = { .service = p->service,
@@ -421,22 +242,22 @@
           .tried = (const struct wy_target *const *)p->tried->pdata,
           .n_tried = again ? 0 : p->tried->len };
 
-  return wy_targets_pick (p->env->targets, &q, now_of (p));
+  return wy_targets_pick (p->env->targets, &q, wy_proxy_now_ms (p));
 }
 
-static struct try *
-free_try (struct proxied *p)
+static struct wy_try *
+free_try (struct wy_proxied *p)
 {
-  for (size_t i = 0; i < TRIES_MAX; i++)
+  for (size_t i = 0; i < WY_PROXY_TRIES_MAX; i++)
     if (!p->tries[i].target)
       return &p->tries[i];
   return NULL;
 }
 
 static void
-arm (struct proxied *p)
+arm (struct wy_proxied *p)
 {
-  int64_t now_ms = now_of (p);
+  int64_t now_ms = wy_proxy_now_ms (p);
   int64_t due_ms = p->deadline_ms - REPLY_MARGIN_MS;
 
   if (p->hedge_due_ms && p->hedge_due_ms < due_ms)
@@ -454,9 +275,9 @@
    full, another round follows shortly; where there is none, the caller hears
    at once.  */
 static void
-launch (struct proxied *p)
+launch (struct wy_proxied *p)
 {
-  struct try *t = free_try (p);
+  struct wy_try *t = free_try (p);
   struct wy_target *g = pick (p, false);
 
   p->round_due_ms = 0;
@@ -468,7 +289,7 @@
     {
       send_to (p, g, t);
       p->hedge_due_ms = is_repeatable (p) && p->attempts_left && !p->streaming
-                            ? now_of (p) + p->hedge_ms
+                            ? wy_proxy_now_ms (p) + p->hedge_ms
                             : 0;
       arm (p);
       return;
@@ -477,26 +298,26 @@
     return;
   if (wy_targets_ready (p->env->targets, p->service) == 0)
     {
-      give_up (p, false, "no_target");
+      wy_proxy_give_up (p, false, "no_target");
       return;
     }
   if (++p->rounds > ROUNDS_MAX && !p->streaming)
     {
-      give_up (p, false, "full");
+      wy_proxy_give_up (p, false, "full");
       return;
     }
-  p->round_due_ms = now_of (p) + ROUND_MS;
+  p->round_due_ms = wy_proxy_now_ms (p) + ROUND_MS;
   arm (p);
 }
 
 static void
-check_stream (struct proxied *p)
+check_stream (struct wy_proxied *p)
 {
-  for (size_t i = 0; i < TRIES_MAX; i++)
+  for (size_t i = 0; i < WY_PROXY_TRIES_MAX; i++)
     {
-      struct try *t = &p->tries[i];
+      struct wy_try *t = &p->tries[i];
 
-      if (t->target && now_of (p) - t->heard_ms >= STREAM_SILENCE_MS)
+      if (t->target && wy_proxy_now_ms (p) - t->heard_ms >= STREAM_SILENCE_MS)
         {
           try_failed (t, WY_TARGET_SILENT, true, "silent");
           return;
@@ -508,14 +329,14 @@
 static void
 on_timer (uv_timer_t *timer)
 {
-  struct proxied *p = timer->data;
-  int64_t now_ms = now_of (p);
+  struct wy_proxied *p = timer->data;
+  int64_t now_ms = wy_proxy_now_ms (p);
 
   if (now_ms >= p->deadline_ms - REPLY_MARGIN_MS)
     {
       if (any_running (p))
         p->may_have_run = true;
-      give_up (p, true, "time_limit");
+      wy_proxy_give_up (p, true, "time_limit");
     }
   else if (p->round_due_ms && now_ms >= p->round_due_ms)
     launch (p);
@@ -535,7 +356,7 @@
 }
 
 static void
-set_times (struct proxied *p, const struct wy_route *route,
+set_times (struct wy_proxied *p, const struct wy_route *route,
            const struct wy_request_info *info, int64_t received_ms)
 {
   int64_t limit_ms = route->timeout_ms ? route->timeout_ms : 0;
@@ -557,7 +378,7 @@
 wy_proxy_start (struct wy_gate_env *env, struct wy_h1_request *r,
                 const struct wy_route *route)
 {
-  struct proxied *p = g_new0 (struct proxied, 1);
+  struct wy_proxied *p = g_new0 (struct wy_proxied, 1);
   struct wy_request_info info;
 
   wy_request_read (wy_h1_head (r), &info);
@@ -578,6 +399,6 @@
   set_times (p, route, &info, wy_h1_received_ms (r));
   uv_timer_init (env->loop, &p->timer);
   p->timer.data = p;
-  wy_h1_on_hangup (r, on_hangup, p);
+  wy_h1_on_hangup (r, wy_proxy_on_hangup, p);
   launch (p);
 }
--- /dev/null
+++ b/src/gate/proxy_end.c
@@ -0,0 +1,150 @@
+/* How a request that is passed on ends: answered, given up, or left by its
+   caller.  */
+#include "gate/proxy_state.h"
+
+#include <string.h>
+
+#include "trace/note.h"
+
+enum
+{
+  /* When a refused caller may come back: full targets have a slot again after
+     some requests, targets that are gone take longer.  */
+  RETRY_AFTER_FULL_MS = 200,
+  RETRY_AFTER_NONE_MS = 500
+};
+
+/* Monotonic time in ms.  */
+int64_t
+wy_proxy_now_ms (const struct wy_proxied *p)
+{
+  return wy_clock_mono_ms (p->env->clock);
+}
+
+/* End T with OUTCOME for its target; nothing if it is free.  */
+void
+wy_proxy_end_try (struct wy_try *t, enum wy_target_outcome outcome)
+{
+  struct wy_target *g = t->target;
+
+  if (!g)
+    return;
+  if (t->call)
+    wy_h1_call_cancel (t->call);
+  t->call = NULL;
+  t->target = NULL;
+  wy_answer_free (t->answer);
+  t->answer = NULL;
+  wy_target_ended (t->p->env->targets, g, outcome, wy_proxy_now_ms (t->p));
+}
+
+static void
+on_timer_closed (uv_handle_t *h)
+{
+  g_free (h->data);
+}
+
+/* Free P; its answer is out.  */
+void
+wy_proxy_finish (struct wy_proxied *p)
+{
+  p->ended = true;
+  for (size_t i = 0; i < WY_PROXY_TRIES_MAX; i++)
+    wy_proxy_end_try (&p->tries[i], WY_TARGET_ABANDONED);
+  for (guint i = 0; i < p->tried->len; i++)
+    wy_target_release (p->env->targets, g_ptr_array_index (p->tried, i));
+  g_ptr_array_free (p->tried, TRUE);
+  wy_events_clear (&p->events);
+  wy_answer_free (p->spare);
+  g_free (p->id);
+  g_free (p->route);
+  g_free (p->service);
+  uv_close ((uv_handle_t *)&p->timer, on_timer_closed);
+}
+
+static void
+log_end (const struct wy_proxied *p, const char *outcome, int status,
+         const char *reason)
+{
+  wy_note ("request.ended",
+           "id=%s route=%s service=%s config=%lld outcome=%s status=%d "
+           "reason=%s sends=%u ms=%lld",
+           p->id, p->route, p->service, (long long)p->config_version, outcome,
+           status, reason, p->sends,
+           (long long)(wy_proxy_now_ms (p) - p->started_ms));
+}
+
+/* The caller has hung up.  */
+void
+wy_proxy_on_hangup (void *ctx)
+{
+  struct wy_proxied *p = ctx;
+
+  p->request = NULL;
+  (*p->env->count.hung_up)++;
+  log_end (p, "hung_up", 0, "caller");
+  wy_proxy_finish (p);
+}
+
+/* Give the request up.  503 promises that it has not run; where it may have,
+   502 and 504 promise nothing.  */
+void
+wy_proxy_give_up (struct wy_proxied *p, bool late, const char *reason)
+{
+  struct wy_h1_request *r = p->request;
+  int status = !p->may_have_run ? 503 : late ? 504 : 502;
+  uint32_t after_ms
+      = strcmp (reason, "full") ? RETRY_AFTER_NONE_MS : RETRY_AFTER_FULL_MS;
+
+  p->request = NULL;
+  if (p->streaming)
+    {
+      (*p->env->count.failed)++;
+      log_end (p, "broken_off", 0, reason);
+      wy_h1_break (r);
+    }
+  else if (p->spare)
+    {
+      (*p->env->count.answered)++;
+      log_end (p, "answered", p->spare->status, "replica_failed");
+      wy_answer_send (p->spare, r);
+    }
+  else
+    {
+      (*(status == 503 ? p->env->count.refused : p->env->count.failed))++;
+      log_end (p, status == 503 ? "refused" : "failed", status, reason);
+      wy_refuse (r, status, reason, status == 503 ? after_ms : 0);
+    }
+  wy_proxy_finish (p);
+}
+
+/* Pass the answer of T on.  */
+void
+wy_proxy_succeed (struct wy_proxied *p, struct wy_try *t)
+{
+  struct wy_h1_request *r = p->request;
+  struct wy_answer *a = t->answer;
+  int64_t now_ms = wy_proxy_now_ms (p);
+
+  p->request = NULL;
+  t->answer = NULL;
+  (*p->env->count.answered)++;
+  wy_hist_add (p->env->count.latency_us,
+               (uint64_t)(now_ms - p->started_ms) * WY_US_PER_MS);
+  wy_note ("request.ended",
+           "id=%s route=%s service=%s config=%lld outcome=answered status=%d "
+           "target=%s sends=%u ms=%lld target_ms=%lld",
+           p->id, p->route, p->service, (long long)p->config_version,
+           a->status, t->target->info.id, p->sends,
+           (long long)(now_ms - p->started_ms),
+           (long long)(now_ms - t->started_ms));
+  if (p->streaming)
+    wy_h1_finish (r);
+  else
+    wy_answer_send (a, r);
+  wy_answer_free (a);
+  if (p->kind != WY_ROUTE_STREAM)
+    wy_target_paced (t->target, (double)(now_ms - t->started_ms), now_ms);
+  wy_proxy_end_try (t, WY_TARGET_ANSWERED);
+  wy_proxy_finish (p);
+}
--- a/src/h1/client.c
+++ b/src/h1/client.c
@@ -1,73 +1,13 @@
 /* HTTP/1.1 client: kept connections by address, one call at a time on each. */
-#include "h1/client.h"
-
-#include <stdlib.h>
-#include <string.h>
-#include <strings.h>
-#include <sys/socket.h>
-
-#include <http_parser.h>
+#include "h1/client_state.h"
 
 enum
 {
-  READ_SIZE_BYTES = 65536,
   /* How often connections being opened are looked at: a target that has gone
      dark costs a call this much more than the time to connect.  */
   SWEEP_MS = 100,
   /* Sweeps between two looks at idle connections.  */
-  IDLE_SWEEPS = 5,
-  /* A kept connection is given up this long before its peer says it will
-     close it, since a request that crosses the close is lost.  */
-  KEEP_MARGIN_MS = 1000,
-  MS_PER_S = 1000
-};
-
-struct wy_h1_call
-{
-  uv_tcp_t tcp; /* must stay first */
-  struct wy_h1_client *client;
-  struct peer *peer;
-  http_parser parser;
-  struct wy_h1_head head;
-  struct wy_h1_call_options o;
-  GString *out; /* request not yet written, or NULL */
-  uv_connect_t connect;
-  uv_write_t write;
-  uint64_t idle_until_ms;
-  uint32_t keep_ms;
-  bool connected;
-  bool connecting;
-  bool writing;
-  bool sent; /* some bytes may have left */
-  bool reused;
-  bool active; /* a call is under way */
-  bool headed; /* the head of its answer is in */
-  bool framed;
-  bool complete; /* its answer is in */
-  bool dirty;    /* not to be used again */
-  bool closing;
-  uint64_t since_ms;
-  GList link; /* in the peer's idle list */
-};
-
-struct peer
-{
-  struct sockaddr_in address;
-  GQueue idle;
-  uint32_t open;
-};
-
-struct wy_h1_client
-{
-  uv_loop_t *loop;
-  uint32_t connect_timeout_ms;
-  uint32_t idle_timeout_ms;
-  uv_timer_t sweep;
-  uint32_t sweeps;
-  GHashTable *peers; /* struct peer by address */
-  GQueue connecting; /* struct wy_h1_call in use, oldest first */
-  struct wy_h1_client_stats stats;
-  char read_buffer[READ_SIZE_BYTES];
+  IDLE_SWEEPS = 5
 };
 
 static uint64_t
@@ -76,7 +16,7 @@
   return (uint64_t)a->sin_addr.s_addr << 16 | a->sin_port;
 }
 
-static struct peer *
+static struct wy_h1_peer *
 peer_of (const struct wy_h1_client *c, const struct sockaddr_in *a)
 {
   uint64_t key = key_of (a);
@@ -84,15 +24,15 @@
   return g_hash_table_lookup (c->peers, &key);
 }
 
-static struct peer *
+static struct wy_h1_peer *
 peer_for (struct wy_h1_client *c, const struct sockaddr_in *a)
 {
-  struct peer *p = peer_of (c, a);
+  struct wy_h1_peer *p = peer_of (c, a);
   uint64_t *key;
 
   if (p)
     return p;
-  p = g_new0 (struct peer, 1);
+  p = g_new0 (struct wy_h1_peer, 1);
   p->address = *a;
   g_queue_init (&p->idle);
   key = g_new (uint64_t, 1);
@@ -101,321 +41,6 @@
   return p;
 }
 
-static void
-release_options (struct wy_h1_call *k)
-{
-  if (k->out)
-    g_string_free (k->out, TRUE);
-  k->out = NULL;
-}
-
-static void
-on_closed (uv_handle_t *h)
-{
-  struct wy_h1_call *k = (struct wy_h1_call *)h;
-
-  release_options (k);
-  wy_h1_head_clear (&k->head);
-  g_free (k);
-}
-
-static void
-close_conn (struct wy_h1_call *k)
-{
-  if (k->closing)
-    return;
-  k->closing = true;
-  if (k->link.data)
-    {
-      g_queue_unlink (k->active ? &k->client->connecting : &k->peer->idle,
-                      &k->link);
-      k->link.data = NULL;
-      if (!k->active)
-        k->client->stats.idle--;
-    }
-  k->peer->open--;
-  k->client->stats.open--;
-  uv_close ((uv_handle_t *)&k->tcp, on_closed);
-}
-
-/* End the call with ERR and close its connection.  */
-static void
-fail (struct wy_h1_call *k, int err)
-{
-  void (*on_end) (void *, int) = k->active ? k->o.on_end : NULL;
-  void *ctx = k->o.ctx;
-
-  if (k->closing)
-    return;
-  if (on_end)
-    {
-      /* The owner may still ask whether the request was sent.  */
-      k->o.on_end = NULL;
-      on_end (ctx, err);
-    }
-  close_conn (k);
-}
-
-static void
-keep (struct wy_h1_call *k)
-{
-  g_queue_unlink (&k->client->connecting, &k->link);
-  k->active = false;
-  k->link.data = k;
-  k->idle_until_ms = uv_now (k->tcp.loop) + k->keep_ms;
-  g_queue_push_head_link (&k->peer->idle, &k->link);
-  k->client->stats.idle++;
-}
-
-/* The answer is whole: keep the connection if the next answer on it can only
-   be the next request's.  */
-static void
-finish (struct wy_h1_call *k)
-{
-  void (*on_end) (void *, int) = k->o.on_end;
-  void *ctx = k->o.ctx;
-
-  k->o.on_end = NULL;
-  /* A peer that answers before it has read the request whole would read the
-     rest of it from whatever comes next.  */
-  if (k->writing)
-    k->dirty = true;
-  if (k->dirty || k->keep_ms == 0)
-    {
-      if (on_end)
-        on_end (ctx, 0);
-      close_conn (k);
-      return;
-    }
-  keep (k);
-  if (on_end)
-    on_end (ctx, 0);
-}
-
-static int
-on_field (http_parser *p, const char *at, size_t n)
-{
-  wy_h1_head_name (&((struct wy_h1_call *)p->data)->head, at, n);
-  return 0;
-}
-
-static int
-on_value (http_parser *p, const char *at, size_t n)
-{
-  wy_h1_head_value (&((struct wy_h1_call *)p->data)->head, at, n);
-  return 0;
-}
-
-static uint32_t
-keep_ms_of (const struct wy_h1_call *k)
-{
-  const char *v = wy_h1_head_get (&k->head, "keep-alive");
-  const char *t = v ? strcasestr (v, "timeout=") : NULL;
-  uint64_t ms = k->client->idle_timeout_ms;
-
-  if (t)
-    ms = strtoull (t + strlen ("timeout="), NULL, 10) * MS_PER_S;
-  else if (v && *v >= '0' && *v <= '9')
-    ms = strtoull (v, NULL, 10) * MS_PER_S;
-  if (ms > k->client->idle_timeout_ms)
-    ms = k->client->idle_timeout_ms;
-  /* A short time-out leaves half of it.  */
-  return (uint32_t)(ms / 2 > KEEP_MARGIN_MS ? ms - KEEP_MARGIN_MS : ms / 2);
-}
-
-/* Whether the end of the answer shows in it, so that a close in its midst is
-   told from its end.  */
-static bool
-is_framed (const http_parser *p)
-{
-  return p->status_code == HTTP_STATUS_NO_CONTENT
-         || p->status_code == HTTP_STATUS_NOT_MODIFIED
-         || (p->flags & (F_CHUNKED | F_CONTENTLENGTH));
-}
-
-static int
-on_headers_complete (http_parser *p)
-{
-  struct wy_h1_call *k = p->data;
-  struct wy_h1_answer a;
-  bool bodiless;
-
-  if (p->status_code < 200)
-    {
-      wy_h1_head_reset (&k->head);
-      return 0;
-    }
-  bodiless = !strcmp (k->o.method, "HEAD");
-  k->headed = true;
-  k->framed = bodiless || is_framed (p);
-  k->keep_ms = keep_ms_of (k);
-  a.status = (int)p->status_code;
-  a.head = &k->head;
-  a.framed = k->framed;
-  if (!http_should_keep_alive (p))
-    k->dirty = true;
-  if (k->o.on_head)
-    k->o.on_head (k->o.ctx, &a);
-  return bodiless ? 1 : 0;
-}
-
-static int
-on_body (http_parser *p, const char *at, size_t n)
-{
-  struct wy_h1_call *k = p->data;
-
-  if (!k->closing && k->o.on_data)
-    k->o.on_data (k->o.ctx, at, n);
-  return 0;
-}
-
-static int
-on_complete (http_parser *p)
-{
-  struct wy_h1_call *k = p->data;
-
-  if (p->status_code < 200)
-    return 0;
-  k->complete = true;
-  http_parser_pause (p, 1);
-  return 0;
-}
-
-static const http_parser_settings callbacks
-    = { .on_header_field = on_field,
-        .on_header_value = on_value,
-        .on_headers_complete = on_headers_complete,
-        .on_body = on_body,
-        .on_message_complete = on_complete };
-
-static void
-on_alloc (uv_handle_t *h, size_t suggested, uv_buf_t *buf)
-{
-  struct wy_h1_client *c = ((struct wy_h1_call *)h)->client;
-
-  *buf = uv_buf_init (c->read_buffer, sizeof c->read_buffer);
-}
-
-static void
-parse (struct wy_h1_call *k, const char *p, size_t n)
-{
-  size_t used = http_parser_execute (&k->parser, &callbacks, p, n);
-  enum http_errno err = HTTP_PARSER_ERRNO (&k->parser);
-
-  if (k->closing)
-    return;
-  if (k->complete)
-    {
-      /* Bytes behind a whole answer belong to no request.  */
-      if (used < n)
-        k->dirty = true;
-      finish (k);
-    }
-  else if (err != HPE_OK)
-    fail (k, WY_H1_EMALFORMED);
-}
-
-/* Whether the connection was reset.  libuv reports the end of the stream when
-   it sees the hang-up right behind a short read, also where the peer has
-   reset the connection; an answer without a length would then be taken for
-   whole.  The error is still pending on the socket.  */
-static bool
-was_reset (const struct wy_h1_call *k)
-{
-  int err = 0;
-  socklen_t n = sizeof err;
-  uv_os_fd_t fd;
-
-  if (uv_fileno ((const uv_handle_t *)&k->tcp, &fd))
-    return true;
-  return getsockopt (fd, SOL_SOCKET, SO_ERROR, &err, &n) || err;
-}
-
-static void
-on_eof (struct wy_h1_call *k, ssize_t err)
-{
-  bool ends_by_close = k->active && !k->framed && k->headed && err == UV_EOF
-                       && !was_reset (k);
-
-  if (!ends_by_close)
-    {
-      fail (k, k->parser.status_code ? WY_H1_EPARTIAL : WY_H1_ERESET);
-      return;
-    }
-  http_parser_execute (&k->parser, &callbacks, NULL, 0);
-  if (k->closing)
-    return;
-  k->dirty = true;
-  if (k->complete)
-    finish (k);
-  else
-    fail (k, WY_H1_EPARTIAL);
-}
-
-static void
-on_read (uv_stream_t *h, ssize_t n, const uv_buf_t *buf)
-{
-  struct wy_h1_call *k = (struct wy_h1_call *)h;
-
-  if (n == 0)
-    return;
-  if (!k->active)
-    {
-      /* Closed by the peer, or bytes that nobody asked for.  */
-      close_conn (k);
-      return;
-    }
-  if (n < 0)
-    on_eof (k, n);
-  else
-    parse (k, buf->base, (size_t)n);
-}
-
-static void
-on_written (uv_write_t *req, int status)
-{
-  struct wy_h1_call *k = req->data;
-
-  k->writing = false;
-  if (!k->closing)
-    release_options (k);
-  if (status < 0 && !k->closing && k->active)
-    fail (k, WY_H1_ERESET);
-}
-
-static void
-send_request (struct wy_h1_call *k)
-{
-  uv_buf_t buf = uv_buf_init (k->out->str, (unsigned)k->out->len);
-
-  k->sent = true;
-  k->writing = true;
-  k->write.data = k;
-  if (uv_write (&k->write, (uv_stream_t *)&k->tcp, &buf, 1, on_written))
-    {
-      k->writing = false;
-      fail (k, WY_H1_ERESET);
-    }
-}
-
-static void
-on_connected (uv_connect_t *req, int status)
-{
-  struct wy_h1_call *k = req->data;
-
-  k->connecting = false;
-  if (k->closing)
-    return;
-  if (status < 0)
-    {
-      fail (k, WY_H1_ECONNECT);
-      return;
-    }
-  k->connected = true;
-  uv_read_start ((uv_stream_t *)&k->tcp, on_alloc, on_read);
-  send_request (k);
-}
-
 static void
 build_request (struct wy_h1_call *k, const struct wy_h1_call_options *o)
 {
@@ -431,7 +56,7 @@
 }
 
 static struct wy_h1_call *
-take_idle (struct wy_h1_client *c, struct peer *p)
+take_idle (struct wy_h1_client *c, struct wy_h1_peer *p)
 {
   struct wy_h1_call *k;
 
@@ -445,7 +70,7 @@
 }
 
 static struct wy_h1_call *
-open_conn (struct wy_h1_client *c, struct peer *p)
+open_conn (struct wy_h1_client *c, struct wy_h1_peer *p)
 {
   struct wy_h1_call *k = g_new0 (struct wy_h1_call, 1);
 
@@ -466,7 +91,7 @@
 struct wy_h1_call *
 wy_h1_call_start (struct wy_h1_client *c, const struct wy_h1_call_options *o)
 {
-  struct peer *p = peer_for (c, &o->address);
+  struct wy_h1_peer *p = peer_for (c, &o->address);
   struct wy_h1_call *k = o->fresh ? NULL : take_idle (c, p);
 
   if (!k)
@@ -488,14 +113,10 @@
   build_request (k, o);
   if (k->connected)
     {
-      send_request (k);
+      wy_h1_call_send (k);
       return k;
     }
-  k->connect.data = k;
-  k->connecting = true;
-  if (uv_tcp_connect (&k->connect, &k->tcp,
-                      (const struct sockaddr *)&p->address, on_connected))
-    k->connecting = false; /* the sweep ends it */
+  wy_h1_call_open (k);
   return k;
 }
 
@@ -506,7 +127,7 @@
   call->o.on_end = NULL;
   call->o.on_head = NULL;
   call->o.on_data = NULL;
-  close_conn (call);
+  wy_h1_call_close (call);
 }
 
 /* Whether bytes of the request may have reached the peer.  Valid until
@@ -526,7 +147,7 @@
 }
 
 static void
-sweep_idle (struct peer *p, uint64_t now_ms)
+sweep_idle (struct wy_h1_peer *p, uint64_t now_ms)
 {
   GList *next;
 
@@ -536,7 +157,7 @@
 
       next = l->next;
       if (now_ms >= k->idle_until_ms)
-        close_conn (k);
+        wy_h1_call_close (k);
     }
 }
 
@@ -552,7 +173,7 @@
       l = l->next;
       if (k->connected || now_ms - k->since_ms < c->connect_timeout_ms)
         continue;
-      fail (k, WY_H1_ECONNECT);
+      wy_h1_call_fail (k, WY_H1_ECONNECT);
       /* Its owner may have ended other calls.  */
       l = c->connecting.head;
     }
@@ -572,7 +193,7 @@
   g_hash_table_iter_init (&it, c->peers);
   while (g_hash_table_iter_next (&it, NULL, &p))
     {
-      struct peer *peer = p;
+      struct wy_h1_peer *peer = p;
 
       sweep_idle (peer, now_ms);
       if (peer->open == 0)
@@ -628,7 +249,7 @@
 wy_h1_client_open_to (const struct wy_h1_client *c,
                       const struct sockaddr_in *a)
 {
-  const struct peer *p = peer_of (c, a);
+  const struct wy_h1_peer *p = peer_of (c, a);
 
   return p ? p->open : 0;
 }
@@ -637,7 +258,7 @@
 void
 wy_h1_client_forget (struct wy_h1_client *c, const struct sockaddr_in *a)
 {
-  struct peer *p = peer_of (c, a);
+  struct wy_h1_peer *p = peer_of (c, a);
 
   if (p)
     sweep_idle (p, UINT64_MAX);
--- /dev/null
+++ b/src/h1/client_state.h
@@ -0,0 +1,67 @@
+/* Inside of the client: one connection with its call, and the pool.  */
+#ifndef WY_H1_CLIENT_STATE_H
+#define WY_H1_CLIENT_STATE_H
+
+#include <http_parser.h>
+
+#include "h1/client.h"
+
+enum
+{
+  WY_H1_CLIENT_READ_SIZE_BYTES = 65536
+};
+
+struct wy_h1_call
+{
+  uv_tcp_t tcp; /* must stay first */
+  struct wy_h1_client *client;
+  struct wy_h1_peer *peer;
+  http_parser parser;
+  struct wy_h1_head head;
+  struct wy_h1_call_options o;
+  GString *out; /* request not yet written, or NULL */
+  uv_connect_t connect;
+  uv_write_t write;
+  uint64_t idle_until_ms;
+  uint32_t keep_ms;
+  bool connected;
+  bool connecting;
+  bool writing;
+  bool sent; /* some bytes may have left */
+  bool reused;
+  bool active; /* a call is under way */
+  bool headed; /* the head of its answer is in */
+  bool framed;
+  bool complete; /* its answer is in */
+  bool dirty;    /* not to be used again */
+  bool closing;
+  uint64_t since_ms;
+  GList link; /* in the peer's idle list */
+};
+
+struct wy_h1_peer
+{
+  struct sockaddr_in address;
+  GQueue idle;
+  uint32_t open;
+};
+
+struct wy_h1_client
+{
+  uv_loop_t *loop;
+  uint32_t connect_timeout_ms;
+  uint32_t idle_timeout_ms;
+  uv_timer_t sweep;
+  uint32_t sweeps;
+  GHashTable *peers; /* struct wy_h1_peer by address */
+  GQueue connecting; /* struct wy_h1_call in use, oldest first */
+  struct wy_h1_client_stats stats;
+  char read_buffer[WY_H1_CLIENT_READ_SIZE_BYTES];
+};
+
+void wy_h1_call_open (struct wy_h1_call *k);
+void wy_h1_call_send (struct wy_h1_call *k);
+void wy_h1_call_close (struct wy_h1_call *k);
+void wy_h1_call_fail (struct wy_h1_call *k, int err);
+
+#endif
--- /dev/null
+++ b/src/h1/server_answer.c
@@ -0,0 +1,217 @@
+/* HTTP/1.1 server: answers, and what a handler sees of its request.  */
+#include "h1/server_state.h"
+
+#include <string.h>
+
+/* An outgoing write with its bytes behind it.  */
+struct write
+{
+  uv_write_t req; /* must stay first */
+  struct wy_h1_request *conn;
+  bool last; /* close when it is out */
+  size_t n;
+  char bytes[];
+};
+
+static const char *
+reason_of (int status)
+{
+  return http_status_str ((enum http_status)status);
+}
+
+static void
+on_written (uv_write_t *req, int status)
+{
+  struct write *w = (struct write *)req;
+  struct wy_h1_request *c = w->conn;
+  bool last = w->last;
+
+  g_free (w);
+  if (status < 0 && !c->closing)
+    wy_h1_conn_hang_up (c);
+  else if (last)
+    wy_h1_conn_close (c);
+}
+
+/* Send HEAD (or NULL) and the N bytes at P; close behind them if they are the
+   LAST.  */
+void
+wy_h1_conn_send (struct wy_h1_request *c, GString *head, const void *p,
+                 size_t n, bool last)
+{
+  size_t head_n = head ? head->len : 0;
+  struct write *w = g_malloc (sizeof *w + head_n + n);
+  uv_buf_t buf;
+
+  w->conn = c;
+  w->last = last;
+  w->n = head_n + n;
+  if (head_n)
+    memcpy (w->bytes, head->str, head_n);
+  if (n)
+    memcpy (w->bytes + head_n, p, n);
+  buf = uv_buf_init (w->bytes, (unsigned)w->n);
+  if (c->closing
+      || uv_write (&w->req, (uv_stream_t *)&c->tcp, &buf, 1, on_written))
+    g_free (w);
+}
+
+static GString *
+answer_head (struct wy_h1_request *c, int status,
+             const struct wy_h1_pair *fields, size_t n_fields)
+{
+  GString *out = g_string_sized_new (512);
+
+  if (c->server->announce_close)
+    c->keep_alive = false;
+  g_string_append_printf (out, "HTTP/1.1 %d %s\r\n", status,
+                          reason_of (status));
+  wy_h1_write_fields (out, fields, n_fields);
+  if (!c->keep_alive)
+    g_string_append (out, "Connection: close\r\n");
+  return out;
+}
+
+/* Answer R whole.  R is not valid afterwards.  */
+void
+wy_h1_respond (struct wy_h1_request *r, int status,
+               const struct wy_h1_pair *fields, size_t n_fields,
+               const void *body, size_t n)
+{
+  GString *out = answer_head (r, status, fields, n_fields);
+  bool headless
+      = status == 204 || status == 304 || r->parser.method == HTTP_HEAD;
+
+  if (status != 204)
+    g_string_append_printf (out, "Content-Length: %zu\r\n", n);
+  g_string_append (out, "\r\n");
+  wy_h1_conn_send (r, out, body, headless ? 0 : n, !r->keep_alive);
+  g_string_free (out, TRUE);
+  wy_h1_conn_end_exchange (r);
+}
+
+/* Begin an answer of unknown length.  */
+void
+wy_h1_begin (struct wy_h1_request *r, int status,
+             const struct wy_h1_pair *fields, size_t n_fields)
+{
+  GString *out;
+
+  r->chunked = r->parser.http_minor > 0;
+  if (!r->chunked)
+    r->keep_alive = false;
+  out = answer_head (r, status, fields, n_fields);
+  g_string_append (out,
+                   r->chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n");
+  wy_h1_conn_send (r, out, NULL, 0, false);
+  g_string_free (out, TRUE);
+}
+
+/* Send N more bytes of the answer begun.  */
+void
+wy_h1_write (struct wy_h1_request *r, const void *p, size_t n)
+{
+  GString *out;
+
+  if (n == 0)
+    return;
+  out = g_string_sized_new (n + 16);
+  if (r->chunked)
+    g_string_append_printf (out, "%zx\r\n", n);
+  g_string_append_len (out, p, (gssize)n);
+  if (r->chunked)
+    g_string_append (out, "\r\n");
+  wy_h1_conn_send (r, out, NULL, 0, false);
+  g_string_free (out, TRUE);
+}
+
+/* Bytes of the answer that the caller has not taken yet.  */
+size_t
+wy_h1_unsent_bytes (const struct wy_h1_request *r)
+{
+  return uv_stream_get_write_queue_size ((const uv_stream_t *)&r->tcp);
+}
+
+/* End the answer begun as complete.  R is not valid afterwards.  */
+void
+wy_h1_finish (struct wy_h1_request *r)
+{
+  const char *end = r->chunked ? "0\r\n\r\n" : "";
+
+  wy_h1_conn_send (r, NULL, end, strlen (end), !r->keep_alive);
+  wy_h1_conn_end_exchange (r);
+}
+
+/* Break off the answer begun, so that it cannot be taken for whole.  R is not
+   valid afterwards.  */
+void
+wy_h1_break (struct wy_h1_request *r)
+{
+  r->on_hangup = NULL;
+  wy_h1_conn_close (r);
+}
+
+/* Answer a request that broke a limit and close, since the rest of it is not
+   wanted.  */
+void
+wy_h1_conn_refuse (struct wy_h1_request *c, int status)
+{
+  static const struct wy_h1_pair later = { "Retry-After", "1" };
+
+  c->keep_alive = false;
+  if (c->state != CONN_BUSY)
+    wy_h1_conn_set_state (c, CONN_BUSY);
+  {
+    GString *out = answer_head (c, status, &later, status == 503 ? 1 : 0);
+
+    g_string_append (out, "Content-Length: 0\r\n\r\n");
+    wy_h1_conn_send (c, out, NULL, 0, false);
+    g_string_free (out, TRUE);
+  }
+  wy_h1_conn_end_exchange (c);
+}
+
+/* Method of the request.  */
+const char *
+wy_h1_method (const struct wy_h1_request *r)
+{
+  return http_method_str ((enum http_method)r->parser.method);
+}
+
+/* Path and query as the caller sent them.  */
+const char *
+wy_h1_target (const struct wy_h1_request *r)
+{
+  return wy_h1_head_target (&r->head);
+}
+
+/* Head of the request.  */
+const struct wy_h1_head *
+wy_h1_head (const struct wy_h1_request *r)
+{
+  return &r->head;
+}
+
+/* Body of the request, N bytes.  */
+const char *
+wy_h1_body (const struct wy_h1_request *r, size_t *n)
+{
+  *n = r->body->len;
+  return r->body->str;
+}
+
+/* Monotonic time in ms at which the request was read whole.  */
+int64_t
+wy_h1_received_ms (const struct wy_h1_request *r)
+{
+  return r->received_ms;
+}
+
+/* Call CB once if the caller hangs up before the answer is complete; R is not
+   valid then.  */
+void
+wy_h1_on_hangup (struct wy_h1_request *r, void (*cb) (void *ctx), void *ctx)
+{
+  r->on_hangup = cb;
+  r->hangup_ctx = ctx;
+}
--- /dev/null
+++ b/src/h1/server_conn.c
@@ -0,0 +1,321 @@
+/* HTTP/1.1 server: one connection, with one request at a time on it.  */
+#include "h1/server_state.h"
+
+#include <string.h>
+
+enum
+{
+  /* Bytes that a caller may send ahead of its turn; more are left in the
+     kernel until the request before them has its answer.  */
+  AHEAD_LIMIT_BYTES = 65536
+};
+
+/* C goes over to STATE now.  */
+void
+wy_h1_conn_set_state (struct wy_h1_request *c, enum wy_h1_conn_state state)
+{
+  if (c->state == CONN_BUSY)
+    c->server->active--;
+  c->state = state;
+  if (state == CONN_BUSY)
+    c->server->active++;
+  c->since_ms = uv_now (c->tcp.loop);
+}
+
+static void
+drop_body (struct wy_h1_request *c)
+{
+  c->server->held_bytes -= c->body->len;
+  if (c->body->allocated_len > WY_H1_READ_SIZE_BYTES)
+    {
+      g_string_free (c->body, TRUE);
+      c->body = g_string_new (NULL);
+    }
+  else
+    g_string_truncate (c->body, 0);
+}
+
+static void
+on_closed (uv_handle_t *h)
+{
+  struct wy_h1_request *c = (struct wy_h1_request *)h;
+
+  wy_h1_head_clear (&c->head);
+  g_string_free (c->body, TRUE);
+  g_byte_array_free (c->ahead, TRUE);
+  g_free (c);
+}
+
+/* Close C without a word.  */
+void
+wy_h1_conn_close (struct wy_h1_request *c)
+{
+  if (c->closing)
+    return;
+  c->closing = true;
+  wy_h1_conn_set_state (c, CONN_LINGER);
+  drop_body (c);
+  g_queue_unlink (&c->server->connections, &c->link);
+  uv_close ((uv_handle_t *)&c->tcp, on_closed);
+}
+
+/* The caller is gone: tell the handler, which must not touch the request
+   after that.  */
+void
+wy_h1_conn_hang_up (struct wy_h1_request *c)
+{
+  void (*cb) (void *) = c->state == CONN_BUSY ? c->on_hangup : NULL;
+  void *ctx = c->hangup_ctx;
+
+  c->on_hangup = NULL;
+  wy_h1_conn_close (c);
+  if (cb)
+    cb (ctx);
+}
+
+static void parse_ahead (struct wy_h1_request *c);
+static void start_reading (struct wy_h1_request *c);
+
+/* The answer is queued: take the next request or close.  */
+void
+wy_h1_conn_end_exchange (struct wy_h1_request *c)
+{
+  c->on_hangup = NULL;
+  drop_body (c);
+  if (!c->keep_alive)
+    {
+      wy_h1_conn_set_state (c, CONN_LINGER);
+      return;
+    }
+  wy_h1_head_reset (&c->head);
+  wy_h1_conn_set_state (c, CONN_IDLE);
+  http_parser_pause (&c->parser, 0);
+  if (!c->parsing)
+    parse_ahead (c);
+  start_reading (c);
+}
+
+static int
+on_message_begin (http_parser *p)
+{
+  struct wy_h1_request *c = p->data;
+
+  wy_h1_conn_set_state (c, CONN_HEAD);
+  return 0;
+}
+
+static int
+check_head (struct wy_h1_request *c)
+{
+  if (wy_h1_head_size_bytes (&c->head) <= c->server->limits.header_bytes)
+    return 0;
+  c->refuse_status = 431;
+  return 1;
+}
+
+static int
+on_url (http_parser *p, const char *at, size_t n)
+{
+  struct wy_h1_request *c = p->data;
+
+  wy_h1_head_url (&c->head, at, n);
+  return check_head (c);
+}
+
+static int
+on_field (http_parser *p, const char *at, size_t n)
+{
+  struct wy_h1_request *c = p->data;
+
+  if (c->state != CONN_HEAD)
+    return 0; /* trailers are dropped */
+  wy_h1_head_name (&c->head, at, n);
+  return check_head (c);
+}
+
+static int
+on_value (http_parser *p, const char *at, size_t n)
+{
+  struct wy_h1_request *c = p->data;
+
+  if (c->state != CONN_HEAD)
+    return 0;
+  wy_h1_head_value (&c->head, at, n);
+  return check_head (c);
+}
+
+static int
+on_headers_complete (http_parser *p)
+{
+  static const char go_on[] = "HTTP/1.1 100 Continue\r\n\r\n";
+  struct wy_h1_request *c = p->data;
+  const struct wy_h1_limits *l = &c->server->limits;
+  bool has_length = p->content_length != UINT64_MAX;
+
+  if (has_length && p->content_length > l->body_bytes)
+    c->refuse_status = 413;
+  /* One large upload after another must not end the process: what does not
+     fit the memory set aside is refused before it is read.  */
+  else if (has_length
+           && p->content_length + c->server->held_bytes > l->held_bytes)
+    c->refuse_status = 503;
+  if (c->refuse_status)
+    return -1;
+  if (wy_h1_head_get (&c->head, "expect"))
+    wy_h1_conn_send (c, NULL, go_on, sizeof go_on - 1, false);
+  wy_h1_conn_set_state (c, CONN_BODY);
+  return 0;
+}
+
+static int
+on_body (http_parser *p, const char *at, size_t n)
+{
+  struct wy_h1_request *c = p->data;
+  const struct wy_h1_limits *l = &c->server->limits;
+
+  if (c->body->len + n > l->body_bytes)
+    c->refuse_status = 413;
+  else if (c->server->held_bytes + n > l->held_bytes)
+    c->refuse_status = 503;
+  if (c->refuse_status)
+    return -1;
+  g_string_append_len (c->body, at, (gssize)n);
+  c->server->held_bytes += n;
+  return 0;
+}
+
+static int
+on_complete (http_parser *p)
+{
+  struct wy_h1_request *c = p->data;
+
+  c->keep_alive = http_should_keep_alive (p);
+  http_parser_pause (p, 1);
+  return 0;
+}
+
+static const http_parser_settings callbacks
+    = { .on_message_begin = on_message_begin,
+        .on_url = on_url,
+        .on_header_field = on_field,
+        .on_header_value = on_value,
+        .on_headers_complete = on_headers_complete,
+        .on_body = on_body,
+        .on_message_complete = on_complete };
+
+static void
+fail_parse (struct wy_h1_request *c)
+{
+  int status = c->refuse_status ? c->refuse_status : 400;
+
+  c->refuse_status = 0;
+  g_byte_array_set_size (c->ahead, 0);
+  wy_h1_conn_refuse (c, status);
+}
+
+static void
+hand_over (struct wy_h1_request *c)
+{
+  wy_h1_conn_set_state (c, CONN_BUSY);
+  c->received_ms = (int64_t)(uv_hrtime () / 1000000);
+  c->chunked = false;
+  c->server->on_request (c->server->ctx, c);
+}
+
+/* Parse what is read, up to the end of one request; the handler may answer
+   within the call, and then the next one follows.  */
+static void
+parse_ahead (struct wy_h1_request *c)
+{
+  c->parsing = true;
+  while (c->ahead->len && !c->closing && c->state != CONN_BUSY
+         && c->state != CONN_LINGER)
+    {
+      size_t used = http_parser_execute (
+          &c->parser, &callbacks, (const char *)c->ahead->data, c->ahead->len);
+      enum http_errno err = HTTP_PARSER_ERRNO (&c->parser);
+
+      if (err != HPE_OK && err != HPE_PAUSED)
+        {
+          fail_parse (c);
+          break;
+        }
+      if (c->parser.upgrade)
+        {
+          fail_parse (c);
+          break;
+        }
+      g_byte_array_remove_range (c->ahead, 0, (guint)used);
+      if (err == HPE_PAUSED)
+        hand_over (c);
+    }
+  c->parsing = false;
+}
+
+static void
+on_alloc (uv_handle_t *h, size_t suggested, uv_buf_t *buf)
+{
+  struct wy_h1_server *s = ((struct wy_h1_request *)h)->server;
+
+  *buf = uv_buf_init (s->read_buffer, sizeof s->read_buffer);
+}
+
+static void
+on_read (uv_stream_t *h, ssize_t n, const uv_buf_t *buf)
+{
+  struct wy_h1_request *c = (struct wy_h1_request *)h;
+
+  if (n == 0)
+    return;
+  if (n < 0)
+    {
+      wy_h1_conn_hang_up (c);
+      return;
+    }
+  if (c->state == CONN_LINGER)
+    return;
+  g_byte_array_append (c->ahead, (const guint8 *)buf->base, (guint)n);
+  if (c->state != CONN_BUSY)
+    parse_ahead (c);
+  if (!c->closing && c->state == CONN_BUSY
+      && c->ahead->len > AHEAD_LIMIT_BYTES)
+    {
+      c->reading = false;
+      uv_read_stop (h);
+    }
+}
+
+static void
+start_reading (struct wy_h1_request *c)
+{
+  if (c->reading || c->closing)
+    return;
+  c->reading = true;
+  uv_read_start ((uv_stream_t *)&c->tcp, on_alloc, on_read);
+}
+
+/* Take the connection that waits at S's listener.  */
+void
+wy_h1_conn_accept (struct wy_h1_server *s)
+{
+  uv_stream_t *listener = (uv_stream_t *)&s->listener;
+  struct wy_h1_request *c = g_malloc0 (sizeof *c);
+
+  c->server = s;
+  c->link.data = c;
+  c->body = g_string_new (NULL);
+  c->ahead = g_byte_array_new ();
+  wy_h1_head_init (&c->head);
+  http_parser_init (&c->parser, HTTP_REQUEST);
+  c->parser.data = c;
+  c->since_ms = uv_now (listener->loop);
+  uv_tcp_init (listener->loop, &c->tcp);
+  g_queue_push_tail_link (&s->connections, &c->link);
+  if (uv_accept (listener, (uv_stream_t *)&c->tcp))
+    {
+      wy_h1_conn_close (c);
+      return;
+    }
+  uv_tcp_nodelay (&c->tcp, 1);
+  start_reading (c);
+}
--- a/src/orders/orderer.c
+++ b/src/orders/orderer.c
@@ -3,21 +3,16 @@
    Each order names the number of orders that the replica has accepted so far,
    so that one carried out late, after a newer one, does nothing; and the
    holder's generation, which a row in the store makes rise with each start. */
-#include "orders/orderer.h"
+#include "orders/orderer_state.h"
 
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "base/id.h"
-#include "decide/load_turn.h"
 #include "gate/members.h"
-#include "h1/client.h"
-#include "jobs/lag.h"
 #include "platform/config_wire.h"
 #include "platform/replica_wire.h"
 #include "platform/request_wire.h"
-#include "rows/watch.h"
 #include "trace/note.h"
 
 #define GENERATION_TABLE "wy-orderers"
@@ -33,269 +28,21 @@
   /* A load was accepted and does not show: it is ordered again.  */
   ORDER_RETRY_MS = 1500,
   REFUSED_RETRY_MS = 400,
-  LIST_RETRY_MS = 300,
   /* While nothing is named, how often the replica is asked which versions it
      holds: it may have restarted.  */
   REPORT_IDLE_MS = 1000,
   REPORT_BUSY_MS = 150,
+  /* An order rests on a report no older than this.  */
+  REPORT_FRESH_MS = 300,
   RELAYS_EVERY_MS = 5000,
   RELAYS_MAX = 16,
-  MODELS_MAX = WY_REPLICA_MODELS_MAX,
   FIRST_LOAD_MS = 950,
-  LOAD_MS_MAX = 5000,
-  NAME_SIZE_BYTES = 128
+  LOAD_MS_MAX = 5000
 };
 
 /* Share of a new measurement in the smoothed time of a load.  */
 static const double load_weight = 0.3;
 
-struct named
-{
-  struct wy_named_version v;
-  int64_t seen_ms; /* when it was learned here */
-  int64_t due_ms;  /* 0: the list must be read for it first */
-  bool loads;      /* this replica is to load it */
-  bool single;
-};
-
-struct wy_orderer_daemon
-{
-  struct wy_orderer_daemon_options o;
-  char incarnation[WY_ID_SIZE_BYTES];
-  struct sockaddr_in target;
-  struct wy_h1_client *http;
-  struct wy_rows *rows;
-  struct wy_watch *operator_rows;
-  struct wy_routing *routing;
-  GArray *seeds;
-  uv_timer_t tick;
-  struct named named[MODELS_MAX];
-  uint32_t n_named;
-  char id[NAME_SIZE_BYTES]; /* of the replica; "": not known */
-  struct wy_replica_report report;
-  int64_t reported_ms; /* 0: never */
-  int64_t report_due_ms;
-  int64_t generation; /* 0: not drawn yet */
-  bool drawing;
-  bool listing;
-  uint32_t rank; /* of the replica among those of its service */
-  uint32_t replicas;
-  int64_t list_due_ms;
-  int64_t relays_due_ms;
-  struct wy_h1_call *call; /* to the replica, one at a time */
-  bool call_is_order;
-  int64_t call_deadline_ms;
-  int call_status;
-  GString *answer;
-  struct named *ordered; /* the load under way, or NULL */
-  int64_t ordered_version;
-  int64_t ordered_ms;
-  int64_t order_due_ms;
-  double load_ms;
-};
-
-static int64_t
-now_of (const struct wy_orderer_daemon *d)
-{
-  return wy_clock_mono_ms (d->o.clock);
-}
-
-static int64_t
-held_version (const struct wy_orderer_daemon *d, const char *model)
-{
-  for (uint32_t i = 0; i < d->report.n_models; i++)
-    if (!strcmp (d->report.models[i].model, model))
-      return d->report.models[i].version;
-  return -1;
-}
-
-static struct named *
-named_of (struct wy_orderer_daemon *d, const char *model)
-{
-  for (uint32_t i = 0; i < d->n_named; i++)
-    if (!strcmp (d->named[i].v.model, model))
-      return &d->named[i];
-  if (d->n_named == MODELS_MAX)
-    return NULL;
-  return &d->named[d->n_named++];
-}
-
-static void
-learn_version (struct wy_orderer_daemon *d, const struct wy_row *row)
-{
-  struct wy_named_version v;
-  struct named *n;
-
-  if (!wy_named_version_decode (row->value, row->size_bytes, &v))
-    {
-      wy_note ("version.rejected", "key=%s row_version=%lld", row->key,
-               (long long)row->version);
-      return;
-    }
-  n = named_of (d, v.model);
-  if (!n || n->v.version >= v.version)
-    return;
-  n->v = v;
-  n->seen_ms = now_of (d);
-  n->due_ms = 0;
-  wy_note ("version.named", "model=%s version=%lld held=%lld", v.model,
-           (long long)v.version, (long long)held_version (d, v.model));
-}
-
-static void
-on_operator_row (void *ctx, const struct wy_row *row)
-{
-  struct wy_orderer_daemon *d = ctx;
-  struct wy_routing *r;
-  const char *why;
-
-  if (row->deleted)
-    return;
-  switch (wy_operator_row_kind (row->key))
-    {
-    case WY_OPERATOR_CONFIG:
-      r = wy_config_decode (row->value, row->size_bytes, &why);
-      if (r && (!d->routing || r->version > d->routing->version))
-        {
-          wy_routing_free (d->routing);
-          d->routing = r;
-        }
-      else
-        wy_routing_free (r);
-      break;
-    case WY_OPERATOR_VERSION:
-      learn_version (d, row);
-      break;
-    case WY_OPERATOR_OTHER:
-      break;
-    }
-}
-
-/* Position of MODEL among the models of this replica's service.  */
-static void
-model_place (const struct wy_orderer_daemon *d, const char *model,
-             uint32_t *place, uint32_t *n)
-{
-  const struct wy_service *s
-      = d->routing ? wy_routing_service (d->routing, d->o.settings->service)
-                   : NULL;
-
-  *place = 0;
-  *n = 1;
-  for (guint i = 0; s && i < s->models->len; i++)
-    if (!strcmp (g_ptr_array_index (s->models, i), model))
-      {
-        *place = i;
-        *n = s->models->len;
-      }
-}
-
-static bool
-wants_single_version (const struct wy_orderer_daemon *d)
-{
-  for (guint i = 0; d->routing && i < d->routing->routes->len; i++)
-    {
-      const struct wy_route *r = g_ptr_array_index (d->routing->routes, i);
-
-      for (guint k = 0; r->single_version && k < r->splits->len; k++)
-        if (!strcmp (g_array_index (r->splits, struct wy_split, k).service,
-                     d->o.settings->service))
-          return true;
-    }
-  return false;
-}
-
-static void
-set_turns (struct wy_orderer_daemon *d, const struct wy_rows_result *lags)
-{
-  uint32_t rank = d->rank;
-  uint32_t replicas = d->replicas;
-
-  for (uint32_t i = 0; i < d->n_named; i++)
-    {
-      struct named *n = &d->named[i];
-      struct wy_load_turn_options o = { .rank = rank,
-                                        .replicas = replicas,
-                                        .version = n->v.version,
-                                        .load_ms = (uint32_t)d->load_ms };
-      struct wy_load_turn t;
-
-      if (n->due_ms)
-        continue;
-      model_place (d, n->v.model, &o.model, &o.models);
-      o.lag = wy_lag_of (lags, n->v.model);
-      t = wy_load_turn (&o);
-      n->loads = t.loads;
-      n->due_ms = n->seen_ms + t.delay_ms;
-      wy_note ("version.turn",
-               "model=%s version=%lld loads=%d delay_ms=%u rank=%u of=%u "
-               "lag=%u",
-               n->v.model, (long long)n->v.version, n->loads, t.delay_ms, rank,
-               replicas, o.lag);
-    }
-}
-
-static uint64_t
-order_of (const struct sockaddr_in *a)
-{
-  return (uint64_t)ntohl (a->sin_addr.s_addr) << 16 | ntohs (a->sin_port);
-}
-
-static void
-on_lags (void *ctx, const struct wy_rows_result *r)
-{
-  struct wy_orderer_daemon *d = ctx;
-
-  d->listing = false;
-  if (!r->err)
-    set_turns (d, r);
-}
-
-static void
-on_list (void *ctx, const struct wy_rows_result *r)
-{
-  struct wy_rows_range lags = { .table = WY_LAG_TABLE, .part = "" };
-  struct wy_orderer_daemon *d = ctx;
-  uint32_t rank = 0;
-  uint32_t n = 0;
-  bool found = false;
-
-  d->listing = false;
-  d->list_due_ms = now_of (d) + LIST_RETRY_MS;
-  for (size_t i = 0; !r->err && i < r->n; i++)
-    {
-      struct wy_replica info;
-
-      if (wy_replica_decode (r->rows[i].key, r->rows[i].value,
-                             r->rows[i].size_bytes, &info)
-          || strcmp (info.service, d->o.settings->service) != 0)
-        continue;
-      if (order_of (&info.address) == order_of (&d->target))
-        {
-          g_strlcpy (d->id, info.id, sizeof d->id);
-          found = true;
-        }
-      else if (!info.draining)
-        rank += order_of (&info.address) < order_of (&d->target);
-      n += !info.draining;
-    }
-  if (!found)
-    return;
-  d->rank = rank;
-  d->replicas = n;
-  d->listing = true;
-  wy_rows_get (d->rows, &lags, on_lags, d);
-}
-
-static void
-read_list (struct wy_orderer_daemon *d)
-{
-  struct wy_rows_range range = { .table = WY_REPLICA_TABLE, .part = "" };
-
-  d->listing = true;
-  wy_rows_get (d->rows, &range, on_list, d);
-}
-
 static void
 on_members (void *ctx, const struct wy_rows_result *r)
 {
@@ -385,7 +132,7 @@
 learn_report (struct wy_orderer_daemon *d)
 {
   struct wy_replica_report r;
-  int64_t now_ms = now_of (d);
+  int64_t now_ms = wy_orderer_now_ms (d);
   int64_t version;
 
   if (d->call_status != 200
@@ -403,7 +150,7 @@
   d->reported_ms = now_ms;
   if (!d->ordered)
     return;
-  version = held_version (d, d->ordered->v.model);
+  version = wy_orderer_held_version (d, d->ordered->v.model);
   if (version >= d->ordered_version && !r.order_in_progress)
     {
       double took_ms = (double)(now_ms - d->ordered_ms);
@@ -441,13 +188,13 @@
     case WY_ORDER_NOT_HERE:
       d->id[0] = '\0';
       d->ordered = NULL;
-      d->order_due_ms = now_of (d) + REFUSED_RETRY_MS;
+      d->order_due_ms = wy_orderer_now_ms (d) + REFUSED_RETRY_MS;
       break;
     case WY_ORDER_BUSY:
     case WY_ORDER_FENCED:
     case WY_ORDER_INVALID:
       d->ordered = NULL;
-      d->order_due_ms = now_of (d) + REFUSED_RETRY_MS;
+      d->order_due_ms = wy_orderer_now_ms (d) + REFUSED_RETRY_MS;
       break;
     }
 }
@@ -464,8 +211,8 @@
       wy_note ("target.call_failed", "order=%d err=%d", order, err);
       if (order && err == WY_H1_ECONNECT)
         d->ordered = NULL;
-      d->order_due_ms = now_of (d) + REFUSED_RETRY_MS;
-      d->report_due_ms = now_of (d) + REFUSED_RETRY_MS;
+      d->order_due_ms = wy_orderer_now_ms (d) + REFUSED_RETRY_MS;
+      d->report_due_ms = wy_orderer_now_ms (d) + REFUSED_RETRY_MS;
     }
   else if (order)
     learn_order (d);
@@ -501,20 +248,20 @@
   o.n_fields = fields->len;
   d->call_is_order = body != NULL;
   d->call_status = 0;
-  d->call_deadline_ms = now_of (d) + CALL_TIMEOUT_MS;
+  d->call_deadline_ms = wy_orderer_now_ms (d) + CALL_TIMEOUT_MS;
   g_string_truncate (d->answer, 0);
   d->call = wy_h1_call_start (d->http, &o);
   g_array_free (fields, TRUE);
 }
 
 static void
-order_load (struct wy_orderer_daemon *d, struct named *n)
+order_load (struct wy_orderer_daemon *d, struct wy_named *n)
 {
   struct wy_load_order o
       = { .model = n->v.model,
           .version = n->v.version,
-          .mode
-          = wants_single_version (d) ? WY_LOAD_AFTER_RUNS : WY_LOAD_UNDER_RUNS,
+          .mode = wy_orderer_wants_single_version (d) ? WY_LOAD_AFTER_RUNS
+                                                      : WY_LOAD_UNDER_RUNS,
           .holder = d->o.settings->name,
           .generation = d->generation,
           .orders_accepted = d->report.orders_accepted };
@@ -522,27 +269,27 @@
 
   d->ordered = n;
   d->ordered_version = n->v.version;
-  d->ordered_ms = now_of (d);
+  d->ordered_ms = wy_orderer_now_ms (d);
   wy_note ("order.sent",
            "model=%s version=%lld held=%lld orders=%lld report_age_ms=%lld "
            "after_named_ms=%lld",
            n->v.model, (long long)n->v.version,
-           (long long)held_version (d, n->v.model),
+           (long long)wy_orderer_held_version (d, n->v.model),
            (long long)d->report.orders_accepted,
-           (long long)(now_of (d) - d->reported_ms),
-           (long long)(now_of (d) - n->seen_ms));
+           (long long)(wy_orderer_now_ms (d) - d->reported_ms),
+           (long long)(wy_orderer_now_ms (d) - n->seen_ms));
   call_target (d, "POST", WY_ORDER_TARGET, body);
   g_free (body);
 }
 
 /* The named version that is to be loaded now; NULL: none.  */
-static struct named *
+static struct wy_named *
 next_load (struct wy_orderer_daemon *d, int64_t now_ms)
 {
   for (uint32_t i = 0; i < d->n_named; i++)
     {
-      struct named *n = &d->named[i];
-      int64_t held = held_version (d, n->v.model);
+      struct wy_named *n = &d->named[i];
+      int64_t held = wy_orderer_held_version (d, n->v.model);
 
       if (n->due_ms && n->loads && now_ms >= n->due_ms && held >= 0
           && held < n->v.version)
@@ -565,8 +312,8 @@
 static void
 work (struct wy_orderer_daemon *d, int64_t now_ms)
 {
-  struct named *n = next_load (d, now_ms);
-  bool fresh = d->reported_ms && now_ms - d->reported_ms <= REPORT_BUSY_MS * 2;
+  struct wy_named *n = next_load (d, now_ms);
+  bool fresh = d->reported_ms && now_ms - d->reported_ms <= REPORT_FRESH_MS;
 
   if (n && !d->ordered && d->generation > 0 && *d->id
       && now_ms >= d->order_due_ms && fresh && !d->report.order_in_progress)
@@ -585,13 +332,13 @@
 on_tick (uv_timer_t *t)
 {
   struct wy_orderer_daemon *d = t->data;
-  int64_t now_ms = now_of (d);
+  int64_t now_ms = wy_orderer_now_ms (d);
   struct wy_rows_range members = { .table = WY_MEMBERS_TABLE, .part = "" };
 
   if (d->generation == 0 && !d->drawing)
     draw_generation (d);
   if (!d->listing && now_ms >= d->list_due_ms && needs_list (d))
-    read_list (d);
+    wy_orderer_read_list (d);
   if (now_ms >= d->relays_due_ms)
     {
       d->relays_due_ms = now_ms + RELAYS_EVERY_MS;
@@ -634,7 +381,7 @@
                                 .clock = o->clock,
                                 .table = WY_OPERATOR_TABLE,
                                 .gap_ms = WATCH_GAP_MS,
-                                .on_row = on_operator_row,
+                                .on_row = wy_orderer_on_operator_row,
                                 .ctx = d };
 
   d->o = *o;
--- /dev/null
+++ b/src/orders/turns.c
@@ -0,0 +1,219 @@
+/* Which versions trainers have named, and which of them this replica is to
+   load when.  */
+#include "orders/orderer_state.h"
+
+#include <string.h>
+
+#include "decide/load_turn.h"
+#include "jobs/lag.h"
+#include "platform/replica_wire.h"
+#include "trace/note.h"
+
+/* Monotonic time in ms.  */
+int64_t
+wy_orderer_now_ms (const struct wy_orderer_daemon *d)
+{
+  return wy_clock_mono_ms (d->o.clock);
+}
+
+/* The version of MODEL that the replica reports; -1: none.  */
+int64_t
+wy_orderer_held_version (const struct wy_orderer_daemon *d, const char *model)
+{
+  for (uint32_t i = 0; i < d->report.n_models; i++)
+    if (!strcmp (d->report.models[i].model, model))
+      return d->report.models[i].version;
+  return -1;
+}
+
+static struct wy_named *
+named_of (struct wy_orderer_daemon *d, const char *model)
+{
+  for (uint32_t i = 0; i < d->n_named; i++)
+    if (!strcmp (d->named[i].v.model, model))
+      return &d->named[i];
+  if (d->n_named == WY_REPLICA_MODELS_MAX)
+    return NULL;
+  return &d->named[d->n_named++];
+}
+
+static void
+learn_version (struct wy_orderer_daemon *d, const struct wy_row *row)
+{
+  struct wy_named_version v;
+  struct wy_named *n;
+
+  if (!wy_named_version_decode (row->value, row->size_bytes, &v))
+    {
+      wy_note ("version.rejected", "key=%s row_version=%lld", row->key,
+               (long long)row->version);
+      return;
+    }
+  n = named_of (d, v.model);
+  if (!n || n->v.version >= v.version)
+    return;
+  n->v = v;
+  n->seen_ms = wy_orderer_now_ms (d);
+  n->due_ms = 0;
+  wy_note ("version.named", "model=%s version=%lld held=%lld", v.model,
+           (long long)v.version,
+           (long long)wy_orderer_held_version (d, v.model));
+}
+
+/* A row of the operator's table is new or has changed.  */
+void
+wy_orderer_on_operator_row (void *ctx, const struct wy_row *row)
+{
+  struct wy_orderer_daemon *d = ctx;
+  struct wy_routing *r;
+  const char *why;
+
+  if (row->deleted)
+    return;
+  switch (wy_operator_row_kind (row->key))
+    {
+    case WY_OPERATOR_CONFIG:
+      r = wy_config_decode (row->value, row->size_bytes, &why);
+      if (r && (!d->routing || r->version > d->routing->version))
+        {
+          wy_routing_free (d->routing);
+          d->routing = r;
+        }
+      else
+        wy_routing_free (r);
+      break;
+    case WY_OPERATOR_VERSION:
+      learn_version (d, row);
+      break;
+    case WY_OPERATOR_OTHER:
+      break;
+    }
+}
+
+/* Position of MODEL among the models of this replica's service.  */
+static void
+model_place (const struct wy_orderer_daemon *d, const char *model,
+             uint32_t *place, uint32_t *n)
+{
+  const struct wy_service *s
+      = d->routing ? wy_routing_service (d->routing, d->o.settings->service)
+                   : NULL;
+
+  *place = 0;
+  *n = 1;
+  for (guint i = 0; s && i < s->models->len; i++)
+    if (!strcmp (g_ptr_array_index (s->models, i), model))
+      {
+        *place = i;
+        *n = s->models->len;
+      }
+}
+
+/* Whether a route to this replica's service wants texts of one version.  */
+bool
+wy_orderer_wants_single_version (const struct wy_orderer_daemon *d)
+{
+  for (guint i = 0; d->routing && i < d->routing->routes->len; i++)
+    {
+      const struct wy_route *r = g_ptr_array_index (d->routing->routes, i);
+
+      for (guint k = 0; r->single_version && k < r->splits->len; k++)
+        if (!strcmp (g_array_index (r->splits, struct wy_split, k).service,
+                     d->o.settings->service))
+          return true;
+    }
+  return false;
+}
+
+static void
+set_turns (struct wy_orderer_daemon *d, const struct wy_rows_result *lags)
+{
+  uint32_t rank = d->rank;
+  uint32_t replicas = d->replicas;
+
+  for (uint32_t i = 0; i < d->n_named; i++)
+    {
+      struct wy_named *n = &d->named[i];
+      struct wy_load_turn_options o = { .rank = rank,
+                                        .replicas = replicas,
+                                        .version = n->v.version,
+                                        .load_ms = (uint32_t)d->load_ms };
+      struct wy_load_turn t;
+
+      if (n->due_ms)
+        continue;
+      model_place (d, n->v.model, &o.model, &o.models);
+      o.lag = wy_lag_of (lags, n->v.model);
+      t = wy_load_turn (&o);
+      n->loads = t.loads;
+      n->due_ms = n->seen_ms + t.delay_ms;
+      wy_note ("version.turn",
+               "model=%s version=%lld loads=%d delay_ms=%u rank=%u of=%u "
+               "lag=%u",
+               n->v.model, (long long)n->v.version, n->loads, t.delay_ms, rank,
+               replicas, o.lag);
+    }
+}
+
+static uint64_t
+order_of (const struct sockaddr_in *a)
+{
+  return (uint64_t)ntohl (a->sin_addr.s_addr) << 16 | ntohs (a->sin_port);
+}
+
+static void
+on_lags (void *ctx, const struct wy_rows_result *r)
+{
+  struct wy_orderer_daemon *d = ctx;
+
+  d->listing = false;
+  if (!r->err)
+    set_turns (d, r);
+}
+
+static void
+on_list (void *ctx, const struct wy_rows_result *r)
+{
+  struct wy_rows_range lags = { .table = WY_LAG_TABLE, .part = "" };
+  struct wy_orderer_daemon *d = ctx;
+  uint32_t rank = 0;
+  uint32_t n = 0;
+  bool found = false;
+
+  d->listing = false;
+  d->list_due_ms = wy_orderer_now_ms (d) + WY_ORDERER_LIST_RETRY_MS;
+  for (size_t i = 0; !r->err && i < r->n; i++)
+    {
+      struct wy_replica info;
+
+      if (wy_replica_decode (r->rows[i].key, r->rows[i].value,
+                             r->rows[i].size_bytes, &info)
+          || strcmp (info.service, d->o.settings->service) != 0)
+        continue;
+      if (order_of (&info.address) == order_of (&d->target))
+        {
+          g_strlcpy (d->id, info.id, sizeof d->id);
+          found = true;
+        }
+      else if (!info.draining)
+        rank += order_of (&info.address) < order_of (&d->target);
+      n += !info.draining;
+    }
+  if (!found)
+    return;
+  d->rank = rank;
+  d->replicas = n;
+  d->listing = true;
+  wy_rows_get (d->rows, &lags, on_lags, d);
+}
+
+/* Find out the place of this replica among those of its service, and from it
+   the turns of versions that have none yet.  */
+void
+wy_orderer_read_list (struct wy_orderer_daemon *d)
+{
+  struct wy_rows_range range = { .table = WY_REPLICA_TABLE, .part = "" };
+
+  d->listing = true;
+  wy_rows_get (d->rows, &range, on_list, d);
+}
--- a/src/rows/store.c
+++ b/src/rows/store.c
@@ -46,7 +46,6 @@
   wy_rows_cb *cb;
   void (*forward_cb) (void *ctx, int status, const char *body, size_t n);
   void *ctx;
-  GList link;
 };
 
 struct wy_rows
@@ -71,7 +70,7 @@
 static void
 free_call (struct call *k)
 {
-  g_queue_unlink (&k->store->calls, &k->link);
+  g_queue_remove (&k->store->calls, k);
   if (k->store->calls.length == 0)
     uv_timer_stop (&k->store->sweep);
   if (k->answer)
@@ -176,27 +175,28 @@
   wy_store_answer_free (decoded);
 }
 
+/* End the calls whose time is up.  No owner ends a call of its own, so the
+   ones found stay valid until their turn.  */
 static void
 on_sweep (uv_timer_t *t)
 {
   struct wy_rows *s = t->data;
   int64_t now_ms = wy_clock_mono_ms (s->clock);
-  GList *l = s->calls.head;
+  GPtrArray *overdue = g_ptr_array_new ();
 
-  while (l)
+  for (GList *l = s->calls.head; l; l = l->next)
+    if (now_ms >= ((const struct call *)l->data)->deadline_ms)
+      g_ptr_array_add (overdue, l->data);
+  for (guint i = 0; i < overdue->len; i++)
     {
-      struct call *k = l->data;
+      struct call *k = g_ptr_array_index (overdue, i);
 
-      l = l->next;
-      if (now_ms < k->deadline_ms)
-        continue;
       if (k->http)
         wy_h1_call_cancel (k->http);
       k->http = NULL;
       fail (k, WY_ROWS_EUNKNOWN, "timeout");
-      /* Its owner may have started or ended others.  */
-      l = s->calls.head;
     }
+  g_ptr_array_free (overdue, TRUE);
 }
 
 /* Choose the path of a call: direct while that works, else a peer, but for
@@ -251,8 +251,7 @@
   k->cb = cb;
   k->ctx = ctx;
   k->deadline_ms = wy_clock_mono_ms (s->clock) + timeout_of (verb);
-  k->link.data = k;
-  g_queue_push_tail_link (&s->calls, &k->link);
+  g_queue_push_tail (&s->calls, k);
   if (s->calls.length == 1)
     uv_timer_start (&s->sweep, on_sweep, SWEEP_MS, SWEEP_MS);
   s->stats.calls++;
@@ -408,10 +407,10 @@
 void
 wy_rows_free (struct wy_rows *s)
 {
-  while (s->calls.head)
-    {
-      struct call *k = s->calls.head->data;
+  struct call *k;
 
+  while ((k = g_queue_peek_head (&s->calls)))
+    {
       if (k->http)
         wy_h1_call_cancel (k->http);
       free_call (k);
