A job taken over goes on from its items' text

Ruled out: slots (the others were idle), the list of results (nothing was listed twice). Change: text of running items is stored about each second of work under the job, and whoever takes it over goes on from there; an entry counts as gone after three missed beats, not four. Test: jobs::taken_over_with_its_text, red before (went on from event 0).

--- a/src/gate/members.c
+++ b/src/gate/members.c
@@ -21,10 +21,10 @@
 {
   BEAT_MS = 500,
   /* An entry whose beat did not change for so long, while the store answered,
-     is gone: four beats, so that one slow or lost write does not count.  */
-  GONE_AFTER_MS = 2000,
+     is gone: three beats, so that one slow or lost write does not count.  */
+  GONE_AFTER_MS = 1600,
   /* One whose beat is late gets no new work.  */
-  DOUBTED_AFTER_MS = 1200,
+  DOUBTED_AFTER_MS = 1100,
   TICK_MS = 200,
   /* Rows older than this do not count as the store's present answer.  */
   FRESH_MS = 1000,
--- a/src/jobs/carry.c
+++ b/src/jobs/carry.c
@@ -1,7 +1,8 @@
-/* Text of items that their job's end cut short.
+/* Text of unfinished items, kept in the store.
 
-   A row each item in a part of its model: written by the entry that ran the
-   job when it ends, read and removed by the one that accepts the next.  The
+   A row each item, in the part of its model for a later job and in the part of
+   its job for who takes that over: written by the entry that runs the
+   job, read and removed by the one that takes it over or accepts the next. The
    rows are a help only: a lost one costs the time to make the text again, so
    nothing here is settled or retried.  */
 #include "jobs/carry.h"
@@ -25,6 +26,9 @@
   KEEP_MS = 60000,
   /* Less text than this is made again sooner than it is stored.  */
   EVENTS_MIN = 5,
+  /* Events that an item has gained when it is stored again for whoever may
+     take its job over: about a second of work.  */
+  CHECKPOINT_EVENTS = 24,
   CHUNK_DIGITS = 6 /* ".00001" */
 };
 
@@ -41,7 +45,7 @@
 struct wy_carry
 {
   struct wy_gate_env *env;
-  char *model;
+  char *part;
   GHashTable *entries; /* struct entry by id */
   GPtrArray *keys;     /* of rows to remove: taken, or too old */
   char *from;
@@ -60,18 +64,30 @@
   g_free (e);
 }
 
-/* Whether the text of I may serve a job that asks for newer weights than this
-   one did.  */
+/* Whether the text of I has grown enough to be stored for PURPOSE.  A later
+   job asks for newer weights than this one did.  */
 static bool
-is_worth_keeping (const struct wy_item *i)
+is_worth_keeping (const struct wy_item *i, enum wy_carry_for purpose)
 {
-  if (i->state == WY_ITEM_LISTED || i->last_event < EVENTS_MIN
-      || (i->result && i->result->given_up))
+  if (i->state == WY_ITEM_LISTED || (i->result && i->result->given_up))
     return false;
+  switch (purpose)
+    {
+    case WY_CARRY_SAME_JOB:
+      return i->run
+             && i->last_event - MAX (i->checkpoint_event, 0)
+                    >= CHECKPOINT_EVENTS;
+    case WY_CARRY_LATER_RUNNING:
+      if (!i->run && i->state != WY_ITEM_ENDED)
+        return false;
+      break;
+    case WY_CARRY_LATER_JOB:
+      break;
+    }
   for (guint k = 0; k < i->versions->len; k++)
     if (g_array_index (i->versions, int64_t, k) <= i->job->spec->min_version)
       return false;
-  return true;
+  return i->last_event >= EVENTS_MIN && i->last_event > i->carried_event;
 }
 
 static char *
@@ -102,9 +118,9 @@
 }
 
 static void
-write_rows (struct wy_owned *o, GArray *writes)
+write_rows (struct wy_owned *o, const char *part, GArray *writes)
 {
-  struct wy_rows_tx tx = { .part = o->spec->model,
+  struct wy_rows_tx tx = { .part = part,
                            .writes = (const struct wy_row_write *)writes->data,
                            .n_writes = writes->len };
 
@@ -139,12 +155,13 @@
     }
 }
 
-/* Store the text of the items of O that are not listed: of ALL, or of those
-   whose run goes on or has ended since.  */
+/* Store the text of O's items that serves PURPOSE and was not stored yet.  */
 void
-wy_carry_save (struct wy_owned *o, bool all)
+wy_carry_save (struct wy_owned *o, enum wy_carry_for purpose)
 {
   GArray *writes = g_array_new (FALSE, FALSE, sizeof (struct wy_row_write));
+  const char *part
+      = purpose == WY_CARRY_SAME_JOB ? o->record->id : o->spec->model;
   int64_t now_ms = wy_rows_store_now_ms (o->env->rows);
   size_t size = 0;
   uint32_t n = 0;
@@ -154,27 +171,30 @@
       const struct wy_item *i = &o->items[k];
       char *value;
 
-      if (!is_worth_keeping (i) || i->last_event == i->carried_event
-          || !(all || i->run || i->state == WY_ITEM_ENDED))
+      if (!is_worth_keeping (i, purpose))
         continue;
       value = encode (i, now_ms);
       if (!value)
         continue;
-      o->items[k].carried_event = i->last_event;
+      if (purpose == WY_CARRY_SAME_JOB)
+        o->items[k].checkpoint_event = i->last_event;
+      else
+        o->items[k].carried_event = i->last_event;
       size += strlen (value);
       if (writes->len >= BATCH_ROWS / 2 || size > BATCH_BYTES)
         {
-          write_rows (o, writes);
+          write_rows (o, part, writes);
           size = strlen (value);
         }
       add_rows (writes, i->spec->id, value, o->row_bytes);
       g_free (value);
       n++;
     }
-  write_rows (o, writes);
+  write_rows (o, part, writes);
   g_array_free (writes, TRUE);
   if (n)
-    wy_note ("job.text_kept", "id=%s items=%u", o->record->id, n);
+    wy_note ("job.text_kept", "id=%s items=%u purpose=%d", o->record->id, n,
+             purpose);
 }
 
 static struct entry *
@@ -280,20 +300,21 @@
 read_page (struct wy_carry *c)
 {
   struct wy_rows_range range
-      = { .table = CARRY_TABLE, .part = c->model, .from = c->from };
+      = { .table = CARRY_TABLE, .part = c->part, .from = c->from };
 
   wy_rows_get (c->env->rows, &range, on_page, c);
 }
 
-/* Read what is kept for MODEL.  ON_READ takes the value over.  */
+/* Read what is kept in PART: for a model's next job under its name, for who
+   takes a job over under the job's.  ON_READ takes the value over.  */
 void
-wy_carry_read (struct wy_gate_env *env, const char *model,
+wy_carry_read (struct wy_gate_env *env, const char *part,
                void (*on_read) (void *ctx, struct wy_carry *c), void *ctx)
 {
   struct wy_carry *c = g_new0 (struct wy_carry, 1);
 
   c->env = env;
-  c->model = g_strdup (model);
+  c->part = g_strdup (part);
   c->entries
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_entry);
   c->keys = g_ptr_array_new_with_free_func (g_free);
@@ -310,7 +331,7 @@
     return;
   g_hash_table_destroy (c->entries);
   g_ptr_array_free (c->keys, TRUE);
-  g_free (c->model);
+  g_free (c->part);
   g_free (c->from);
   g_free (c);
 }
@@ -346,7 +367,7 @@
 remove_rows (struct wy_carry *c)
 {
   struct wy_row_ref refs[BATCH_ROWS];
-  struct wy_rows_tx tx = { .part = c->model, .removals = refs };
+  struct wy_rows_tx tx = { .part = c->part, .removals = refs };
 
   for (guint k = 0; k < c->keys->len && k < BATCH_ROWS; k++)
     {
--- a/src/jobs/carry.h
+++ b/src/jobs/carry.h
@@ -1,8 +1,10 @@
-/* Text of items that their job's end cut short, kept for the next job.
+/* Text of unfinished items, kept in the store.
 
    A trainer ends a job when it has enough groups and puts the others into a
    later job under the same ids.  Those are the ones with the longest items,
-   so without their text each of them would take the longest time again.  */
+   so without their text each of them would take the longest time again.  And
+   an entry that dies in the middle of a step would take with it what its
+   longest items have been made of so far.  */
 #ifndef WY_JOBS_CARRY_H
 #define WY_JOBS_CARRY_H
 
@@ -10,8 +12,16 @@
 
 struct wy_carry; /* what was read for one job */
 
-void wy_carry_save (struct wy_owned *o, bool all);
-void wy_carry_read (struct wy_gate_env *env, const char *model,
+/* Who the text is kept for.  */
+enum wy_carry_for
+{
+  WY_CARRY_SAME_JOB,      /* whoever takes it over */
+  WY_CARRY_LATER_JOB,     /* one with the same items, once this is ended */
+  WY_CARRY_LATER_RUNNING, /* the same, of the runs that still go on */
+};
+
+void wy_carry_save (struct wy_owned *o, enum wy_carry_for purpose);
+void wy_carry_read (struct wy_gate_env *env, const char *part,
                     void (*on_read) (void *ctx, struct wy_carry *c),
                     void *ctx);
 uint32_t wy_carry_apply (struct wy_carry *c, struct wy_owned *o);
--- a/src/jobs/jobs.c
+++ b/src/jobs/jobs.c
@@ -8,6 +8,7 @@
 
 #include <string.h>
 
+#include "jobs/carry.h"
 #include "jobs/result_rows.h"
 #include "trace/note.h"
 
@@ -31,6 +32,7 @@
   struct wy_job_spec *spec;
   struct wy_owned *owned; /* its results are being read */
   char *from;
+  uint32_t n_text; /* items that go on from stored text */
   int64_t started_ms;
 };
 
@@ -197,6 +199,42 @@
 
 static void read_listed (struct takeover *t);
 
+/* All that is known of the job is at hand: run it.  */
+static void
+run_taken (struct takeover *t)
+{
+  struct wy_jobs *j = t->jobs;
+
+  (*j->env->count.jobs_taken_over)++;
+  g_hash_table_insert (j->owned, t->owned->record->id, t->owned);
+  t->owned->record->row_version = wy_jobs_find (j, t->record->id)->row_version;
+  wy_note ("job.running", "id=%s listed=%u of=%u text_taken=%u", t->record->id,
+           t->owned->n_listed, t->owned->n_items, t->n_text);
+  if (wy_owned_is_done (t->owned))
+    on_owned_end (j, t->owned, WY_OWNED_DONE);
+  else
+    wy_owned_pump (t->owned);
+  end_takeover (t, "running", 0);
+}
+
+static void
+on_carry (void *ctx, struct wy_carry *c)
+{
+  struct takeover *t = ctx;
+
+  if (still_ours (t))
+    {
+      t->n_text = wy_carry_apply (c, t->owned);
+      run_taken (t);
+    }
+  else
+    {
+      wy_owned_drop (t->owned);
+      end_takeover (t, "lost", 0);
+    }
+  wy_carry_free (c);
+}
+
 static void
 on_listed_read (void *ctx, const struct wy_rows_result *r)
 {
@@ -233,16 +271,7 @@
       end_takeover (t, "lost", 0);
       return;
     }
-  (*j->env->count.jobs_taken_over)++;
-  g_hash_table_insert (j->owned, t->owned->record->id, t->owned);
-  t->owned->record->row_version = wy_jobs_find (j, t->record->id)->row_version;
-  wy_note ("job.running", "id=%s listed=%u of=%u", t->record->id,
-           t->owned->n_listed, t->owned->n_items);
-  if (wy_owned_is_done (t->owned))
-    on_owned_end (j, t->owned, WY_OWNED_DONE);
-  else
-    wy_owned_pump (t->owned);
-  end_takeover (t, "running", 0);
+  wy_carry_read (j->env, t->record->id, on_carry, t);
 }
 
 static void
--- a/src/jobs/owned.c
+++ b/src/jobs/owned.c
@@ -12,7 +12,9 @@
      store and of the submitter's request differ a little.  */
   RETENTION_SLACK_MS = 1000,
   /* Trainers submit the next step about a second after they end one.  */
-  LINGER_MS = 2000
+  LINGER_MS = 2000,
+  /* Ticks between two looks for text worth storing.  */
+  CHECKPOINT_TICKS = 5
 };
 
 static int64_t
@@ -69,6 +71,7 @@
       i->versions = g_array_new (FALSE, FALSE, sizeof (int64_t));
       i->last_event = -1;
       i->carried_event = -1;
+      i->checkpoint_event = -1;
     }
   o->order = g_ptr_array_new ();
   for (uint32_t k = 0; k < o->n_items; k++)
@@ -279,6 +282,8 @@
     if (o->items[k].run)
       wy_run_check (o->items[k].run);
   check_time (o);
+  if (++o->ticks % CHECKPOINT_TICKS == 0 && *o->spec->model)
+    wy_carry_save (o, WY_CARRY_SAME_JOB);
   wy_owned_pump (o);
 }
 
@@ -290,7 +295,7 @@
 {
   o->lingering = true;
   o->lingers_until_ms = now_of (o) + LINGER_MS;
-  wy_carry_save (o, true);
+  wy_carry_save (o, WY_CARRY_LATER_JOB);
   for (uint32_t k = 0; k < o->n_items; k++)
     {
       struct wy_item *i = &o->items[k];
@@ -311,7 +316,7 @@
 {
   bool any = false;
 
-  wy_carry_save (o, false);
+  wy_carry_save (o, WY_CARRY_LATER_RUNNING);
   if (now_of (o) >= o->lingers_until_ms || o->env->stopping)
     return false;
   for (uint32_t k = 0; k < o->n_items; k++)
--- a/src/jobs/owned.h
+++ b/src/jobs/owned.h
@@ -25,8 +25,9 @@
   enum wy_item_state state;
   GString *text; /* of the events so far */
   GArray *versions;
-  int64_t last_event;    /* -1: none */
-  int64_t carried_event; /* last one stored for a later job; -1: none */
+  int64_t last_event;       /* -1: none */
+  int64_t carried_event;    /* last one stored for a later job; -1: none */
+  int64_t checkpoint_event; /* the same, for who takes this job over */
   uint32_t failed_runs;
   uint32_t runs;
   int64_t not_before_ms;
@@ -55,6 +56,7 @@
   uint32_t n_listed;
   GQueue ended;     /* struct wy_item whose results wait */
   size_t row_bytes; /* of a row in the store */
+  uint64_t ticks;
   bool dropped;
   bool lingering; /* ended: what runs goes on for the next job's sake */
   int64_t lingers_until_ms;
--- a/tests/test_gate_decide.c
+++ b/tests/test_gate_decide.c
@@ -18,10 +18,10 @@
 {
   struct wy_replica r = { .slots = SLOTS };
 
-  strcpy (r.id, id);
-  strcpy (r.service, "svc");
-  strcpy (r.availability_zone, "z1");
-  strcpy (r.models[0].model, "m");
+  g_strlcpy (r.id, id, sizeof r.id);
+  g_strlcpy (r.service, "svc", sizeof r.service);
+  g_strlcpy (r.availability_zone, "z1", sizeof r.availability_zone);
+  g_strlcpy (r.models[0].model, "m", sizeof r.models[0].model);
   r.models[0].version = 1;
   r.n_models = 1;
   return wy_targets_set (t, &r);
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -342,6 +342,34 @@
   stop ();
 }
 
+/* An entry dies while a long item runs.  The next one must go on from the text
+   that was stored, not make the trainer wait for all of it again.  */
+Test (jobs, taken_over_with_its_text)
+{
+  enum
+  {
+    LONG_EVENTS = 2000
+  };
+  int64_t resumed_at;
+
+  platform_world_init (&w);
+  platform_world_add_env (&w, "n1");
+  platform_world_set_routing (&w, WY_ROUTE_JOB, 3);
+  platform_world_add_replica (&w, "m", LONG_EVENTS);
+  start_entry ();
+  cr_expect_eq (submit ("j1", 1), 202);
+  platform_world_run_ms (&w, 1500);
+  stop_entry ();
+  platform_world_run_ms (&w, 50);
+  g_free ((char *)w.env.holder);
+  w.env.holder = g_strdup ("n1/2");
+  start_entry ();
+  platform_world_run_ms (&w, 1000);
+  resumed_at = wy_platform_replica_last_resume (w.replicas[0]);
+  cr_expect_gt (resumed_at, 20, "went on from %lld", (long long)resumed_at);
+  stop ();
+}
+
 /* Another entry has taken the job over while this one stood still.  What this
    one still writes must change nothing.  */
 Test (jobs, former_holder_writes_nothing)
@@ -355,7 +383,7 @@
   record = wy_platform_store_value (w.store, WY_JOBS_TABLE, "j1", WY_JOB_KEY);
   cr_assert_not_null (record);
   other = g_strdup (record);
-  memcpy (strstr (other, "n1/1"), "n9/1", 4);
+  strstr (other, "n1/1")[1] = '9';
   wy_platform_store_put (w.store, WY_MEMBERS_TABLE, "", "n9",
                          "{\"holder\":\"n9/1\",\"beat\":1}");
   wy_platform_store_put (w.store, WY_JOBS_TABLE, "j1", WY_JOB_KEY, other);
--- a/tests/test_platform_wire.c
+++ b/tests/test_platform_wire.c
@@ -63,14 +63,15 @@
         "\"services\":[{\"name\":\"s\",\"connectionLimit\":9,"
         "\"engine\":{\"slots\":4,\"models\":[{\"name\":\"m\"}]}}],"
         "\"limits\":{\"maxBodyBytes\":5}}";
-  static const char *const bad[]
-      = { "",
-          "{}",
-          "{\"version\":\"7\"}",
-          "{\"version\":7,\"routes\":[{}]}",
-          "{\"version\":7,\"routes\":[{\"host\":\"h\",\"prefix\":\"/\","
-          "\"kind\":\"safe\"}]}",
-          "{\"version\":7,\"services\":[{}]}" };
+  static const char no_service[]
+      = "{\"version\":7,\"routes\":[{\"host\":\"h\",\"prefix\":\"/\","
+        "\"kind\":\"safe\"}]}";
+  static const char *const bad[] = { "",
+                                     "{}",
+                                     "{\"version\":\"7\"}",
+                                     "{\"version\":7,\"routes\":[{}]}",
+                                     no_service,
+                                     "{\"version\":7,\"services\":[{}]}" };
   const char *why;
   struct wy_routing *r = wy_config_decode (good, strlen (good), &why);
   const struct wy_route *t;
@@ -193,19 +194,19 @@
 {
   static const struct
   {
-    int status;
     const char *body;
+    int status;
     int err;
   } rows[] = {
-    { 200, "{\"rows\":[],\"rowVersion\":3,\"nowMs\":9}", 0 },
-    { 200, "garbage", WY_ROWS_EMALFORMED },
-    { 412, "{\"rows\":[]}", WY_ROWS_ECONFLICT },
-    { 410, "", WY_ROWS_EHISTORY },
-    { 429, "", WY_ROWS_EREFUSED },
-    { 503, "", WY_ROWS_EREFUSED },
-    { 403, "", WY_ROWS_EREFUSED },
-    { 504, "", WY_ROWS_EUNKNOWN },
-    { 507, "", WY_ROWS_EFULL },
+    { "{\"rows\":[],\"rowVersion\":3,\"nowMs\":9}", 200, 0 },
+    { "garbage", 200, WY_ROWS_EMALFORMED },
+    { "{\"rows\":[]}", 412, WY_ROWS_ECONFLICT },
+    { "", 410, WY_ROWS_EHISTORY },
+    { "", 429, WY_ROWS_EREFUSED },
+    { "", 503, WY_ROWS_EREFUSED },
+    { "", 403, WY_ROWS_EREFUSED },
+    { "", 504, WY_ROWS_EUNKNOWN },
+    { "", 507, WY_ROWS_EFULL },
   };
 
   for (size_t i = 0; i < sizeof rows / sizeof *rows; i++)
--- a/tests/test_proxy.c
+++ b/tests/test_proxy.c
@@ -146,7 +146,8 @@
 
           platform_world_add_replica (&w, NULL, 0);
           far = wy_targets_find (w.env.targets, "i-2")->info;
-          strcpy (far.availability_zone, "far");
+          g_strlcpy (far.availability_zone, "far",
+                     sizeof far.availability_zone);
           wy_targets_set (w.env.targets, &far);
         }
       a = ask ("1500");
@@ -207,7 +208,7 @@
       = true;
   platform_world_add_replica (&w, NULL, 0);
   far = wy_targets_find (w.env.targets, "i-2")->info;
-  strcpy (far.availability_zone, "far");
+  g_strlcpy (far.availability_zone, "far", sizeof far.availability_zone);
   wy_targets_set (w.env.targets, &far);
   a = ask ("1900");
   cr_expect_eq (a->status, 200);
