--- a/src/ctl/explain.c
+++ b/src/ctl/explain.c
@@ -31,6 +31,7 @@
   GPtrArray *lines; /* struct log_line */
   GHashTable *jobs;
   GHashTable *targets;
+  GHashTable *services;
   GHashTable *processes;
   uint32_t unreadable;
   double from_s;
@@ -125,6 +126,7 @@
   remember (s->processes, text_of (l, "process"));
   remember (s->targets, text_of (l, "target"));
   remember (s->jobs, text_of (l, "job"));
+  remember (s->services, text_of (l, "service"));
 }
 
 static bool
@@ -182,7 +184,10 @@
 is_cause (const struct story *s, const struct log_line *l)
 {
   if (g_str_has_prefix (l->event, "target."))
-    return g_hash_table_contains (s->targets, text_of (l, "id"));
+    return g_hash_table_contains (s->targets, text_of (l, "id"))
+           || (g_hash_table_contains (s->services, text_of (l, "service"))
+               && g_hash_table_contains (s->processes,
+                                         text_of (l, "process")));
   /* Single calls fail by the dozen while the store is away.  */
   if (!strcmp (l->event, "store.lost") || !strcmp (l->event, "store.regained")
       || g_str_has_prefix (l->event, "process.")
@@ -277,6 +282,7 @@
   struct story s = { .lines = g_ptr_array_new_with_free_func (free_line),
                      .jobs = new_set (),
                      .targets = new_set (),
+                     .services = new_set (),
                      .processes = new_set () };
   int rc = WY_CTL_OK;
 
@@ -294,6 +300,7 @@
   g_ptr_array_free (s.lines, TRUE);
   g_hash_table_destroy (s.jobs);
   g_hash_table_destroy (s.targets);
+  g_hash_table_destroy (s.services);
   g_hash_table_destroy (s.processes);
   return rc;
 }
--- a/src/gate/follow.c
+++ b/src/gate/follow.c
@@ -101,8 +101,8 @@
 
   if (row->deleted)
     {
-      wy_note ("target.gone", "id=%s version=%lld", row->key,
-               (long long)row->version);
+      wy_note ("target.gone", "id=%s service=%s version=%lld", row->key,
+               t ? t->info.service : "", (long long)row->version);
       wy_targets_remove (g->env.targets, row->key);
       return;
     }
--- a/src/gate/proxy.c
+++ b/src/gate/proxy.c
@@ -76,27 +76,13 @@
   launch (p);
 }
 
-static void
-log_try (const struct wy_try *t, const char *outcome)
-{
-  const struct wy_target *g = t->target;
-  int64_t now_ms = wy_proxy_now_ms (t->p);
-
-  wy_note ("request.try_failed",
-           "id=%s target=%s outcome=%s ms=%lld in_flight=%u failures=%u "
-           "load=%u load_age_ms=%lld",
-           t->p->id, g->info.id, outcome, (long long)(now_ms - t->started_ms),
-           g->in_flight, g->failures, g->reported_load,
-           g->reported_ms ? (long long)(now_ms - g->reported_ms) : -1LL);
-}
-
 static void
 try_failed (struct wy_try *t, enum wy_target_outcome outcome, bool ran,
             const char *reason)
 {
   struct wy_proxied *p = t->p;
 
-  log_try (t, reason);
+  wy_proxy_log_try (t, reason);
   if (ran)
     p->may_have_run = true;
   else
--- a/src/gate/proxy_end.c
+++ b/src/gate/proxy_end.c
@@ -86,6 +86,22 @@
   wy_proxy_finish (p);
 }
 
+/* Log that T has ended without an answer, and what was believed of its target.
+ */
+void
+wy_proxy_log_try (const struct wy_try *t, const char *outcome)
+{
+  const struct wy_target *g = t->target;
+  int64_t now_ms = wy_proxy_now_ms (t->p);
+
+  wy_note ("request.try_failed",
+           "id=%s target=%s outcome=%s ms=%lld in_flight=%u failures=%u "
+           "load=%u load_age_ms=%lld",
+           t->p->id, g->info.id, outcome, (long long)(now_ms - t->started_ms),
+           g->in_flight, g->failures, g->reported_load,
+           g->reported_ms ? (long long)(now_ms - g->reported_ms) : -1LL);
+}
+
 /* Give the request up.  503 promises that it has not run; where it may have,
    502 and 504 promise nothing.  */
 void
@@ -97,6 +113,9 @@
       = strcmp (reason, "full") ? RETRY_AFTER_NONE_MS : RETRY_AFTER_FULL_MS;
 
   p->request = NULL;
+  for (size_t i = 0; i < WY_PROXY_TRIES_MAX; i++)
+    if (p->tries[i].target)
+      wy_proxy_log_try (&p->tries[i], "unanswered");
   if (p->streaming)
     {
       (*p->env->count.failed)++;
--- a/src/gate/proxy_state.h
+++ b/src/gate/proxy_state.h
@@ -60,6 +60,7 @@
 void wy_proxy_end_try (struct wy_try *t, enum wy_target_outcome outcome);
 void wy_proxy_finish (struct wy_proxied *p);
 void wy_proxy_on_hangup (void *ctx);
+void wy_proxy_log_try (const struct wy_try *t, const char *outcome);
 void wy_proxy_give_up (struct wy_proxied *p, bool late, const char *reason);
 void wy_proxy_succeed (struct wy_proxied *p, struct wy_try *t);
 
--- a/src/jobs/accept.c
+++ b/src/jobs/accept.c
@@ -58,6 +58,14 @@
 {
   struct wy_h1_request *r = a->request;
 
+  /* Another entry may have accepted a later attempt of the same submission
+     while this one waited for the store; "does not run" would be false.  */
+  if (status != STATUS_ACCEPTED && wy_jobs_find (a->jobs, a->record->id))
+    {
+      status = STATUS_ACCEPTED;
+      reason = "kept_elsewhere";
+    }
+
   wy_note (
       "job.submitted",
       "id=%s status=%d reason=%s items=%llu bytes=%zu ms=%lld", a->record->id,
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -275,6 +275,33 @@
   stop ();
 }
 
+/* The store is silent for one submission; its submitter tries again and is
+   accepted.  When the store then refuses the first attempt, that one must not
+   be told "does not run", since the job does.  */
+Test (jobs, refused_attempt_of_a_kept_job)
+{
+  struct wy_h1_pair fields[] = { { "Host", "h" }, { "Attempt-Id", "j1" } };
+  struct wy_platform_store_faults *f;
+  struct platform_answer *first;
+  char *body = job_body (1);
+
+  start (2);
+  f = wy_platform_store_faults (w.store);
+  f->silent = true;
+  first = platform_world_call (&w, wy_h1_server_port (e.server), "POST",
+                               "/p/job", fields, 2, body);
+  platform_world_run_ms (&w, 100);
+  f->silent = false;
+  cr_expect_eq (submit ("j1", 1), 202);
+  f->refuse_put = 1;
+  cr_assert (platform_world_until (&w, platform_answer_done, first));
+  cr_expect_eq (first->status, 202);
+  check_all ("j1");
+  platform_answer_free (first);
+  g_free (body);
+  stop ();
+}
+
 /* Writes of results are performed without an answer, or seconds late.  Each
    item must stand at one position, and a position never change.  */
 Test (jobs, lost_and_late_results)
