--- /dev/null
+++ b/fuzz/fuzz_platform.c
@@ -0,0 +1,146 @@
+/* Decoders of what the platform, its replicas and trainers send: any bytes
+   give a decoded value or a refusal, nothing else.  The first byte chooses
+   the decoder.  */
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "gate/events.h"
+#include "jobs/record.h"
+#include "platform/config_wire.h"
+#include "platform/job_wire.h"
+#include "platform/replica_wire.h"
+#include "platform/request_wire.h"
+#include "platform/store_wire.h"
+
+enum
+{
+  DECODERS = 9
+};
+
+int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
+
+static void
+on_event (void *ctx, const struct wy_event *ev)
+{
+  size_t *seen = ctx;
+
+  *seen += ev->raw_n;
+  if (strlen (ev->data) > ev->data_n)
+    abort ();
+}
+
+static void
+events (const char *p, size_t n)
+{
+  struct wy_events e;
+  size_t seen = 0;
+
+  wy_events_init (&e);
+  for (size_t at = 0; at < n; at += 7)
+    wy_events_feed (&e, p + at, MIN (7, n - at), on_event, &seen);
+  if (seen + e.held->len != n)
+    abort ();
+  wy_events_clear (&e);
+}
+
+static void
+store (enum wy_store_verb verb, const char *p, size_t n)
+{
+  struct wy_rows_result r = { 0 };
+  struct wy_store_answer *a = wy_store_decode (verb, 200, p, n, &r);
+
+  for (size_t i = 0; i < r.n; i++)
+    if (!r.rows[i].key || !r.rows[i].part || !r.rows[i].value)
+      abort ();
+  wy_store_answer_free (a);
+}
+
+static void
+job (const char *p, size_t n)
+{
+  const char *why;
+  struct wy_job_spec *s = wy_job_decode (p, n, &why);
+
+  if (!s && !why)
+    abort ();
+  for (guint i = 0; s && i < s->items->len; i++)
+    {
+      const struct wy_item_spec *item = g_ptr_array_index (s->items, i);
+
+      if (!*item->id || *item->path != '/')
+        abort ();
+    }
+  wy_job_spec_free (s);
+}
+
+static void
+record (const char *p, size_t n)
+{
+  struct wy_row row
+      = { .part = "j", .key = WY_JOB_KEY, .value = p, .size_bytes = n };
+
+  wy_job_record_free (wy_job_record_decode (&row));
+}
+
+static void
+call (const char *p, size_t n)
+{
+  char *target = g_strndup (p, n);
+  struct wy_h1_head head;
+  struct wy_job_call c;
+
+  wy_h1_head_init (&head);
+  wy_job_call_read ("GET", target, &head, &c);
+  if (c.kind != WY_JOB_CALL_NONE && !*c.job)
+    abort ();
+  wy_h1_head_clear (&head);
+  g_free (target);
+}
+
+int
+LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
+{
+  const char *p = (const char *)data + 1;
+  struct wy_replica replica;
+  struct wy_replica_report report;
+  struct wy_named_version version;
+  const char *why;
+
+  if (size == 0)
+    return 0;
+  size--;
+  switch (data[0] % DECODERS)
+    {
+    case 0:
+      wy_replica_decode ("i-1", p, size, &replica);
+      break;
+    case 1:
+      wy_replica_report_decode (p, size, &report);
+      break;
+    case 2:
+      wy_routing_free (wy_config_decode (p, size, &why));
+      break;
+    case 3:
+      wy_named_version_decode (p, size, &version);
+      break;
+    case 4:
+      job (p, size);
+      break;
+    case 5:
+      store (WY_STORE_GET, p, size);
+      break;
+    case 6:
+      events (p, size);
+      break;
+    case 7:
+      record (p, size);
+      break;
+    default:
+      wy_result_free (wy_result_decode (p, size));
+      call (p, size);
+      break;
+    }
+  return 0;
+}
--- a/src/jobs/jobs.c
+++ b/src/jobs/jobs.c
@@ -25,17 +25,6 @@
   ROW_MARGIN_BYTES = 64
 };
 
-struct takeover
-{
-  struct wy_jobs *jobs;
-  struct wy_job_record *record; /* as it will be */
-  struct wy_job_spec *spec;
-  struct wy_owned *owned; /* its results are being read */
-  char *from;
-  uint32_t n_text; /* items that go on from stored text */
-  int64_t started_ms;
-};
-
 /* The record of the job ID as last told; NULL: none.  */
 const struct wy_job_record *
 wy_jobs_find (const struct wy_jobs *j, const char *id)
@@ -122,7 +111,13 @@
 }
 
 static void
-on_listed (void *ctx, struct wy_owned *o)
+on_done_written (void *ctx, const struct wy_rows_result *r)
+{
+}
+
+/* Results of the job O are confirmed.  */
+void
+wy_jobs_on_listed (void *ctx, struct wy_owned *o)
 {
   struct wy_jobs *j = ctx;
 
@@ -131,13 +126,9 @@
   wy_jobs_wake_readers (j, o->record->id);
 }
 
-static void
-on_done_written (void *ctx, const struct wy_rows_result *r)
-{
-}
-
-static void
-on_owned_end (void *ctx, struct wy_owned *o, enum wy_owned_end why)
+/* The job O is no longer this entry's, or is done.  */
+void
+wy_jobs_on_owned_end (void *ctx, struct wy_owned *o, enum wy_owned_end why)
 {
   struct wy_jobs *j = ctx;
 
@@ -164,8 +155,8 @@
                                 .record = wy_job_record_copy (r),
                                 .spec = spec,
                                 .row_bytes = j->row_bytes,
-                                .on_listed = on_listed,
-                                .on_end = on_owned_end,
+                                .on_listed = wy_jobs_on_listed,
+                                .on_end = wy_jobs_on_owned_end,
                                 .ctx = j };
   struct wy_owned *w = wy_owned_new (&o);
 
@@ -174,178 +165,6 @@
   return w;
 }
 
-static void
-end_takeover (struct takeover *t, const char *outcome, int err)
-{
-  wy_note (
-      "job.takeover", "id=%s outcome=%s err=%d version=%lld ms=%lld",
-      t->record->id, outcome, err, (long long)t->record->row_version,
-      (long long)(wy_clock_mono_ms (t->jobs->env->clock) - t->started_ms));
-  g_hash_table_remove (t->jobs->taking, t->record->id);
-  wy_job_spec_free (t->spec);
-  wy_job_record_free (t->record);
-  g_free (t->from);
-  g_free (t);
-}
-
-static bool
-still_ours (struct takeover *t)
-{
-  const struct wy_job_record *r = wy_jobs_find (t->jobs, t->record->id);
-
-  return r && r->state == WY_JOB_OPEN && !strcmp (r->holder, t->record->holder)
-         && !g_hash_table_contains (t->jobs->owned, t->record->id);
-}
-
-static void read_listed (struct takeover *t);
-
-/* All that is known of the job is at hand: run it.  */
-static void
-run_taken (struct takeover *t)
-{
-  struct wy_jobs *j = t->jobs;
-
-  (*j->env->count.jobs_taken_over)++;
-  g_hash_table_insert (j->owned, t->owned->record->id, t->owned);
-  t->owned->record->row_version = wy_jobs_find (j, t->record->id)->row_version;
-  wy_note ("job.running", "id=%s listed=%u of=%u text_taken=%u", t->record->id,
-           t->owned->n_listed, t->owned->n_items, t->n_text);
-  if (wy_owned_is_done (t->owned))
-    on_owned_end (j, t->owned, WY_OWNED_DONE);
-  else
-    wy_owned_pump (t->owned);
-  end_takeover (t, "running", 0);
-}
-
-static void
-on_carry (void *ctx, struct wy_carry *c)
-{
-  struct takeover *t = ctx;
-
-  if (still_ours (t))
-    {
-      t->n_text = wy_carry_apply (c, t->owned);
-      run_taken (t);
-    }
-  else
-    {
-      wy_owned_drop (t->owned);
-      end_takeover (t, "lost", 0);
-    }
-  wy_carry_free (c);
-}
-
-static void
-on_listed_read (void *ctx, const struct wy_rows_result *r)
-{
-  struct takeover *t = ctx;
-  struct wy_jobs *j = t->jobs;
-  GPtrArray *results;
-
-  if (r->err)
-    {
-      wy_owned_drop (t->owned);
-      end_takeover (t, "results_unread", r->err);
-      return;
-    }
-  results = g_ptr_array_new ();
-  wy_result_join (r, results);
-  for (guint k = 0; k < results->len; k++)
-    {
-      struct wy_result *res = g_ptr_array_index (results, k);
-
-      wy_owned_restore (t->owned, res->item);
-      wy_result_free (res);
-    }
-  g_free (t->from);
-  t->from = results->len ? wy_result_next_from (r, t->owned->n_listed) : NULL;
-  g_ptr_array_free (results, TRUE);
-  if (t->from)
-    {
-      read_listed (t);
-      return;
-    }
-  if (!still_ours (t))
-    {
-      wy_owned_drop (t->owned);
-      end_takeover (t, "lost", 0);
-      return;
-    }
-  wy_carry_read (j->env, t->record->id, on_carry, t);
-}
-
-static void
-read_listed (struct takeover *t)
-{
-  struct wy_rows_range range
-      = { .table = WY_RESULTS_TABLE, .part = t->record->id, .from = t->from };
-
-  wy_rows_get (t->jobs->env->rows, &range, on_listed_read, t);
-}
-
-static void
-on_spec (void *ctx, int err, struct wy_job_spec *spec)
-{
-  struct takeover *t = ctx;
-  struct wy_owned_options o = { .env = t->jobs->env,
-                                .row_bytes = t->jobs->row_bytes,
-                                .on_listed = on_listed,
-                                .on_end = on_owned_end,
-                                .ctx = t->jobs };
-
-  if (err || !still_ours (t))
-    {
-      wy_job_spec_free (spec);
-      end_takeover (t, err ? "body_unread" : "lost", err);
-      return;
-    }
-  o.record = wy_job_record_copy (t->record);
-  o.spec = spec;
-  t->owned = wy_owned_new (&o);
-  t->owned->newest_version = wy_lags_newest (t->jobs->lags, spec->model);
-  read_listed (t);
-}
-
-static void
-on_taken (void *ctx, const struct wy_rows_result *r)
-{
-  struct takeover *t = ctx;
-  struct wy_job_record *known;
-
-  if (r->err)
-    {
-      /* Without an answer the row shows what became of it.  */
-      end_takeover (t, "not_taken", r->err);
-      return;
-    }
-  t->record->row_version = r->version;
-  known = wy_job_record_copy (t->record);
-  wy_jobs_learn (t->jobs, known);
-  wy_job_load (t->jobs, t->record, on_spec, t);
-}
-
-/* Make the job of R this entry's and run it.  */
-void
-wy_jobs_take_over (struct wy_jobs *j, const struct wy_job_record *r)
-{
-  struct takeover *t = g_new0 (struct takeover, 1);
-
-  t->jobs = j;
-  t->record = wy_job_record_copy (r);
-  t->started_ms = wy_clock_mono_ms (j->env->clock);
-  g_hash_table_add (j->taking, g_strdup (r->id));
-  if (!strcmp (r->holder, j->env->holder))
-    {
-      wy_job_load (j, t->record, on_spec, t);
-      return;
-    }
-  wy_note ("job.taking", "id=%s from=%s version=%lld", r->id, r->holder,
-           (long long)r->row_version);
-  g_free (t->record->holder);
-  t->record->holder = g_strdup (j->env->holder);
-  wy_job_record_write (j->env->rows, t->record, on_taken, t);
-}
-
 static bool
 should_take (struct wy_jobs *j, const struct wy_job_record *r, int64_t now_ms)
 {
--- a/src/jobs/state.h
+++ b/src/jobs/state.h
@@ -28,6 +28,9 @@
 void wy_jobs_learn (struct wy_jobs *j, struct wy_job_record *r);
 struct wy_owned *wy_jobs_own (struct wy_jobs *j, const struct wy_job_record *r,
                               struct wy_job_spec *spec);
+void wy_jobs_on_listed (void *ctx, struct wy_owned *o);
+void wy_jobs_on_owned_end (void *ctx, struct wy_owned *o,
+                           enum wy_owned_end why);
 void wy_jobs_take_over (struct wy_jobs *j, const struct wy_job_record *r);
 void wy_jobs_hand_on (struct wy_jobs *j, const struct wy_job_record *r,
                       const struct sockaddr_in *address, const char *body,
--- a/src/standin/platform_store.c
+++ b/src/standin/platform_store.c
@@ -1,6 +1,6 @@
 /* Stand-in of the platform's store.  A call is performed in one turn of the
    loop, so its answers are linearizable.  */
-#include "standin/platform_store.h"
+#include "standin/platform_store_state.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -13,54 +13,13 @@
   IDLE_MS = 60000,
   PAGE_ROWS = 500,
   PAGE_BYTES = 1 << 20,
-  ROW_LIMIT_BYTES = 65536,
-  TX_ENTRIES = 100,
   WAIT_CHECK_MS = 5
 };
 
-struct row
-{
-  char *table;
-  char *part;
-  char *key;
-  char *value; /* base64 */
-  int64_t version;
-  bool deleted;
-};
-
-struct wait
-{
-  struct wy_platform_store *store;
-  struct wy_h1_request *request;
-  char *table;
-  int64_t after;
-  uint64_t until_ms;
-};
-
-struct late_tx
-{
-  struct wy_platform_store *store;
-  json_t *doc;
-  uv_timer_t timer;
-};
-
-struct wy_platform_store
-{
-  uv_loop_t *loop;
-  struct wy_h1_server *server;
-  uv_timer_t tick;
-  GPtrArray *rows;     /* struct row */
-  GHashTable *objects; /* GBytes by name */
-  GPtrArray *waits;    /* struct wait */
-  int64_t version;
-  uint64_t calls;
-  struct wy_platform_store_faults faults;
-};
-
 static void
 free_row (gpointer p)
 {
-  struct row *r = p;
+  struct wy_platform_row *r = p;
 
   g_free (r->table);
   g_free (r->part);
@@ -72,19 +31,20 @@
 static void
 free_wait (gpointer p)
 {
-  struct wait *w = p;
+  struct wy_platform_wait *w = p;
 
   g_free (w->table);
   g_free (w);
 }
 
-static struct row *
-find (const struct wy_platform_store *s, const char *table, const char *part,
-      const char *key)
+/* The row, also a deleted one; NULL: never written.  */
+struct wy_platform_row *
+wy_platform_store_find (const struct wy_platform_store *s, const char *table,
+                        const char *part, const char *key)
 {
   for (guint i = 0; i < s->rows->len; i++)
     {
-      struct row *r = g_ptr_array_index (s->rows, i);
+      struct wy_platform_row *r = g_ptr_array_index (s->rows, i);
 
       if (!strcmp (r->key, key) && !strcmp (r->part, part)
           && !strcmp (r->table, table))
@@ -93,15 +53,17 @@
   return NULL;
 }
 
-static void
-set_row (struct wy_platform_store *s, const char *table, const char *part,
-         const char *key, const char *value)
+/* Give the row the VALUE in base64 and the present version; NULL: delete it.
+ */
+void
+wy_platform_store_set (struct wy_platform_store *s, const char *table,
+                       const char *part, const char *key, const char *value)
 {
-  struct row *r = find (s, table, part, key);
+  struct wy_platform_row *r = wy_platform_store_find (s, table, part, key);
 
   if (!r)
     {
-      r = g_new0 (struct row, 1);
+      r = g_new0 (struct wy_platform_row, 1);
       r->table = g_strdup (table);
       r->part = g_strdup (part);
       r->key = g_strdup (key);
@@ -113,6 +75,38 @@
   r->version = s->version;
 }
 
+/* Answer R with DOC, which is taken over, and what each answer tells.  */
+void
+wy_platform_store_respond (struct wy_platform_store *s,
+                           struct wy_h1_request *r, int status, json_t *doc)
+{
+  static const struct wy_h1_pair type = { "Content-Type", "application/json" };
+  char *text;
+
+  if (!doc)
+    doc = json_object ();
+  json_object_set_new (doc, "rowVersion", json_integer (s->version));
+  json_object_set_new (doc, "nowMs",
+                       json_integer ((json_int_t)uv_now (s->loop)));
+  text = json_dumps (doc, JSON_COMPACT);
+  wy_h1_respond (r, status, &type, 1, text, strlen (text));
+  free (text);
+  json_decref (doc);
+}
+
+/* R as it travels.  */
+json_t *
+wy_platform_store_row_json (const struct wy_platform_row *r)
+{
+  json_t *o = json_pack ("{s:s, s:s, s:s, s:s, s:I}", "table", r->table,
+                         "part", r->part, "key", r->key, "value", r->value,
+                         "rowVersion", (json_int_t)r->version);
+
+  if (r->deleted)
+    json_object_set_new (o, "deleted", json_true ());
+  return o;
+}
+
 /* Write VALUE as the platform or another writer would.  */
 int64_t
 wy_platform_store_put (struct wy_platform_store *s, const char *table,
@@ -121,7 +115,7 @@
   char *coded = g_base64_encode ((const guchar *)value, strlen (value));
 
   s->version++;
-  set_row (s, table, part, key, coded);
+  wy_platform_store_set (s, table, part, key, coded);
   g_free (coded);
   return s->version;
 }
@@ -132,7 +126,7 @@
                         const char *part, const char *key)
 {
   s->version++;
-  set_row (s, table, part, key, NULL);
+  wy_platform_store_set (s, table, part, key, NULL);
 }
 
 /* The value of a row as text, which the caller frees; NULL: none.  */
@@ -140,7 +134,8 @@
 wy_platform_store_value (const struct wy_platform_store *s, const char *table,
                          const char *part, const char *key)
 {
-  const struct row *r = find (s, table, part, key);
+  const struct wy_platform_row *r
+      = wy_platform_store_find (s, table, part, key);
   gsize n;
   guchar *p;
   char *out;
@@ -162,7 +157,7 @@
 
   for (guint i = 0; i < s->rows->len; i++)
     {
-      const struct row *r = g_ptr_array_index (s->rows, i);
+      const struct wy_platform_row *r = g_ptr_array_index (s->rows, i);
 
       n += !r->deleted && !strcmp (r->table, table) && !strcmp (r->part, part);
     }
@@ -183,36 +178,6 @@
   return &s->faults;
 }
 
-static void
-respond (struct wy_platform_store *s, struct wy_h1_request *r, int status,
-         json_t *doc)
-{
-  static const struct wy_h1_pair type = { "Content-Type", "application/json" };
-  char *text;
-
-  if (!doc)
-    doc = json_object ();
-  json_object_set_new (doc, "rowVersion", json_integer (s->version));
-  json_object_set_new (doc, "nowMs",
-                       json_integer ((json_int_t)uv_now (s->loop)));
-  text = json_dumps (doc, JSON_COMPACT);
-  wy_h1_respond (r, status, &type, 1, text, strlen (text));
-  free (text);
-  json_decref (doc);
-}
-
-static json_t *
-row_json (const struct row *r)
-{
-  json_t *o = json_pack ("{s:s, s:s, s:s, s:s, s:I}", "table", r->table,
-                         "part", r->part, "key", r->key, "value", r->value,
-                         "rowVersion", (json_int_t)r->version);
-
-  if (r->deleted)
-    json_object_set_new (o, "deleted", json_true ());
-  return o;
-}
-
 static char *
 query (const char *target, const char *name)
 {
@@ -236,8 +201,8 @@
 static gint
 by_key (gconstpointer a, gconstpointer b)
 {
-  const struct row *x = *(struct row *const *)a;
-  const struct row *y = *(struct row *const *)b;
+  const struct wy_platform_row *x = *(struct wy_platform_row *const *)a;
+  const struct wy_platform_row *y = *(struct wy_platform_row *const *)b;
 
   return strcmp (x->key, y->key);
 }
@@ -245,8 +210,8 @@
 static gint
 by_version (gconstpointer a, gconstpointer b)
 {
-  const struct row *x = *(struct row *const *)a;
-  const struct row *y = *(struct row *const *)b;
+  const struct wy_platform_row *x = *(struct wy_platform_row *const *)a;
+  const struct wy_platform_row *y = *(struct wy_platform_row *const *)b;
 
   return x->version < y->version ? -1 : x->version > y->version;
 }
@@ -267,7 +232,7 @@
 
   for (guint i = 0; table && part && i < s->rows->len; i++)
     {
-      struct row *row = g_ptr_array_index (s->rows, i);
+      struct wy_platform_row *row = g_ptr_array_index (s->rows, i);
 
       if (!row->deleted && !strcmp (row->table, table)
           && !strcmp (row->part, part)
@@ -278,14 +243,14 @@
   g_ptr_array_sort (found, by_key);
   for (; n < found->len && n < MIN (most, PAGE_ROWS); n++)
     {
-      const struct row *row = g_ptr_array_index (found, n);
+      const struct wy_platform_row *row = g_ptr_array_index (found, n);
 
       size += strlen (row->value);
       if (n && size > PAGE_BYTES)
         break;
-      json_array_append_new (rows, row_json (row));
+      json_array_append_new (rows, wy_platform_store_row_json (row));
     }
-  respond (
+  wy_platform_store_respond (
       s, r, 200,
       json_pack ("{s:o, s:b}", "rows", rows, "morePages", n < found->len));
   g_ptr_array_free (found, TRUE);
@@ -306,19 +271,20 @@
 
   for (guint i = 0; table && i < s->rows->len; i++)
     {
-      const struct row *row = g_ptr_array_index (s->rows, i);
+      const struct wy_platform_row *row = g_ptr_array_index (s->rows, i);
 
       if (!row->deleted && !strcmp (row->table, table)
           && g_hash_table_add (seen, row->part))
         json_array_append_new (list, json_string (row->part));
     }
-  respond (s, r, 200, json_pack ("{s:o, s:b}", "parts", list, "morePages", 0));
+  wy_platform_store_respond (
+      s, r, 200, json_pack ("{s:o, s:b}", "parts", list, "morePages", 0));
   g_hash_table_destroy (seen);
   g_free (table);
 }
 
 static bool
-answer_wait (struct wait *w)
+answer_wait (struct wy_platform_wait *w)
 {
   struct wy_platform_store *s = w->store;
   GPtrArray *found = g_ptr_array_new ();
@@ -326,7 +292,7 @@
 
   for (guint i = 0; i < s->rows->len; i++)
     {
-      struct row *row = g_ptr_array_index (s->rows, i);
+      struct wy_platform_row *row = g_ptr_array_index (s->rows, i);
 
       if (row->version > w->after && !strcmp (row->table, w->table))
         g_ptr_array_add (found, row);
@@ -339,10 +305,12 @@
   g_ptr_array_sort (found, by_version);
   rows = json_array ();
   for (guint i = 0; i < found->len; i++)
-    json_array_append_new (rows, row_json (g_ptr_array_index (found, i)));
+    json_array_append_new (
+        rows, wy_platform_store_row_json (g_ptr_array_index (found, i)));
   g_ptr_array_free (found, TRUE);
   wy_h1_on_hangup (w->request, NULL, NULL);
-  respond (s, w->request, 200, json_pack ("{s:o}", "rows", rows));
+  wy_platform_store_respond (s, w->request, 200,
+                             json_pack ("{s:o}", "rows", rows));
   return true;
 }
 
@@ -359,7 +327,7 @@
 static void
 on_wait_gone (void *ctx)
 {
-  struct wait *w = ctx;
+  struct wy_platform_wait *w = ctx;
 
   g_ptr_array_remove (w->store->waits, w);
 }
@@ -369,16 +337,16 @@
 {
   char *after = query (target, "after");
   char *wait_ms = query (target, "waitMs");
-  struct wait *w;
+  struct wy_platform_wait *w;
 
   if (s->faults.forget_history)
     {
       s->faults.forget_history = false;
-      respond (s, r, 410, NULL);
+      wy_platform_store_respond (s, r, 410, NULL);
     }
   else
     {
-      w = g_new0 (struct wait, 1);
+      w = g_new0 (struct wy_platform_wait, 1);
       w->store = s;
       w->request = r;
       w->table = query (target, "table");
@@ -392,142 +360,6 @@
   g_free (wait_ms);
 }
 
-static const char *
-text (json_t *o, const char *key)
-{
-  const char *v = json_string_value (json_object_get (o, key));
-
-  return v ? v : "";
-}
-
-static json_t *
-failed_conditions (const struct wy_platform_store *s, json_t *doc)
-{
-  json_t *out = json_array ();
-  bool failed = false;
-  json_t *c;
-  size_t i;
-
-  json_array_foreach (json_object_get (doc, "expectedRevision"), i, c)
-  {
-    const struct row *r
-        = find (s, text (c, "table"), text (c, "part"), text (c, "key"));
-    int64_t want = json_integer_value (json_object_get (c, "rowVersion"));
-    bool there = r && !r->deleted;
-
-    failed = failed || (there ? r->version : 0) != want;
-    if (there)
-      json_array_append_new (out, row_json (r));
-  }
-  if (failed)
-    return out;
-  json_decref (out);
-  return NULL;
-}
-
-/* Why DOC can't be a transaction; NULL: it can.  */
-static const char *
-invalid (json_t *doc)
-{
-  json_t *w;
-  size_t i;
-  size_t n = json_array_size (json_object_get (doc, "writes"))
-             + json_array_size (json_object_get (doc, "expectedRevision"))
-             + json_array_size (json_object_get (doc, "remove"));
-
-  if (!json_is_object (doc) || n > TX_ENTRIES)
-    return "entries";
-  json_array_foreach (json_object_get (doc, "writes"), i,
-                      w) if (!*text (w, "key")
-                             || strlen (text (w, "value"))
-                                    > ROW_LIMIT_BYTES) return "row";
-  return NULL;
-}
-
-/* Returns 200, or 412 with the rows of the conditions in OUT.  */
-static int
-perform (struct wy_platform_store *s, json_t *doc, json_t **out)
-{
-  json_t *w;
-  size_t i;
-
-  *out = failed_conditions (s, doc);
-  if (*out)
-    return 412;
-  s->version++;
-  json_array_foreach (json_object_get (doc, "writes"), i, w)
-      set_row (s, text (w, "table"), text (w, "part"), text (w, "key"),
-               text (w, "value"));
-  json_array_foreach (
-      json_object_get (doc, "remove"), i,
-      w) if (find (s, text (w, "table"), text (w, "part"), text (w, "key")))
-      set_row (s, text (w, "table"), text (w, "part"), text (w, "key"), NULL);
-  return 200;
-}
-
-static void
-on_late_closed (uv_handle_t *h)
-{
-  g_free (h->data);
-}
-
-static void
-on_late (uv_timer_t *t)
-{
-  struct late_tx *l = t->data;
-  json_t *rows;
-
-  perform (l->store, l->doc, &rows);
-  json_decref (rows);
-  json_decref (l->doc);
-  uv_close ((uv_handle_t *)t, on_late_closed);
-}
-
-static void
-perform_late (struct wy_platform_store *s, json_t *doc)
-{
-  struct late_tx *l = g_new0 (struct late_tx, 1);
-
-  l->store = s;
-  l->doc = json_incref (doc);
-  uv_timer_init (s->loop, &l->timer);
-  l->timer.data = l;
-  uv_timer_start (&l->timer, on_late, s->faults.late_ms, 0);
-}
-
-static void
-transact (struct wy_platform_store *s, struct wy_h1_request *r)
-{
-  size_t n;
-  const char *body = wy_h1_body (r, &n);
-  json_t *doc = json_loadb (body, n, 0, NULL);
-  json_t *rows = NULL;
-  int status;
-
-  if (invalid (doc))
-    respond (s, r, 400, NULL);
-  else if (s->faults.late)
-    {
-      s->faults.late--;
-      perform_late (s, doc);
-      wy_h1_break (r);
-    }
-  else
-    {
-      status = perform (s, doc, &rows);
-      if (s->faults.lose)
-        {
-          s->faults.lose--;
-          json_decref (rows);
-          wy_h1_break (r);
-        }
-      else
-        respond (s, r, status,
-                 rows ? json_pack ("{s:o}", "rows", rows) : NULL);
-    }
-  json_decref (doc);
-}
-
 static void
 put_object (struct wy_platform_store *s, struct wy_h1_request *r,
             const char *name)
@@ -538,14 +370,14 @@
   if (s->faults.refuse_put)
     {
       s->faults.refuse_put--;
-      respond (s, r, 507, NULL);
+      wy_platform_store_respond (s, r, 507, NULL);
     }
   else if (g_hash_table_contains (s->objects, name))
-    respond (s, r, 412, NULL);
+    wy_platform_store_respond (s, r, 412, NULL);
   else
     {
       g_hash_table_insert (s->objects, g_strdup (name), g_bytes_new (body, n));
-      respond (s, r, 200, NULL);
+      wy_platform_store_respond (s, r, 200, NULL);
     }
 }
 
@@ -568,13 +400,13 @@
   if (s->faults.refuse)
     {
       s->faults.refuse--;
-      respond (s, r, 503, NULL);
+      wy_platform_store_respond (s, r, 503, NULL);
       return true;
     }
   if (s->faults.busy)
     {
       s->faults.busy--;
-      respond (s, r, 429, NULL);
+      wy_platform_store_respond (s, r, 429, NULL);
       return true;
     }
   return false;
@@ -596,13 +428,13 @@
   else if (g_str_has_prefix (t, "/api/rows-feed"))
     feed (s, r, t);
   else if (g_str_has_prefix (t, "/api/rows-tx"))
-    transact (s, r);
+    wy_platform_store_transact (s, r);
   else if (g_str_has_prefix (t, "/api/blob-put/"))
     put_object (s, r, t + strlen ("/api/blob-put/"));
   else if (g_str_has_prefix (t, "/api/blob-get/"))
     get_object (s, r, t + strlen ("/api/blob-get/"));
   else
-    respond (s, r, 404, NULL);
+    wy_platform_store_respond (s, r, 404, NULL);
 }
 
 static void
--- /dev/null
+++ b/src/standin/platform_store_tx.c
@@ -0,0 +1,157 @@
+/* Transactions of the stand-in of the platform's store.  */
+#include "standin/platform_store_state.h"
+
+#include <string.h>
+
+enum
+{
+  ROW_LIMIT_BYTES = 65536,
+  TX_ENTRIES = 100
+};
+
+struct late_tx
+{
+  struct wy_platform_store *store;
+  json_t *doc;
+  uv_timer_t timer;
+};
+
+static const char *
+text (json_t *o, const char *key)
+{
+  const char *v = json_string_value (json_object_get (o, key));
+
+  return v ? v : "";
+}
+
+static json_t *
+failed_conditions (const struct wy_platform_store *s, json_t *doc)
+{
+  json_t *out = json_array ();
+  bool failed = false;
+  json_t *c;
+  size_t i;
+
+  json_array_foreach (json_object_get (doc, "expectedRevision"), i, c)
+  {
+    const struct wy_platform_row *r = wy_platform_store_find (
+        s, text (c, "table"), text (c, "part"), text (c, "key"));
+    int64_t want = json_integer_value (json_object_get (c, "rowVersion"));
+    bool there = r && !r->deleted;
+
+    failed = failed || (there ? r->version : 0) != want;
+    if (there)
+      json_array_append_new (out, wy_platform_store_row_json (r));
+  }
+  if (failed)
+    return out;
+  json_decref (out);
+  return NULL;
+}
+
+/* Why DOC can't be a transaction; NULL: it can.  */
+static const char *
+invalid (json_t *doc)
+{
+  json_t *w;
+  size_t i;
+  size_t n = json_array_size (json_object_get (doc, "writes"))
+             + json_array_size (json_object_get (doc, "expectedRevision"))
+             + json_array_size (json_object_get (doc, "remove"));
+
+  if (!json_is_object (doc) || n > TX_ENTRIES)
+    return "entries";
+  json_array_foreach (json_object_get (doc, "writes"), i,
+                      w) if (!*text (w, "key")
+                             || strlen (text (w, "value"))
+                                    > ROW_LIMIT_BYTES) return "row";
+  return NULL;
+}
+
+/* Returns 200, or 412 with the rows of the conditions in OUT.  */
+static int
+perform (struct wy_platform_store *s, json_t *doc, json_t **out)
+{
+  json_t *w;
+  size_t i;
+
+  *out = failed_conditions (s, doc);
+  if (*out)
+    return 412;
+  s->version++;
+  json_array_foreach (json_object_get (doc, "writes"), i, w)
+      wy_platform_store_set (s, text (w, "table"), text (w, "part"),
+                             text (w, "key"), text (w, "value"));
+  json_array_foreach (json_object_get (doc, "remove"), i,
+                      w) if (wy_platform_store_find (s, text (w, "table"),
+                                                     text (w, "part"),
+                                                     text (w, "key")))
+      wy_platform_store_set (s, text (w, "table"), text (w, "part"),
+                             text (w, "key"), NULL);
+  return 200;
+}
+
+static void
+on_late_closed (uv_handle_t *h)
+{
+  g_free (h->data);
+}
+
+static void
+on_late (uv_timer_t *t)
+{
+  struct late_tx *l = t->data;
+  json_t *rows;
+
+  perform (l->store, l->doc, &rows);
+  json_decref (rows);
+  json_decref (l->doc);
+  uv_close ((uv_handle_t *)t, on_late_closed);
+}
+
+static void
+perform_late (struct wy_platform_store *s, json_t *doc)
+{
+  struct late_tx *l = g_new0 (struct late_tx, 1);
+
+  l->store = s;
+  l->doc = json_incref (doc);
+  uv_timer_init (s->loop, &l->timer);
+  l->timer.data = l;
+  uv_timer_start (&l->timer, on_late, s->faults.late_ms, 0);
+}
+
+/* Perform the transaction R, or what the faults make of it.  */
+void
+wy_platform_store_transact (struct wy_platform_store *s,
+                            struct wy_h1_request *r)
+{
+  size_t n;
+  const char *body = wy_h1_body (r, &n);
+  json_t *doc = json_loadb (body, n, 0, NULL);
+  json_t *rows = NULL;
+  int status;
+
+  if (invalid (doc))
+    wy_platform_store_respond (s, r, 400, NULL);
+  else if (s->faults.late)
+    {
+      s->faults.late--;
+      perform_late (s, doc);
+      wy_h1_break (r);
+    }
+  else
+    {
+      status = perform (s, doc, &rows);
+      if (s->faults.lose)
+        {
+          s->faults.lose--;
+          json_decref (rows);
+          wy_h1_break (r);
+        }
+      else
+        wy_platform_store_respond (
+            s, r, status, rows ? json_pack ("{s:o}", "rows", rows) : NULL);
+    }
+  json_decref (doc);
+}
