The store's clock is known after its first answer again; old jobs are removed

Found by the new test of removals, which waited for ever; tests rows::store_clock_is_known (red before) and jobs::old_ones_are_removed.

--- a/src/gate/follow.c
+++ b/src/gate/follow.c
@@ -182,7 +182,8 @@
       = { .env = &g->env,
           .seed = seed + 3,
           .piece_bytes = (uint32_t)g->o.settings->object_bytes,
-          .row_bytes = (uint32_t)g->o.settings->row_bytes };
+          .row_bytes = (uint32_t)g->o.settings->row_bytes,
+          .keep_ms = (int64_t)(g->o.settings->keep_s * WY_MS_PER_S) };
 
   g->operator_rows = wy_watch_new (&w);
   w.table = WY_REPLICA_TABLE;
--- a/src/gate/settings.c
+++ b/src/gate/settings.c
@@ -66,6 +66,15 @@
     .unit = "MB",
     .help = "Memory of the process; an eighth of it holds bodies that are"
             " being read" },
+  { .key = "keep_s",
+    .kind = WY_SETTING_REAL,
+    .offset = FIELD (keep_s),
+    .fallback = "120",
+    .min = 1,
+    .max = 1e6,
+    .unit = "s",
+    .help = "Results may be read for so long after their job's submission;"
+            " then the job is removed from the store" },
   { .key = "grace_s",
     .kind = WY_SETTING_REAL,
     .offset = FIELD (grace_s),
--- a/src/gate/settings.h
+++ b/src/gate/settings.h
@@ -17,6 +17,7 @@
   int64_t object_bytes;
   int64_t row_bytes;
   int64_t memory_mb;
+  double keep_s;
   double grace_s;
 };
 
--- a/src/jobs/carry.c
+++ b/src/jobs/carry.c
@@ -15,8 +15,6 @@
 #include "jobs/result_rows.h"
 #include "trace/note.h"
 
-#define CARRY_TABLE "wy-carried"
-
 enum
 {
   /* A transaction of the store takes 100 entries and 1 MB in base64.  */
@@ -146,7 +144,7 @@
     {
       size_t at = (size_t)k * row_bytes;
       size_t size = MIN (n - at, row_bytes);
-      struct wy_row_write w = { .table = CARRY_TABLE,
+      struct wy_row_write w = { .table = WY_CARRY_TABLE,
                                 .key = g_strdup_printf ("%s.%05u", id, k),
                                 .value = g_memdup2 (value + at, size),
                                 .size_bytes = size };
@@ -300,7 +298,7 @@
 read_page (struct wy_carry *c)
 {
   struct wy_rows_range range
-      = { .table = CARRY_TABLE, .part = c->part, .from = c->from };
+      = { .table = WY_CARRY_TABLE, .part = c->part, .from = c->from };
 
   wy_rows_get (c->env->rows, &range, on_page, c);
 }
@@ -371,7 +369,7 @@
 
   for (guint k = 0; k < c->keys->len && k < BATCH_ROWS; k++)
     {
-      refs[k].table = CARRY_TABLE;
+      refs[k].table = WY_CARRY_TABLE;
       refs[k].key = g_ptr_array_index (c->keys, k);
       tx.n_removals++;
     }
--- a/src/jobs/carry.h
+++ b/src/jobs/carry.h
@@ -10,6 +10,8 @@
 
 #include "jobs/owned.h"
 
+#define WY_CARRY_TABLE "wy-carried"
+
 struct wy_carry; /* what was read for one job */
 
 /* Who the text is kept for.  */
--- /dev/null
+++ b/src/jobs/clean.c
@@ -0,0 +1,174 @@
+/* Removes jobs whose results nobody may ask for any more: the store keeps
+   everything until it is removed, and refuses writes when it is full.
+
+   One job at a time, by the entry whose turn it is for that job: its results
+   page by page, its text, its body, and its row last, so that a removal that
+   stops half way is found again.  */
+#include "jobs/state.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "jobs/carry.h"
+#include "trace/note.h"
+
+enum
+{
+  EVERY_MS = 2000,
+  /* Rows in one transaction; the store takes 100 entries.  */
+  PAGE_ROWS = 90,
+  /* Beyond the time that results are kept for: callers' clocks differ.  */
+  SLACK_MS = 30000,
+  NAME_SIZE_BYTES = 320
+};
+
+struct cleaning
+{
+  struct wy_jobs *jobs;
+  struct wy_job_record *record;
+  const char *table; /* whose rows are being removed */
+  uint32_t piece;    /* of the body */
+  uint32_t rows;
+};
+
+static void
+end (struct cleaning *c, const char *outcome)
+{
+  wy_note ("job.removed", "id=%s outcome=%s rows=%u pieces=%u", c->record->id,
+           outcome, c->rows, c->piece);
+  c->jobs->cleaning = false;
+  wy_job_record_free (c->record);
+  g_free (c);
+}
+
+static void read_rows (struct cleaning *c);
+
+static void
+on_row_removed (void *ctx, const struct wy_rows_result *r)
+{
+  end (ctx, r->err ? "row_stays" : "gone");
+}
+
+static void
+remove_row (struct cleaning *c)
+{
+  struct wy_row_ref ref
+      = { WY_JOBS_TABLE, WY_JOB_KEY, c->record->row_version };
+  struct wy_rows_tx tx = { .part = c->record->id,
+                           .conditions = &ref,
+                           .n_conditions = 1,
+                           .removals = &ref,
+                           .n_removals = 1 };
+
+  wy_rows_tx (c->jobs->env->rows, &tx, on_row_removed, c);
+}
+
+static void drop_piece (struct cleaning *c);
+
+static void
+on_piece_dropped (void *ctx, const struct wy_rows_result *r)
+{
+  struct cleaning *c = ctx;
+
+  if (r->err && r->err != WY_ROWS_ENOTFOUND)
+    {
+      end (c, "body_stays");
+      return;
+    }
+  c->piece++;
+  drop_piece (c);
+}
+
+static void
+drop_piece (struct cleaning *c)
+{
+  char name[NAME_SIZE_BYTES];
+
+  if (c->piece >= c->record->pieces)
+    {
+      remove_row (c);
+      return;
+    }
+  snprintf (name, sizeof name, "%s.%u", c->record->object, c->piece);
+  wy_rows_drop_object (c->jobs->env->rows, name, on_piece_dropped, c);
+}
+
+static void
+on_rows_removed (void *ctx, const struct wy_rows_result *r)
+{
+  if (r->err)
+    end (ctx, "results_stay");
+  else
+    read_rows (ctx);
+}
+
+static void
+on_rows (void *ctx, const struct wy_rows_result *r)
+{
+  struct cleaning *c = ctx;
+  struct wy_row_ref refs[PAGE_ROWS];
+  struct wy_rows_tx tx = { .part = c->record->id, .removals = refs };
+
+  if (r->err)
+    {
+      end (c, "unread");
+      return;
+    }
+  for (size_t i = 0; i < r->n && i < PAGE_ROWS; i++)
+    refs[tx.n_removals++] = (struct wy_row_ref){ c->table, r->rows[i].key, 0 };
+  c->rows += (uint32_t)tx.n_removals;
+  if (tx.n_removals)
+    wy_rows_tx (c->jobs->env->rows, &tx, on_rows_removed, c);
+  else if (!strcmp (c->table, WY_RESULTS_TABLE))
+    {
+      c->table = WY_CARRY_TABLE;
+      read_rows (c);
+    }
+  else
+    drop_piece (c);
+}
+
+static void
+read_rows (struct cleaning *c)
+{
+  struct wy_rows_range range
+      = { .table = c->table, .part = c->record->id, .limit = PAGE_ROWS };
+
+  wy_rows_get (c->jobs->env->rows, &range, on_rows, c);
+}
+
+static bool
+is_old (struct wy_jobs *j, const struct wy_job_record *r, int64_t store_ms)
+{
+  return r->accepted_ms && store_ms - r->accepted_ms > j->keep_ms + SLACK_MS
+         && r->state != WY_JOB_OPEN
+         && wy_members_rank (j->members, r->id) == 0;
+}
+
+/* Begin to remove one old job, if there is one and none is being removed.  */
+void
+wy_jobs_clean (struct wy_jobs *j)
+{
+  int64_t now_ms = wy_clock_mono_ms (j->env->clock);
+  int64_t store_ms = wy_rows_store_now_ms (j->env->rows);
+  struct cleaning *c;
+  GHashTableIter it;
+  gpointer p;
+
+  if (j->cleaning || !store_ms || now_ms < j->clean_due_ms)
+    return;
+  j->clean_due_ms = now_ms + EVERY_MS;
+  g_hash_table_iter_init (&it, j->records);
+  while (g_hash_table_iter_next (&it, NULL, &p))
+    {
+      if (!is_old (j, p, store_ms))
+        continue;
+      c = g_new0 (struct cleaning, 1);
+      c->jobs = j;
+      c->record = wy_job_record_copy (p);
+      c->table = WY_RESULTS_TABLE;
+      j->cleaning = true;
+      read_rows (c);
+      return;
+    }
+}
--- a/src/jobs/jobs.c
+++ b/src/jobs/jobs.c
@@ -259,7 +259,10 @@
   if (++j->ticks % LINGER_TICKS == 0)
     tick_lingering (j);
   if (!j->env->stopping)
-    look_for_work (j);
+    {
+      look_for_work (j);
+      wy_jobs_clean (j);
+    }
   wy_jobs_read_tick (j);
 }
 
@@ -295,6 +298,7 @@
   j->env = o->env;
   j->members = o->members;
   j->piece_bytes = o->piece_bytes;
+  j->keep_ms = o->keep_ms;
   /* The store counts a row's bytes as they travel, in base64.  */
   j->row_bytes = o->row_bytes / 4 * 3 - ROW_MARGIN_BYTES;
   j->records
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -20,6 +20,7 @@
   uint64_t seed;
   uint32_t piece_bytes; /* largest object that the store takes */
   uint32_t row_bytes;   /* largest row */
+  int64_t keep_ms;      /* results, from their job's submission */
 };
 
 struct wy_jobs *wy_jobs_new (const struct wy_jobs_options *o);
--- a/src/jobs/state.h
+++ b/src/jobs/state.h
@@ -16,6 +16,9 @@
   uv_timer_t tick;
   int64_t ticked_ms;
   uint64_t ticks;
+  int64_t keep_ms; /* results, from their job's submission */
+  int64_t clean_due_ms;
+  bool cleaning;
   GHashTable *records;  /* struct wy_job_record by id */
   GHashTable *owned;    /* struct wy_owned by id */
   GPtrArray *lingering; /* struct wy_owned whose jobs have been ended */
@@ -35,6 +38,7 @@
 void wy_jobs_hand_on (struct wy_jobs *j, const struct wy_job_record *r,
                       const struct sockaddr_in *address, const char *body,
                       size_t n);
+void wy_jobs_clean (struct wy_jobs *j);
 void wy_jobs_wake_readers (struct wy_jobs *j, const char *id);
 void wy_jobs_read_tick (struct wy_jobs *j);
 
--- a/src/rows/rows.h
+++ b/src/rows/rows.h
@@ -133,6 +133,8 @@
                          size_t n, wy_rows_cb *cb, void *ctx);
 void wy_rows_get_object (struct wy_rows *s, const char *name, wy_rows_cb *cb,
                          void *ctx);
+void wy_rows_drop_object (struct wy_rows *s, const char *name, wy_rows_cb *cb,
+                          void *ctx);
 void wy_rows_forward (struct wy_rows *s, const char *method,
                       const char *target, const void *body, size_t n,
                       void (*on_done) (void *ctx, int status, const char *body,
--- a/src/rows/store.c
+++ b/src/rows/store.c
@@ -111,7 +111,10 @@
   void *ctx = k->ctx;
 
   if (r->now_ms)
-    k->store->now_offset_ms = r->now_ms - wy_clock_mono_ms (k->store->clock);
+    {
+      k->store->has_now = true;
+      k->store->now_offset_ms = r->now_ms - wy_clock_mono_ms (k->store->clock);
+    }
   if (k->forward_cb)
     k->forward_cb (ctx, k->status, k->answer->str, k->answer->len);
   else
@@ -232,6 +235,7 @@
       return TX_TIMEOUT_MS;
     case WY_STORE_PUT_OBJECT:
     case WY_STORE_GET_OBJECT:
+    case WY_STORE_DROP_OBJECT:
       return OBJECT_TIMEOUT_MS;
     }
   return ROWS_TIMEOUT_MS;
@@ -353,6 +357,17 @@
          NULL, 0);
 }
 
+/* Remove the object NAME.  */
+void
+wy_rows_drop_object (struct wy_rows *s, const char *name, wy_rows_cb *cb,
+                     void *ctx)
+{
+  start (new_call (s, WY_STORE_DROP_OBJECT,
+                   wy_store_object_target (WY_STORE_DROP_OBJECT, name), cb,
+                   ctx),
+         NULL, 0);
+}
+
 /* Pass on a peer's call unchanged.  ON_DONE gets the store's answer, or 503
    if the call was certainly not done and 504 if that is unknown.  */
 void
--- a/src/standin/platform_store.c
+++ b/src/standin/platform_store.c
@@ -164,6 +164,13 @@
   return n;
 }
 
+/* Objects that are kept.  */
+uint32_t
+wy_platform_store_objects (const struct wy_platform_store *s)
+{
+  return g_hash_table_size (s->objects);
+}
+
 /* Calls that have come.  */
 uint64_t
 wy_platform_store_calls (const struct wy_platform_store *s)
@@ -431,6 +438,12 @@
     wy_platform_store_transact (s, r);
   else if (g_str_has_prefix (t, "/api/blob-put/"))
     put_object (s, r, t + strlen ("/api/blob-put/"));
+  else if (g_str_has_prefix (t, "/api/blob-drop/"))
+    wy_h1_respond (
+        r,
+        g_hash_table_remove (s->objects, t + strlen ("/api/blob-drop/")) ? 200
+                                                                         : 404,
+        NULL, 0, "", 0);
   else if (g_str_has_prefix (t, "/api/blob-get/"))
     get_object (s, r, t + strlen ("/api/blob-get/"));
   else
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -485,6 +485,36 @@
   stop ();
 }
 
+/* Results may be read for a while; then the job must go, or the store fills up
+   and takes no more jobs.  */
+Test (jobs, old_ones_are_removed)
+{
+  start (2);
+  cr_expect_eq (submit ("j1", 1), 202);
+  check_all ("j1");
+  cr_expect_eq (status_of ("DELETE", "/api/lots/j1"), 200);
+  cr_expect_gt (wy_platform_store_objects (w.store), 0);
+  /* As if it had been accepted an hour ago.  */
+  {
+    char *value
+        = wy_platform_store_value (w.store, WY_JOBS_TABLE, "j1", WY_JOB_KEY);
+    json_t *doc = json_loads (value, 0, NULL);
+    char *old;
+
+    json_object_set_new (doc, "accepted_ms", json_integer (1));
+    old = json_dumps (doc, JSON_COMPACT);
+    wy_platform_store_put (w.store, WY_JOBS_TABLE, "j1", WY_JOB_KEY, old);
+    free (old);
+    free (value);
+    json_decref (doc);
+  }
+  platform_world_run_ms (&w, 3500);
+  cr_expect_eq (wy_platform_store_count (w.store, WY_JOBS_TABLE, "j1"), 0);
+  cr_expect_eq (listed_rows ("j1"), 0);
+  cr_expect_eq (wy_platform_store_objects (w.store), 0);
+  stop ();
+}
+
 /* Bodies that are no job are refused for what they are and kept nowhere.  */
 Test (jobs, what_is_no_job)
 {
--- a/tests/test_rows.c
+++ b/tests/test_rows.c
@@ -70,6 +70,21 @@
   platform_world_free (&w);
 }
 
+/* Jobs are dated by the store's clock, since the entries' own differ.  It must
+   be known after the first answer, also where it happens to equal ours.  */
+Test (rows, store_clock_is_known)
+{
+  int64_t now_ms;
+
+  start ();
+  cr_expect_eq (wy_rows_store_now_ms (w.env.rows), 0);
+  write_row ("k", "1", 0);
+  now_ms = wy_rows_store_now_ms (w.env.rows);
+  cr_expect_gt (now_ms, 0);
+  cr_expect_leq (ABS (now_ms - (int64_t)uv_now (&w.loop)), 1000);
+  platform_world_free (&w);
+}
+
 /* The store refuses, is busy, loses its answer or says nothing.  A caller
    that takes "unknown" for "not done" tells a submitter that its job does not
    run, and then it runs.  */
