--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -511,7 +511,8 @@
   platform_world_run_ms (&w, 3500);
   cr_expect_eq (wy_platform_store_count (w.store, WY_JOBS_TABLE, "j1"), 0);
   cr_expect_eq (listed_rows ("j1"), 0);
-  cr_expect_eq (wy_platform_store_objects (w.store), 0);
+  cr_expect_eq (wy_platform_store_objects (w.store), 0, "%u left",
+                wy_platform_store_objects (w.store));
   stop ();
 }
 
