--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -296,6 +296,12 @@
                                      " item's result");
 }
 
+static uint32_t
+idle_to (const void *client, const struct sockaddr_in *a)
+{
+  return wy_h1_client_idle_to (client, a);
+}
+
 static int
 start_store (struct wy_gate *g)
 {
@@ -313,6 +319,7 @@
   g->env.http = wy_h1_client_new (&http);
   rows.http = g->env.http;
   g->env.rows = wy_rows_new (&rows);
+  wy_targets_watch_idle (g->env.targets, idle_to, g->env.http);
   return 0;
 }
 
--- a/src/gate/targets.c
+++ b/src/gate/targets.c
@@ -39,6 +39,11 @@
    job; a target that has only those costs as much more as one that is full
    of running requests.  */
 static const double old_weights_cost = 0.5;
+/* A new connection takes a target about a ms of one of its slots and may be
+   priced; one that is open and unused is worth a detour to a target with up
+   to half of its slots more in use, no further.  Not for items of jobs: they
+   use all connections anyway, and a fuller batch is a slower one.  */
+static const double idle_bonus = 0.25;
 /* A full target costs this many paces for each request ahead, by slot.  */
 static const double queue_cost = 4.0;
 
@@ -46,6 +51,9 @@
 {
   GHashTable *by_id; /* struct wy_target */
   struct wy_rng rng;
+  /* Connections to a target that are open and unused; NULL: not known.  */
+  uint32_t (*idle) (const void *ctx, const struct sockaddr_in *a);
+  const void *idle_ctx;
 };
 
 /* An empty set; SEED makes choices between equals differ between entries.  */
@@ -59,6 +67,17 @@
   return t;
 }
 
+/* Ask IDLE for the unused connections to a target from now on.  */
+void
+wy_targets_watch_idle (struct wy_targets *t,
+                       uint32_t (*idle) (const void *ctx,
+                                         const struct sockaddr_in *a),
+                       const void *ctx)
+{
+  t->idle = idle;
+  t->idle_ctx = ctx;
+}
+
 /* Free T and all targets.  */
 void
 wy_targets_free (struct wy_targets *t)
@@ -232,8 +251,8 @@
    load while there are free slots, since a larger batch is a slower one, and
    steeply beyond, where the request would wait for another to end.  */
 static double
-cost_of (const struct wy_target *g, const struct wy_pick *p, double typical_ms,
-         int64_t now_ms)
+cost_of (const struct wy_targets *t, const struct wy_target *g,
+         const struct wy_pick *p, double typical_ms, int64_t now_ms)
 {
   double pace = pace_of (g, typical_ms, now_ms);
   double load = (double)load_of (g, now_ms) / g->info.slots;
@@ -243,6 +262,9 @@
     cost += pace * queue_cost * load;
   if (p->model && p->newest_version > wy_target_version (g, p->model))
     cost += pace * old_weights_cost;
+  if (!p->model && load < 1 && t->idle
+      && t->idle (t->idle_ctx, &g->info.address))
+    cost -= pace * idle_bonus;
   if (p->availability_zone
       && !strcmp (g->info.availability_zone, p->availability_zone))
     cost -= pace * near_bonus;
@@ -305,7 +327,7 @@
 
       if (!fits (g, p, now_ms))
         continue;
-      cost = cost_of (g, p, typical_ms, now_ms);
+      cost = cost_of (t, g, p, typical_ms, now_ms);
       if (!best || cost < best_cost)
         {
           best = g;
--- a/src/gate/targets.h
+++ b/src/gate/targets.h
@@ -55,6 +55,10 @@
 };
 
 struct wy_targets *wy_targets_new (uint64_t seed);
+void wy_targets_watch_idle (struct wy_targets *t,
+                            uint32_t (*idle) (const void *ctx,
+                                              const struct sockaddr_in *a),
+                            const void *ctx);
 void wy_targets_free (struct wy_targets *t);
 struct wy_target *wy_targets_set (struct wy_targets *t,
                                   const struct wy_replica *info);
--- a/src/h1/client.c
+++ b/src/h1/client.c
@@ -254,6 +254,16 @@
   return p ? p->open : 0;
 }
 
+/* Connections to A that are open and carry no call.  */
+uint32_t
+wy_h1_client_idle_to (const struct wy_h1_client *c,
+                      const struct sockaddr_in *a)
+{
+  const struct wy_h1_peer *p = peer_of (c, a);
+
+  return p ? p->idle.length : 0;
+}
+
 /* Close the idle connections to A, whose process is gone.  */
 void
 wy_h1_client_forget (struct wy_h1_client *c, const struct sockaddr_in *a)
--- a/tests/test_gate_decide.c
+++ b/tests/test_gate_decide.c
@@ -43,6 +43,32 @@
   wy_targets_free (t);
 }
 
+static uint32_t
+idle_to_b (const void *ctx, const struct sockaddr_in *a)
+{
+  return a->sin_port == *(const uint16_t *)ctx;
+}
+
+/* Few requests come, each of which would open a connection to whichever of
+   the equal replicas it falls to.  The one with an open connection gets them,
+   until its load outweighs that.  */
+Test (targets, open_connection_is_used_again)
+{
+  static const uint16_t port = 7;
+  struct wy_targets *t = wy_targets_new (1);
+  struct wy_target *a = add (t, "a");
+  struct wy_target *b = add (t, "b");
+
+  b->info.address.sin_port = port;
+  wy_targets_watch_idle (t, idle_to_b, &port);
+  wy_target_started (b);
+  cr_expect_eq (wy_targets_pick (t, &any, 0), b);
+  wy_target_started (b);
+  wy_target_started (b);
+  cr_expect_eq (wy_targets_pick (t, &any, 0), a);
+  wy_targets_free (t);
+}
+
 /* One replica has turned four times slower than the others.  It must get
    little of the work while they have free slots, and be tried again after a
    while.  */
