Jobs go to entries in proportion to their processor time; capacity on a platform

Cause: instances of the grown sites differ fivefold in processor time, and one entry reads all streams of a model's jobs.

--- a/src/gate/follow.c
+++ b/src/gate/follow.c
@@ -175,6 +175,7 @@
                                 .ctx = g };
   struct wy_members_options m = { .env = &g->env,
                                   .address = g->o.settings->peers,
+                                  .cpu_share = g->o.settings->cpu_share,
                                   .seed = seed + 2,
                                   .on_change = on_members,
                                   .ctx = g };
--- a/src/gate/members.c
+++ b/src/gate/members.c
@@ -7,6 +7,7 @@
    outage of the store would make everybody gone at once.  */
 #include "gate/members.h"
 
+#include <math.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -43,6 +44,7 @@
   char holder[NAME_SIZE_BYTES];
   struct sockaddr_in address;
   bool has_address;
+  double cpu_share;
   bool draining; /* takes no new jobs */
   bool leaving;  /* its jobs are free */
   int64_t silent_ms;
@@ -109,6 +111,7 @@
   copy (doc, "holder", e->holder);
   address = json_string_value (json_object_get (doc, "address"));
   e->has_address = address && wy_address_parse (address, &e->address);
+  e->cpu_share = json_number_value (json_object_get (doc, "cpu_share"));
   e->draining = json_is_true (json_object_get (doc, "draining"));
   e->leaving = json_is_true (json_object_get (doc, "leaving"));
   e->silent_ms = 0;
@@ -171,9 +174,10 @@
 
   snprintf (value, sizeof value,
             "{\"holder\":\"%s\",\"address\":\"%s\",\"draining\":%s,"
-            "\"leaving\":%s,\"beat\":%llu}",
+            "\"leaving\":%s,\"cpu_share\":%.3f,\"beat\":%llu}",
             m->o.env->holder, m->o.address, m->draining ? "true" : "false",
-            m->leaving ? "true" : "false", (unsigned long long)++m->beats);
+            m->leaving ? "true" : "false", m->o.cpu_share,
+            (unsigned long long)++m->beats);
   w.size_bytes = strlen (value);
   m->writing = true;
   wy_rows_tx (m->o.env->rows, &tx, on_beat_written, m);
@@ -331,6 +335,17 @@
   return wy_hash64 (node, strlen (node), wy_hash64 (key, strlen (key), 0));
 }
 
+/* Weighted rendezvous hashing: the largest of these wins, with a chance in
+   proportion to CPU_SHARE, and stays the winner while it is there.  Instances
+   differ fivefold, and one that runs a job reads all of its streams.  */
+static double
+claim_of (const char *node, const char *key, double cpu_share)
+{
+  double u = ((double)weight_of (node, key) + 1) / 18446744073709551616.0;
+
+  return (cpu_share > 0 ? cpu_share : 1) / -log (u < 1 ? u : 0.5);
+}
+
 /* The entry that work of KEY goes to: always the same one while it is alive,
    so that its connections to the targets are used again.  False: this entry,
    or none that is known; HOLDER and ADDRESS are set else.  */
@@ -339,7 +354,7 @@
                    const char **holder, struct sockaddr_in *address)
 {
   const char *node = m->o.env->node;
-  uint64_t best = m->draining ? 0 : weight_of (node, key);
+  double best = m->draining ? 0 : claim_of (node, key, m->o.cpu_share);
   const struct member *found = NULL;
   GHashTableIter it;
   gpointer p;
@@ -348,7 +363,7 @@
   while (g_hash_table_iter_next (&it, NULL, &p))
     {
       const struct member *e = p;
-      uint64_t w = weight_of (e->node, key);
+      double w = claim_of (e->node, key, e->cpu_share);
 
       if (!is_alive (e) || e->draining || !e->has_address
           || e->silent_ms > DOUBTED_AFTER_MS || !strcmp (e->node, node)
--- a/src/gate/members.h
+++ b/src/gate/members.h
@@ -22,6 +22,7 @@
   struct wy_gate_env *env;
   const char *address; /* "IP:PORT" where peers' store calls are taken */
   uint64_t seed;
+  double cpu_share; /* of this entry, in cores */
   void (*on_change) (void *ctx);
   void *ctx;
 };
--- a/src/gate/settings.c
+++ b/src/gate/settings.c
@@ -66,6 +66,15 @@
     .unit = "MB",
     .help = "Memory of the process; an eighth of it holds bodies that are"
             " being read" },
+  { .key = "cpu_share",
+    .kind = WY_SETTING_REAL,
+    .offset = FIELD (cpu_share),
+    .fallback = "1",
+    .min = 0.001,
+    .max = 1024,
+    .unit = "cores",
+    .help = "Processor time of this instance; jobs go to entries in"
+            " proportion" },
   { .key = "keep_s",
     .kind = WY_SETTING_REAL,
     .offset = FIELD (keep_s),
--- a/src/gate/settings.h
+++ b/src/gate/settings.h
@@ -18,6 +18,7 @@
   int64_t row_bytes;
   int64_t memory_mb;
   double keep_s;
+  double cpu_share;
   double grace_s;
 };
 
