Gauges of the gate; functions that nothing called are gone

wy_h1_call_reused, wy_h1_client_open_to, wy_h1_client_forget and wy_targets_free_slots had no caller; the time to an item's result was described as a metric and never measured.

--- a/scripts/demo-platform.sh
+++ b/scripts/demo-platform.sh
@@ -117,7 +117,7 @@
 [ "$stopped" = 0 ] || die "gate-0 ended with $stopped"
 jq -e '.steps >= 3 and .answered >= 0.95 * .sent' "$OUT/report.json" >/dev/null \
   || die "too little was done"
-id=$(jq -r 'select(.event == "job.listed") | .id' "$OUT"/gate-1.log | tail -n 1)
+id=$(cat "$OUT"/gate-*.log | jq -rR 'fromjson? | select(.event == "job.listed") | .id' | tail -n 1)
 "$BIN/wyctl" explain "$id" "$OUT"/gate-*.log "$OUT"/orderer-*.log \
   >"$OUT/explain.txt" || die "no story of $id"
 echo "all promises kept; the story of $id is in $OUT/explain.txt"
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -160,6 +160,7 @@
   struct wy_gate *g = ctx;
   GString *out = g_string_new (NULL);
 
+  wy_gate_read_gauges (g);
   wy_metrics_print (g->metrics, out);
   wy_h1_respond (r, 200, &type, 1, out->str, out->len);
   g_string_free (out, TRUE);
@@ -259,43 +260,6 @@
     check_stop (g);
 }
 
-static void
-make_counters (struct wy_gate *g)
-{
-  struct wy_gate_counters *c = &g->env.count;
-  struct wy_metrics *m = g->metrics;
-
-  c->requests
-      = wy_metrics_counter (m, "wy_gate_requests_total", "Requests passed on");
-  c->answered = wy_metrics_counter (m, "wy_gate_answered_total",
-                                    "Answers of replicas passed back");
-  c->refused = wy_metrics_counter (m, "wy_gate_refused_total",
-                                   "Requests refused as not run");
-  c->failed = wy_metrics_counter (m, "wy_gate_failed_total",
-                                  "Requests that failed and may have run");
-  c->hung_up = wy_metrics_counter (m, "wy_gate_hung_up_total",
-                                   "Requests whose caller hung up");
-  c->retries = wy_metrics_counter (m, "wy_gate_retries_total",
-                                   "Tries that failed at one replica");
-  c->hedges = wy_metrics_counter (m, "wy_gate_hedges_total",
-                                  "Second replicas asked for being late");
-  c->items_started = wy_metrics_counter (m, "wy_gate_item_runs_total",
-                                         "Runs of job items started");
-  c->items_done = wy_metrics_counter (m, "wy_gate_items_total",
-                                      "Job items with a result");
-  c->items_broken = wy_metrics_counter (m, "wy_gate_item_runs_broken_total",
-                                        "Runs of job items that broke off");
-  c->jobs_accepted = wy_metrics_counter (m, "wy_gate_jobs_accepted_total",
-                                         "Jobs accepted here");
-  c->jobs_taken_over = wy_metrics_counter (m, "wy_gate_jobs_taken_over_total",
-                                           "Jobs taken over from others");
-  c->latency_us = wy_metrics_histogram (m, "wy_gate_answer_us",
-                                        "Time to a replica's whole answer");
-  c->item_us = wy_metrics_histogram (m, "wy_gate_item_us",
-                                     "Time from a job's acceptance to an"
-                                     " item's result");
-}
-
 static uint32_t
 idle_to (const void *client, const struct sockaddr_in *a)
 {
@@ -338,7 +302,7 @@
            o->settings->availability_zone, o->settings->store,
            (long long)o->settings->memory_mb);
   g->metrics = wy_metrics_new ();
-  make_counters (g);
+  wy_gate_make_metrics (g);
   g->env.loop = o->loop;
   g->env.clock = o->clock;
   g->env.node = o->settings->name;
--- a/src/gate/gate_state.h
+++ b/src/gate/gate_state.h
@@ -22,6 +22,24 @@
   WY_GATE_START_IDLE_MS = 60000
 };
 
+/* Values read when the metrics are asked for.  */
+struct wy_gate_gauges
+{
+  int64_t *connections_open;
+  int64_t *connections_idle;
+  int64_t *connections_opened;
+  int64_t *store_calls;
+  int64_t *store_relayed;
+  int64_t *store_direct;
+  int64_t *jobs;
+  int64_t *jobs_known;
+  int64_t *entries;
+  int64_t *entries_age_ms;
+  int64_t *replicas_age_ms;
+  int64_t *config_version;
+  int64_t *log_dropped;
+};
+
 struct wy_gate
 {
   struct wy_gate_env env;
@@ -29,6 +47,7 @@
   char incarnation[WY_ID_SIZE_BYTES];
   char *holder;
   struct wy_metrics *metrics;
+  struct wy_gate_gauges gauges;
   struct wy_members *members;
   struct wy_jobs *jobs;
   struct wy_watch *operator_rows;
@@ -47,6 +66,8 @@
 
 void wy_gate_set_limits (struct wy_gate *g);
 void wy_gate_set_relays (struct wy_gate *g);
+void wy_gate_make_metrics (struct wy_gate *g);
+void wy_gate_read_gauges (struct wy_gate *g);
 void wy_gate_read_seeds (struct wy_gate *g, const struct wy_gate_settings *s);
 void wy_gate_follow_store (struct wy_gate *g);
 
--- a/src/gate/targets.c
+++ b/src/gate/targets.c
@@ -340,27 +340,6 @@
   return best;
 }
 
-/* Slots free for requests as P describes, over all targets.  */
-uint32_t
-wy_targets_free_slots (struct wy_targets *t, const struct wy_pick *p,
-                       int64_t now_ms)
-{
-  GHashTableIter it;
-  gpointer v;
-  uint32_t n = 0;
-
-  g_hash_table_iter_init (&it, t->by_id);
-  while (g_hash_table_iter_next (&it, NULL, &v))
-    {
-      const struct wy_target *g = v;
-      uint32_t load = load_of (g, now_ms);
-
-      if (fits (g, p, now_ms) && load < g->info.slots)
-        n += g->info.slots - load;
-    }
-  return n;
-}
-
 /* Keep G while something points to it.  */
 void
 wy_target_hold (struct wy_target *g)
--- a/src/gate/targets.h
+++ b/src/gate/targets.h
@@ -67,8 +67,6 @@
 uint32_t wy_targets_ready (const struct wy_targets *t, const char *service);
 struct wy_target *wy_targets_pick (struct wy_targets *t,
                                    const struct wy_pick *p, int64_t now_ms);
-uint32_t wy_targets_free_slots (struct wy_targets *t, const struct wy_pick *p,
-                                int64_t now_ms);
 double wy_targets_typical_pace_ms (const struct wy_targets *t,
                                    const char *service);
 
--- a/src/h1/client.c
+++ b/src/h1/client.c
@@ -97,7 +97,6 @@
   if (!k)
     k = open_conn (c, p);
   k->o = *o;
-  k->reused = k->connected;
   k->active = true;
   k->sent = false;
   k->complete = false;
@@ -138,14 +137,6 @@
   return call->sent;
 }
 
-/* Whether the call went out on a kept connection.  Valid until on_end
-   returns.  */
-bool
-wy_h1_call_reused (const struct wy_h1_call *call)
-{
-  return call->reused;
-}
-
 static void
 sweep_idle (struct wy_h1_peer *p, uint64_t now_ms)
 {
@@ -244,16 +235,6 @@
   *out = c->stats;
 }
 
-/* Connections open to A, idle ones among them.  */
-uint32_t
-wy_h1_client_open_to (const struct wy_h1_client *c,
-                      const struct sockaddr_in *a)
-{
-  const struct wy_h1_peer *p = peer_of (c, a);
-
-  return p ? p->open : 0;
-}
-
 /* Connections to A that are open and carry no call.  */
 uint32_t
 wy_h1_client_idle_to (const struct wy_h1_client *c,
@@ -263,13 +244,3 @@
 
   return p ? p->idle.length : 0;
 }
-
-/* Close the idle connections to A, whose process is gone.  */
-void
-wy_h1_client_forget (struct wy_h1_client *c, const struct sockaddr_in *a)
-{
-  struct wy_h1_peer *p = peer_of (c, a);
-
-  if (p)
-    sweep_idle (p, UINT64_MAX);
-}
--- a/src/h1/client.h
+++ b/src/h1/client.h
@@ -66,16 +66,12 @@
 void wy_h1_client_free (struct wy_h1_client *c);
 void wy_h1_client_stats (const struct wy_h1_client *c,
                          struct wy_h1_client_stats *out);
-uint32_t wy_h1_client_open_to (const struct wy_h1_client *c,
-                               const struct sockaddr_in *a);
 uint32_t wy_h1_client_idle_to (const struct wy_h1_client *c,
                                const struct sockaddr_in *a);
-void wy_h1_client_forget (struct wy_h1_client *c, const struct sockaddr_in *a);
 
 struct wy_h1_call *wy_h1_call_start (struct wy_h1_client *c,
                                      const struct wy_h1_call_options *o);
 void wy_h1_call_cancel (struct wy_h1_call *call);
 bool wy_h1_call_sent (const struct wy_h1_call *call);
-bool wy_h1_call_reused (const struct wy_h1_call *call);
 
 #endif
--- a/src/h1/client_state.h
+++ b/src/h1/client_state.h
@@ -27,8 +27,7 @@
   bool connected;
   bool connecting;
   bool writing;
-  bool sent; /* some bytes may have left */
-  bool reused;
+  bool sent;   /* some bytes may have left */
   bool active; /* a call is under way */
   bool headed; /* the head of its answer is in */
   bool framed;
--- a/src/jobs/jobs.c
+++ b/src/jobs/jobs.c
@@ -327,6 +327,7 @@
   for (guint i = 0; i < j->lingering->len; i++)
     wy_owned_drop (g_ptr_array_index (j->lingering, i));
   g_ptr_array_set_size (j->lingering, 0);
+  wy_lags_free (j->lags);
   wy_watch_free (j->watch);
   uv_close ((uv_handle_t *)&j->tick, NULL);
 }
--- a/src/jobs/lag.c
+++ b/src/jobs/lag.c
@@ -48,10 +48,12 @@
   return l;
 }
 
-/* Free L.  */
+/* Free L.  What it has told may still be under way, so the lags themselves
+   stay.  */
 void
 wy_lags_free (struct wy_lags *l)
 {
+  g_hash_table_steal_all (l->by_model);
   g_hash_table_destroy (l->by_model);
   g_free (l);
 }
--- a/src/jobs/owned.c
+++ b/src/jobs/owned.c
@@ -53,6 +53,7 @@
   o->record = opt->record;
   o->spec = opt->spec;
   o->row_bytes = opt->row_bytes;
+  o->started_ms = now_of (o);
   o->on_listed = opt->on_listed;
   o->on_end = opt->on_end;
   o->ctx = opt->ctx;
@@ -176,6 +177,9 @@
   i->state = WY_ITEM_ENDED;
   i->result = r;
   (*i->job->env->count.items_done)++;
+  wy_hist_add (i->job->env->count.item_us,
+               (uint64_t)(now_of (i->job) - i->job->started_ms)
+                   * WY_US_PER_MS);
   g_queue_push_tail (&i->job->ended, i);
   wy_lister_schedule (i->job);
 }
--- a/src/jobs/owned.h
+++ b/src/jobs/owned.h
@@ -57,6 +57,7 @@
   GQueue ended;     /* struct wy_item whose results wait */
   size_t row_bytes; /* of a row in the store */
   uint64_t ticks;
+  int64_t started_ms; /* here */
   bool dropped;
   bool lingering; /* ended: what runs goes on for the next job's sake */
   int64_t lingers_until_ms;
