A silent replica is left alone after the first caller; bounds on answers

Cause: when the second replica's answer won, the first, silent one was counted as given up for no fault of its own, and met the next caller as well. Test proxy::silent_replica_is_left_alone, red before (second hedge), green after. Also: a stream whose caller reads 4 MB behind is broken off, and an answer over 16 MB is taken for spoilt, so that neither can end the process.

--- a/src/gate/proxy.c
+++ b/src/gate/proxy.c
@@ -32,8 +32,12 @@
   ROUNDS_MAX = 6,
   /* A stream that pauses for so long has lost its replica.  */
   STREAM_SILENCE_MS = 2000,
-  /* A caller that reads too slowly is held back, not buffered for.  */
-  UNSENT_LIMIT_BYTES = 4 << 20
+  /* A stream whose caller has fallen this far behind is broken off: what it
+     does not read lies in this process's memory.  */
+  UNSENT_LIMIT_BYTES = 4 << 20,
+  /* A whole answer is kept until its last byte has come; a longer one is
+     taken for spoilt.  */
+  ANSWER_LIMIT_BYTES = 16 << 20
 };
 
 static void launch (struct wy_proxied *p);
@@ -143,10 +147,15 @@
     return;
   if (!p->streaming || t->answer->status != 200)
     {
-      g_string_append_len (t->answer->body, bytes, (gssize)n);
+      if (t->answer->body->len + n > ANSWER_LIMIT_BYTES)
+        t->bad = true;
+      else
+        g_string_append_len (t->answer->body, bytes, (gssize)n);
       return;
     }
   wy_events_feed (&p->events, bytes, n, on_event, p);
+  if (wy_h1_unsent_bytes (p->request) > UNSENT_LIMIT_BYTES)
+    wy_proxy_give_up (p, false, "slow_caller");
 }
 
 static void
--- a/src/gate/proxy_end.c
+++ b/src/gate/proxy_end.c
@@ -44,13 +44,28 @@
   g_free (h->data);
 }
 
+/* What a try that is stopped says of its target: one that has not begun to
+   answer in the time after which a second one is asked is left alone for a
+   while, or every caller would wait that long for it in turn.  */
+static enum wy_target_outcome
+outcome_of (const struct wy_try *t)
+{
+  const struct wy_proxied *p = t->p;
+
+  if (!t->target || t->answer
+      || wy_proxy_now_ms (p) - t->started_ms < (int64_t)p->hedge_ms)
+    return WY_TARGET_ABANDONED;
+  return WY_TARGET_STALLED;
+}
+
 /* Free P; its answer is out.  */
 void
 wy_proxy_finish (struct wy_proxied *p)
 {
   p->ended = true;
   for (size_t i = 0; i < WY_PROXY_TRIES_MAX; i++)
-    wy_proxy_end_try (&p->tries[i], WY_TARGET_ABANDONED);
+    if (p->tries[i].target)
+      wy_proxy_end_try (&p->tries[i], outcome_of (&p->tries[i]));
   for (guint i = 0; i < p->tried->len; i++)
     wy_target_release (p->env->targets, g_ptr_array_index (p->tried, i));
   g_ptr_array_free (p->tried, TRUE);
--- a/tests/test_proxy.c
+++ b/tests/test_proxy.c
@@ -217,6 +217,30 @@
   stop ();
 }
 
+/* A replica stays silent.  Each caller that happens on it waits until another
+   is asked; after the first has, the next ones must go elsewhere at once.  */
+Test (proxy, silent_replica_is_left_alone)
+{
+  struct platform_answer *a;
+  struct wy_replica far;
+
+  start (WY_ROUTE_IDEMPOTENT, 2);
+  wy_platform_replica_faults (platform_world_add_replica (&w, NULL, 0))->silent
+      = true;
+  platform_world_add_replica (&w, NULL, 0);
+  far = wy_targets_find (w.env.targets, "i-2")->info;
+  g_strlcpy (far.availability_zone, "far", sizeof far.availability_zone);
+  wy_targets_set (w.env.targets, &far);
+  a = ask ("1900");
+  platform_answer_free (a);
+  cr_assert_eq (*w.env.count.hedges, 1);
+  a = ask ("1900");
+  cr_expect_eq (a->status, 200);
+  cr_expect_eq (*w.env.count.hedges, 1);
+  platform_answer_free (a);
+  stop ();
+}
+
 /* A stream breaks off in the middle of an event.  The caller must see each
    event once and whole, from whichever replica, and a proper end.  */
 Test (proxy, stream_goes_on_elsewhere)
