--- a/src/gate/env.h
+++ b/src/gate/env.h
@@ -1,4 +1,6 @@
-/* What the parts of the gate share.  */
+/* What the parts of the gate share: the loop, the clients, what is believed
+   of targets and configuration, and the counters.  Owned by src/gate/gate.c.
+ */
 #ifndef WY_GATE_ENV_H
 #define WY_GATE_ENV_H
 
--- a/src/jobs/carry.c
+++ b/src/jobs/carry.c
@@ -191,8 +191,8 @@
   write_rows (o, part, writes);
   g_array_free (writes, TRUE);
   if (n)
-    wy_note ("job.text_kept", "id=%s items=%u purpose=%d", o->record->id, n,
-             purpose);
+    wy_note ("job.text_kept", "id=%s items=%u for=%s", o->record->id, n,
+             purpose == WY_CARRY_SAME_JOB ? "takeover" : "later_job");
 }
 
 static struct entry *
--- a/src/jobs/jobs.c
+++ b/src/jobs/jobs.c
@@ -17,6 +17,8 @@
   TICK_MS = 100,
   /* Ticks between two looks at ended jobs whose runs go on.  */
   LINGER_TICKS = 3,
+  /* A tick this much later than it should come tells that the process stood
+     still.  */
   STALL_MS = 60,
   WATCH_GAP_MS = 150,
   /* Entries take over a job in an order of their own; each waits this much
@@ -67,15 +69,17 @@
       return;
     }
   if (!old || old->state != r->state || strcmp (old->holder, r->holder) != 0)
-    wy_note ("job.seen", "id=%s state=%d holder=%s version=%lld", r->id,
-             r->state, r->holder, (long long)r->row_version);
+    wy_note ("job.seen", "id=%s state=%s holder=%s version=%lld", r->id,
+             wy_job_state_name (r->state), r->holder,
+             (long long)r->row_version);
   g_hash_table_replace (j->records, r->id, r);
   if (o
       && (r->state != WY_JOB_OPEN
           || strcmp (r->holder, o->record->holder) != 0))
     {
-      wy_note ("job.stopped", "id=%s state=%d holder=%s listed=%u of=%u",
-               r->id, r->state, r->holder, o->n_listed, o->n_items);
+      wy_note ("job.stopped", "id=%s state=%s holder=%s listed=%u of=%u",
+               r->id, wy_job_state_name (r->state), r->holder, o->n_listed,
+               o->n_items);
       if (r->state == WY_JOB_ENDED && *o->spec->model)
         let_linger (j, o);
       else
--- a/src/jobs/read.c
+++ b/src/jobs/read.c
@@ -77,8 +77,8 @@
 static void
 refuse (struct read *d, int status, const char *reason, int err)
 {
-  wy_note ("job.call_refused", "id=%s kind=%d status=%d reason=%s err=%d",
-           d->call.job, d->call.kind, status, reason, err);
+  wy_note ("job.call_refused", "id=%s call=%s status=%d reason=%s err=%d",
+           d->call.job, wy_job_call_name (d->call.kind), status, reason, err);
   wy_refuse (d->request, status, reason, status == 503 ? RETRY_AFTER_MS : 0);
   free_read (d);
 }
--- a/src/jobs/record.c
+++ b/src/jobs/record.c
@@ -9,6 +9,13 @@
 
 static const char *const state_names[] = { "open", "ended", "done" };
 
+/* The word for STATE in rows and logs.  */
+const char *
+wy_job_state_name (enum wy_job_state state)
+{
+  return state_names[state];
+}
+
 /* A copy of R.  */
 struct wy_job_record *
 wy_job_record_copy (const struct wy_job_record *r)
--- a/src/jobs/record.h
+++ b/src/jobs/record.h
@@ -34,6 +34,7 @@
   int64_t row_version;
 };
 
+const char *wy_job_state_name (enum wy_job_state state);
 struct wy_job_record *wy_job_record_copy (const struct wy_job_record *r);
 void wy_job_record_free (struct wy_job_record *r);
 char *wy_job_record_encode (const struct wy_job_record *r);
--- a/src/orders/orderer.c
+++ b/src/orders/orderer.c
@@ -174,9 +174,10 @@
 {
   enum wy_order_outcome outcome = wy_order_outcome_of (d->call_status);
 
-  wy_note ("order.answered", "model=%s version=%lld status=%d outcome=%d",
+  wy_note ("order.answered", "model=%s version=%lld status=%d outcome=%s",
            d->ordered ? d->ordered->v.model : "",
-           (long long)d->ordered_version, d->call_status, outcome);
+           (long long)d->ordered_version, d->call_status,
+           wy_order_outcome_name (outcome));
   d->report_due_ms = 0;
   switch (outcome)
     {
--- a/src/rows/store.c
+++ b/src/rows/store.c
@@ -128,8 +128,8 @@
   struct wy_rows_result r = { .err = err };
 
   count_end (k, false, why);
-  wy_note ("store.call_failed", "verb=%d via=%s outcome=%s reason=%s", k->verb,
-           k->relayed ? "peer" : "direct",
+  wy_note ("store.call_failed", "verb=%s via=%s outcome=%s reason=%s",
+           wy_store_verb_name (k->verb), k->relayed ? "peer" : "direct",
            err == WY_ROWS_EREFUSED ? "not_done" : "unknown", why);
   /* A peer is told what is known, by the codes that the store itself uses. */
   k->status = err == WY_ROWS_EREFUSED ? 503 : 504;
--- /dev/null
+++ b/tests/test_results.c
@@ -0,0 +1,149 @@
+/* Results as rows: cut, read page by page, joined again; lags as told.  */
+#include <criterion/criterion.h>
+#include <string.h>
+
+#include "jobs/lag.h"
+#include "jobs/result_rows.h"
+
+enum
+{
+  ROW_BYTES = 40,
+  RESULTS = 5
+};
+
+static void
+free_result (gpointer p)
+{
+  wy_result_free (p);
+}
+
+/* The rows of RESULTS results whose texts differ in length.  */
+static GArray *
+make_rows (void)
+{
+  GArray *rows = g_array_new (FALSE, FALSE, sizeof (struct wy_result_row));
+
+  for (int i = 0; i < RESULTS; i++)
+    {
+      char id[16];
+      struct wy_result *r;
+      char *value;
+
+      g_snprintf (id, sizeof id, "it-%d", i);
+      r = wy_result_new (id);
+      r->text = g_strnfill ((gsize)i * 37, 'x');
+      wy_result_add_version (r, 3);
+      wy_result_add_version (r, 4);
+      wy_result_add_version (r, 3);
+      value = wy_result_encode (r);
+      wy_result_split (value, (uint64_t)i, ROW_BYTES, rows);
+      g_free (value);
+      wy_result_free (r);
+    }
+  return rows;
+}
+
+static void
+free_rows (GArray *rows)
+{
+  for (guint i = 0; i < rows->len; i++)
+    g_free (g_array_index (rows, struct wy_result_row, i).value);
+  g_array_free (rows, TRUE);
+}
+
+/* Read ROWS from the key FROM on, PAGE rows at most, as the store would.  */
+static guint
+page_of (const GArray *rows, const char *from, guint page, struct wy_row *out,
+         struct wy_rows_result *r)
+{
+  guint n = 0;
+
+  memset (r, 0, sizeof *r);
+  for (guint i = 0; i < rows->len; i++)
+    {
+      const struct wy_result_row *row
+          = &g_array_index (rows, struct wy_result_row, i);
+
+      if (from && strcmp (row->key, from) < 0)
+        continue;
+      if (n == page)
+        {
+          r->more = true;
+          break;
+        }
+      out[n].key = row->key;
+      out[n].value = row->value;
+      out[n++].size_bytes = row->size_bytes;
+    }
+  r->rows = out;
+  r->n = n;
+  return n;
+}
+
+/* The store cuts its pages wherever they are full, also inside a result.  A
+   reader must get each result whole and once, whatever the size of a page.  */
+Test (results, whole_whatever_the_pages)
+{
+  GArray *rows = make_rows ();
+  struct wy_row buffer[64];
+
+  cr_assert_leq (rows->len, G_N_ELEMENTS (buffer));
+  /* A page holds at least the rows of one result.  */
+  for (guint page = 8; page <= rows->len; page++)
+    {
+      GPtrArray *out = g_ptr_array_new_with_free_func (free_result);
+      char *from = NULL;
+
+      do
+        {
+          struct wy_rows_result r;
+
+          page_of (rows, from, page, buffer, &r);
+          wy_result_join (&r, out);
+          g_free (from);
+          from = wy_result_next_from (&r, out->len);
+        }
+      while (from);
+      cr_assert_eq (out->len, RESULTS, "page of %u", page);
+      for (guint i = 0; i < out->len; i++)
+        {
+          const struct wy_result *res = g_ptr_array_index (out, i);
+
+          cr_expect_eq (strlen (res->text), (size_t)i * 37);
+          cr_expect_eq (res->versions->len, 2);
+        }
+      g_ptr_array_free (out, TRUE);
+    }
+  free_rows (rows);
+}
+
+Test (results, what_is_none)
+{
+  static const char *const texts[] = { "", "{", "[]", "{\"text\":\"a\"}" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (texts); i++)
+    cr_expect_null (wy_result_decode (texts[i], strlen (texts[i])));
+}
+
+/* Entries tell how far behind the newest weights a model's jobs may lie.  The
+   least of what is fresh counts; without any, every version is wanted, or a
+   job might find no replica that it allows.  */
+Test (lag, least_of_the_fresh)
+{
+  static const char two[] = "{\"lag\":2,\"at_ms\":100000}";
+  static const char one[] = "{\"lag\":1,\"at_ms\":100000}";
+  static const char stale[] = "{\"lag\":0,\"at_ms\":1000}";
+  struct wy_row rows[]
+      = { { .key = "n1", .value = two, .size_bytes = sizeof two - 1 },
+          { .key = "n2", .value = stale, .size_bytes = sizeof stale - 1 },
+          { .key = "n3", .value = one, .size_bytes = sizeof one - 1 } };
+  struct wy_rows_result r = { .rows = rows, .n = 3, .now_ms = 110000 };
+
+  cr_expect_eq (wy_lag_of (&r), 1);
+  r.n = 1;
+  cr_expect_eq (wy_lag_of (&r), 2);
+  r.now_ms = 10000000;
+  cr_expect_eq (wy_lag_of (&r), 0);
+  r.n = 0;
+  cr_expect_eq (wy_lag_of (&r), 0);
+}
