Tests of jobs in two files over one world

The tests are the same 14 with the same checks: 9 on running and listing, 5 on holders and ends; what they share stands in tests/support/job_world.c. No source of a program changes.

--- /dev/null
+++ b/tests/support/job_world.c
@@ -0,0 +1,224 @@
+/* An entry that runs jobs, against stand-ins of the platform.  */
+#include "job_world.h"
+
+#include <criterion/criterion.h>
+#include <string.h>
+
+struct platform_world job_world;
+struct job_entry job_entry;
+
+static void
+on_request (void *ctx, struct wy_h1_request *r)
+{
+  struct wy_job_call call;
+
+  wy_job_call_read (wy_h1_method (r), wy_h1_target (r), wy_h1_head (r), &call);
+  if (call.kind == WY_JOB_CALL_NONE)
+    wy_jobs_accept (
+        job_entry.jobs, r,
+        wy_routing_match (job_world.env.routing, "h", wy_h1_target (r)));
+  else
+    wy_jobs_call (job_entry.jobs, r, &call);
+}
+
+static bool
+is_synced (void *ctx)
+{
+  return wy_jobs_is_synced (job_entry.jobs)
+         && wy_members_age_ms (job_entry.members) >= 0;
+}
+
+/* An entry on the store and the targets as they are.  */
+void
+job_world_start_entry (void)
+{
+  struct wy_members_options m
+      = { .env = &job_world.env, .address = "127.0.0.1:1" };
+  struct wy_jobs_options j
+      = { .env = &job_world.env, .piece_bytes = 512, .row_bytes = 65536 };
+  struct wy_h1_server_options o
+      = { .loop = &job_world.loop,
+          .host = "127.0.0.1",
+          .limits = { 65536, 1 << 20, 1000, 10000, 1 << 24 },
+          .on_request = on_request };
+
+  job_entry.members = wy_members_new (&m);
+  j.members = job_entry.members;
+  job_entry.jobs = wy_jobs_new (&j);
+  cr_assert_eq (wy_h1_server_new (&job_entry.server, &o), 0);
+  cr_assert (platform_world_until (&job_world, is_synced, NULL));
+}
+
+/* The entry ends without a word to the others.  */
+void
+job_world_stop_entry (void)
+{
+  wy_h1_server_free (job_entry.server);
+  wy_jobs_free (job_entry.jobs);
+  wy_members_free (job_entry.members);
+}
+
+/* A store, REPLICAS replicas and an entry.  */
+void
+job_world_start (int replicas)
+{
+  platform_world_init (&job_world);
+  platform_world_add_env (&job_world, "n1");
+  platform_world_set_routing (&job_world, WY_ROUTE_JOB, 3);
+  for (int i = 0; i < replicas; i++)
+    platform_world_add_replica (&job_world, "m", JOB_EVENTS);
+  job_world_start_entry ();
+}
+
+/* Close all.  */
+void
+job_world_stop (void)
+{
+  job_world_stop_entry ();
+  platform_world_free (&job_world);
+}
+
+/* A job of JOB_ITEMS items; the caller frees it.  */
+char *
+job_world_body (int64_t min_version)
+{
+  GString *s = g_string_new (NULL);
+
+  g_string_append_printf (s,
+                          "{\"step\":1,\"model\":\"m\",\"minimumVersion\":%d,"
+                          "\"desiredCount\":2,\"items\":[",
+                          (int)min_version);
+  for (int i = 0; i < JOB_ITEMS; i++)
+    g_string_append_printf (
+        s,
+        "%s{\"id\":\"it-%d\",\"path\":\"/p/%d\",\"headers\":{\"Model\":\"m\"},"
+        "\"body\":\"aGVsbG8=\",\"tokens\":9,\"group\":\"g%d\"}",
+        i ? "," : "", i, i, i / 2);
+  g_string_append (s, "]}");
+  return g_string_free (s, FALSE);
+}
+
+/* Call the entry and wait for its answer.  */
+struct platform_answer *
+job_world_call (const char *method, const char *target, const char *id,
+                const char *body)
+{
+  struct wy_h1_pair fields[] = { { "Host", "h" },
+                                 { "Wait-Milliseconds", "300" },
+                                 { "Attempt-Id", id ? id : "" } };
+  struct platform_answer *a
+      = platform_world_call (&job_world, wy_h1_server_port (job_entry.server),
+                             method, target, fields, id ? 3 : 2, body);
+
+  cr_assert (platform_world_until (&job_world, platform_answer_done, a));
+  return a;
+}
+
+/* Submit a job; its status.  */
+int
+job_world_submit (const char *id, int64_t min_version)
+{
+  char *body = job_world_body (min_version);
+  struct platform_answer *a = job_world_call ("POST", "/p/job", id, body);
+  int status = a->status;
+
+  g_free (body);
+  platform_answer_free (a);
+  return status;
+}
+
+/* The status of a call without a body.  */
+int
+job_world_status (const char *method, const char *target)
+{
+  struct platform_answer *a = job_world_call (method, target, NULL, NULL);
+  int status = a->status;
+
+  platform_answer_free (a);
+  return status;
+}
+
+/* The result at position N of the job, as the reader gets it; NULL: none
+   yet.  */
+json_t *
+job_world_result (const char *job, uint32_t n)
+{
+  char *target = g_strdup_printf ("/api/lots/%s?after=%u", job, n);
+  struct platform_answer *a = job_world_call ("GET", target, NULL, NULL);
+  json_t *doc = json_loads (a->body->str, 0, NULL);
+  json_t *r = json_array_get (json_object_get (doc, "results"), 0);
+
+  if (a->status == 200)
+    cr_assert_eq (json_integer_value (json_object_get (doc, "total")),
+                  JOB_ITEMS);
+  json_incref (r);
+  json_decref (doc);
+  platform_answer_free (a);
+  g_free (target);
+  return r;
+}
+
+/* The result at position N of JOB, waited for.  */
+json_t *
+job_world_await (const char *job, uint32_t n)
+{
+  for (int tries = 0; tries < 60; tries++)
+    {
+      json_t *r = job_world_result (job, n);
+
+      if (r)
+        return r;
+    }
+  cr_assert_fail ("no result at %u", n);
+  return NULL;
+}
+
+/* The text KEY of R; "": none.  */
+const char *
+job_world_text (json_t *r, const char *key)
+{
+  const char *v = json_string_value (json_object_get (r, key));
+
+  return v ? v : "";
+}
+
+static char *
+whole_text (void)
+{
+  GString *s = g_string_new (NULL);
+  char piece[64];
+
+  for (uint32_t i = 1; i <= JOB_EVENTS; i++)
+    g_string_append_printf (s, "%s%s", i > 1 ? "\n" : "",
+                            wy_platform_replica_text (i, piece, sizeof piece));
+  return g_string_free (s, FALSE);
+}
+
+/* Read all results and check that each item is listed once, whole.  */
+void
+job_world_check_all (const char *job)
+{
+  GHashTable *seen
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  char *want = whole_text ();
+
+  for (uint32_t i = 0; i < JOB_ITEMS; i++)
+    {
+      json_t *r = job_world_await (job, i);
+
+      cr_expect_str_eq (job_world_text (r, "state"), "completed");
+      cr_expect_str_eq (job_world_text (r, "text"), want);
+      cr_expect (g_hash_table_add (seen, g_strdup (job_world_text (r, "id"))),
+                 "%s twice", job_world_text (r, "id"));
+      json_decref (r);
+    }
+  g_hash_table_destroy (seen);
+  g_free (want);
+}
+
+/* Results of JOB in the store.  */
+uint32_t
+job_world_listed (const char *job)
+{
+  return wy_platform_store_count (job_world.store, WY_RESULTS_TABLE, job);
+}
--- /dev/null
+++ b/tests/test_jobs_holder.c
@@ -0,0 +1,138 @@
+/* Jobs: who runs them, and how they end: deaths, takeovers, removal.  */
+#include <criterion/criterion.h>
+#include <string.h>
+
+#include "support/job_world.h"
+
+/* An entry dies with half of a job done.  The next one to come up must list
+   the rest behind what is listed, and nothing twice.  */
+Test (jobs, taken_over_after_a_death)
+{
+  json_t *first;
+  json_t *again;
+
+  job_world_start (1);
+  wy_platform_replica_faults (job_world.replicas[0])->stalls = 2;
+  cr_expect_eq (job_world_submit ("j1", 1), 202);
+  first = job_world_await ("j1", 0);
+  job_world_stop_entry ();
+  g_free ((char *)job_world.env.holder);
+  job_world.env.holder = g_strdup ("n1/2");
+  job_world_start_entry ();
+  job_world_check_all ("j1");
+  again = job_world_result ("j1", 0);
+  cr_expect (json_equal (first, again));
+  cr_expect_eq (*job_world.env.count.jobs_taken_over, 1);
+  cr_expect_eq (job_world_listed ("j1"), JOB_ITEMS);
+  json_decref (first);
+  json_decref (again);
+  job_world_stop ();
+}
+
+/* An entry dies while a long item runs.  The next one must go on from the text
+   that was stored, not make the trainer wait for all of it again.  */
+Test (jobs, taken_over_with_its_text)
+{
+  enum
+  {
+    LONG_EVENTS = 2000
+  };
+  int64_t resumed_at;
+
+  platform_world_init (&job_world);
+  platform_world_add_env (&job_world, "n1");
+  platform_world_set_routing (&job_world, WY_ROUTE_JOB, 3);
+  platform_world_add_replica (&job_world, "m", LONG_EVENTS);
+  job_world_start_entry ();
+  cr_expect_eq (job_world_submit ("j1", 1), 202);
+  platform_world_run_ms (&job_world, 1500);
+  job_world_stop_entry ();
+  platform_world_run_ms (&job_world, 50);
+  g_free ((char *)job_world.env.holder);
+  job_world.env.holder = g_strdup ("n1/2");
+  job_world_start_entry ();
+  platform_world_run_ms (&job_world, 1000);
+  resumed_at = wy_platform_replica_last_resume (job_world.replicas[0]);
+  cr_expect_gt (resumed_at, 20, "went on from %lld", (long long)resumed_at);
+  job_world_stop ();
+}
+
+/* Another entry has taken the job over while this one stood still.  What this
+   one still writes must change nothing.  */
+Test (jobs, former_holder_writes_nothing)
+{
+  char *record;
+  char *other;
+
+  job_world_start (1);
+  wy_platform_replica_faults (job_world.replicas[0])->stalls = JOB_ITEMS;
+  cr_expect_eq (job_world_submit ("j1", 1), 202);
+  record = wy_platform_store_value (job_world.store, WY_JOBS_TABLE, "j1",
+                                    WY_JOB_KEY);
+  cr_assert_not_null (record);
+  other = g_strdup (record);
+  strstr (other, "n1/1")[1] = '9';
+  wy_platform_store_put (job_world.store, WY_MEMBERS_TABLE, "n9", "beat",
+                         "{\"holder\":\"n9/1\",\"beat\":1}");
+  wy_platform_store_put (job_world.store, WY_JOBS_TABLE, "j1", WY_JOB_KEY,
+                         other);
+  platform_world_run_ms (&job_world, 1200);
+  cr_expect_eq (wy_jobs_running (job_entry.jobs), 0);
+  cr_expect_eq (job_world_listed ("j1"), 0);
+  g_free (record);
+  g_free (other);
+  job_world_stop ();
+}
+
+/* The trainer ends its job while items run.  Nothing more may start, and what
+   is listed stays.  */
+Test (jobs, nothing_starts_after_the_end)
+{
+  uint32_t runs;
+
+  job_world_start (1);
+  wy_platform_replica_faults (job_world.replicas[0])->stalls = JOB_ITEMS;
+  cr_expect_eq (job_world_submit ("j1", 1), 202);
+  platform_world_run_ms (&job_world, 30);
+  cr_expect_eq (job_world_status ("DELETE", "/api/lots/j1"), 200);
+  platform_world_run_ms (&job_world, 50);
+  runs = wy_platform_replica_runs (job_world.replicas[0]);
+  platform_world_run_ms (&job_world, 400);
+  cr_expect_eq (wy_platform_replica_runs (job_world.replicas[0]), runs);
+  cr_expect_eq (wy_jobs_running (job_entry.jobs), 0);
+  cr_expect_eq (job_world_status ("GET", "/api/lots/j1?after=0"), 200);
+  job_world_stop ();
+}
+
+/* Results may be read for a while; then the job must go, or the store fills up
+   and takes no more jobs.  */
+Test (jobs, old_ones_are_removed)
+{
+  job_world_start (2);
+  cr_expect_eq (job_world_submit ("j1", 1), 202);
+  job_world_check_all ("j1");
+  cr_expect_eq (job_world_status ("DELETE", "/api/lots/j1"), 200);
+  cr_expect_gt (wy_platform_store_objects (job_world.store), 0);
+  /* As if it had been accepted an hour ago.  */
+  {
+    char *value = wy_platform_store_value (job_world.store, WY_JOBS_TABLE,
+                                           "j1", WY_JOB_KEY);
+    json_t *doc = json_loads (value, 0, NULL);
+    char *old;
+
+    json_object_set_new (doc, "accepted_ms", json_integer (1));
+    old = json_dumps (doc, JSON_COMPACT);
+    wy_platform_store_put (job_world.store, WY_JOBS_TABLE, "j1", WY_JOB_KEY,
+                           old);
+    free (old);
+    free (value);
+    json_decref (doc);
+  }
+  platform_world_run_ms (&job_world, 3500);
+  cr_expect_eq (wy_platform_store_count (job_world.store, WY_JOBS_TABLE, "j1"),
+                0);
+  cr_expect_eq (job_world_listed ("j1"), 0);
+  cr_expect_eq (wy_platform_store_objects (job_world.store), 0, "%u left",
+                wy_platform_store_objects (job_world.store));
+  job_world_stop ();
+}
