Crash suspects on the platform path: requests and items

Cause: a request that crashes each replica that begins to run it comes again at any entry; only the attempts of one client attempt bounded it, items by nothing.

A run that breaks off unanswered is noted and counts once its replica leaves the list, or stands there with a new start, within 10 s. After two crashes a request is refused as not run, with a time to come back; an item, which may not be given up, waits half a second after its third unstarted run and twice as long each time. What an entry has seen goes with its heartbeat, which costs no call; what it only learnt is not told on, so that it is forgotten.

--- a/src/decide/suspect.c
+++ b/src/decide/suspect.c
@@ -101,6 +101,7 @@
       e->fingerprint = fingerprint;
     }
   add_target (e, target);
+  e->learnt = false;
   if (running == 1)
     e->alone_crashes++;
   e->seen_ms = now_ms;
@@ -132,7 +133,8 @@
   return WY_SUSPICION_ALONE;
 }
 
-/* Take in what another entry knows.  */
+/* Take in what another entry knows.  What this one saw itself is not kept
+   longer for it, or entries that tell each other would never forget.  */
 void
 wy_suspects_merge (struct wy_suspects *s, const struct wy_suspect *other,
                    int64_t now_ms)
@@ -145,10 +147,12 @@
     {
       e = claim (s);
       e->fingerprint = other->fingerprint;
+      e->learnt = true;
     }
   for (uint32_t i = 0; i < other->crashes; i++)
     add_target (e, other->target[i]);
   if (other->alone_crashes > e->alone_crashes)
     e->alone_crashes = other->alone_crashes;
-  e->seen_ms = now_ms;
+  if (e->learnt)
+    e->seen_ms = now_ms;
 }
--- a/src/decide/suspect.h
+++ b/src/decide/suspect.h
@@ -2,6 +2,7 @@
 #ifndef WY_DECIDE_SUSPECT_H
 #define WY_DECIDE_SUSPECT_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #define WY_SUSPECTS_MAX 256
@@ -21,6 +22,7 @@
   uint32_t crashes; /* of different targets */
   uint32_t alone_crashes;
   int64_t seen_ms;
+  bool learnt; /* from another entry alone */
 };
 
 struct wy_suspects
--- a/src/gate/env.h
+++ b/src/gate/env.h
@@ -8,6 +8,7 @@
 
 #include "base/clock.h"
 #include "base/rng.h"
+#include "decide/crash_watch.h"
 #include "gate/routing.h"
 #include "gate/targets.h"
 #include "h1/client.h"
@@ -21,6 +22,7 @@
   uint64_t *refused;
   uint64_t *failed;
   uint64_t *hung_up;
+  uint64_t *held_back;
   uint64_t *retries;
   uint64_t *hedges;
   uint64_t *items_started;
@@ -46,6 +48,7 @@
   uint32_t entries;           /* alive, this one included */
   bool stopping;
   struct wy_rng rng;
+  struct wy_crash_watch crashes;
   struct wy_gate_counters count;
 };
 
--- a/src/gate/follow.c
+++ b/src/gate/follow.c
@@ -91,6 +91,18 @@
     }
 }
 
+/* The target ID is gone, or has started anew, without having said that it
+   would leave.  */
+static void
+target_crashed (struct wy_gate *g, const char *id)
+{
+  uint32_t n = wy_crash_watch_crashed (&g->env.crashes, id,
+                                       wy_clock_mono_ms (g->env.clock));
+
+  if (n)
+    wy_note ("request.held_back", "target=%s requests=%u", id, n);
+}
+
 static void
 on_replica_row (void *ctx, const struct wy_row *row)
 {
@@ -103,6 +115,8 @@
     {
       wy_note ("target.gone", "id=%s service=%s version=%lld", row->key,
                t ? t->info.service : "", (long long)row->version);
+      if (t && !t->info.draining)
+        target_crashed (g, row->key);
       wy_targets_remove (g->env.targets, row->key);
       return;
     }
@@ -119,6 +133,8 @@
              "id=%s service=%s zone=%s draining=%d version=%lld", info.id,
              info.service, info.availability_zone, info.draining,
              (long long)row->version);
+  if (t && t->info.started_ms != info.started_ms)
+    target_crashed (g, row->key);
   wy_targets_set (g->env.targets, &info);
   if (g->jobs)
     wy_jobs_targets_changed (g->jobs);
--- a/src/gate/gauges.c
+++ b/src/gate/gauges.c
@@ -19,6 +19,9 @@
                                   "Requests that failed and may have run");
   c->hung_up = wy_metrics_counter (m, "wy_gate_hung_up_total",
                                    "Requests whose caller hung up");
+  c->held_back = wy_metrics_counter (
+      m, "wy_gate_held_back_total",
+      "Requests and items held back since targets crashed under them");
   c->retries = wy_metrics_counter (m, "wy_gate_retries_total",
                                    "Tries that failed at one replica");
   c->hedges = wy_metrics_counter (m, "wy_gate_hedges_total",
--- a/src/gate/members.c
+++ b/src/gate/members.c
@@ -8,12 +8,13 @@
 #include "gate/members.h"
 
 #include <math.h>
-#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <jansson.h>
 
 #include "base/id.h"
+#include "gate/crash_rows.h"
 #include "platform/replica_wire.h"
 #include "rows/watch.h"
 #include "trace/note.h"
@@ -83,6 +84,20 @@
     m->o.on_change (m->o.ctx);
 }
 
+static void
+learn_crashes (struct wy_members *m, const struct member *e,
+               const json_t *list)
+{
+  uint32_t n;
+
+  if (!strcmp (e->node, m->o.env->node))
+    return;
+  n = wy_crash_rows_learn (&m->o.env->crashes, list,
+                           wy_clock_mono_ms (m->o.env->clock));
+  if (n)
+    wy_note ("request.held_back", "node=%s requests=%u", e->node, n);
+}
+
 static void
 on_row (void *ctx, const struct wy_row *row)
 {
@@ -115,6 +130,7 @@
   e->draining = json_is_true (json_object_get (doc, "draining"));
   e->leaving = json_is_true (json_object_get (doc, "leaving"));
   e->silent_ms = 0;
+  learn_crashes (m, e, json_object_get (doc, "crashed"));
   json_decref (doc);
   if (strcmp (was.holder, e->holder) != 0 || was.leaving != e->leaving
       || was.silent_ms >= GONE_AFTER_MS)
@@ -166,21 +182,28 @@
 static void
 write_beat (struct wy_members *m)
 {
-  char value[512];
-  struct wy_row_write w
-      = { .table = WY_MEMBERS_TABLE, .key = beat_key, .value = value };
+  struct wy_row_write w = { .table = WY_MEMBERS_TABLE, .key = beat_key };
   struct wy_rows_tx tx
       = { .part = m->o.env->node, .writes = &w, .n_writes = 1 };
 
-  snprintf (value, sizeof value,
-            "{\"holder\":\"%s\",\"address\":\"%s\",\"draining\":%s,"
-            "\"leaving\":%s,\"cpu_share\":%.3f,\"beat\":%llu}",
-            m->o.env->holder, m->o.address, m->draining ? "true" : "false",
-            m->leaving ? "true" : "false", m->o.cpu_share,
-            (unsigned long long)++m->beats);
+  json_t *doc = json_pack (
+      "{s:s, s:s, s:b, s:b, s:f, s:I}", "holder", m->o.env->holder, "address",
+      m->o.address, "draining", m->draining, "leaving", m->leaving,
+      "cpu_share", m->o.cpu_share, "beat", (json_int_t)++m->beats);
+  char *value;
+
+  if (wy_crash_watch_any (&m->o.env->crashes))
+    json_object_set_new (
+        doc, "crashed",
+        wy_crash_rows_encode (&m->o.env->crashes,
+                              wy_clock_mono_ms (m->o.env->clock)));
+  value = json_dumps (doc, JSON_COMPACT);
+  json_decref (doc);
+  w.value = value;
   w.size_bytes = strlen (value);
   m->writing = true;
   wy_rows_tx (m->o.env->rows, &tx, on_beat_written, m);
+  free (value);
 }
 
 static void
--- a/src/gate/proxy.c
+++ b/src/gate/proxy.c
@@ -170,8 +170,13 @@
   if (err == WY_H1_ECONNECT && !sent)
     try_failed (t, WY_TARGET_BROKEN, false, "no_connection");
   else if (err)
-    try_failed (t, WY_TARGET_BROKEN, true,
-                err == WY_H1_EPARTIAL ? "cut_short" : "broken_off");
+    {
+      if (!t->answer)
+        wy_crash_watch_broken (&p->env->crashes, wy_proxy_fingerprint (p),
+                               t->target->info.id, wy_proxy_now_ms (p));
+      try_failed (t, WY_TARGET_BROKEN, true,
+                  err == WY_H1_EPARTIAL ? "cut_short" : "broken_off");
+    }
   else if (t->bad)
     try_failed (t, WY_TARGET_BROKEN, true, "spoilt_answer");
   else if (t->not_run)
@@ -368,6 +373,20 @@
                     : (uint32_t)(p->deadline_ms - received_ms) / HEDGE_DIVISOR;
 }
 
+/* Whether targets crashed under requests like P, here or at other entries. */
+static bool
+is_held_back (struct wy_proxied *p)
+{
+  struct wy_crash_watch *w = &p->env->crashes;
+
+  if (!wy_crash_watch_any (w)
+      || !wy_crash_watch_holds_back (w, wy_proxy_fingerprint (p),
+                                     wy_proxy_now_ms (p)))
+    return false;
+  (*p->env->count.held_back)++;
+  return true;
+}
+
 /* Pass R on as ROUTE says; the answer follows.  */
 void
 wy_proxy_start (struct wy_gate_env *env, struct wy_h1_request *r,
@@ -395,5 +414,8 @@
   uv_timer_init (env->loop, &p->timer);
   p->timer.data = p;
   wy_h1_on_hangup (r, wy_proxy_on_hangup, p);
-  launch (p);
+  if (is_held_back (p))
+    wy_proxy_give_up (p, false, WY_PROXY_CRASHES_TARGETS);
+  else
+    launch (p);
 }
--- a/src/gate/proxy_end.c
+++ b/src/gate/proxy_end.c
@@ -4,6 +4,7 @@
 
 #include <string.h>
 
+#include "base/id.h"
 #include "trace/note.h"
 
 enum
@@ -11,7 +12,9 @@
   /* When a refused caller may come back: full targets have a slot again after
      some requests, targets that are gone take longer.  */
   RETRY_AFTER_FULL_MS = 200,
-  RETRY_AFTER_NONE_MS = 500
+  RETRY_AFTER_NONE_MS = 500,
+  /* No use before whoever knows the request has looked at it.  */
+  RETRY_AFTER_CRASHES_MS = 30000
 };
 
 /* Monotonic time in ms.  */
@@ -21,6 +24,23 @@
   return wy_clock_mono_ms (p->env->clock);
 }
 
+/* What tells the request P from others when it is sent again: its target and
+   its body.  */
+uint64_t
+wy_proxy_fingerprint (struct wy_proxied *p)
+{
+  const char *target = wy_h1_target (p->request);
+  size_t n;
+  const char *body = wy_h1_body (p->request, &n);
+
+  if (p->fingerprint)
+    return p->fingerprint;
+  p->fingerprint = wy_hash64 (body, n, wy_hash64 (target, strlen (target), 0));
+  if (p->fingerprint == 0)
+    p->fingerprint = 1;
+  return p->fingerprint;
+}
+
 /* End T with OUTCOME for its target; nothing if it is free.  */
 void
 wy_proxy_end_try (struct wy_try *t, enum wy_target_outcome outcome)
@@ -117,6 +137,16 @@
            g->reported_ms ? (long long)(now_ms - g->reported_ms) : -1LL);
 }
 
+static uint32_t
+retry_after_ms (const char *reason)
+{
+  if (!strcmp (reason, "full"))
+    return RETRY_AFTER_FULL_MS;
+  if (!strcmp (reason, WY_PROXY_CRASHES_TARGETS))
+    return RETRY_AFTER_CRASHES_MS;
+  return RETRY_AFTER_NONE_MS;
+}
+
 /* Give the request up.  503 promises that it has not run; where it may have,
    502 and 504 promise nothing.  */
 void
@@ -124,8 +154,7 @@
 {
   struct wy_h1_request *r = p->request;
   int status = !p->may_have_run ? 503 : late ? 504 : 502;
-  uint32_t after_ms
-      = strcmp (reason, "full") ? RETRY_AFTER_NONE_MS : RETRY_AFTER_FULL_MS;
+  uint32_t after_ms = retry_after_ms (reason);
 
   p->request = NULL;
   for (size_t i = 0; i < WY_PROXY_TRIES_MAX; i++)
@@ -160,6 +189,8 @@
   struct wy_answer *a = t->answer;
   int64_t now_ms = wy_proxy_now_ms (p);
 
+  if (wy_crash_watch_any (&p->env->crashes))
+    wy_crash_watch_cleared (&p->env->crashes, wy_proxy_fingerprint (p));
   p->request = NULL;
   t->answer = NULL;
   (*p->env->count.answered)++;
--- a/src/gate/proxy_state.h
+++ b/src/gate/proxy_state.h
@@ -7,6 +7,9 @@
 #include "gate/proxy.h"
 #include "platform/request_wire.h"
 
+/* Why a request is refused under which targets crashed.  */
+#define WY_PROXY_CRASHES_TARGETS "crashes_targets"
+
 enum
 {
   WY_PROXY_TRIES_MAX = 2 /* at once */
@@ -46,6 +49,7 @@
   uint32_t attempts_left; /* runs */
   uint32_t sends;
   uint32_t rounds;
+  uint64_t fingerprint; /* 0: not computed */
   int64_t after_event;
   bool may_have_run;
   int64_t hedge_due_ms;    /* 0: none */
@@ -56,6 +60,7 @@
   struct wy_events events;
 };
 
+uint64_t wy_proxy_fingerprint (struct wy_proxied *p);
 int64_t wy_proxy_now_ms (const struct wy_proxied *p);
 void wy_proxy_end_try (struct wy_try *t, enum wy_target_outcome outcome);
 void wy_proxy_finish (struct wy_proxied *p);
--- a/src/jobs/owned.c
+++ b/src/jobs/owned.c
@@ -249,7 +249,8 @@
       struct wy_item *i = g_ptr_array_index (o->order, k);
       struct wy_target *g;
 
-      if (i->state != WY_ITEM_WAITING || i->not_before_ms > now_ms)
+      if (i->state != WY_ITEM_WAITING || i->not_before_ms > now_ms
+          || wy_run_is_held_back (i))
         continue;
       g = wy_owned_pick (i, i->avoid, 0);
       /* The one that failed last is still better than none.  */
--- a/src/jobs/owned.h
+++ b/src/jobs/owned.h
@@ -30,6 +30,7 @@
   int64_t checkpoint_event; /* the same, for who takes this job over */
   uint32_t failed_runs;
   uint32_t runs;
+  uint32_t unstarted; /* runs in a row that broke off before any event */
   int64_t not_before_ms;
   struct wy_target *avoid; /* held; where the last run failed, or NULL */
   struct wy_run *run;
@@ -99,6 +100,7 @@
 void wy_item_end (struct wy_item *i, bool given_up);
 void wy_lister_schedule (struct wy_owned *o);
 
+bool wy_run_is_held_back (struct wy_item *i);
 void wy_run_start (struct wy_item *i, struct wy_target *g,
                    const struct wy_route *route);
 void wy_run_cancel (struct wy_run *r);
--- a/src/jobs/run.c
+++ b/src/jobs/run.c
@@ -32,6 +32,9 @@
      tight loop.  */
   RETRY_MS = 20,
   RETRY_FAILED_MS = 100,
+  /* An item that others saw crash replicas starts with the pause of so many
+     runs that broke off.  */
+  SUSPECT_BREAKS = 6,
   STATUS_OK = 200,
   STATUS_NEVER = 422,
   STATUS_FAILED = 500
@@ -249,6 +252,7 @@
     g_string_append_c (i->text, '\n');
   g_string_append_len (i->text, ev->data, (gssize)ev->data_n);
   i->last_event = ev->id;
+  i->unstarted = 0;
   r->n_events++;
   if (r->version >= 0)
     add_version (i, r->version);
@@ -322,6 +326,49 @@
     again (r, WY_TARGET_ANSWERED, RETRY_FAILED_MS, "replica_failed");
 }
 
+static uint64_t
+fingerprint_of (const struct wy_item *i)
+{
+  return wy_fingerprint (i->spec->id, NULL, 0);
+}
+
+/* The run ended without a word.  Its replica may have crashed, and if it did
+   so before it made anything, perhaps because of this item.  */
+static void
+broken_off (struct wy_run *r)
+{
+  struct wy_item *i = r->item;
+
+  if (r->n_events == 0)
+    {
+      i->unstarted++;
+      wy_crash_watch_broken (&i->job->env->crashes, fingerprint_of (i),
+                             r->target->info.id, now_of (r));
+    }
+  again (r, WY_TARGET_BROKEN,
+         MAX (RETRY_MS, wy_crash_watch_pause_ms (i->unstarted)), "broken_off");
+}
+
+/* Whether I must wait because replicas crashed under it where it ran before,
+   at this entry or another; the pause grows from run to run.  */
+bool
+wy_run_is_held_back (struct wy_item *i)
+{
+  struct wy_gate_env *env = i->job->env;
+  int64_t now_ms = wy_clock_mono_ms (env->clock);
+
+  if (i->unstarted || !wy_crash_watch_any (&env->crashes)
+      || !wy_crash_watch_holds_back (&env->crashes, fingerprint_of (i),
+                                     now_ms))
+    return false;
+  i->unstarted = SUSPECT_BREAKS;
+  i->not_before_ms = now_ms + wy_crash_watch_pause_ms (i->unstarted);
+  (*env->count.held_back)++;
+  wy_note ("item.held_back", "id=%s job=%s ms=%lld", i->spec->id,
+           i->job->record->id, (long long)(i->not_before_ms - now_ms));
+  return true;
+}
+
 static void
 on_end (void *ctx, int err)
 {
@@ -334,7 +381,7 @@
   else if (err == WY_H1_ECONNECT)
     again (r, WY_TARGET_BROKEN, RETRY_MS, "no_connection");
   else if (err)
-    again (r, WY_TARGET_BROKEN, RETRY_MS, "broken_off");
+    broken_off (r);
   else if (r->not_run)
     again (r, r->status == 421 ? WY_TARGET_ELSEWHERE : WY_TARGET_FULL,
            RETRY_MS, r->status == 421 ? "not_there" : "full");
--- a/tests/support/platform_world.c
+++ b/tests/support/platform_world.c
@@ -92,10 +92,11 @@
 {
   struct wy_gate_counters *c = &w->env.count;
   uint64_t **counters[]
-      = { &c->requests,     &c->answered,      &c->refused,
-          &c->failed,       &c->hung_up,       &c->retries,
-          &c->hedges,       &c->items_started, &c->items_done,
-          &c->items_broken, &c->jobs_accepted, &c->jobs_taken_over };
+      = { &c->requests,       &c->answered,     &c->refused,
+          &c->failed,         &c->hung_up,      &c->retries,
+          &c->held_back,      &c->hedges,       &c->items_started,
+          &c->items_done,     &c->items_broken, &c->jobs_accepted,
+          &c->jobs_taken_over };
   char name[32];
 
   w->metrics = wy_metrics_new ();
