Short items leave half of the slots to long ones until they would be late

Cause: on the grown second site a step lasts as long as its longest items (153 events at 51 ms, 7.8 of the 8.2 s that count). All items of a step started at once fill all slots for a second or two; long ones of the next step waited meanwhile, and the pace grew with the runs on a replica.

--- a/src/gate/targets.c
+++ b/src/gate/targets.c
@@ -219,6 +219,17 @@
   return load > (int64_t)g->in_flight ? (uint32_t)load : g->in_flight;
 }
 
+/* Slots of G that the request of P may take; at least one.  */
+static uint32_t
+slots_of (const struct wy_target *g, const struct wy_pick *p)
+{
+  uint32_t n = (uint32_t)(g->info.slots * p->slots_share);
+
+  if (p->slots_share <= 0)
+    return g->info.slots;
+  return n ? n : 1;
+}
+
 static bool
 fits (const struct wy_target *g, const struct wy_pick *p, int64_t now_ms)
 {
@@ -228,7 +239,7 @@
     return false;
   if (p->model && p->min_version > wy_target_version (g, p->model))
     return false;
-  if (p->within_slots && load_of (g, now_ms) >= g->info.slots)
+  if (p->within_slots && load_of (g, now_ms) >= slots_of (g, p))
     return false;
   if (p->pace_limit_ms > 0 && g->pace_ms > p->pace_limit_ms
       && now_ms - g->pace_seen_ms <= PACE_TRUST_MS)
--- a/src/gate/targets.h
+++ b/src/gate/targets.h
@@ -49,6 +49,7 @@
   int64_t newest_version;   /* preferred; 0: none */
   uint32_t in_flight_limit; /* of this entry on one target; 0: none */
   bool within_slots;        /* only where a request starts at once */
+  double slots_share;       /* the part of them that may be taken; 0: all */
   double pace_limit_ms;     /* not where work is slower; 0: anywhere */
   const struct wy_target *const *tried;
   uint32_t n_tried;
--- a/src/jobs/owned.c
+++ b/src/jobs/owned.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+#include "decide/item_slots.h"
 #include "jobs/carry.h"
 #include "trace/note.h"
 
@@ -204,11 +205,12 @@
     }
 }
 
-/* Choose a target for I other than EXCEPT (NULL: any), and none that works
-   slower than PACE_LIMIT_MS (0: any).  */
+/* Choose a target for I other than EXCEPT (NULL: any), none that works slower
+   than PACE_LIMIT_MS (0: any) and none with more than SLOTS_SHARE of its slots
+   taken (0: all may be).  */
 struct wy_target *
 wy_owned_pick (const struct wy_item *i, const struct wy_target *except,
-               double pace_limit_ms)
+               double pace_limit_ms, double slots_share)
 {
   const struct wy_owned *o = i->job;
   const struct wy_route *route = route_of (o);
@@ -217,6 +219,7 @@
                        .min_version = o->spec->min_version,
                        .newest_version = o->newest_version,
                        .within_slots = true,
+                       .slots_share = slots_share,
                        .pace_limit_ms = pace_limit_ms,
                        .tried = &except,
                        .n_tried = except ? 1 : 0 };
@@ -247,15 +250,21 @@
   for (uint32_t k = 0; k < o->n_items && o->n_waiting; k++)
     {
       struct wy_item *i = g_ptr_array_index (o->order, k);
+      struct wy_item_slots_options slots
+          = { .place = k,
+              .items = o->n_items,
+              .waited_ms = now_ms - o->started_ms,
+              .due_ms = route->result_deadline_ms };
+      double share = wy_item_slots_share (&slots);
       struct wy_target *g;
 
       if (i->state != WY_ITEM_WAITING || i->not_before_ms > now_ms
           || wy_run_is_held_back (i))
         continue;
-      g = wy_owned_pick (i, i->avoid, 0);
+      g = wy_owned_pick (i, i->avoid, 0, share);
       /* The one that failed last is still better than none.  */
       if (!g && i->avoid)
-        g = wy_owned_pick (i, NULL, 0);
+        g = wy_owned_pick (i, NULL, 0, share);
       if (!g)
         return;
       wy_run_start (i, g, route);
--- a/src/jobs/owned.h
+++ b/src/jobs/owned.h
@@ -91,7 +91,7 @@
 void wy_owned_pump (struct wy_owned *o);
 struct wy_target *wy_owned_pick (const struct wy_item *i,
                                  const struct wy_target *except,
-                                 double pace_limit_ms);
+                                 double pace_limit_ms, double slots_share);
 void wy_owned_tick (struct wy_owned *o, bool check_runs);
 void wy_owned_linger (struct wy_owned *o);
 bool wy_owned_linger_tick (struct wy_owned *o);
--- a/src/jobs/run.c
+++ b/src/jobs/run.c
@@ -502,7 +502,7 @@
   if (typical_ms > 1)
     headway = headway_of (r, typical_ms);
   if (headway == HEADWAY_SOUND
-      || !wy_owned_pick (r->item, r->target, typical_ms * sound_factor))
+      || !wy_owned_pick (r->item, r->target, typical_ms * sound_factor, 0))
     return;
   if (headway == HEADWAY_STALLED)
     stop (r, WY_TARGET_STALLED, "stalled");
--- a/tests/test_crashes.c
+++ b/tests/test_crashes.c
@@ -8,13 +8,12 @@
 
 enum
 {
-  FP = 77,
-  S = 1000,
-  TTL_MS = 1800 * S, /* of a suspicion */
-  STABLE_MS = 4 * S,
-  DAY_MS = 35 * S
+  FP = 77
 };
 
+static const int64_t s_ms = 1000;
+static const int64_t ttl_ms = 1800000; /* of a suspicion */
+
 /* A network drops connections now and then, and the same request may be hit
    by it twice.  Its caller must not be refused for that: only a target that
    leaves the list, or starts anew, has crashed.  */
@@ -30,9 +29,9 @@
   cr_expect_eq (wy_crash_watch_crashed (&w, "i-9", 40), 0);
   cr_expect_not (wy_crash_watch_holds_back (&w, FP, 50));
   /* Too long after to be the cause.  */
-  cr_expect_eq (wy_crash_watch_crashed (&w, "i-1", 60 * S), 0);
-  cr_expect_eq (wy_crash_watch_crashed (&w, "i-2", 60 * S), 0);
-  cr_expect_not (wy_crash_watch_holds_back (&w, FP, 60 * S));
+  cr_expect_eq (wy_crash_watch_crashed (&w, "i-1", 60 * s_ms), 0);
+  cr_expect_eq (wy_crash_watch_crashed (&w, "i-2", 60 * s_ms), 0);
+  cr_expect_not (wy_crash_watch_holds_back (&w, FP, 60 * s_ms));
 }
 
 /* One request takes down each replica that runs it, and comes again.  After
@@ -45,14 +44,14 @@
   wy_crash_watch_init (&w);
   wy_crash_watch_broken (&w, FP, "i-1", 0);
   wy_crash_watch_broken (&w, FP + 1, "i-1", 0);
-  cr_expect_eq (wy_crash_watch_crashed (&w, "i-1", 4 * S), 0);
-  cr_expect_not (wy_crash_watch_holds_back (&w, FP, 4 * S));
-  wy_crash_watch_broken (&w, FP, "i-2", 5 * S);
-  cr_expect_eq (wy_crash_watch_crashed (&w, "i-2", 6 * S), 1);
-  cr_expect (wy_crash_watch_holds_back (&w, FP, 7 * S));
-  cr_expect_not (wy_crash_watch_holds_back (&w, FP + 1, 7 * S));
+  cr_expect_eq (wy_crash_watch_crashed (&w, "i-1", 4 * s_ms), 0);
+  cr_expect_not (wy_crash_watch_holds_back (&w, FP, 4 * s_ms));
+  wy_crash_watch_broken (&w, FP, "i-2", 5 * s_ms);
+  cr_expect_eq (wy_crash_watch_crashed (&w, "i-2", 6 * s_ms), 1);
+  cr_expect (wy_crash_watch_holds_back (&w, FP, 7 * s_ms));
+  cr_expect_not (wy_crash_watch_holds_back (&w, FP + 1, 7 * s_ms));
   wy_crash_watch_cleared (&w, FP);
-  cr_expect_not (wy_crash_watch_holds_back (&w, FP, 7 * S));
+  cr_expect_not (wy_crash_watch_holds_back (&w, FP, 7 * s_ms));
 }
 
 /* The request is sent to one entry after the other, each of which sees one
@@ -70,8 +69,8 @@
   wy_crash_watch_crashed (&a, "i-1", 1);
   wy_crash_watch_broken (&b, FP, "i-2", 0);
   wy_crash_watch_crashed (&b, "i-2", 1);
-  for (; now_ms < 2 * TTL_MS && (now_ms < S || wy_crash_watch_any (&a));
-       now_ms += S)
+  for (; now_ms < 2 * ttl_ms && (now_ms < s_ms || wy_crash_watch_any (&a));
+       now_ms += s_ms)
     {
       json_t *from_a = wy_crash_rows_encode (&a, now_ms);
       json_t *from_b = wy_crash_rows_encode (&b, now_ms);
@@ -79,13 +78,13 @@
       cr_expect_leq (wy_crash_rows_learn (&a, from_b, now_ms), 1);
       cr_expect_leq (wy_crash_rows_learn (&b, from_a, now_ms), 1);
       cr_expect_eq (wy_crash_watch_holds_back (&a, FP, now_ms),
-                    now_ms <= TTL_MS);
+                    now_ms <= ttl_ms);
       cr_expect_eq (wy_crash_watch_holds_back (&b, FP, now_ms),
-                    now_ms <= TTL_MS);
+                    now_ms <= ttl_ms);
       json_decref (from_a);
       json_decref (from_b);
     }
-  cr_expect_lt (now_ms, 4000 * S);
+  cr_expect_lt (now_ms, 4000 * s_ms);
 }
 
 /* What another entry tells can't be read.  It must do no harm.  */
@@ -219,10 +218,10 @@
 
   cr_expect_eq (wy_crash_watch_pause_ms (1), 0);
   cr_expect_eq (wy_crash_watch_pause_ms (2), 0);
-  for (uint32_t n = 1; at_ms < DAY_MS; n++)
+  for (uint32_t n = 1; at_ms < 35 * s_ms; n++)
     {
       at_ms += wy_crash_watch_pause_ms (n);
-      runs += at_ms > STABLE_MS && at_ms < DAY_MS;
+      runs += at_ms > 4 * s_ms && at_ms < 35 * s_ms;
     }
   cr_expect_leq (runs, 3);
 }
