The checker notices one event too many or too few

Cause: of 40 kinds of events only 3 doubled and 2 dropped ones were called a violation: the invariants looked at what contradicts itself, not at accounts. A request answered twice, a step fixed twice, a run without start, a caller that got what was not sent, a configuration that nobody accepted all passed.

Four invariants more (accounts, order, course, results) and a stricter one of configurations. The checks of the scenario tests became whole timelines (starts, accounts) where the new invariants ask for it.

Ruled out as faults: a target noted as up twice (doubted after a broken connection), a hand-out noted after its training (no order between processes there), several tries of one call.

--- a/Makefile
+++ b/Makefile
@@ -40,7 +40,7 @@
 
 .SECONDARY:
 .PHONY: all deploy config-page check-pages slopes capacity-page packages format lint test check bench \
-  bench-ci fuzz fuzz-targets demo demo-platform install clean
+  bench-ci fuzz fuzz-targets demo mutations demo-platform install clean
 
 all: $(LIB) $(BINS)
 
@@ -144,6 +144,11 @@
 	./scripts/demo.sh $(BUILD)/bin build/demo
 
 # The same on a platform that lists its replicas and keeps rows for us.
+# Whether the checker would have noticed one event too many or too few in the
+# timeline of the last demo.
+mutations: $(BUILD)/tests/test_check_mutations
+	WY_TIMELINE=build/demo/timeline.jsonl $<
+
 demo-platform: packages
 	$(MAKE) all
 	./scripts/demo-platform.sh $(BUILD)/bin $(BUILD)/demo-platform
--- a/scripts/demo-platform.sh
+++ b/scripts/demo-platform.sh
@@ -117,6 +117,7 @@
 [ "$stopped" = 0 ] || die "gate-0 ended with $stopped"
 jq -e '.steps >= 3 and .answered >= 0.95 * .sent' "$OUT/report.json" >/dev/null \
   || die "too little was done"
+"$BIN/wyctl" check "$OUT/platform.jsonl" || die "a promise was broken"
 id=$(cat "$OUT"/gate-*.log | jq -rR 'fromjson? | select(.event == "job.listed") | .id' | tail -n 1)
 "$BIN/wyctl" explain "$id" "$OUT"/gate-*.log "$OUT"/orderer-*.log \
   >"$OUT/explain.txt" || die "no story of $id"
--- a/src/check/check.c
+++ b/src/check/check.c
@@ -29,6 +29,18 @@
     wy_verify_configuration },
   { "fencing", "no effect is accepted under an old fencing number",
     wy_verify_fencing },
+  { "accounts",
+    "what is received ends once, what ran was submitted, and what "
+    "was answered ran",
+    wy_verify_accounts },
+  { "order", "nobody works before the start, and what is regained was lost",
+    wy_verify_order },
+  { "course",
+    "a step goes through its stages, once each, and versions are "
+    "published before they are loaded",
+    wy_verify_course },
+  { "results", "a job's results keep their places and are there to the end",
+    wy_verify_results },
 };
 const size_t wy_n_invariants = G_N_ELEMENTS (wy_invariants);
 
--- a/src/check/processes.c
+++ b/src/check/processes.c
@@ -1,6 +1,7 @@
 /* Invariants on processes: leaving, graceful stop, configuration, fencing.  */
 #include <string.h>
 
+#include "check/lives.h"
 #include "check/report.h"
 
 enum
@@ -57,9 +58,10 @@
   const char *process;
   const char *incarnation;
   GPtrArray *in_force; /* struct wy_event */
-  uint64_t ready_hlc;  /* 0: never ready */
+  int64_t ready_ms;    /* 0: never ready */
   int64_t last_ms;
   bool frozen;
+  bool must; /* an entry or agent: it has to take each revision */
   int64_t highest;
 };
 
@@ -97,8 +99,11 @@
   int64_t revision;
 
   f->last_ms = wy_event_ms (e);
-  if (!f->ready_hlc && wy_event_is (e, "process.ready"))
-    f->ready_hlc = e->hlc;
+  if (wy_event_is (e, "process.start"))
+    f->must = !strcmp (wy_event_text (e, "role"), "entry")
+              || !strcmp (wy_event_text (e, "role"), "agent");
+  if (!f->ready_ms && wy_event_is (e, "process.ready"))
+    f->ready_ms = wy_event_ms (e);
   if (!wy_event_is (e, "config.in_force"))
     return;
   revision = wy_event_number (e, "revision", -1);
@@ -131,7 +136,6 @@
                const struct wy_event *accepted)
 {
   int64_t revision = wy_event_number (accepted, "revision", -1);
-  int64_t by_ms = wy_event_ms (accepted) + IN_FORCE_LIMIT_MS;
   GHashTableIter it;
   gpointer value;
 
@@ -139,9 +143,11 @@
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
       const struct follower *f = value;
+      int64_t by_ms
+          = MAX (wy_event_ms (accepted), f->ready_ms) + IN_FORCE_LIMIT_MS;
 
-      if (f->frozen || f->in_force->len == 0 || !f->ready_hlc
-          || f->ready_hlc > accepted->hlc || f->last_ms < by_ms)
+      if (f->frozen || (f->in_force->len == 0 && !f->must) || !f->ready_ms
+          || f->last_ms < by_ms)
         continue;
       if (!had_revision (f, revision, by_ms))
         wy_check_violation (c, "configuration", accepted, NULL,
@@ -163,6 +169,30 @@
       ((struct follower *)value)->frozen = true;
 }
 
+/* A revision in force was accepted by somebody; an entry that is killed may
+   not have noted it.  */
+static void
+verify_accepted (struct wy_check *c, GHashTable *accepted)
+{
+  struct wy_lives *lives = wy_lives_new (c->timeline);
+
+  for (guint i = 0;
+       i < c->timeline->events->len && !wy_lives_any_killed (lives, "entry");
+       i++)
+    {
+      struct wy_event *e = c->timeline->events->pdata[i];
+      gint64 revision = wy_event_number (e, "revision", -1);
+
+      if (wy_event_is (e, "config.in_force") && revision > 0
+          && !g_hash_table_contains (accepted, &revision))
+        wy_check_violation (c, "configuration", e, NULL,
+                            "revision %" G_GINT64_FORMAT
+                            " is in force and nobody accepted it",
+                            revision);
+    }
+  wy_lives_free (lives);
+}
+
 /* Each revision is accepted with one content, spreads to every process that
    lives through the bound, and is never followed by a lower one on any
    process.  A process that was frozen or cut off on purpose is not held to
@@ -199,6 +229,7 @@
                             *slot);
       g_hash_table_insert (digests, slot, e);
     }
+  verify_accepted (c, digests);
   for (guint i = 0; i < c->timeline->events->len; i++)
     if (wy_event_is (c->timeline->events->pdata[i], "config.accepted"))
       verify_spread (c, followers, c->timeline->events->pdata[i]);
--- a/src/check/report.h
+++ b/src/check/report.h
@@ -26,5 +26,9 @@
 void wy_verify_graceful_stop (struct wy_check *c);
 void wy_verify_configuration (struct wy_check *c);
 void wy_verify_fencing (struct wy_check *c);
+void wy_verify_accounts (struct wy_check *c);
+void wy_verify_order (struct wy_check *c);
+void wy_verify_course (struct wy_check *c);
+void wy_verify_results (struct wy_check *c);
 
 #endif
--- a/src/check/requests.c
+++ b/src/check/requests.c
@@ -63,11 +63,37 @@
                         req);
 }
 
+/* Where entries keep no timeline, what a caller holds is what a replica made
+   for its request, and what it was told did not run is in no replica's
+   record.  */
+static void
+verify_ran (struct wy_check *c, GHashTable *ran, struct wy_event *e)
+{
+  int64_t status = wy_event_number (e, "status", 0);
+  const char *req = wy_event_text (e, "req");
+  const GPtrArray *list = wy_check_lookup (ran, req);
+  bool same = false;
+
+  for (guint i = 0; list && i < list->len; i++)
+    same = same
+           || !strcmp (wy_event_text (list->pdata[i], "digest"),
+                       wy_event_text (e, "digest"));
+  if (status >= 200 && status <= 299 && !same)
+    wy_check_violation (c, "whole-answer", e, list ? list->pdata[0] : NULL,
+                        "the caller of %s got what no replica made for it",
+                        req);
+  if (list && !strcmp (wy_event_text (e, "ran"), "no"))
+    wy_check_violation (c, "not-run", e, list->pdata[0],
+                        "request %s was refused as not run and ran", req);
+}
+
 void
 wy_verify_whole_answer (struct wy_check *c)
 {
   GHashTable *ends = wy_check_index (c, "run.end", "run");
   GHashTable *answers = wy_check_index (c, "request.answered", "req");
+  GHashTable *ran = wy_check_index (c, "replica.ran", "req");
+  bool replicas = wy_check_has (c, "replica.ran");
 
   for (guint i = 0; i < c->timeline->events->len; i++)
     {
@@ -75,9 +101,12 @@
 
       if (is_interactive_answer (e))
         verify_answer (c, ends, e);
+      else if (wy_event_is (e, "caller.got") && replicas)
+        verify_ran (c, ran, e);
       else if (wy_event_is (e, "caller.got"))
         verify_got (c, answers, e);
     }
+  g_hash_table_destroy (ran);
   g_hash_table_destroy (ends);
   g_hash_table_destroy (answers);
 }
--- a/src/standin/frame.c
+++ b/src/standin/frame.c
@@ -187,7 +187,7 @@
   wy_trace_event (s->trace, "process.stop", "{s:i}", "cut",
                   (int)g_hash_table_size (s->calls));
   wy_trace_free (s->trace);
-  return WY_EXIT_OK;
+  return s->failed ? WY_EXIT_FAILED : WY_EXIT_OK;
 }
 
 /* Run the stand-in KIND with the command line of the process.  Returns the
--- a/src/standin/frame.h
+++ b/src/standin/frame.h
@@ -55,6 +55,7 @@
   uv_loop_t *loop;
   const struct wy_clock *clock;
   struct wy_trace *trace;
+  bool failed; /* the exit code tells so */
   struct wy_http_server *server;
   struct wy_http_client *client;
   struct wy_rng rng;
--- a/src/standin/platform.c
+++ b/src/standin/platform.c
@@ -7,6 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/id.h"
 #include "standin/kinds.h"
 
 struct settings
@@ -58,6 +59,15 @@
   va_end (ap);
 }
 
+/* The digest of N bytes at P, as the timeline tells it.  */
+void
+wy_platform_digest (const char *p, size_t n,
+                    char out[WY_PLATFORM_DIGEST_SIZE_BYTES])
+{
+  snprintf (out, WY_PLATFORM_DIGEST_SIZE_BYTES, "%016llx",
+            (unsigned long long)wy_hash64 (p, n, 0));
+}
+
 /* Name VERSION of the model, as a trainer does.  */
 void
 wy_platform_name_version (struct wy_platform *p, int64_t version)
@@ -186,10 +196,24 @@
   return fclose (f);
 }
 
+static void
+on_run (void *ctx, const char *replica, const char *request, const char *body,
+        size_t n)
+{
+  const struct wy_platform *p = ctx;
+  char digest[WY_PLATFORM_DIGEST_SIZE_BYTES];
+
+  wy_platform_digest (body, n, digest);
+  wy_trace_event (p->standin->trace, "replica.ran", "{s:s, s:s, s:s}", "req",
+                  request, "replica", replica, "digest", digest);
+}
+
 static struct wy_platform_replica *
 new_replica (struct wy_platform *p, const char *id, const char *model)
 {
   struct wy_platform_replica_options o = { .loop = p->standin->loop,
+                                           .on_run = on_run,
+                                           .ctx = p,
                                            .id = g_strdup (id),
                                            .slots = SLOTS,
                                            .events = WY_PLATFORM_EVENTS,
@@ -277,11 +301,8 @@
 void
 wy_platform_finish (struct wy_platform *p)
 {
-  bool ok = p->books.violations->len == 0;
-
-  if (write_report (p))
-    ok = false;
-  exit (ok ? EXIT_SUCCESS : EXIT_FAILURE);
+  p->standin->failed = write_report (p) || p->books.violations->len > 0;
+  wy_standin_quit (p->standin);
 }
 
 static void
--- a/src/standin/platform.h
+++ b/src/standin/platform.h
@@ -15,6 +15,7 @@
 
 enum
 {
+  WY_PLATFORM_DIGEST_SIZE_BYTES = 17,
   WY_PLATFORM_ENGINES = 3,
   WY_PLATFORM_DESKS = 2,
   WY_PLATFORM_EVENTS = 12
@@ -66,6 +67,8 @@
                                            const char *body);
 void wy_platform_violation (struct wy_platform *p, const char *fmt, ...)
     __attribute__ ((format (printf, 2, 3)));
+void wy_platform_digest (const char *p, size_t n,
+                         char out[WY_PLATFORM_DIGEST_SIZE_BYTES]);
 void wy_platform_name_version (struct wy_platform *p, int64_t version);
 
 void wy_platform_finish (struct wy_platform *p);
--- a/src/standin/platform_callers.c
+++ b/src/standin/platform_callers.c
@@ -10,13 +10,35 @@
   CALL_EVERY_MS = 40,
   TRIES_MAX = 3,
   STATUS_OK = 200,
-  STATUS_REFUSED = 503
+  STATUS_REFUSED = 503,
+  ID_SIZE_BYTES = 48
 };
 
 static uv_timer_t timer;
 
 static void call_desk (struct wy_platform *p, uint32_t number, uint32_t tries);
 
+static void
+id_of (uint32_t number, uint32_t tries, char out[ID_SIZE_BYTES])
+{
+  snprintf (out, ID_SIZE_BYTES, "call-%u-%u", number, tries);
+}
+
+static void
+note_answer (const struct wy_platform_call *c, int err)
+{
+  char id[ID_SIZE_BYTES];
+  char digest[WY_PLATFORM_DIGEST_SIZE_BYTES];
+  int status = err ? 0 : c->status;
+
+  id_of (c->number, c->tries, id);
+  wy_platform_digest (c->body->str, c->body->len, digest);
+  wy_trace_event (c->platform->standin->trace, "caller.got",
+                  "{s:s, s:s, s:i, s:s, s:s}", "key", id, "req", id, "status",
+                  status, "ran", status == STATUS_REFUSED ? "no" : "",
+                  "digest", digest);
+}
+
 static void
 on_done (struct wy_platform_call *c, int err)
 {
@@ -24,6 +46,7 @@
   char body[32];
 
   snprintf (body, sizeof body, "call-%u", c->number);
+  note_answer (c, err);
   if (!err && c->status == STATUS_OK)
     {
       p->books.answered++;
@@ -48,11 +71,12 @@
 static void
 call_desk (struct wy_platform *p, uint32_t number, uint32_t tries)
 {
-  char id[48];
+  char id[ID_SIZE_BYTES];
   char body[32];
   struct wy_platform_call *c;
 
-  snprintf (id, sizeof id, "call-%u-%u", number, tries);
+  id_of (number, tries, id);
+  wy_trace_event (p->standin->trace, "caller.sent", "{s:s}", "key", id);
   snprintf (body, sizeof body, "call-%u", number);
   c = wy_platform_call (p, "POST", WY_PLATFORM_CALLS "x", id, body);
   c->number = number;
--- a/src/standin/platform_replica.c
+++ b/src/standin/platform_replica.c
@@ -229,6 +229,14 @@
                  n);
 }
 
+static void
+tell_run (const struct wy_platform_replica *r, const char *id,
+          const char *body, size_t n)
+{
+  if (r->o.on_run)
+    r->o.on_run (r->o.ctx, r->o.id, id, body, n);
+}
+
 static void
 run (struct wy_platform_replica *r, struct wy_h1_request *q)
 {
@@ -245,6 +253,7 @@
   else if (take (&r->faults.lose))
     {
       r->runs++;
+      tell_run (r, id, "", 0);
       wy_h1_break (q);
     }
   else if (take (&r->faults.never))
@@ -255,10 +264,17 @@
       plain (r, q, 500, id);
     }
   else if (r->o.model)
-    stream (r, q, id);
+    {
+      tell_run (r, id, "", 0);
+      stream (r, q, id);
+    }
   else
     {
+      size_t n;
+      const char *body = wy_h1_body (q, &n);
+
       r->runs++;
+      tell_run (r, id, body, n);
       plain (r, q, 200, id);
     }
 }
--- a/src/standin/platform_replica.h
+++ b/src/standin/platform_replica.h
@@ -31,6 +31,10 @@
   uint32_t events; /* of a stream */
   uint32_t event_ms;
   const char *model; /* NULL: a plain service */
+  /* A request or item runs; BODY is what a plain one is answered with.  */
+  void (*on_run) (void *ctx, const char *replica, const char *request,
+                  const char *body, size_t n);
+  void *ctx;
 };
 
 struct wy_platform_replica;
--- a/src/standin/platform_trainer.c
+++ b/src/standin/platform_trainer.c
@@ -91,7 +91,12 @@
 on_submitted (struct wy_platform_call *c, int err)
 {
   if (!err && c->status == STATUS_ACCEPTED)
-    read_results ();
+    {
+      wy_trace_event (c->platform->standin->trace, "job.accepted",
+                      "{s:s, s:i}", "job", step_at_hand ()->id, "items",
+                      (int)ITEMS);
+      read_results ();
+    }
   else
     {
       c->platform->books.retries++;
@@ -159,6 +164,20 @@
   g_free (want);
 }
 
+static void
+note_result (const struct step *s, size_t position, const json_t *r,
+             const char *text)
+{
+  const char *id = json_string_value (json_object_get (r, "id"));
+  char digest[WY_PLATFORM_DIGEST_SIZE_BYTES];
+
+  wy_platform_digest (text, strlen (text), digest);
+  wy_trace_event (trainer.platform->standin->trace, "result.read",
+                  "{s:s, s:I, s:s, s:s}", "job", s->id, "position",
+                  (json_int_t)position, "item", id ? id : "", "digest",
+                  digest);
+}
+
 /* Take in the results from position AT on.  */
 static void
 take_results (struct step *s, uint32_t at, json_t *doc)
@@ -170,6 +189,7 @@
   {
     char *text = json_dumps (r, JSON_COMPACT | JSON_SORT_KEYS);
 
+    note_result (s, at + i, r, text);
     if (at + i < s->results->len)
       {
         if (strcmp (g_ptr_array_index (s->results, at + i), text) != 0)
@@ -282,6 +302,8 @@
                            trainer.check_at);
   if (n == 0 || trainer.check_at >= s->results->len)
     {
+      wy_trace_event (c->platform->standin->trace, "job.checked", "{s:s, s:I}",
+                      "job", s->id, "results", (json_int_t)trainer.check_at);
       trainer.checked++;
       trainer.check_at = 0;
     }
--- a/src/yard/fix.c
+++ b/src/yard/fix.c
@@ -47,7 +47,7 @@
     ++*env->n.batches;
   g_free (lease);
   j->fix = WY_FIX_DONE;
-  wy_sampling_free (j->sampling, "surplus");
+  wy_sampling_free (j->sampling, "surplus", true);
   j->sampling = NULL;
 }
 
--- a/src/yard/sampling.c
+++ b/src/yard/sampling.c
@@ -52,10 +52,10 @@
   return s;
 }
 
-/* Give up all samples of S that are not in a batch, for REASON, and free
-   S.  */
+/* Give up all samples of S that are not in a batch, for REASON, and free S.
+   BATCHED: those taken are in one, or may be.  */
 void
-wy_sampling_free (struct wy_sampling *s, const char *reason)
+wy_sampling_free (struct wy_sampling *s, const char *reason, bool batched)
 {
   if (!s)
     return;
@@ -63,7 +63,8 @@
     {
       struct wy_sample *m = s->samples->pdata[i];
 
-      if (m->phase != WY_SAMPLE_GONE && m->phase != WY_SAMPLE_TAKEN)
+      if (m->phase != WY_SAMPLE_GONE
+          && (m->phase != WY_SAMPLE_TAKEN || !batched))
         wy_sample_drop (m, reason);
       m->owner = NULL;
       if (!m->awaited)
--- a/src/yard/sampling.h
+++ b/src/yard/sampling.h
@@ -2,6 +2,8 @@
 #ifndef WY_YARD_SAMPLING_H
 #define WY_YARD_SAMPLING_H
 
+#include <stdbool.h>
+
 #include "decide/steps.h"
 #include "yard/env.h"
 #include "yard/scorer.h"
@@ -33,7 +35,8 @@
 };
 
 struct wy_sampling *wy_sampling_new (const struct wy_sampling_options *o);
-void wy_sampling_free (struct wy_sampling *s, const char *reason);
+void wy_sampling_free (struct wy_sampling *s, const char *reason,
+                       bool batched);
 void wy_sampling_version (struct wy_sampling *s, int64_t version);
 void wy_sampling_run (struct wy_sampling *s,
                       const struct wy_yard_version *version, bool last);
--- a/src/yard/step_job.c
+++ b/src/yard/step_job.c
@@ -36,7 +36,7 @@
 void
 wy_step_job_drop (struct wy_step_job *j, const char *reason)
 {
-  wy_sampling_free (j->sampling, reason);
+  wy_sampling_free (j->sampling, reason, j->fix != WY_FIX_NONE);
   j->sampling = NULL;
   if (j->gone)
     return;
--- a/tests/test_check.c
+++ b/tests/test_check.c
@@ -6,8 +6,25 @@
 
 #include "check/check.h"
 
-/* Each row is "process event fields"; stamps rise by STEP ms a row, and every
-   process that does not end itself is ended.  */
+/* The start of PROCESS, which is ready at once; returns the events added.  */
+static int
+begin (GString *text, const char *process, uint64_t ms)
+{
+  static const char *const events[] = { "process.start", "process.ready" };
+
+  for (int i = 0; i < 2; i++)
+    g_string_append_printf (text,
+                            "{\"hlc\":%" G_GUINT64_FORMAT
+                            ",\"proc\":\"%s\",\"inc\":\"1\",\"seq\":%d,"
+                            "\"ev\":\"%s\"}\n",
+                            ((ms - 1) << 16) + (uint64_t)i, process, i + 1,
+                            events[i]);
+  return 2;
+}
+
+/* Each row is "delay process event fields"; stamps rise by the delay, in ms,
+   and every process that does not start or end itself is started and
+   ended.  */
 static void
 build (struct wy_timeline *t, const char *const *rows, size_t n)
 {
@@ -25,6 +42,8 @@
       int s = GPOINTER_TO_INT (g_hash_table_lookup (seq, f[1])) + 1;
 
       ms += g_ascii_strtoull (f[0], NULL, 10);
+      if (s == 1 && strcmp (f[2], "process.start") != 0)
+        s += begin (text, f[1], ms);
       g_hash_table_insert (seq, g_strdup (f[1]), GINT_TO_POINTER (s));
       g_string_append_printf (
           text,
@@ -75,6 +94,17 @@
   " \"yard\":\"y\",\"trainer\":\"t\",\"step\":1,\"samples\":[" samples        \
   "],\"oldest\":" oldest ",\"current\":" current ",\"bound\":1"
 
+#define ENDED(digest)                                                         \
+  "5 A run.end \"req\":\"r\",\"run\":\"u\",\"digest\":\"" digest "\""
+#define UP "5 A target.up \"target\":\"t\""
+#define LEFT "5 A target.left \"target\":\"t\""
+#define RUN "5 A run.start \"req\":\"r\",\"run\":\"u\",\"target\":\"t\""
+#define READ(position, item, digest)                                          \
+  "5 S result.read \"job\":\"j\",\"position\":" position ",\"item\":\"" item  \
+  "\",\"digest\":\"" digest "\""
+#define ACCEPTED(revision)                                                    \
+  "5 E config.accepted \"revision\":" revision ",\"digest\":\"" revision "\""
+
 static const struct scenario scenarios[] = {
   { NULL,
     { TRUTH, SAMPLE, BATCH ("step.fixed", "\"s1\"", "3", "4"),
@@ -111,15 +141,16 @@
     { TRUTH, SAMPLE, BATCH ("step.fixed", "\"s1\"", "3", "4"),
       BATCH ("step.handed", "\"s2\"", "3", "4") } },
   { NULL,
-    { "5 A run.end \"req\":\"r\",\"run\":\"u\",\"digest\":\"aa\"",
-      "5 E request.answered \"req\":\"r\",\"run\":\"u\",\"digest\":\"aa\","
+    { UP, RUN, ENDED ("aa"),
+      "5 E request.answered "
+      "\"req\":\"r\",\"run\":\"u\",\"digest\":\"aa\","
       "\"sent\":\"bb\"",
       "5 C caller.got \"req\":\"r\",\"status\":200,\"digest\":\"bb\"" } },
   { "whole-answer",
-    { "5 A run.end \"req\":\"r\",\"run\":\"u\",\"digest\":\"aa\"",
+    { UP, RUN, ENDED ("aa"),
       "5 E request.answered \"req\":\"r\",\"run\":\"u\",\"digest\":\"ab\"" } },
   { "whole-answer",
-    { "5 A run.end \"req\":\"q\",\"run\":\"u\",\"digest\":\"aa\"",
+    { UP, RUN, "5 A run.end \"req\":\"q\",\"run\":\"u\",\"digest\":\"aa\"",
       "5 E request.answered \"req\":\"r\",\"run\":\"u\",\"digest\":\"aa\"" } },
   { "whole-answer",
     { "5 E request.answered \"req\":\"r\",\"run\":\"\",\"sent\":\"bb\"",
@@ -132,43 +163,45 @@
   { NULL,
     { "5 E request.received \"req\":\"r\"",
       "5 E request.refused \"req\":\"r\",\"ran\":\"no\"",
-      "5 E request.received \"req\":\"r\"",
-      "5 A run.start \"req\":\"r\",\"target\":\"t\"" } },
+      "5 E request.received \"req\":\"r\"", UP,
+      "5 A run.start \"req\":\"r\",\"target\":\"t\"",
+      "5 E request.answered \"req\":\"r\",\"run\":\"\"" } },
   { "not-run",
-    { "5 A run.start \"req\":\"r\",\"target\":\"t\"",
+    { UP, "5 A run.start \"req\":\"r\",\"target\":\"t\"",
       "5 E request.refused \"req\":\"r\",\"ran\":\"no\"" } },
   { "not-run",
     { "5 E request.received \"req\":\"r\"",
-      "5 E request.refused \"req\":\"r\",\"ran\":\"no\"",
+      "5 E request.refused \"req\":\"r\",\"ran\":\"no\"", UP,
       "5 A run.start \"req\":\"r\",\"target\":\"t\"" } },
   { NULL,
-    { "5 A run.start \"req\":\"r\",\"idempotent\":true,\"target\":\"t\"",
+    { UP, "5 A run.start \"req\":\"r\",\"idempotent\":true,\"target\":\"t\"",
       "5 A run.start \"req\":\"r\",\"idempotent\":true,\"target\":\"u\"" } },
   { "at-most-once",
-    { "5 A run.start \"req\":\"r\",\"idempotent\":false,\"target\":\"t\"",
+    { UP, "5 B target.up \"target\":\"u\"",
+      "5 A run.start \"req\":\"r\",\"idempotent\":false,\"target\":\"t\"",
       "5 B run.start \"req\":\"r\",\"idempotent\":false,\"target\":\"u\"" } },
   { "at-most-once",
     { "5 P service.executed \"key\":\"k\"",
       "5 Q service.executed \"key\":\"k\"" } },
   { NULL,
-    { "5 A target.leaving \"target\":\"t\"",
+    { UP, "5 A target.leaving \"target\":\"t\"",
       "1900 A run.start \"req\":\"r\",\"target\":\"t\"",
       "5000 A target.up \"target\":\"t\"",
-      "5 A run.start \"req\":\"q\",\"target\":\"t\"" } },
+      "5 A run.start \"req\":\"q\",\"target\":\"t\"", LEFT } },
   { "leaving",
-    { "5 A target.leaving \"target\":\"t\"",
-      "2100 A run.start \"req\":\"r\",\"target\":\"t\"" } },
+    { UP, "5 A target.leaving \"target\":\"t\"",
+      "2100 A run.start \"req\":\"r\",\"target\":\"t\"", LEFT } },
   { "graceful-stop", { "5 S process.stop \"cut\":1" } },
   { NULL,
-    { "5 A process.ready", "5 A config.in_force \"revision\":1",
-      "5 E config.accepted \"revision\":2,\"digest\":\"d\"",
+    { ACCEPTED ("1"), "5 A config.in_force \"revision\":1",
+      "5 E config.accepted \"revision\":2,\"digest\":\"d\"", ACCEPTED ("3"),
       "7000 A config.in_force \"revision\":3", "2000 A x" } },
   { "configuration",
-    { "5 A process.ready", "5 A config.in_force \"revision\":1",
+    { ACCEPTED ("1"), "5 A config.in_force \"revision\":1",
       "5 E config.accepted \"revision\":2,\"digest\":\"d\"",
       "8100 A config.in_force \"revision\":2" } },
   { "configuration",
-    { "5 A config.in_force \"revision\":2",
+    { ACCEPTED ("1"), ACCEPTED ("2"), "5 A config.in_force \"revision\":2",
       "5 A config.in_force \"revision\":1" } },
   { "configuration",
     { "5 E config.accepted \"revision\":2,\"digest\":\"d\"",
@@ -182,6 +215,52 @@
   { "fencing",
     { "5 E lease.acquired \"lease\":\"l\",\"fence\":4",
       "5 F lease.acquired \"lease\":\"l\",\"fence\":4" } },
+  { "configuration", { "5 A config.in_force \"revision\":2" } },
+  { "accounts",
+    { "5 E request.received \"req\":\"r\"",
+      "5 E request.answered \"req\":\"r\",\"run\":\"\"",
+      "5 E request.answered \"req\":\"r\",\"run\":\"\"" } },
+  { "accounts", { "5 E request.received \"req\":\"r\"" } },
+  { "accounts", { UP, RUN } },
+  { "accounts",
+    { "5 E request.answered \"req\":\"r\",\"run\":\"u\",\"digest\":\"a\"" } },
+  { "accounts",
+    { "5 E request.submitted \"req\":\"q\",\"target\":\"t\"", UP, RUN,
+      "5 A run.end \"req\":\"r\",\"run\":\"u\"" } },
+  { "accounts",
+    { "5 C caller.sent \"key\":\"k\"",
+      "5 C caller.got \"key\":\"k\",\"status\":200",
+      "5 C caller.got \"key\":\"k\",\"status\":200" } },
+  { "order",
+    { RUN, "5 A run.end \"req\":\"r\",\"run\":\"u\"",
+      "5 A target.up \"target\":\"t\"" } },
+  { "order", { "5 E store.back" } },
+  { "order", { UP, "5 A target.leaving \"target\":\"t\"" } },
+  { "whole-answer",
+    { "5 S replica.ran \"req\":\"r\",\"digest\":\"a\"",
+      "5 S caller.got \"req\":\"r\",\"status\":200,\"digest\":\"b\"",
+      "5 S process.stop" } },
+  { "not-run",
+    { "5 S replica.ran \"req\":\"r\",\"digest\":\"a\"",
+      "5 S caller.got \"req\":\"r\",\"status\":503,\"ran\":\"no\"",
+      "5 S process.stop" } },
+  { "results",
+    { READ ("0", "i", "a"), READ ("0", "i", "b"), "5 S process.stop" } },
+  { "results",
+    { READ ("0", "i", "a"), READ ("1", "i", "a"), "5 S process.stop" } },
+  { "results", { READ ("1", "i", "a"), "5 S process.stop" } },
+  { "results",
+    { "5 S job.accepted \"job\":\"j\"", READ ("0", "i", "a"),
+      "5 S job.checked \"job\":\"j\",\"results\":0", "5 S process.stop" } },
+  { "results", { "5 S job.accepted \"job\":\"j\"", "5 S process.stop" } },
+  { "course",
+    { TRUTH, SAMPLE, SAMPLE, BATCH ("step.fixed", "\"s1\"", "3", "4") } },
+  { "course",
+    { TRUTH, SAMPLE, BATCH ("step.fixed", "\"s1\"", "3", "4"),
+      BATCH ("step.fixed", "\"s1\"", "3", "4") } },
+  { "course",
+    { "5 G engine.version \"version\":1",
+      "5 G engine.version \"version\":2" } },
 };
 
 Test (check, each_broken_promise_is_found_by_name)
