--- a/Makefile
+++ b/Makefile
@@ -40,7 +40,7 @@
 
 .SECONDARY:
 .PHONY: all deploy config-page check-pages slopes capacity-page packages format lint test check bench \
-  bench-ci fuzz fuzz-targets demo mutations demo-platform install clean
+  bench-ci fuzz fuzz-targets demo mutations demo-platform soak-platform soak-seeds install clean
 
 all: $(LIB) $(BINS)
 
@@ -154,6 +154,19 @@
 	./scripts/demo-platform.sh $(BUILD)/bin $(BUILD)/demo-platform
 
 # make faults SEED=n SECONDS=n: the yard under a seeded mix of faults.
+soak-platform: SEED ?= 1
+soak-platform: SECONDS ?= 15
+soak-platform: packages
+	$(MAKE) all
+	./scripts/soak-platform.sh $(BUILD)/bin $(BUILD)/soak-platform $(SEED) $(SECONDS)
+
+soak-seeds: packages
+	$(MAKE) all
+	grep -v '^#' scripts/soak-seeds.txt | while read -r seed seconds cause; do \
+	  echo "seed $$seed: $$cause"; \
+	  ./scripts/soak-platform.sh $(BUILD)/bin $(BUILD)/soak-platform $$seed $$seconds || exit 1; \
+	done
+
 faults: SEED ?= 1
 faults: SECONDS ?= 60
 faults: packages
--- a/scripts/demo-platform.sh
+++ b/scripts/demo-platform.sh
@@ -7,45 +7,11 @@
 BIN=$1
 OUT=$2
 SECONDS_RUN=${SECONDS_RUN:-14}
+. "$(dirname "$0")/platform.sh"
 rm -rf "$OUT"
 mkdir -p "$OUT"
-declare -A PID=()
-
-cleanup() {
-  local p
-  for p in "${PID[@]}"; do
-    kill -9 "$p" 2>/dev/null
-  done
-  wait 2>/dev/null
-}
 trap cleanup EXIT
 
-die() {
-  echo "$0: $*" >&2
-  exit 1
-}
-
-# free_ports N: ports that nobody listens on now, below the ephemeral range.
-free_ports() {
-  local n=$1 port used
-  used=$(cat /proc/net/tcp | awk 'NR > 1 {split($2, a, ":"); print a[2]}')
-  port=$((20000 + RANDOM % 8000))
-  while [ "$n" -gt 0 ]; do
-    if ! printf '%s\n' "$used" | grep -qi "^$(printf '%04X' $port)$"; then
-      echo $port
-      n=$((n - 1))
-    fi
-    port=$((port + 1))
-  done
-}
-
-launch() {
-  local name=$1
-  shift
-  "$BIN/$@" --config "$OUT/$name.yaml" >>"$OUT/$name.log" 2>&1 &
-  PID[$name]=$!
-}
-
 mapfile -t PORT < <(free_ports 8)
 cat >"$OUT/platform.yaml" <<Y
 name: platform
@@ -56,34 +22,14 @@
 report: $OUT/report.json
 Y
 launch platform wystandin platform
-for _ in $(seq 200); do
-  [ -s "$OUT/platform.ports.platform" ] && break
-  sleep 0.02
-done
-[ -s "$OUT/platform.ports.platform" ] || die "the platform did not start"
-store=$(awk '$1 == "store" {print $2}' "$OUT/platform.ports.platform")
+await "$OUT/platform.ports.platform"
+store=$(port_of store)
 for i in 0 1; do
-  cat >"$OUT/gate-$i.yaml" <<Y
-name: gate-$i
-availability_zone: z$i
-callers_address: 127.0.0.1:${PORT[$((i * 3))]}
-ready_address: 127.0.0.1:${PORT[$((i * 3 + 1))]}
-peers_address: 127.0.0.1:${PORT[$((i * 3 + 2))]}
-store_address: 127.0.0.1:$store
-seeds: ["127.0.0.1:${PORT[2]}", "127.0.0.1:${PORT[5]}"]
-grace_s: 6
-Y
+  gate_settings $i "${PORT[@]:$((i * 3)):3}" "$store" "${PORT[2]}" "${PORT[5]}"
   launch gate-$i wygated
 done
-for i in 0 1 2; do
-  engine=$(awk -v e=engine-$i '$1 == e {print $2}' "$OUT/platform.ports.platform")
-  cat >"$OUT/orderer-$i.yaml" <<Y
-name: orderer-$i
-target_address: 127.0.0.1:$engine
-service: engines
-store_address: 127.0.0.1:$store
-seeds: ["127.0.0.1:${PORT[2]}"]
-Y
+for ((i = 0; i < ENGINES; i++)); do
+  orderer_settings $i "$(port_of "engine-$i")" "$store" "${PORT[2]}"
   launch orderer-$i wyorderd
 done
 
@@ -102,15 +48,8 @@
 launch gate-0 wygated
 echo "gate-0 started again"
 
-for _ in $(seq 400); do
-  kill -0 "${PID[platform]}" 2>/dev/null || break
-  sleep 0.1
-done
-kill -0 "${PID[platform]}" 2>/dev/null && die "the platform did not end"
-wait "${PID[platform]}"
+platform_ends
 rc=$?
-unset "PID[platform]"
-[ -s "$OUT/report.json" ] || die "no report, see $OUT/platform.log"
 cat "$OUT/report.json"
 echo
 [ "$rc" = 0 ] || die "a promise was broken"
--- /dev/null
+++ b/scripts/platform.sh
@@ -0,0 +1,99 @@
+# Functions shared by the drivers of the platform path: ports, settings, start.
+# The caller sets BIN (programs) and OUT (files of this run).
+
+declare -A PID=()
+ENGINES=3
+DESKS=2
+
+cleanup() {
+  local p
+  for p in "${PID[@]}"; do
+    kill -CONT "$p" 2>/dev/null
+    kill -9 "$p" 2>/dev/null
+  done
+  wait 2>/dev/null
+}
+
+die() {
+  echo "$0: $*" >&2
+  exit 1
+}
+
+# free_ports N: ports that nobody listens on now, below the ephemeral range.
+free_ports() {
+  local n=$1 port used
+  used=$(cat /proc/net/tcp | awk 'NR > 1 {split($2, a, ":"); print a[2]}')
+  port=$((16000 + (BASHPID * 131 + SRANDOM) % 12000))
+  while [ "$n" -gt 0 ]; do
+    if ! printf '%s\n' "$used" | grep -qi "^$(printf '%04X' $port)$"; then
+      echo $port
+      n=$((n - 1))
+    fi
+    port=$((port + 1))
+  done
+}
+
+# launch NAME PROGRAM [KIND]: run it on $OUT/NAME.yaml.
+launch() {
+  local name=$1
+  shift
+  "$BIN/$@" --config "$OUT/$name.yaml" >>"$OUT/$name.log" 2>&1 &
+  PID[$name]=$!
+}
+
+# await FILE: until it has content.
+await() {
+  local i
+  for i in $(seq 200); do
+    [ -s "$1" ] && return 0
+    sleep 0.02
+  done
+  die "$1 was not written"
+}
+
+# port_of NAME: where the platform's part NAME listens.
+port_of() {
+  awk -v n="$1" '$1 == n {print $2}' "$OUT/platform.ports.platform"
+}
+
+# gate_settings I CALLERS READY PEERS STORE SEED...
+gate_settings() {
+  local i=$1 seeds
+  seeds=$(printf '"127.0.0.1:%s",' "${@:6}")
+  cat >"$OUT/gate-$i.yaml" <<Y
+name: gate-$i
+availability_zone: z$i
+callers_address: 127.0.0.1:$2
+ready_address: 127.0.0.1:$3
+peers_address: 127.0.0.1:$4
+store_address: 127.0.0.1:$5
+seeds: [${seeds%,}]
+grace_s: ${GRACE_S:-6}
+Y
+}
+
+# orderer_settings I TARGET STORE SEED: beside engine I, listed at TARGET.
+orderer_settings() {
+  cat >"$OUT/orderer-$1.yaml" <<Y
+name: orderer-$1
+target_address: 127.0.0.1:$2
+service: engines
+store_address: 127.0.0.1:$3
+seeds: ["127.0.0.1:$4"]
+Y
+}
+
+# platform_ends: wait for the stand-in's own end; its exit code.
+platform_ends() {
+  local i rc
+  for i in $(seq 600); do
+    kill -0 "${PID[platform]}" 2>/dev/null || break
+    sleep 0.1
+  done
+  kill -0 "${PID[platform]}" 2>/dev/null && die "the platform did not end"
+  wait "${PID[platform]}"
+  rc=$?
+  unset "PID[platform]"
+  [ -s "$OUT/report.json" ] || die "no report, see $OUT/platform.log"
+  return $rc
+}
--- /dev/null
+++ b/scripts/soak-platform.sh
@@ -0,0 +1,205 @@
+#!/usr/bin/env bash
+# Runs gates and orderers as processes of their own against the stand-in of a
+# platform, all connections through a proxy that spoils them, while processes
+# are killed, stopped, paused and told to reload, by chance from the seed and
+# several at once; then a calm span in which all must work again.  Tells
+# whether every promise held.
+# Usage: soak-platform.sh BIN OUTDIR SEED SECONDS
+set -u
+BIN=$1
+OUT=$2
+SEED=$3
+FAULTS_S=$4
+GRACE_S=3
+CALM_S=9 # the last faults end, 4 s to come back, 5 s that are judged
+GATES=3
+. "$(dirname "$0")/platform.sh"
+rm -rf "$OUT"
+mkdir -p "$OUT"
+trap cleanup EXIT
+RANDOM=$SEED
+BEGAN_US=${EPOCHREALTIME/./}
+
+now_ms() {
+  echo $(((${EPOCHREALTIME/./} - BEGAN_US) / 1000))
+}
+
+say() {
+  printf '%6d ms  %s\n' "$(now_ms)" "$*"
+}
+
+# Ports: three a gate; then the proxy's: callers and store of each gate, the
+# orderers' store, the replicas.
+mapfile -t OWN < <(free_ports $((3 * GATES)))
+mapfile -t VIA < <(free_ports $((2 * GATES + 1 + ENGINES + DESKS)))
+callers=("${VIA[@]:0:$GATES}")
+stores=("${VIA[@]:$GATES:$((GATES + 1))}")
+replicas=("${VIA[@]:$((2 * GATES + 1))}")
+
+# list PORT...: as a YAML list of addresses.
+list() {
+  local s
+  s=$(printf '"127.0.0.1:%s", ' "$@")
+  echo "[${s%, }]"
+}
+
+cat >"$OUT/platform.yaml" <<Y
+name: platform
+ports_file: $OUT/platform.ports
+timeline: $OUT/platform.jsonl
+seed: $SEED
+gates: $(list "${callers[@]}")
+addresses: $(list "${replicas[@]}")
+seconds: $((FAULTS_S + CALM_S))
+chance_s: $FAULTS_S
+step_limit_s: 60
+report: $OUT/report.json
+Y
+launch platform wystandin platform
+await "$OUT/platform.ports.platform"
+
+links=()
+for ((i = 0; i < GATES; i++)); do
+  links+=("${callers[i]}=127.0.0.1:${OWN[$((3 * i))]}")
+done
+for p in "${stores[@]}"; do
+  links+=("$p=127.0.0.1:$(port_of store)")
+done
+for ((i = 0; i < ENGINES; i++)); do
+  links+=("${replicas[i]}=127.0.0.1:$(port_of engine-$i)")
+done
+for ((i = 0; i < DESKS; i++)); do
+  links+=("${replicas[$((ENGINES + i))]}=127.0.0.1:$(port_of desk-$i)")
+done
+cat >"$OUT/proxy.yaml" <<Y
+name: proxy
+ports_file: $OUT/proxy.ports
+timeline: $OUT/proxy.jsonl
+seed: $SEED
+seconds: $FAULTS_S
+links: [$(printf '"%s", ' "${links[@]}" | sed 's/, $//')]
+Y
+launch proxy wystandin proxy
+await "$OUT/proxy.ports"
+seeds=()
+for ((i = 0; i < GATES; i++)); do
+  seeds+=("${OWN[$((3 * i + 2))]}")
+done
+for ((i = 0; i < GATES; i++)); do
+  gate_settings $i "${OWN[@]:$((3 * i)):3}" "${stores[i]}" "${seeds[@]}"
+  launch gate-$i wygated
+done
+for ((i = 0; i < ENGINES; i++)); do
+  orderer_settings $i "${replicas[i]}" "${stores[$GATES]}" "${seeds[0]}"
+  launch orderer-$i wyorderd
+done
+
+# What is off: name -> time in ms at which it comes back, and how.
+declare -A BACK=() HOW=()
+declare -A BORN=()
+again() {
+  case $1 in
+  gate-*) launch "$1" wygated ;;
+  *) launch "$1" wyorderd ;;
+  esac
+  BORN[$1]=$(now_ms)
+}
+
+begin() {
+  local how=$1 name=$2 ms=$3
+  [ -z "${BACK[$name]:-}" ] || return 0
+  # One that has not set up its signals yet ends by them, as any program.
+  [ "$(now_ms)" -ge $((${BORN[$name]:-0} + 500)) ] || return 0
+  say "$how $name for $ms ms"
+  BACK[$name]=$(($(now_ms) + ms))
+  HOW[$name]=$how
+  case $how in
+  kill)
+    kill -9 "${PID[$name]}"
+    wait "${PID[$name]}" 2>/dev/null
+    ;;
+  term) kill -TERM "${PID[$name]}" ;;
+  pause) kill -STOP "${PID[$name]}" ;;
+  hup) kill -HUP "${PID[$name]}" ;;
+  esac
+}
+
+end_one() {
+  local name=$1 how=${HOW[$1]}
+  case $how in
+  kill) again "$name" ;;
+  term)
+    if kill -0 "${PID[$name]}" 2>/dev/null && [ "$2" != all ]; then
+      BACK[$name]=$(($(now_ms) + 100)) # still within its grace time
+      return 0
+    fi
+    wait "${PID[$name]}"
+    [ $? = 0 ] || die "$name ended with an error after SIGTERM"
+    again "$name"
+    ;;
+  pause) kill -CONT "${PID[$name]}" ;;
+  hup) ;;
+  esac
+  unset "BACK[$name]"
+}
+
+end_due() {
+  local name
+  for name in "${!BACK[@]}"; do
+    if [ "$1" = all ] || [ "$(now_ms)" -ge "${BACK[$name]}" ]; then
+      end_one "$name" "$1"
+    fi
+  done
+}
+
+inject() {
+  local how=(kill kill term pause pause hup) name ms # as likely as often named
+  if [ $((RANDOM % 4)) = 0 ]; then
+    name=orderer-$((RANDOM % ENGINES))
+  else
+    name=gate-$((RANDOM % GATES))
+  fi
+  ms=$((200 + RANDOM % 2500))
+  begin "${how[$((RANDOM % ${#how[@]}))]}" "$name" $ms
+}
+
+# Nobody but us ends a process.
+all_live() {
+  local name
+  for name in "${!PID[@]}"; do
+    [ -n "${BACK[$name]:-}" ] && continue
+    kill -0 "${PID[$name]}" 2>/dev/null || die "$name ended by itself"
+  done
+}
+
+next_ms=1500
+while now=$(now_ms) && [ "$now" -lt $((FAULTS_S * 1000)) ]; do
+  end_due due
+  all_live
+  if [ "$now" -ge $next_ms ]; then
+    inject
+    next_ms=$((now + 100 + RANDOM % 1400))
+  fi
+  sleep 0.05
+done
+for name in "${!BACK[@]}"; do
+  [ "${HOW[$name]}" = term ] || end_one "$name" all
+done
+end_due all
+say "faults are over"
+
+platform_ends
+rc=$?
+all_live
+kill -TERM "${PID[proxy]}"
+wait "${PID[proxy]}"
+unset "PID[proxy]"
+cat "$OUT/report.json"
+echo
+[ "$rc" = 0 ] || die "a promise was broken, seed $SEED"
+jq -e '.steps >= 1 and .calm_sent > 0 and .calm_answered >= 0.99 * .calm_sent' \
+  "$OUT/report.json" >/dev/null \
+  || die "not all works again when the faults are over, seed $SEED"
+"$BIN/wyctl" check "$OUT/platform.jsonl" "$OUT/proxy.jsonl" \
+  || die "a promise was broken, seed $SEED"
+echo "seed $SEED: all promises kept"
--- a/src/gate/env.h
+++ b/src/gate/env.h
@@ -32,6 +32,8 @@
   uint64_t *jobs_taken_over;
   struct wy_hist *latency_us;
   struct wy_hist *item_us;
+  struct wy_family *ended;      /* by route, outcome and reason */
+  struct wy_family *latency_by; /* by route, target's service and outcome */
 };
 
 struct wy_gate_env
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -25,6 +25,9 @@
   HAND_OVER_SHARE = 2,
   END_MARGIN_MS = 1200,
   RETRY_AFTER_MS = 500,
+  /* A configuration is the present one if the store said so within this time:
+     twice the time between two of its answers while nothing changes.  */
+  CONFIG_FRESH_MS = 2000,
   /* Connections to one target that a gate may have though its share of the
      limit is less.  */
   CONNECTIONS_MIN = 1,
@@ -62,6 +65,26 @@
          && wy_watch_is_synced (g->replicas);
 }
 
+/* No route is known for the request ID.  Callers do not come again after 404,
+   so it is only said where the configuration is known to be the present one:
+   an entry that was paused, or cut off from the store, may not have heard of
+   the route yet, and another entry has.  */
+static void
+refuse_unknown (struct wy_gate *g, struct wy_h1_request *r, const char *id)
+{
+  int64_t age_ms = wy_watch_age_ms (g->operator_rows);
+  bool sure = age_ms >= 0 && age_ms <= CONFIG_FRESH_MS;
+  int status = sure ? 404 : 503;
+  const char *reason = sure ? "no_route" : "no_route_yet";
+
+  wy_note ("request.ended",
+           "id=%s outcome=refused status=%d reason=%s config=%lld "
+           "config_age_ms=%lld",
+           id, status, reason, (long long)g->env.routing->version,
+           (long long)age_ms);
+  wy_refuse (r, status, reason, sure ? 0 : RETRY_AFTER_MS);
+}
+
 static void
 on_caller (void *ctx, struct wy_h1_request *r)
 {
@@ -90,12 +113,7 @@
               ? wy_routing_match (g->env.routing, info.host, wy_h1_target (r))
               : NULL;
   if (!route)
-    {
-      wy_note ("request.ended",
-               "id=%s outcome=refused status=404 reason=no_route config=%lld",
-               info.id ? info.id : "", (long long)g->env.routing->version);
-      wy_refuse (r, 404, "no_route", 0);
-    }
+    refuse_unknown (g, r, info.id ? info.id : "");
   else if (route->kind == WY_ROUTE_JOB && !strcmp (wy_h1_method (r), "POST"))
     wy_jobs_accept (g->jobs, r, route);
   else
--- a/src/gate/gate_state.h
+++ b/src/gate/gate_state.h
@@ -15,6 +15,9 @@
   WY_GATE_MB = 1 << 20,
   /* Share of the memory that bodies being read may take.  */
   WY_GATE_BODY_SHARE = 8,
+  /* Label sets of a metric; a histogram takes 8 KB.  */
+  WY_GATE_LABEL_SETS = 256,
+  WY_GATE_HISTOGRAM_SETS = 24,
   /* Before a configuration is known; callers are refused then anyway.  */
   WY_GATE_START_HEADER_BYTES = 65536,
   WY_GATE_START_BODY_BYTES = 1 << 20,
@@ -38,6 +41,10 @@
   int64_t *replicas_age_ms;
   int64_t *config_version;
   int64_t *log_dropped;
+  int64_t *jobs_oldest_ms;
+  int64_t *items_waiting;
+  int64_t *items_unlisted;
+  struct wy_family *store_ended; /* by verb and outcome */
 };
 
 struct wy_gate
--- a/src/gate/gauges.c
+++ b/src/gate/gauges.c
@@ -1,8 +1,16 @@
 /* Metrics of the gate.  */
 #include "gate/gate_state.h"
 
+#include <stdio.h>
+
+#include "platform/store_wire.h"
 #include "trace/note.h"
 
+enum
+{
+  LABELS_SIZE_BYTES = 64
+};
+
 static void
 make_counters (struct wy_gate *g)
 {
@@ -36,6 +44,12 @@
                                          "Jobs accepted here");
   c->jobs_taken_over = wy_metrics_counter (m, "wy_gate_jobs_taken_over_total",
                                            "Jobs taken over from others");
+  c->ended
+      = wy_metrics_counters (m, "wy_gate_requests_ended_total",
+                             "Requests by how they ended", WY_GATE_LABEL_SETS);
+  c->latency_by = wy_metrics_histograms (m, "wy_gate_request_us",
+                                         "Time to the end of a request",
+                                         WY_GATE_HISTOGRAM_SETS);
   c->latency_us = wy_metrics_histogram (m, "wy_gate_answer_us",
                                         "Time to a replica's whole answer");
   c->item_us = wy_metrics_histogram (m, "wy_gate_item_us",
@@ -74,10 +88,38 @@
       m, "wy_gate_replicas_age_ms", "Age of what is believed of replicas");
   v->config_version = wy_metrics_gauge (m, "wy_gate_config_version",
                                         "Configuration in force; 0: none");
+  v->jobs_oldest_ms = wy_metrics_gauge (
+      m, "wy_gate_jobs_oldest_ms", "Age of the oldest job that is run here");
+  v->items_waiting = wy_metrics_gauge (m, "wy_gate_items_waiting",
+                                       "Job items that wait for a replica");
+  v->items_unlisted = wy_metrics_gauge (
+      m, "wy_gate_items_unlisted", "Job items whose results are not listed");
+  v->store_ended = wy_metrics_counters (m, "wy_gate_store_calls_ended_total",
+                                        "Calls to the store by how they ended",
+                                        WY_GATE_LABEL_SETS);
   v->log_dropped = wy_metrics_gauge (m, "wy_gate_log_lines_dropped",
                                      "Log lines left out since the start");
 }
 
+static void
+read_store_calls (struct wy_gate_gauges *v, const struct wy_rows_stats *s)
+{
+  static const char *const names[WY_ROWS_ENDS]
+      = { "done", "not_done", "unknown" };
+
+  for (int verb = 0; verb < WY_ROWS_VERBS; verb++)
+    for (int end = 0; end < WY_ROWS_ENDS; end++)
+      {
+        char labels[LABELS_SIZE_BYTES];
+
+        if (s->ended[verb][end] == 0)
+          continue;
+        snprintf (labels, sizeof labels, "verb=\"%s\",outcome=\"%s\"",
+                  wy_store_verb_name ((enum wy_store_verb)verb), names[end]);
+        *wy_family_counter (v->store_ended, labels) = s->ended[verb][end];
+      }
+}
+
 /* Read the gauges anew.  */
 void
 wy_gate_read_gauges (struct wy_gate *g)
@@ -85,6 +127,7 @@
   struct wy_gate_gauges *v = &g->gauges;
   struct wy_h1_client_stats http;
   struct wy_rows_stats rows;
+  struct wy_jobs_work work;
 
   wy_h1_client_stats (g->env.http, &http);
   wy_rows_stats (g->env.rows, &rows);
@@ -95,6 +138,11 @@
   *v->store_relayed = (int64_t)rows.relayed;
   *v->store_direct = rows.direct_ok;
   *v->jobs = wy_jobs_running (g->jobs);
+  wy_jobs_work (g->jobs, &work);
+  *v->jobs_oldest_ms = work.oldest_ms;
+  *v->items_waiting = work.waiting;
+  *v->items_unlisted = work.unlisted;
+  read_store_calls (v, &rows);
   *v->jobs_known = wy_jobs_is_synced (g->jobs);
   *v->entries = g->env.entries;
   *v->entries_age_ms = wy_members_age_ms (g->members);
--- a/src/gate/proxy_end.c
+++ b/src/gate/proxy_end.c
@@ -97,10 +97,34 @@
   uv_close ((uv_handle_t *)&p->timer, on_timer_closed);
 }
 
+/* Count the end of P in the metrics.  */
+static void
+count_end (const struct wy_proxied *p, const char *outcome, const char *reason)
+{
+  char *route = wy_label ("route", p->route);
+  char *service = wy_label ("service", p->service);
+  char *end = wy_label ("outcome", outcome);
+  char *why = wy_label ("reason", reason);
+  char *ended = g_strjoin (",", route, end, why, NULL);
+  char *latency = g_strjoin (",", route, service, end, NULL);
+  int64_t ms = wy_proxy_now_ms (p) - p->started_ms;
+
+  ++*wy_family_counter (p->env->count.ended, ended);
+  wy_hist_add (wy_family_histogram (p->env->count.latency_by, latency),
+               (uint64_t)ms * WY_US_PER_MS);
+  g_free (latency);
+  g_free (ended);
+  g_free (why);
+  g_free (end);
+  g_free (service);
+  g_free (route);
+}
+
 static void
 log_end (const struct wy_proxied *p, const char *outcome, int status,
          const char *reason)
 {
+  count_end (p, outcome, reason);
   wy_note ("request.ended",
            "id=%s route=%s service=%s config=%lld outcome=%s status=%d "
            "reason=%s sends=%u ms=%lld",
@@ -203,6 +227,7 @@
            a->status, t->target->info.id, p->sends,
            (long long)(now_ms - p->started_ms),
            (long long)(now_ms - t->started_ms));
+  count_end (p, "answered", "replica");
   if (p->streaming)
     wy_h1_finish (r);
   else
--- a/src/jobs/jobs.c
+++ b/src/jobs/jobs.c
@@ -8,8 +8,6 @@
 
 #include <string.h>
 
-#include "jobs/carry.h"
-#include "jobs/result_rows.h"
 #include "trace/note.h"
 
 enum
@@ -349,3 +347,23 @@
 {
   return g_hash_table_size (j->owned);
 }
+
+/* Sum up what is run here.  */
+void
+wy_jobs_work (const struct wy_jobs *j, struct wy_jobs_work *out)
+{
+  int64_t now_ms = wy_clock_mono_ms (j->env->clock);
+  GHashTableIter it;
+  gpointer p;
+
+  memset (out, 0, sizeof *out);
+  g_hash_table_iter_init (&it, j->owned);
+  while (g_hash_table_iter_next (&it, NULL, &p))
+    {
+      const struct wy_owned *o = p;
+
+      out->oldest_ms = MAX (out->oldest_ms, now_ms - o->started_ms);
+      out->waiting += o->n_waiting;
+      out->unlisted += o->ended.length;
+    }
+}
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -26,6 +26,16 @@
 struct wy_jobs *wy_jobs_new (const struct wy_jobs_options *o);
 void wy_jobs_free (struct wy_jobs *j);
 bool wy_jobs_is_synced (const struct wy_jobs *j);
+
+/* What is run here and not done.  */
+struct wy_jobs_work
+{
+  int64_t oldest_ms; /* age of the oldest job; 0: none */
+  uint32_t waiting;  /* items without a run */
+  uint32_t unlisted; /* items with a result that is not listed */
+};
+
+void wy_jobs_work (const struct wy_jobs *j, struct wy_jobs_work *out);
 uint32_t wy_jobs_running (const struct wy_jobs *j);
 void wy_jobs_version_named (struct wy_jobs *j, const char *model,
                             int64_t version);
--- /dev/null
+++ b/src/orders/order_metrics.c
@@ -0,0 +1,137 @@
+/* Metrics of an orderer: what it ordered, how that ended, and how far its
+   replica lies behind what trainers have named.  */
+#include "orders/orderer_state.h"
+
+#include "platform/replica_wire.h"
+#include "trace/note.h"
+
+enum
+{
+  OUTCOMES_MAX = 16,
+  HEADER_BYTES = 8192,
+  BODY_BYTES = 1024,
+  TIMEOUT_MS = 5000,
+  IDLE_MS = 15000,
+  HELD_BYTES = 1 << 20
+};
+
+static void
+make (struct wy_order_metrics *m)
+{
+  struct wy_metrics *a = wy_metrics_new ();
+
+  m->all = a;
+  m->orders
+      = wy_metrics_counters (a, "wy_orderer_orders_total",
+                             "Orders by how they were answered", OUTCOMES_MAX);
+  m->load_us = wy_metrics_histogram (a, "wy_orderer_load_us",
+                                     "Time from an order to its effect");
+  m->named = wy_metrics_gauge (a, "wy_orderer_version_named",
+                               "Newest version named of any model");
+  m->held = wy_metrics_gauge (a, "wy_orderer_version_held",
+                              "The version that the replica has of it");
+  m->behind = wy_metrics_gauge (
+      a, "wy_orderer_version_due",
+      "1: a version whose turn has come is not loaded yet");
+  m->report_age_ms = wy_metrics_gauge (a, "wy_orderer_report_age_ms",
+                                       "Age of the replica's last report");
+  m->generation = wy_metrics_gauge (a, "wy_orderer_generation",
+                                    "Number that orders carry; 0: none yet");
+  m->store_calls = wy_metrics_gauge (a, "wy_orderer_store_calls",
+                                     "Calls to the store since the start");
+  m->store_direct = wy_metrics_gauge (a, "wy_orderer_store_direct",
+                                      "1: the direct path to the store works");
+  m->log_dropped = wy_metrics_gauge (a, "wy_orderer_log_lines_dropped",
+                                     "Log lines left out since the start");
+}
+
+static void
+read_versions (const struct wy_orderer_daemon *d,
+               const struct wy_order_metrics *m)
+{
+  int64_t now_ms = wy_orderer_now_ms (d);
+
+  *m->named = 0;
+  *m->held = 0;
+  *m->behind = 0;
+  for (uint32_t i = 0; i < d->n_named; i++)
+    {
+      const struct wy_named *n = &d->named[i];
+      int64_t held = wy_orderer_held_version (d, n->v.model);
+
+      if (n->loads && n->due_ms && now_ms >= n->due_ms && held < n->v.version)
+        *m->behind = 1;
+      if (n->v.version <= *m->named)
+        continue;
+      *m->named = n->v.version;
+      *m->held = held;
+    }
+}
+
+static void
+on_request (void *ctx, struct wy_h1_request *r)
+{
+  static const struct wy_h1_pair type
+      = { "Content-Type", "text/plain; version=0.0.4" };
+  struct wy_orderer_daemon *d = ctx;
+  struct wy_order_metrics *m = &d->metrics;
+  struct wy_rows_stats rows;
+  GString *out = g_string_new (NULL);
+
+  wy_rows_stats (d->rows, &rows);
+  read_versions (d, m);
+  *m->report_age_ms
+      = d->reported_ms ? wy_orderer_now_ms (d) - d->reported_ms : -1;
+  *m->generation = MAX (d->generation, 0);
+  *m->store_calls = (int64_t)rows.calls;
+  *m->store_direct = rows.direct_ok;
+  *m->log_dropped = (int64_t)wy_note_dropped ();
+  wy_metrics_print (m->all, out);
+  wy_h1_respond (r, 200, &type, 1, out->str, out->len);
+  g_string_free (out, TRUE);
+}
+
+/* Describe the metrics and serve them where the settings say.  Returns 0 or
+   WY_H1_EBIND.  */
+int
+wy_order_metrics_start (struct wy_orderer_daemon *d)
+{
+  struct sockaddr_in a;
+  char ip[INET_ADDRSTRLEN];
+  struct wy_h1_server_options o
+      = { .loop = d->o.loop,
+          .host = ip,
+          .limits = { .header_bytes = HEADER_BYTES,
+                      .body_bytes = BODY_BYTES,
+                      .header_timeout_ms = TIMEOUT_MS,
+                      .idle_timeout_ms = IDLE_MS,
+                      .held_bytes = HELD_BYTES },
+          .on_request = on_request,
+          .ctx = d };
+
+  make (&d->metrics);
+  if (!*d->o.settings->metrics)
+    return 0;
+  if (!wy_address_parse (d->o.settings->metrics, &a))
+    return WY_H1_EBIND;
+  uv_ip4_name (&a, ip, sizeof ip);
+  o.port = ntohs (a.sin_port);
+  return wy_h1_server_new (&d->metrics.server, &o);
+}
+
+void
+wy_order_metrics_stop (struct wy_orderer_daemon *d)
+{
+  if (d->metrics.server)
+    wy_h1_server_free (d->metrics.server);
+}
+
+/* An order was answered, or not, with OUTCOME.  */
+void
+wy_order_metrics_outcome (struct wy_order_metrics *m, const char *outcome)
+{
+  char *label = wy_label ("outcome", outcome);
+
+  ++*wy_family_counter (m->orders, label);
+  g_free (label);
+}
--- /dev/null
+++ b/src/orders/order_metrics.h
@@ -0,0 +1,31 @@
+/* Metrics of an orderer, served on an address of its own.  */
+#ifndef WY_ORDERS_ORDER_METRICS_H
+#define WY_ORDERS_ORDER_METRICS_H
+
+#include "h1/server.h"
+#include "trace/metrics.h"
+
+struct wy_orderer_daemon;
+
+struct wy_order_metrics
+{
+  struct wy_metrics *all;
+  struct wy_h1_server *server; /* NULL: not served */
+  struct wy_family *orders;    /* by outcome */
+  struct wy_hist *load_us;
+  int64_t *named;
+  int64_t *held;
+  int64_t *behind;
+  int64_t *report_age_ms;
+  int64_t *generation;
+  int64_t *store_calls;
+  int64_t *store_direct;
+  int64_t *log_dropped;
+};
+
+int wy_order_metrics_start (struct wy_orderer_daemon *d);
+void wy_order_metrics_stop (struct wy_orderer_daemon *d);
+void wy_order_metrics_outcome (struct wy_order_metrics *m,
+                               const char *outcome);
+
+#endif
--- a/src/orders/orderer.c
+++ b/src/orders/orderer.c
@@ -154,6 +154,7 @@
     {
       double took_ms = (double)(now_ms - d->ordered_ms);
 
+      wy_hist_add (d->metrics.load_us, (uint64_t)took_ms * WY_US_PER_MS);
       if (took_ms < LOAD_MS_MAX)
         d->load_ms += load_weight * (took_ms - d->load_ms);
       wy_note ("version.loaded", "model=%s version=%lld ms=%.0f",
@@ -165,6 +166,7 @@
       wy_note ("order.lost", "model=%s version=%lld ms=%lld",
                d->ordered->v.model, (long long)d->ordered_version,
                (long long)(now_ms - d->ordered_ms));
+      wy_order_metrics_outcome (&d->metrics, "lost");
       d->ordered = NULL;
     }
 }
@@ -178,6 +180,7 @@
            d->ordered ? d->ordered->v.model : "",
            (long long)d->ordered_version, d->call_status,
            wy_order_outcome_name (outcome));
+  wy_order_metrics_outcome (&d->metrics, wy_order_outcome_name (outcome));
   d->report_due_ms = 0;
   switch (outcome)
     {
@@ -209,6 +212,8 @@
   if (err)
     {
       wy_note ("target.call_failed", "order=%d err=%d", order, err);
+      if (order)
+        wy_order_metrics_outcome (&d->metrics, "unanswered");
       if (order && err == WY_H1_ECONNECT)
         d->ordered = NULL;
       d->order_due_ms = wy_orderer_now_ms (d) + REFUSED_RETRY_MS;
@@ -366,7 +371,7 @@
 }
 
 /* Start ordering as O says and store the orderer in OUT.  Returns 0 or
-   WY_H1_EBIND for an address that can't be read.  */
+   WY_H1_EBIND for an address that can't be read or taken.  */
 int
 wy_orderer_daemon_new (struct wy_orderer_daemon **out,
                        const struct wy_orderer_daemon_options *o)
@@ -409,7 +414,7 @@
   d->tick.data = d;
   uv_timer_start (&d->tick, on_tick, TICK_MS, TICK_MS);
   *out = d;
-  return 0;
+  return wy_order_metrics_start (d);
 }
 
 /* Stop; the loop must turn some times afterwards.  */
@@ -417,6 +422,7 @@
 wy_orderer_daemon_free (struct wy_orderer_daemon *d)
 {
   wy_note ("process.stop", "reason=asked ordered=%d", d->ordered != NULL);
+  wy_order_metrics_stop (d);
   wy_watch_free (d->operator_rows);
   wy_rows_free (d->rows);
   wy_h1_client_free (d->http);
--- a/src/orders/orderer_state.h
+++ b/src/orders/orderer_state.h
@@ -6,6 +6,7 @@
 #include "gate/replica.h"
 #include "gate/routing.h"
 #include "h1/client.h"
+#include "orders/order_metrics.h"
 #include "orders/orderer.h"
 #include "platform/config_wire.h"
 #include "rows/watch.h"
@@ -30,6 +31,7 @@
 {
   struct wy_orderer_daemon_options o;
   char incarnation[WY_ID_SIZE_BYTES];
+  struct wy_order_metrics metrics;
   struct sockaddr_in target;
   struct wy_h1_client *http;
   struct wy_rows *rows;
--- a/src/rows/rows.h
+++ b/src/rows/rows.h
@@ -90,7 +90,16 @@
   uint32_t limit;   /* 0: the store's own */
 };
 
-/* How calls reach the store, for logs and metrics.  */
+enum
+{
+  WY_ROWS_VERBS = 7, /* as enum wy_store_verb has */
+  WY_ROWS_DONE = 0,
+  WY_ROWS_NOT_DONE,
+  WY_ROWS_UNKNOWN,
+  WY_ROWS_ENDS
+};
+
+/* How calls reach the store and end, for logs and metrics.  */
 struct wy_rows_stats
 {
   uint64_t calls;
@@ -98,6 +107,7 @@
   uint64_t relayed;
   uint64_t relay_failed;
   bool direct_ok;
+  uint64_t ended[WY_ROWS_VERBS][WY_ROWS_ENDS];
 };
 
 struct wy_rows;
--- a/src/rows/store.c
+++ b/src/rows/store.c
@@ -128,6 +128,8 @@
   struct wy_rows_result r = { .err = err };
 
   count_end (k, false, why);
+  k->store->stats.ended[k->verb][err == WY_ROWS_EREFUSED ? WY_ROWS_NOT_DONE
+                                                         : WY_ROWS_UNKNOWN]++;
   wy_note ("store.call_failed", "verb=%s via=%s outcome=%s reason=%s",
            wy_store_verb_name (k->verb), k->relayed ? "peer" : "direct",
            err == WY_ROWS_EREFUSED ? "not_done" : "unknown", why);
@@ -172,6 +174,7 @@
     fail (k, r.err, k->status == 429 ? "rate" : "turned_away");
   else
     {
+      k->store->stats.ended[k->verb][WY_ROWS_DONE]++;
       count_end (k, true, "answered");
       deliver (k, &r);
     }
--- a/src/standin/platform.c
+++ b/src/standin/platform.c
@@ -15,6 +15,9 @@
   struct wy_standin_settings common;
   GPtrArray *gates;
   int64_t seconds;
+  int64_t chance_s;
+  int64_t step_limit_s;
+  GPtrArray *addresses;
   char *report;
 };
 
@@ -23,6 +26,15 @@
     NULL, "host:port", "callers' addresses of the entries" },
   { "seconds", WY_SETTING_NUMBER, offsetof (struct settings, seconds), "15", 1,
     3600, NULL, "s", "how long callers and trainer go on" },
+  { "chance_s", WY_SETTING_NUMBER, offsetof (struct settings, chance_s), "0",
+    0, 86400, NULL, "s",
+    "how long faults come by chance, from the seed; 0: a fixed course" },
+  { "step_limit_s", WY_SETTING_NUMBER,
+    offsetof (struct settings, step_limit_s), "12", 1, 3600, NULL, "s",
+    "a step without all its results by then is lost" },
+  { "addresses", WY_SETTING_LIST, offsetof (struct settings, addresses), NULL,
+    0, 0, NULL, "host:port",
+    "where engines, then desks, are listed; empty: where they listen" },
   { "report", WY_SETTING_TEXT, offsetof (struct settings, report), "", 0, 0,
     NULL, NULL, "file of the report; written at the end" },
 };
@@ -30,16 +42,10 @@
 enum
 {
   BEAT_MS = 400,
-  SLOTS = 8,
+  /* Time after the last fault in which all is well again.  */
+  CALM_AFTER_MS = 4000,
   EVENT_MS = 15,
   LOAD_MS = 150,
-  /* Faults, from the start of the load.  */
-  ENGINE_SILENT_FROM_S = 4,
-  ENGINE_SILENT_TO_S = 6,
-  STORE_SILENT_FROM_S = 8,
-  STORE_SILENT_TO_S = 10,
-  LOST_WRITES = 5,
-  CONFIG_SIZE_BYTES = 2048,
   CALL_IDLE_MS = 5000,
   CALL_CONNECT_MS = 500
 };
@@ -80,39 +86,26 @@
                          value);
 }
 
-static void
-write_config (struct wy_platform *p)
-{
-  char value[CONFIG_SIZE_BYTES];
-
-  snprintf (value, sizeof value,
-            "{\"version\":1,\"routes\":["
-            "{\"name\":\"steps\",\"host\":\"%s\",\"prefix\":\"%s\","
-            "\"kind\":\"rollout\",\"service\":\"engines\",\"attempts\":3,"
-            "\"timeoutMs\":10000,\"retentionS\":60,\"resultDeadlineMs\":7500},"
-            "{\"name\":\"desk\",\"host\":\"%s\",\"prefix\":\"%s\","
-            "\"kind\":\"safe\",\"service\":\"desks\",\"attempts\":2,"
-            "\"timeoutMs\":2000,\"targetLatencyMs\":150}],"
-            "\"services\":[{\"name\":\"engines\",\"connectionLimit\":200,"
-            "\"engine\":{\"slots\":%d,\"models\":[{\"name\":\"%s\"}]}},"
-            "{\"name\":\"desks\",\"connectionLimit\":100}],"
-            "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":1048576,"
-            "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}",
-            WY_PLATFORM_HOST, WY_PLATFORM_JOBS, WY_PLATFORM_HOST,
-            WY_PLATFORM_CALLS, SLOTS, WY_PLATFORM_MODEL);
-  wy_platform_store_put (p->store, "op", "", "config", value);
-}
-
 static void
 list_replica (struct wy_platform *p, const struct wy_platform_replica *r,
-              const char *service, const char *id)
+              const char *service, const char *id, const char *address)
 {
-  char *entry = wy_platform_replica_entry (r, service, "ready");
+  char *entry = wy_platform_replica_entry (r, service, "ready", address);
 
   wy_platform_store_put (p->store, "servers", "", id, entry);
   g_free (entry);
 }
 
+/* Where the replica number I is listed; NULL: where it listens.  */
+static const char *
+address_of (const struct wy_platform *p, int i)
+{
+  const struct settings *s = p->standin->settings;
+
+  return (guint)i < s->addresses->len ? g_ptr_array_index (s->addresses, i)
+                                      : NULL;
+}
+
 static void
 list_all (struct wy_platform *p)
 {
@@ -121,30 +114,16 @@
   for (int i = 0; i < WY_PLATFORM_ENGINES; i++)
     {
       snprintf (id, sizeof id, "engine-%d", i);
-      list_replica (p, p->engines[i], "engines", id);
+      list_replica (p, p->engines[i], "engines", id, address_of (p, i));
     }
   for (int i = 0; i < WY_PLATFORM_DESKS; i++)
     {
       snprintf (id, sizeof id, "desk-%d", i);
-      list_replica (p, p->desks[i], "desks", id);
+      list_replica (p, p->desks[i], "desks", id,
+                    address_of (p, WY_PLATFORM_ENGINES + i));
     }
 }
 
-static void
-set_faults (struct wy_platform *p, uint64_t age_s)
-{
-  struct wy_platform_store_faults *store = wy_platform_store_faults (p->store);
-  struct wy_platform_replica_faults *engine
-      = wy_platform_replica_faults (p->engines[0]);
-
-  engine->silent = age_s >= ENGINE_SILENT_FROM_S && age_s < ENGINE_SILENT_TO_S;
-  if (age_s == ENGINE_SILENT_FROM_S)
-    store->lose = LOST_WRITES;
-  store->silent = age_s >= STORE_SILENT_FROM_S && age_s < STORE_SILENT_TO_S;
-  if (age_s == STORE_SILENT_TO_S)
-    store->forget_history = true;
-}
-
 static int
 write_report (const struct wy_platform *p)
 {
@@ -157,11 +136,12 @@
   for (guint i = 0; i < b->violations->len; i++)
     json_array_append_new (list,
                            json_string (g_ptr_array_index (b->violations, i)));
-  doc = json_pack ("{s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:o}", "sent",
-                   (int)b->sent, "answered", (int)b->answered, "refused",
-                   (int)b->refused, "failed", (int)b->failed, "retries",
-                   (int)b->retries, "steps", (int)b->steps, "results",
-                   (int)b->results, "violations", list);
+  doc = json_pack (
+      "{s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:o}", "calm_sent",
+      (int)b->calm_sent, "calm_answered", (int)b->calm_answered, "sent",
+      (int)b->sent, "answered", (int)b->answered, "refused", (int)b->refused,
+      "failed", (int)b->failed, "retries", (int)b->retries, "steps",
+      (int)b->steps, "results", (int)b->results, "violations", list);
   if (*s->report)
     err = json_dump_file (doc, s->report, JSON_INDENT (2));
   json_decref (doc);
@@ -173,11 +153,14 @@
 {
   struct wy_platform *p = t->data;
   const struct settings *s = p->standin->settings;
-  uint64_t age_s = (uv_now (t->loop) - began_ms) / WY_MS_PER_S;
+  uint64_t age_ms = uv_now (t->loop) - began_ms;
 
   list_all (p);
-  set_faults (p, age_s);
-  if (!p->ending && age_s >= (uint64_t)s->seconds)
+  wy_platform_set_faults (p, age_ms);
+  p->calm = p->chance_ms && age_ms >= p->chance_ms + CALM_AFTER_MS;
+  if (p->chance_ms && age_ms >= p->chance_ms)
+    wy_platform_operator_rest (p);
+  if (!p->ending && age_ms >= (uint64_t)s->seconds * WY_MS_PER_S)
     p->ending = true; /* the trainer ends its step, then checks all */
 }
 
@@ -191,6 +174,8 @@
   if (!f)
     return -1;
   fprintf (f, "store %u\n", wy_platform_store_port (p->store));
+  for (int i = 0; i < WY_PLATFORM_DESKS; i++)
+    fprintf (f, "desk-%d %u\n", i, wy_platform_replica_port (p->desks[i]));
   for (int i = 0; i < WY_PLATFORM_ENGINES; i++)
     fprintf (f, "engine-%d %u\n", i, wy_platform_replica_port (p->engines[i]));
   return fclose (f);
@@ -215,7 +200,7 @@
                                            .on_run = on_run,
                                            .ctx = p,
                                            .id = g_strdup (id),
-                                           .slots = SLOTS,
+                                           .slots = WY_PLATFORM_SLOTS,
                                            .events = WY_PLATFORM_EVENTS,
                                            .event_ms = EVENT_MS,
                                            .model = model };
@@ -280,7 +265,12 @@
   if (!p->store || !start_replicas (p) || write_ports (p))
     return -1;
   read_gates (p, s->settings);
-  write_config (p);
+  p->chance_ms = (uint64_t)(((const struct settings *)s->settings)->chance_s
+                            * WY_MS_PER_S);
+  p->step_limit_ms
+      = (uint64_t)(((const struct settings *)s->settings)->step_limit_s
+                   * WY_MS_PER_S);
+  wy_platform_operator_start (p);
   list_all (p);
   began_ms = uv_now (s->loop);
   uv_timer_init (s->loop, &beat);
--- a/src/standin/platform.h
+++ b/src/standin/platform.h
@@ -18,6 +18,7 @@
   WY_PLATFORM_DIGEST_SIZE_BYTES = 17,
   WY_PLATFORM_ENGINES = 3,
   WY_PLATFORM_DESKS = 2,
+  WY_PLATFORM_SLOTS = 8,
   WY_PLATFORM_EVENTS = 12
 };
 
@@ -31,6 +32,8 @@
   uint32_t steps;
   uint32_t results;
   uint32_t retries;
+  uint32_t calm_sent; /* once faults by chance are over */
+  uint32_t calm_answered;
   GPtrArray *violations; /* char * */
 };
 
@@ -46,6 +49,12 @@
   uint32_t beats;
   uint32_t next_gate;
   bool ending;
+  bool calm;
+  uint64_t chance_ms; /* faults come by chance for so long; 0: they do not */
+  uint64_t step_limit_ms;
+  uint64_t store_well_ms;
+  uint64_t engine_well_ms[WY_PLATFORM_ENGINES];
+  uint64_t desk_well_ms[WY_PLATFORM_DESKS];
 };
 
 /* One call of a caller or trainer; its answer is given to ON_DONE.  */
@@ -59,6 +68,7 @@
   void *ctx;
   uint32_t number;
   uint32_t tries;
+  bool calm;
 };
 
 struct wy_platform_call *wy_platform_call (struct wy_platform *p,
@@ -71,7 +81,10 @@
                          char out[WY_PLATFORM_DIGEST_SIZE_BYTES]);
 void wy_platform_name_version (struct wy_platform *p, int64_t version);
 
+void wy_platform_set_faults (struct wy_platform *p, uint64_t age_ms);
 void wy_platform_finish (struct wy_platform *p);
+void wy_platform_operator_start (struct wy_platform *p);
+void wy_platform_operator_rest (struct wy_platform *p);
 void wy_platform_callers_start (struct wy_platform *p);
 void wy_platform_trainer_start (struct wy_platform *p);
 
--- a/src/standin/platform_callers.c
+++ b/src/standin/platform_callers.c
@@ -16,7 +16,8 @@
 
 static uv_timer_t timer;
 
-static void call_desk (struct wy_platform *p, uint32_t number, uint32_t tries);
+static void call_desk (struct wy_platform *p, uint32_t number, uint32_t tries,
+                       bool calm);
 
 static void
 id_of (uint32_t number, uint32_t tries, char out[ID_SIZE_BYTES])
@@ -50,6 +51,7 @@
   if (!err && c->status == STATUS_OK)
     {
       p->books.answered++;
+      p->books.calm_answered += c->calm;
       if (strcmp (c->body->str, body) != 0)
         wy_platform_violation (p, "%s got another answer: %.40s", body,
                                c->body->str);
@@ -60,7 +62,7 @@
   if (c->tries + 1 < TRIES_MAX)
     {
       p->books.retries++;
-      call_desk (p, c->number, c->tries + 1);
+      call_desk (p, c->number, c->tries + 1, c->calm);
     }
   else if (!err && c->status == STATUS_REFUSED)
     p->books.refused++;
@@ -69,7 +71,7 @@
 }
 
 static void
-call_desk (struct wy_platform *p, uint32_t number, uint32_t tries)
+call_desk (struct wy_platform *p, uint32_t number, uint32_t tries, bool calm)
 {
   char id[ID_SIZE_BYTES];
   char body[32];
@@ -81,6 +83,7 @@
   c = wy_platform_call (p, "POST", WY_PLATFORM_CALLS "x", id, body);
   c->number = number;
   c->tries = tries;
+  c->calm = calm;
   c->on_done = on_done;
 }
 
@@ -89,8 +92,10 @@
 {
   struct wy_platform *p = t->data;
 
-  if (!p->ending)
-    call_desk (p, p->books.sent++, 0);
+  if (p->ending)
+    return;
+  p->books.calm_sent += p->calm;
+  call_desk (p, p->books.sent++, 0, p->calm);
 }
 
 /* Call until the platform ends.  */
--- /dev/null
+++ b/src/standin/platform_operator.c
@@ -0,0 +1,135 @@
+/* Operator of the platform stand-in: writes the configuration, changes it now
+   and then, and asks on routes that were added whether the change is in
+   force.  */
+#include "standin/platform.h"
+
+#include <stdio.h>
+
+enum
+{
+  CHANGE_MS = 900,
+  PROBE_MS = 150,
+  /* A change must be in force so long after it was written.  */
+  IN_FORCE_MS = 3000,
+  VERSIONS_MAX = 512,
+  TIMEOUT_MIN_MS = 1500,
+  TIMEOUT_STEP_MS = 100,
+  TIMEOUT_STEPS = 10,
+  STATUS_UNKNOWN = 404
+};
+
+static struct
+{
+  struct wy_platform *platform;
+  uint32_t version;
+  uint64_t written_ms[VERSIONS_MAX + 1];
+  uv_timer_t change;
+  uv_timer_t probe;
+  uint32_t probes;
+} op;
+
+/* The route that version V adds; the newest one stands for it.  */
+static void
+prefix_of (uint32_t v, char out[32])
+{
+  snprintf (out, 32, "/added-%u/", v);
+}
+
+static void
+write_config (struct wy_platform *p)
+{
+  GString *s = g_string_new (NULL);
+  uint32_t v = ++op.version;
+  char prefix[32];
+
+  prefix_of (v, prefix);
+  g_string_append_printf (
+      s,
+      "{\"version\":%u,\"routes\":["
+      "{\"name\":\"steps\",\"host\":\"%s\",\"prefix\":\"%s\","
+      "\"kind\":\"rollout\",\"service\":\"engines\",\"attempts\":3,"
+      "\"timeoutMs\":10000,\"retentionS\":60,\"resultDeadlineMs\":7500},"
+      "{\"name\":\"desk\",\"host\":\"%s\",\"prefix\":\"%s\","
+      "\"kind\":\"safe\",\"service\":\"desks\",\"attempts\":2,"
+      "\"timeoutMs\":%u,\"targetLatencyMs\":150},",
+      v, WY_PLATFORM_HOST, WY_PLATFORM_JOBS, WY_PLATFORM_HOST,
+      WY_PLATFORM_CALLS,
+      TIMEOUT_MIN_MS + TIMEOUT_STEP_MS * (v % TIMEOUT_STEPS));
+  g_string_append_printf (
+      s,
+      "{\"name\":\"added\",\"host\":\"%s\",\"prefix\":\"%s\","
+      "\"kind\":\"safe\",\"service\":\"desks\",\"attempts\":2,"
+      "\"timeoutMs\":2000,\"targetLatencyMs\":150}],"
+      "\"services\":[{\"name\":\"engines\",\"connectionLimit\":200,"
+      "\"engine\":{\"slots\":%d,\"models\":[{\"name\":\"%s\"}]}},"
+      "{\"name\":\"desks\",\"connectionLimit\":100}],"
+      "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":1048576,"
+      "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}",
+      WY_PLATFORM_HOST, prefix, WY_PLATFORM_SLOTS, WY_PLATFORM_MODEL);
+  wy_platform_store_put (p->store, "op", "", "config", s->str);
+  op.written_ms[v] = uv_now (p->standin->loop);
+  g_string_free (s, TRUE);
+}
+
+static void
+on_change (uv_timer_t *t)
+{
+  if (!op.platform->ending && op.version < VERSIONS_MAX)
+    write_config (op.platform);
+}
+
+/* Only the newest version has its route: where that is long in force and none
+   is known, the change has not arrived, or was taken back.  */
+static void
+on_probed (struct wy_platform_call *c, int err)
+{
+  if (!err && c->status == STATUS_UNKNOWN && c->calm
+      && c->number == op.version)
+    wy_platform_violation (c->platform, "version %u is not in force",
+                           c->number);
+}
+
+static void
+on_probe (uv_timer_t *t)
+{
+  struct wy_platform *p = op.platform;
+  uint32_t v = op.version;
+  uint64_t age_ms = uv_now (t->loop) - op.written_ms[v];
+  struct wy_platform_call *c;
+  char prefix[32];
+  char target[40];
+  char id[40];
+
+  if (p->ending || age_ms < IN_FORCE_MS)
+    return;
+  prefix_of (v, prefix);
+  snprintf (target, sizeof target, "%sx", prefix);
+  snprintf (id, sizeof id, "probe-%u", op.probes++);
+  c = wy_platform_call (p, "POST", target, id, "probe");
+  c->number = v;
+  c->calm = p->calm;
+  c->on_done = on_probed;
+}
+
+/* Write the first configuration; while faults come by chance, change it.  In
+   the calm span the last one stays, so that it can be asked for.  */
+void
+wy_platform_operator_start (struct wy_platform *p)
+{
+  op.platform = p;
+  write_config (p);
+  if (!p->chance_ms)
+    return;
+  uv_timer_init (p->standin->loop, &op.change);
+  uv_timer_start (&op.change, on_change, CHANGE_MS, CHANGE_MS);
+  uv_timer_init (p->standin->loop, &op.probe);
+  uv_timer_start (&op.probe, on_probe, PROBE_MS, PROBE_MS);
+}
+
+/* No more changes.  */
+void
+wy_platform_operator_rest (struct wy_platform *p)
+{
+  if (p->chance_ms)
+    uv_timer_stop (&op.change);
+}
--- a/src/standin/platform_replica.c
+++ b/src/standin/platform_replica.c
@@ -348,14 +348,19 @@
 /* R's entry in the list of replicas, in STATE; the caller frees it.  */
 char *
 wy_platform_replica_entry (const struct wy_platform_replica *r,
-                           const char *service, const char *state)
+                           const char *service, const char *state,
+                           const char *address)
 {
-  return g_strdup_printf (
-      "{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\",\"zone\":\"z1\","
+  char *own = g_strdup_printf ("127.0.0.1:%u", wy_platform_replica_port (r));
+  char *entry = g_strdup_printf (
+      "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z1\","
       "\"version\":\"v1\",\"slots\":%u,\"state\":\"%s\","
       "\"models\":[{\"name\":\"%s\",\"version\":%lld}],\"sequence\":1}",
-      service, wy_platform_replica_port (r), r->o.slots, state,
+      service, address ? address : own, r->o.slots, state,
       r->o.model ? r->o.model : "", (long long)r->version);
+
+  g_free (own);
+  return entry;
 }
 
 /* Requests and items that have begun to run.  */
--- a/src/standin/platform_replica.h
+++ b/src/standin/platform_replica.h
@@ -46,7 +46,8 @@
 struct wy_platform_replica_faults *
 wy_platform_replica_faults (struct wy_platform_replica *r);
 char *wy_platform_replica_entry (const struct wy_platform_replica *r,
-                                 const char *service, const char *state);
+                                 const char *service, const char *state,
+                                 const char *address);
 uint32_t wy_platform_replica_runs (const struct wy_platform_replica *r);
 uint32_t wy_platform_replica_running (const struct wy_platform_replica *r);
 uint32_t wy_platform_replica_connections (const struct wy_platform_replica *r);
--- a/src/standin/platform_trainer.c
+++ b/src/standin/platform_trainer.c
@@ -13,8 +13,6 @@
   ITEMS = GROUPS * GROUP_SIZE,
   STEPS_MAX = 256,
   PAUSE_MS = 100,
-  /* A step that has not all its results by then was lost.  */
-  STEP_LIMIT_MS = 12000,
   STATUS_OK = 200,
   STATUS_ACCEPTED = 202,
   STATUS_REFUSED = 503
@@ -224,7 +222,7 @@
                            c->status);
   if (s->results->len == ITEMS)
     end_step ();
-  else if (age_ms > STEP_LIMIT_MS)
+  else if (age_ms > trainer.platform->step_limit_ms)
     {
       wy_platform_violation (c->platform, "%s: %u of %d results in time",
                              s->id, s->results->len, ITEMS);
--- a/src/trace/metrics.c
+++ b/src/trace/metrics.c
@@ -9,7 +9,24 @@
 {
   METRIC_COUNTER,
   METRIC_GAUGE,
-  METRIC_HISTOGRAM
+  METRIC_HISTOGRAM,
+  METRIC_COUNTERS,
+  METRIC_HISTOGRAMS
+};
+
+/* One label set of a family.  */
+struct labelled
+{
+  char *labels;
+  uint64_t counter;
+  struct wy_hist *histogram;
+};
+
+struct wy_family
+{
+  GHashTable *by_labels; /* struct labelled */
+  GPtrArray *sets;       /* the same, in the order of their first use */
+  uint32_t sets_max;
 };
 
 struct metric
@@ -22,6 +39,7 @@
     uint64_t counter;
     int64_t gauge;
     struct wy_hist *histogram;
+    struct wy_family *family;
   } u;
 };
 
@@ -30,13 +48,42 @@
   GPtrArray *all; /* struct metric */
 };
 
+static void
+labelled_free (gpointer p)
+{
+  struct labelled *l = p;
+
+  g_free (l->labels);
+  g_free (l->histogram);
+  g_free (l);
+}
+
+static void
+family_free (struct wy_family *f)
+{
+  g_hash_table_destroy (f->by_labels);
+  g_ptr_array_free (f->sets, TRUE);
+  g_free (f);
+}
+
 static void
 metric_free (gpointer p)
 {
   struct metric *x = p;
 
-  if (x->kind == METRIC_HISTOGRAM)
-    g_free (x->u.histogram);
+  switch (x->kind)
+    {
+    case METRIC_COUNTER:
+    case METRIC_GAUGE:
+      break;
+    case METRIC_HISTOGRAM:
+      g_free (x->u.histogram);
+      break;
+    case METRIC_COUNTERS:
+    case METRIC_HISTOGRAMS:
+      family_free (x->u.family);
+      break;
+    }
   g_free (x->name);
   g_free (x->help);
   g_free (x);
@@ -98,24 +145,143 @@
   return x->u.histogram;
 }
 
+static struct wy_family *
+family (struct wy_metrics *m, enum metric_kind kind, const char *name,
+        const char *help, uint32_t sets_max)
+{
+  struct wy_family *f = g_new0 (struct wy_family, 1);
+
+  f->by_labels = g_hash_table_new (g_str_hash, g_str_equal);
+  f->sets = g_ptr_array_new_with_free_func (labelled_free);
+  f->sets_max = sets_max;
+  add (m, kind, name, help)->u.family = f;
+  return f;
+}
+
+/* Counters of one name, with SETS_MAX label sets at most: names of routes come
+   from outside and must not fill the memory.  What comes later is counted
+   under other="true".  */
+struct wy_family *
+wy_metrics_counters (struct wy_metrics *m, const char *name, const char *help,
+                     uint32_t sets_max)
+{
+  return family (m, METRIC_COUNTERS, name, help, sets_max);
+}
+
+/* The same with histograms.  */
+struct wy_family *
+wy_metrics_histograms (struct wy_metrics *m, const char *name,
+                       const char *help, uint32_t sets_max)
+{
+  return family (m, METRIC_HISTOGRAMS, name, help, sets_max);
+}
+
+static struct labelled *
+set_of (struct wy_family *f, const char *labels)
+{
+  struct labelled *l = g_hash_table_lookup (f->by_labels, labels);
+
+  if (!l && f->sets->len >= f->sets_max)
+    {
+      labels = "other=\"true\"";
+      l = g_hash_table_lookup (f->by_labels, labels);
+    }
+  if (l)
+    return l;
+  l = g_new0 (struct labelled, 1);
+  l->labels = g_strdup (labels);
+  g_hash_table_insert (f->by_labels, l->labels, l);
+  g_ptr_array_add (f->sets, l);
+  return l;
+}
+
+/* The counter of F with LABELS, as wy_label makes them, separated by
+   commas.  */
+uint64_t *
+wy_family_counter (struct wy_family *f, const char *labels)
+{
+  return &set_of (f, labels)->counter;
+}
+
+/* The histogram of F with LABELS.  */
+struct wy_hist *
+wy_family_histogram (struct wy_family *f, const char *labels)
+{
+  struct labelled *l = set_of (f, labels);
+
+  if (!l->histogram)
+    l->histogram = g_new0 (struct wy_hist, 1);
+  return l->histogram;
+}
+
+/* NAME="VALUE" with VALUE escaped; the caller frees it.  */
+char *
+wy_label (const char *name, const char *value)
+{
+  GString *s = g_string_new (name);
+
+  g_string_append (s, "=\"");
+  for (; *value; value++)
+    {
+      if (*value == '"' || *value == '\\')
+        g_string_append_c (s, '\\');
+      g_string_append_c (s, (unsigned char)*value < ' ' ? ' ' : *value);
+    }
+  g_string_append_c (s, '"');
+  return g_string_free (s, FALSE);
+}
+
+/* NAME{LABELS} or NAME, with SUFFIX behind NAME.  */
 static void
-print_histogram (const struct metric *x, GString *out)
+print_name (GString *out, const char *name, const char *suffix,
+            const char *labels)
+{
+  g_string_append_printf (out, "%s%s", name, suffix);
+  if (*labels)
+    g_string_append_printf (out, "{%s}", labels);
+}
+
+static void
+print_histogram (const char *name, const char *labels, const struct wy_hist *h,
+                 GString *out)
 {
   static const double quantile[] = { 0.5, 0.9, 0.99, 0.999 };
-  const struct wy_hist *h = x->u.histogram;
 
   for (size_t i = 0; i < G_N_ELEMENTS (quantile); i++)
-    g_string_append_printf (out, "%s{quantile=\"%g\"} %" PRIu64 "\n", x->name,
-                            quantile[i], wy_hist_quantile (h, quantile[i]));
-  g_string_append_printf (out, "%s_sum %" PRIu64 "\n%s_count %" PRIu64 "\n",
-                          x->name, h->sum, x->name, h->n);
+    g_string_append_printf (out, "%s{%s%squantile=\"%g\"} %" PRIu64 "\n", name,
+                            labels, *labels ? "," : "", quantile[i],
+                            wy_hist_quantile (h, quantile[i]));
+  print_name (out, name, "_sum", labels);
+  g_string_append_printf (out, " %" PRIu64 "\n", h->sum);
+  print_name (out, name, "_count", labels);
+  g_string_append_printf (out, " %" PRIu64 "\n", h->n);
+}
+
+static void
+print_family (const struct metric *x, GString *out)
+{
+  const struct wy_family *f = x->u.family;
+
+  for (guint i = 0; i < f->sets->len; i++)
+    {
+      const struct labelled *l = f->sets->pdata[i];
+
+      if (x->kind == METRIC_HISTOGRAMS)
+        {
+          print_histogram (x->name, l->labels, l->histogram, out);
+          continue;
+        }
+      print_name (out, x->name, "", l->labels);
+      g_string_append_printf (out, " %" PRIu64 "\n", l->counter);
+    }
 }
 
 /* Append all of M to OUT.  */
 void
 wy_metrics_print (const struct wy_metrics *m, GString *out)
 {
-  static const char *const type[] = { "counter", "gauge", "summary" };
+  static const char *const type[]
+      = { "counter", "gauge", "summary", "counter", "summary" };
 
   for (guint i = 0; i < m->all->len; i++)
     {
@@ -135,7 +301,11 @@
                                   x->u.gauge);
           break;
         case METRIC_HISTOGRAM:
-          print_histogram (x, out);
+          print_histogram (x->name, "", x->u.histogram, out);
+          break;
+        case METRIC_COUNTERS:
+        case METRIC_HISTOGRAMS:
+          print_family (x, out);
           break;
         }
     }
--- a/tests/support/platform_world.c
+++ b/tests/support/platform_world.c
@@ -107,6 +107,8 @@
     }
   c->latency_us = wy_metrics_histogram (w->metrics, "latency", "");
   c->item_us = wy_metrics_histogram (w->metrics, "item", "");
+  c->ended = wy_metrics_counters (w->metrics, "ended", "", 64);
+  c->latency_by = wy_metrics_histograms (w->metrics, "latency_by", "", 16);
 }
 
 /* The shared parts of an entry named NODE.  */
@@ -148,7 +150,7 @@
                                            .event_ms = EVENT_MS,
                                            .model = model };
   struct wy_platform_replica *r = wy_platform_replica_new (&o);
-  char *entry = wy_platform_replica_entry (r, "svc", "ready");
+  char *entry = wy_platform_replica_entry (r, "svc", "ready", NULL);
   struct wy_replica info;
 
   if (!wy_replica_decode (o.id, entry, strlen (entry), &info))
--- /dev/null
+++ b/tests/test_gate.c
@@ -0,0 +1,165 @@
+/* A whole gate: its doors, and what it says when it can't be sure.  */
+#include <criterion/criterion.h>
+#include <string.h>
+
+#include "gate/gate_state.h"
+#include "platform/config_wire.h"
+#include "support/platform_world.h"
+
+static struct platform_world w;
+static struct wy_gate_settings settings;
+static struct wy_gate *gate;
+static char addresses[4][32];
+static char store[32];
+
+enum
+{
+  CALLERS,
+  READY,
+  PEERS,
+  METRICS
+};
+
+static void
+on_stopped (void *ctx)
+{
+}
+
+/* Addresses that nobody listens on now.  */
+static void
+choose_addresses (void)
+{
+  for (int i = 0; i < 4; i++)
+    {
+      uv_tcp_t probe;
+      struct sockaddr_in a = platform_loopback (0);
+      int n = sizeof a;
+
+      uv_tcp_init (&w.loop, &probe);
+      uv_tcp_bind (&probe, (const struct sockaddr *)&a, 0);
+      uv_tcp_getsockname (&probe, (struct sockaddr *)&a, &n);
+      snprintf (addresses[i], sizeof addresses[i], "127.0.0.1:%u",
+                ntohs (a.sin_port));
+      uv_close ((uv_handle_t *)&probe, NULL);
+      uv_run (&w.loop, UV_RUN_NOWAIT);
+    }
+}
+
+static bool
+is_ready (void *ctx)
+{
+  return gate->env.routing && wy_watch_is_synced (gate->replicas);
+}
+
+static void
+start (void)
+{
+  struct wy_gate_options o = { .loop = &w.loop,
+                               .clock = wy_clock_system (),
+                               .settings = &settings,
+                               .on_stopped = on_stopped };
+
+  platform_world_init (&w);
+  platform_world_add_env (&w, "unused");
+  platform_world_add_replica (&w, NULL, 0);
+  choose_addresses ();
+  snprintf (store, sizeof store, "127.0.0.1:%u",
+            wy_platform_store_port (w.store));
+  settings = (struct wy_gate_settings){ .name = "gate-1",
+                                        .availability_zone = "z1",
+                                        .callers = addresses[CALLERS],
+                                        .ready = addresses[READY],
+                                        .peers = addresses[PEERS],
+                                        .metrics = addresses[METRICS],
+                                        .store = store,
+                                        .seeds = g_ptr_array_new (),
+                                        .object_bytes = 1 << 20,
+                                        .row_bytes = 1 << 16,
+                                        .memory_mb = 64,
+                                        .cpu_share = 1,
+                                        .keep_s = 60,
+                                        .grace_s = 2 };
+  wy_platform_store_put (
+      w.store, WY_OPERATOR_TABLE, "", "config",
+      "{\"version\":1,\"routes\":[{\"name\":\"desk\",\"host\":\"h\","
+      "\"prefix\":\"/p/\",\"kind\":\"safe\",\"service\":\"svc\","
+      "\"attempts\":2,\"timeoutMs\":2000,\"targetLatencyMs\":150}],"
+      "\"services\":[{\"name\":\"svc\",\"connectionLimit\":100}],"
+      "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":1048576,"
+      "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}");
+  cr_assert_eq (wy_gate_new (&gate, &o), 0);
+  cr_assert (platform_world_until (&w, is_ready, NULL));
+}
+
+static void
+stop (void)
+{
+  wy_gate_free (gate);
+  platform_world_run_ms (&w, 50);
+  platform_world_free (&w);
+}
+
+static struct platform_answer *
+ask (int door, const char *target)
+{
+  struct wy_h1_pair fields[] = { { "Host", "h" }, { "Attempt-Id", "a-1" } };
+  uint16_t port = (uint16_t)atoi (strchr (addresses[door], ':') + 1);
+  struct platform_answer *a
+      = platform_world_call (&w, port, "GET", target, fields, 2, NULL);
+
+  cr_assert (platform_world_until (&w, platform_answer_done, a));
+  return a;
+}
+
+static int
+status_of (const char *target)
+{
+  struct platform_answer *a = ask (CALLERS, target);
+  int status = a->status;
+
+  cr_expect_eq (a->retry_after != NULL, status == 503);
+  platform_answer_free (a);
+  return status;
+}
+
+/* An entry is paused, or cut off from the store, while a route is added.  Its
+   caller must not hear that there is no such route, after which it would not
+   come again, but that it may come back; what is known is served.  */
+Test (gate, unknown_route_while_cut_off)
+{
+  start ();
+  cr_expect_eq (status_of ("/p/x"), 200);
+  cr_expect_eq (status_of ("/new/x"), 404);
+  wy_platform_store_faults (w.store)->silent = true;
+  platform_world_run_ms (&w, 2600);
+  cr_expect_eq (status_of ("/p/x"), 200);
+  cr_expect_eq (status_of ("/new/x"), 503);
+  wy_platform_store_faults (w.store)->silent = false;
+  platform_world_run_ms (&w, 1500);
+  cr_expect_eq (status_of ("/new/x"), 404);
+  stop ();
+}
+
+/* What became of requests shows on the metrics page, by route and outcome,
+   and how calls to the store ended.  */
+Test (gate, metrics)
+{
+  struct platform_answer *a;
+  const char *text;
+
+  start ();
+  cr_expect_eq (status_of ("/p/x"), 200);
+  a = ask (METRICS, "/metrics");
+  text = a->body->str;
+  cr_expect_not_null (strstr (text,
+                              "wy_gate_requests_ended_total{route=\"desk\","
+                              "outcome=\"answered\",reason=\"replica\"} 1\n"),
+                      "%s", text);
+  cr_expect_not_null (strstr (text,
+                              "wy_gate_request_us_count{route=\"desk\","
+                              "service=\"svc\",outcome=\"answered\"} 1\n"));
+  cr_expect_not_null (strstr (text, "wy_gate_store_calls_ended_total{"));
+  cr_expect_not_null (strstr (text, "\nwy_gate_jobs_oldest_ms 0\n"));
+  platform_answer_free (a);
+  stop ();
+}
--- a/tests/test_orders.c
+++ b/tests/test_orders.c
@@ -2,7 +2,7 @@
 #include <criterion/criterion.h>
 #include <string.h>
 
-#include "orders/orderer.h"
+#include "orders/orderer_state.h"
 #include "platform/config_wire.h"
 #include "platform/replica_wire.h"
 #include "support/platform_world.h"
@@ -152,3 +152,47 @@
   cr_expect (loads (2));
   stop ();
 }
+
+/* A port that nobody listens on now.  */
+static uint16_t
+free_port (void)
+{
+  uv_tcp_t probe;
+  struct sockaddr_in a = platform_loopback (0);
+  int n = sizeof a;
+
+  uv_tcp_init (&w.loop, &probe);
+  uv_tcp_bind (&probe, (const struct sockaddr *)&a, 0);
+  uv_tcp_getsockname (&probe, (struct sockaddr *)&a, &n);
+  uv_close ((uv_handle_t *)&probe, NULL);
+  uv_run (&w.loop, UV_RUN_NOWAIT);
+  return ntohs (a.sin_port);
+}
+
+/* What an orderer does shows on its own metrics address.  */
+Test (orders, metrics)
+{
+  char metrics[32];
+  struct platform_answer *a;
+  struct wy_h1_pair host = { "Host", "m" };
+
+  start ();
+  wy_orderer_daemon_free (d);
+  platform_world_run_ms (&w, 50);
+  snprintf (metrics, sizeof metrics, "127.0.0.1:%u", free_port ());
+  settings.metrics = metrics;
+  start_daemon ();
+  name_version (2);
+  cr_expect (loads (2));
+  platform_world_run_ms (&w, 300);
+  a = platform_world_call (&w, wy_h1_server_port (d->metrics.server), "GET",
+                           "/metrics", &host, 1, NULL);
+  cr_assert (platform_world_until (&w, platform_answer_done, a));
+  cr_expect_eq (a->status, 200);
+  cr_expect_not_null (strstr (a->body->str, "\nwy_orderer_version_held 2\n"),
+                      "%s", a->body->str);
+  cr_expect_not_null (
+      strstr (a->body->str, "wy_orderer_orders_total{outcome=\"accepted\"}"));
+  platform_answer_free (a);
+  stop ();
+}
