Log lines on requests and jobs are left out last; their cost is in the bench

Cause: a flood of lines on items or beliefs could push out the line of the very request that failed; what was left out was told as one number. A quarter of the lines a second, and of the bytes kept, is now for requests and jobs alone.

--- a/bench/micro.c
+++ b/bench/micro.c
@@ -1,14 +1,21 @@
 /* Time per decision on this machine, and its growth with the number of
    targets.  Prints one line per figure: case, size, policy, figure, value.  */
+#include <fcntl.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <unistd.h>
+
+#include <uv.h>
 
 #include "base/clock.h"
 #include "base/rng.h"
 #include "decide/place.h"
 #include "decide/queue.h"
+#include "trace/note.h"
 
 #define SEED 20261202
+/* Within what is written in a second.  */
+#define LOG_LINES 1500
 #define PICKS 2000000
 #define OFFERS 1000000
 #define KEYS 20000
@@ -131,6 +138,39 @@
   return ns_since (from_us, OFFERS);
 }
 
+/* A log line of a request, formatted and written where nobody reads.  */
+static double
+log_line_ns (void)
+{
+  uv_loop_t loop;
+  int out = dup (STDOUT_FILENO);
+  int nowhere = open ("/dev/null", O_WRONLY);
+  int64_t from_us;
+  double ns;
+
+  fflush (stdout);
+  if (out < 0 || nowhere < 0 || dup2 (nowhere, STDOUT_FILENO) < 0)
+    abort ();
+  uv_loop_init (&loop);
+  wy_note_open (&loop, "bench", "1");
+  from_us = wy_clock_mono_us (wy_clock_system ());
+  for (int i = 0; i < LOG_LINES; i++)
+    wy_note ("request.ended",
+             "id=%s route=%s service=%s config=%lld outcome=answered "
+             "status=%d target=%s sends=%u ms=%lld target_ms=%lld",
+             "9c41d07be2a35f68", "claim-filing", "portal", 12LL, 200,
+             "i-7f3a91c2", 1U, 26LL, 25LL);
+  ns = ns_since (from_us, LOG_LINES);
+  wy_note_close ();
+  uv_run (&loop, UV_RUN_NOWAIT);
+  uv_loop_close (&loop);
+  if (dup2 (out, STDOUT_FILENO) < 0)
+    abort ();
+  close (out);
+  close (nowhere);
+  return ns;
+}
+
 int
 main (void)
 {
@@ -148,5 +188,6 @@
     }
   line ("queue_ns", 64, queue_ns (64));
   line ("queue_ns", 4000, queue_ns (4000));
+  line ("log_line_ns", 1, log_line_ns ());
   return 0;
 }
--- a/scripts/platform.sh
+++ b/scripts/platform.sh
@@ -19,11 +19,12 @@
   exit 1
 }
 
-# free_ports N: ports that nobody listens on now, below the ephemeral range.
+# free_ports N [FROM]: ports that nobody listens on now, below the ephemeral
+# range; FROM keeps runs beside each other apart.
 free_ports() {
   local n=$1 port used
   used=$(cat /proc/net/tcp | awk 'NR > 1 {split($2, a, ":"); print a[2]}')
-  port=$((16000 + (BASHPID * 131 + SRANDOM) % 12000))
+  port=${2:-$((16000 + SRANDOM % 12000))}
   while [ "$n" -gt 0 ]; do
     if ! printf '%s\n' "$used" | grep -qi "^$(printf '%04X' $port)$"; then
       echo $port
--- a/scripts/soak-platform.sh
+++ b/scripts/soak-platform.sh
@@ -30,8 +30,9 @@
 
 # Ports: three a gate; then the proxy's: callers and store of each gate, the
 # orderers' store, the replicas.
-mapfile -t OWN < <(free_ports $((3 * GATES)))
-mapfile -t VIA < <(free_ports $((2 * GATES + 1 + ENGINES + DESKS)))
+base=$((16000 + SEED % 300 * 40))
+mapfile -t OWN < <(free_ports $((3 * GATES)) $base)
+mapfile -t VIA < <(free_ports $((2 * GATES + 1 + ENGINES + DESKS)) $((base + 20)))
 callers=("${VIA[@]:0:$GATES}")
 stores=("${VIA[@]:$GATES:$((GATES + 1))}")
 replicas=("${VIA[@]:$((2 * GATES + 1))}")
--- a/src/trace/note.c
+++ b/src/trace/note.c
@@ -22,7 +22,11 @@
   /* A reader that has stopped reading costs lines, not memory.  */
   KEPT_BYTES = 262144,
   /* Lines a second that are written; the rest of a flood is counted.  */
-  LINES_PER_S = 2000
+  LINES_PER_S = 2000,
+  /* Of these, and of the bytes kept, one part in so many is for lines on
+     requests and jobs alone: they are what a caller's complaint is traced by,
+     and are left out last.  */
+  REQUEST_DIVISOR = 4
 };
 
 static struct
@@ -34,7 +38,9 @@
   char process[64];
   char incarnation[64];
   uint64_t dropped;
+  uint64_t dropped_requests; /* lines on requests and jobs among them */
   uint64_t told_dropped;
+  uint64_t told_requests;
   int64_t second;
   uint32_t lines;
 } note;
@@ -144,19 +150,31 @@
 }
 
 static bool
-admit (const struct timespec *ts)
+is_of_request (const char *event)
 {
+  return g_str_has_prefix (event, "request.")
+         || g_str_has_prefix (event, "job.");
+}
+
+static bool
+admit (const struct timespec *ts, const char *event)
+{
+  bool request = is_of_request (event);
+  uint32_t part = request ? REQUEST_DIVISOR : REQUEST_DIVISOR - 1;
+
   if (ts->tv_sec != note.second)
     {
       note.second = ts->tv_sec;
       note.lines = 0;
     }
-  if (note.out->len < KEPT_BYTES && note.lines < LINES_PER_S)
+  if (note.out->len < KEPT_BYTES / REQUEST_DIVISOR * part
+      && note.lines < LINES_PER_S / REQUEST_DIVISOR * part)
     {
       note.lines++;
       return true;
     }
   note.dropped++;
+  note.dropped_requests += request;
   return false;
 }
 
@@ -177,9 +195,11 @@
     return;
   append_head (ts, "log.dropped");
   g_string_append_printf (
-      note.out, ",\"lines\":%llu}\n",
-      (unsigned long long)(note.dropped - note.told_dropped));
+      note.out, ",\"lines\":%llu,\"of_requests\":%llu}\n",
+      (unsigned long long)(note.dropped - note.told_dropped),
+      (unsigned long long)(note.dropped_requests - note.told_requests));
   note.told_dropped = note.dropped;
+  note.told_requests = note.dropped_requests;
 }
 
 /* Log EVENT with the pairs that FMT gives, such as "id=%s age_ms=%d".
@@ -194,7 +214,7 @@
   if (!note.open)
     return;
   now (&ts);
-  if (!admit (&ts))
+  if (!admit (&ts, event))
     return;
   va_start (ap, fmt);
   vsnprintf (pairs, sizeof pairs, fmt, ap);
--- a/tests/test_note.c
+++ b/tests/test_note.c
@@ -82,3 +82,36 @@
   cr_expect_lt (size, (size_t)FLOOD * 60);
   wy_note_close ();
 }
+
+/* A flood of lines on beliefs and items comes in the second in which a
+   caller's request fails.  Its line must be there all the same, and what was
+   left out be told by kind.  */
+Test (note, lines_on_requests_go_last)
+{
+  enum
+  {
+    FLOOD = 20000
+  };
+  static char buffer[1 << 22];
+  size_t size = 0;
+  ssize_t n;
+
+  start ();
+  fcntl (fds[0], F_SETFL, O_NONBLOCK);
+  for (int i = 0; i < FLOOD; i++)
+    {
+      wy_note ("item.run_started", "i=%d", i);
+      wy_note_flush ();
+      while ((n = read (fds[0], buffer + size, sizeof buffer - 1 - size)) > 0)
+        size += (size_t)n;
+    }
+  wy_note ("request.ended", "id=%s", "the-one");
+  wy_note_flush ();
+  while ((n = read (fds[0], buffer + size, sizeof buffer - 1 - size)) > 0)
+    size += (size_t)n;
+  buffer[size] = '\0';
+  cr_expect_gt (wy_note_dropped (), 0);
+  cr_expect_not_null (strstr (buffer, "the-one"));
+  cr_expect_not_null (strstr (buffer, "\"of_requests\":0}"));
+  wy_note_close ();
+}
