Jobs beyond an entry's memory are refused

Cause: bodies being read were bounded, jobs that run were not: 300 jobs of 300 KB end a small entry and all that it runs. Half of the memory is now for jobs, each counted at four times its body (items, texts, body and parsed form while it is accepted); beyond it submissions hear 503 with a time to come back, handed-on jobs stay where they were accepted, and others take over. Shown by tests/test_jobs.c, hundreds_beyond_the_memory.

--- a/src/gate/follow.c
+++ b/src/gate/follow.c
@@ -200,7 +200,9 @@
           .seed = seed + 3,
           .piece_bytes = (uint32_t)g->o.settings->object_bytes,
           .row_bytes = (uint32_t)g->o.settings->row_bytes,
-          .keep_ms = (int64_t)(g->o.settings->keep_s * WY_MS_PER_S) };
+          .keep_ms = (int64_t)(g->o.settings->keep_s * WY_MS_PER_S),
+          .memory_bytes = (uint64_t)g->o.settings->memory_mb * WY_GATE_MB
+                          / WY_GATE_JOBS_SHARE };
 
   g->operator_rows = wy_watch_new (&w);
   w.table = WY_REPLICA_TABLE;
--- a/src/gate/gate_state.h
+++ b/src/gate/gate_state.h
@@ -15,6 +15,8 @@
   WY_GATE_MB = 1 << 20,
   /* Share of the memory that bodies being read may take.  */
   WY_GATE_BODY_SHARE = 8,
+  /* And that jobs may take.  */
+  WY_GATE_JOBS_SHARE = 2,
   /* Label sets of a metric; a histogram takes 8 KB.  */
   WY_GATE_LABEL_SETS = 256,
   WY_GATE_HISTOGRAM_SETS = 24,
--- a/src/jobs/accept.c
+++ b/src/jobs/accept.c
@@ -79,6 +79,7 @@
       else
         wy_refuse (r, status, reason, status == 503 ? RETRY_AFTER_MS : 0);
     }
+  a->jobs->accepting_bytes -= a->body->len;
   wy_job_record_free (a->record);
   wy_job_spec_free (a->spec);
   g_string_free (a->body, TRUE);
@@ -286,6 +287,13 @@
       wy_h1_respond (r, STATUS_ACCEPTED, NULL, 0, "", 0);
       return;
     }
+  if (!wy_jobs_have_room (j, n))
+    {
+      wy_note ("job.submitted", "id=%s status=503 reason=memory bytes=%zu",
+               info.id, n);
+      wy_refuse (r, 503, "memory", RETRY_AFTER_MS);
+      return;
+    }
   spec = wy_job_decode (body, n, &why);
   if (!spec)
     {
@@ -302,6 +310,7 @@
   a->record = new_record (j, &info, wy_h1_target (r), spec->items->len, n);
   choose_holder (a);
   a->started_ms = wy_clock_mono_ms (j->env->clock);
+  j->accepting_bytes += n;
   uv_timer_init (j->env->loop, &a->timer);
   a->timer.data = a;
   wy_h1_on_hangup (r, on_hangup, a);
--- a/src/jobs/hand_on.c
+++ b/src/jobs/hand_on.c
@@ -185,7 +185,8 @@
     return false;
   record = read_record (r);
   body = wy_h1_body (r, &n);
-  if (record && !strcmp (record->holder, j->env->holder) && !j->env->stopping)
+  if (record && !strcmp (record->holder, j->env->holder) && !j->env->stopping
+      && wy_jobs_have_room (j, n))
     spec = wy_job_decode (body, n, &why);
   if (!spec)
     {
--- a/src/jobs/jobs.c
+++ b/src/jobs/jobs.c
@@ -22,7 +22,10 @@
   /* Entries take over a job in an order of their own; each waits this much
      longer than the one before it, so that mostly one writes.  */
   RANK_DELAY_MS = 250,
-  ROW_MARGIN_BYTES = 64
+  ROW_MARGIN_BYTES = 64,
+  /* Memory that a job takes, as a multiple of its submitted body: the items,
+     their texts, and while it is accepted the body and its parsed form.  */
+  BODY_MULTIPLE = 4
 };
 
 /* The record of the job ID as last told; NULL: none.  */
@@ -167,12 +170,32 @@
   return w;
 }
 
+/* Whether one more job with a body of BODY_BYTES fits into the memory set
+   aside for jobs.  Hundreds of large ones at a time would else end the process
+   and all that it runs; what is refused finds another entry.  */
+bool
+wy_jobs_have_room (const struct wy_jobs *j, size_t body_bytes)
+{
+  uint64_t held = j->accepting_bytes + body_bytes;
+  GHashTableIter it;
+  gpointer p;
+
+  if (j->memory_bytes == 0)
+    return true;
+  g_hash_table_iter_init (&it, j->owned);
+  while (g_hash_table_iter_next (&it, NULL, &p))
+    held += ((const struct wy_owned *)p)->spec->size_bytes;
+  return held * BODY_MULTIPLE <= j->memory_bytes;
+}
+
 static bool
 should_take (struct wy_jobs *j, const struct wy_job_record *r, int64_t now_ms)
 {
   if (r->state != WY_JOB_OPEN || g_hash_table_contains (j->owned, r->id)
       || g_hash_table_contains (j->taking, r->id))
     return false;
+  if (!wy_jobs_have_room (j, 0))
+    return false;
   if (!strcmp (r->holder, j->env->holder))
     return true;
   if (!wy_members_is_gone (j->members, r->holder))
@@ -301,6 +324,7 @@
   j->members = o->members;
   j->piece_bytes = o->piece_bytes;
   j->keep_ms = o->keep_ms;
+  j->memory_bytes = o->memory_bytes;
   /* The store counts a row's bytes as they travel, in base64.  */
   j->row_bytes = o->row_bytes / 4 * 3 - ROW_MARGIN_BYTES;
   j->records
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -18,9 +18,10 @@
   struct wy_gate_env *env;
   struct wy_members *members;
   uint64_t seed;
-  uint32_t piece_bytes; /* largest object that the store takes */
-  uint32_t row_bytes;   /* largest row */
-  int64_t keep_ms;      /* results, from their job's submission */
+  uint32_t piece_bytes;  /* largest object that the store takes */
+  uint32_t row_bytes;    /* largest row */
+  int64_t keep_ms;       /* results, from their job's submission */
+  uint64_t memory_bytes; /* for jobs at a time; 0: no limit */
 };
 
 struct wy_jobs *wy_jobs_new (const struct wy_jobs_options *o);
--- a/src/jobs/spec.h
+++ b/src/jobs/spec.h
@@ -27,6 +27,7 @@
   int64_t min_version;    /* of the weights */
   uint32_t wanted_groups; /* after which the trainer ends the job */
   GPtrArray *items;       /* struct wy_item_spec */
+  size_t size_bytes;      /* as submitted */
 };
 
 struct wy_job_spec *wy_job_spec_new (void);
--- a/src/jobs/state.h
+++ b/src/jobs/state.h
@@ -11,6 +11,8 @@
   struct wy_members *members;
   uint32_t piece_bytes;
   size_t row_bytes;
+  uint64_t memory_bytes;
+  uint64_t accepting_bytes; /* of submissions not yet answered */
   struct wy_watch *watch;
   struct wy_lags *lags;
   uv_timer_t tick;
@@ -38,6 +40,7 @@
 void wy_jobs_hand_on (struct wy_jobs *j, const struct wy_job_record *r,
                       const struct sockaddr_in *address, const char *body,
                       size_t n);
+bool wy_jobs_have_room (const struct wy_jobs *j, size_t body_bytes);
 void wy_jobs_clean (struct wy_jobs *j);
 void wy_jobs_wake_readers (struct wy_jobs *j, const char *id);
 void wy_jobs_read_tick (struct wy_jobs *j);
--- a/tests/support/job_world.c
+++ b/tests/support/job_world.c
@@ -6,6 +6,7 @@
 
 struct platform_world job_world;
 struct job_entry job_entry;
+uint64_t job_memory_bytes;
 
 static void
 on_request (void *ctx, struct wy_h1_request *r)
@@ -34,8 +35,10 @@
 {
   struct wy_members_options m
       = { .env = &job_world.env, .address = "127.0.0.1:1" };
-  struct wy_jobs_options j
-      = { .env = &job_world.env, .piece_bytes = 512, .row_bytes = 65536 };
+  struct wy_jobs_options j = { .env = &job_world.env,
+                               .piece_bytes = 512,
+                               .row_bytes = 65536,
+                               .memory_bytes = job_memory_bytes };
   struct wy_h1_server_options o
       = { .loop = &job_world.loop,
           .host = "127.0.0.1",
--- a/tests/support/job_world.h
+++ b/tests/support/job_world.h
@@ -22,6 +22,8 @@
 
 extern struct platform_world job_world;
 extern struct job_entry job_entry;
+/* Of the entry that starts next; 0: no limit.  */
+extern uint64_t job_memory_bytes;
 
 void job_world_start_entry (void);
 void job_world_stop_entry (void);
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -193,3 +193,44 @@
                 0);
   job_world_stop ();
 }
+
+/* Trainers submit hundreds of jobs while the replicas stand still.  An entry
+   must not die of them: beyond its memory it refuses, says when to come back,
+   and takes jobs again when it has room.  What it took is done.  */
+Test (jobs, hundreds_beyond_the_memory)
+{
+  enum
+  {
+    SUBMISSIONS = 300,
+    FITTING = 40
+  };
+  char *body = job_world_body (1);
+  char id[16];
+  uint32_t taken = 0;
+  uint32_t refused = 0;
+
+  job_memory_bytes = strlen (body) * 4 * FITTING;
+  job_world_start (1);
+  wy_platform_replica_faults (job_world.replicas[0])->silent = true;
+  for (int i = 0; i < SUBMISSIONS; i++)
+    {
+      struct platform_answer *a;
+
+      g_snprintf (id, sizeof id, "m%d", i);
+      a = job_world_call ("POST", "/p/job", id, body);
+      taken += a->status == 202;
+      refused += a->status == 503 && a->retry_after;
+      platform_answer_free (a);
+    }
+  cr_expect_eq (taken, FITTING);
+  cr_expect_eq (refused, SUBMISSIONS - FITTING);
+  cr_expect_eq (wy_jobs_running (job_entry.jobs), FITTING);
+  wy_platform_replica_faults (job_world.replicas[0])->silent = false;
+  job_world_check_all ("m0");
+  g_snprintf (id, sizeof id, "m%d", FITTING - 1);
+  job_world_check_all (id);
+  platform_world_run_ms (&job_world, 200);
+  cr_expect_eq (job_world_submit ("late", 1), 202);
+  g_free (body);
+  job_world_stop ();
+}
