--- a/scripts/config-page.sh
+++ b/scripts/config-page.sh
@@ -7,7 +7,8 @@
 # Settings
 
 Made by `scripts/config-page.sh` from the programs' own tables; CI checks that it is current. Every program takes
-`--config FILE` (YAML, one mapping) and `--check-config`. A fault is told as `FILE:LINE: key: what is wrong, what is
+`--config FILE` (YAML, one mapping) and `--check-config`; `wygated` and `wyorderd --check-template FILE` check a template with
+`{{name}}` places before it is deployed. A fault is told as `FILE:LINE: key: what is wrong, what is
 allowed`, and the program ends with 2.
 T
 for p in wyentryd wyagentd wygated wyorderd wyctl; do
--- a/src/config/program.c
+++ b/src/config/program.c
@@ -1,8 +1,11 @@
-/* Command line of the daemons: --help, --version, --config, --check-config
-   and --describe-settings.  */
+/* Command line of the daemons: --help, --version, --config, --check-config,
+   --check-template and --describe-settings.  */
 #include "config/program.h"
 
 #include <stdio.h>
+#include <string.h>
+
+#include "config/template.h"
 
 static int
 check (const struct wy_program *p, const char *path)
@@ -15,6 +18,32 @@
   return err;
 }
 
+/* Check the template at PATH as if each place held a value that is allowed. */
+static int
+check_template (const struct wy_program *p, const char *path)
+{
+  GString *errors = g_string_new (NULL);
+  char *text = NULL;
+  char *sample = NULL;
+  int err = WY_CONFIG_EOPEN;
+
+  if (!g_file_get_contents (path, &text, NULL, NULL))
+    g_string_append_printf (errors,
+                            "%s:0: ?: can't be read, a file is "
+                            "allowed\n",
+                            path);
+  else
+    sample = wy_template_sample (path, text, p->table, p->n, errors);
+  if (sample)
+    err = wy_settings_parse (path, sample, strlen (sample), p->table, p->n,
+                             p->settings, errors);
+  fputs (errors->str, stderr);
+  g_string_free (errors, TRUE);
+  g_free (sample);
+  g_free (text);
+  return err;
+}
+
 static void
 describe (const struct wy_program *p)
 {
@@ -34,11 +63,14 @@
   gboolean check_only = FALSE;
   gboolean describe_only = FALSE;
   static char *path; /* stays, for reloads */
+  static char *template;
   GOptionEntry entries[]
       = { { "config", 'c', 0, G_OPTION_ARG_FILENAME, &path,
             "Settings file (YAML)", "FILE" },
           { "check-config", 0, 0, G_OPTION_ARG_NONE, &check_only,
             "Check the settings file and exit", NULL },
+          { "check-template", 0, 0, G_OPTION_ARG_FILENAME, &template,
+            "Check a template of settings and exit", "FILE" },
           { "describe-settings", 0, 0, G_OPTION_ARG_NONE, &describe_only,
             "Print the table of settings and exit", NULL },
           { "version", 'V', 0, G_OPTION_ARG_NONE, &version,
@@ -66,6 +98,8 @@
       describe (p);
       rc = WY_EXIT_OK;
     }
+  else if (template)
+    rc = check_template (p, template) ? WY_EXIT_USAGE : WY_EXIT_OK;
   else if (argc > 1 || !path)
     {
       fprintf (stderr, "%s: --config FILE is needed; see --help\n", p->name);
--- a/src/ctl/main.c
+++ b/src/ctl/main.c
@@ -15,7 +15,8 @@
 };
 
 static const struct command commands[] = {
-  { "status", "", "targets, yards and leases", wy_ctl_status },
+  { "status", "", "targets, yards and leases; of a gate, its beliefs",
+    wy_ctl_status },
   { "watch", "", "status, shown again every second", wy_ctl_watch },
   { "config", "", "the configuration in force", wy_ctl_config },
   { "plan", "FILE", "what a document would change", wy_ctl_plan },
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -6,10 +6,14 @@
 
 #include "gate/answer.h"
 #include "gate/proxy.h"
+#include "gate/status.h"
 #include "platform/replica_wire.h"
 #include "platform/request_wire.h"
 #include "trace/note.h"
 
+/* Beside the metrics, where wyctl asks.  */
+#define STATUS_TARGET "/v1/status"
+
 enum
 {
   CONNECT_TIMEOUT_MS = 400,
@@ -175,9 +179,19 @@
 {
   static const struct wy_h1_pair type
       = { "Content-Type", "text/plain; version=0.0.4" };
+  static const struct wy_h1_pair json = { "Content-Type", "application/json" };
   struct wy_gate *g = ctx;
-  GString *out = g_string_new (NULL);
+  GString *out;
+
+  if (!strcmp (wy_h1_target (r), STATUS_TARGET))
+    {
+      char *text = wy_gate_status (g);
 
+      wy_h1_respond (r, 200, &json, 1, text, strlen (text));
+      g_free (text);
+      return;
+    }
+  out = g_string_new (NULL);
   wy_gate_read_gauges (g);
   wy_metrics_print (g->metrics, out);
   wy_h1_respond (r, 200, &type, 1, out->str, out->len);
--- a/src/gate/members.c
+++ b/src/gate/members.c
@@ -459,6 +459,38 @@
   return wy_address_parse (text, out);
 }
 
+static const char *
+state_of (const struct member *e)
+{
+  if (e->silent_ms >= GONE_AFTER_MS)
+    return "gone";
+  if (e->leaving)
+    return "leaving";
+  return e->draining ? "draining" : "alive";
+}
+
+/* Tell FN of each entry that is known.  */
+void
+wy_members_each (const struct wy_members *m,
+                 void (*fn) (void *ctx, const struct wy_member_view *v),
+                 void *ctx)
+{
+  GHashTableIter it;
+  gpointer p;
+
+  g_hash_table_iter_init (&it, m->by_node);
+  while (g_hash_table_iter_next (&it, NULL, &p))
+    {
+      const struct member *e = p;
+      struct wy_member_view v = { .node = e->node,
+                                  .holder = e->holder,
+                                  .state = state_of (e),
+                                  .silent_ms = e->silent_ms };
+
+      fn (ctx, &v);
+    }
+}
+
 /* Age in ms of what is known; -1: nothing is.  */
 int64_t
 wy_members_age_ms (const struct wy_members *m)
--- a/src/gate/members.h
+++ b/src/gate/members.h
@@ -27,6 +27,15 @@
   void *ctx;
 };
 
+/* One entry as it is believed to be.  */
+struct wy_member_view
+{
+  const char *node;
+  const char *holder;
+  const char *state; /* alive, draining, leaving, gone */
+  int64_t silent_ms;
+};
+
 struct wy_members *wy_members_new (const struct wy_members_options *o);
 void wy_members_free (struct wy_members *m);
 void wy_members_leave (struct wy_members *m);
@@ -39,6 +48,9 @@
 size_t wy_members_addresses (const struct wy_members *m,
                              struct sockaddr_in *out, size_t max);
 bool wy_member_address (const struct wy_row *row, struct sockaddr_in *out);
+void wy_members_each (const struct wy_members *m,
+                      void (*fn) (void *ctx, const struct wy_member_view *v),
+                      void *ctx);
 int64_t wy_members_age_ms (const struct wy_members *m);
 
 #endif
--- a/src/gate/targets.c
+++ b/src/gate/targets.c
@@ -161,6 +161,19 @@
   return g->listed && !g->info.draining && !strcmp (g->info.service, service);
 }
 
+/* Tell FN of each target that is known.  */
+void
+wy_targets_each (const struct wy_targets *t,
+                 void (*fn) (void *ctx, const struct wy_target *g), void *ctx)
+{
+  GHashTableIter it;
+  gpointer g;
+
+  g_hash_table_iter_init (&it, t->by_id);
+  while (g_hash_table_iter_next (&it, NULL, &g))
+    fn (ctx, g);
+}
+
 /* Number of targets of SERVICE that take work.  */
 uint32_t
 wy_targets_ready (const struct wy_targets *t, const char *service)
--- a/src/gate/targets.h
+++ b/src/gate/targets.h
@@ -65,6 +65,9 @@
                                   const struct wy_replica *info);
 void wy_targets_remove (struct wy_targets *t, const char *id);
 struct wy_target *wy_targets_find (struct wy_targets *t, const char *id);
+void wy_targets_each (const struct wy_targets *t,
+                      void (*fn) (void *ctx, const struct wy_target *g),
+                      void *ctx);
 uint32_t wy_targets_ready (const struct wy_targets *t, const char *service);
 struct wy_target *wy_targets_pick (struct wy_targets *t,
                                    const struct wy_pick *p, int64_t now_ms);
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -37,6 +37,22 @@
 };
 
 void wy_jobs_work (const struct wy_jobs *j, struct wy_jobs_work *out);
+
+/* One job as it is known.  */
+struct wy_job_view
+{
+  const char *id;
+  const char *state;
+  const char *holder;
+  bool here; /* it is run by this entry */
+  uint32_t listed;
+  uint32_t of;
+  int64_t age_ms; /* since it runs here; -1: elsewhere */
+};
+
+void wy_jobs_each (const struct wy_jobs *j, bool here,
+                   void (*fn) (void *ctx, const struct wy_job_view *v),
+                   void *ctx);
 uint32_t wy_jobs_running (const struct wy_jobs *j);
 void wy_jobs_version_named (struct wy_jobs *j, const char *model,
                             int64_t version);
--- a/tests/test_examples.c
+++ b/tests/test_examples.c
@@ -5,7 +5,10 @@
 
 #include "agent/settings.h"
 #include "config/document.h"
+#include "config/template.h"
 #include "entry/settings.h"
+#include "gate/settings.h"
+#include "orders/settings.h"
 
 static void
 load (const char *path, const struct wy_setting *table, size_t n, void *out)
@@ -83,3 +86,76 @@
   check_deployment ("examples/carde-review", "wyagentd-desk.yaml",
                     "carde-overdraft-review", WY_WEIGHS_IDLE);
 }
+
+static bool
+template_is_good (const char *path, const char *text,
+                  const struct wy_setting *table, size_t n, void *out,
+                  GString *errors)
+{
+  char *sample = wy_template_sample (path, text, table, n, errors);
+  bool good = sample
+              && !wy_settings_parse (path, sample, strlen (sample), table, n,
+                                     out, errors);
+
+  g_free (sample);
+  return good;
+}
+
+static void
+check_template (const char *path, const struct wy_setting *table, size_t n,
+                void *out)
+{
+  GString *errors = g_string_new (NULL);
+  char *text = NULL;
+
+  cr_assert (g_file_get_contents (path, &text, NULL, NULL), "%s", path);
+  cr_expect (template_is_good (path, text, table, n, out, errors), "%s",
+             errors->str);
+  g_free (text);
+  g_string_free (errors, TRUE);
+}
+
+/* The templates that are deployed have the keys of the programs.  */
+Test (examples, templates)
+{
+  static struct wy_gate_settings gate;
+  static struct wy_orders_settings orders;
+
+  check_template ("deploy/gate.yaml", wy_gate_settings_table,
+                  wy_gate_settings_count, &gate);
+  check_template ("deploy/orderer.yaml", wy_orders_settings_table,
+                  wy_orders_settings_count, &orders);
+}
+
+/* A template with a fault is deployed to hundreds of machines, none of which
+   starts.  Each fault must be found before, and told by its line.  */
+Test (examples, template_faults)
+{
+  static const struct
+  {
+    const char *text;
+    const char *fault;
+  } rows[] = {
+    { "name: \"{{node}\"\n", "t:1: name: place not closed" },
+    { "name: \"{{}}\"\n", "t:1: name: place not closed" },
+    { "seeds: [{{#seeds}}\"{{.}}\"]\n", "t:1: seeds: place not closed" },
+    { "seeds: [\"{{.}}\"{{/seeds}}]\n", "t:1: seeds: place not closed" },
+    { "name: \"{{node}}\"\nspeed: {{x}}\n", "t:2: speed: unknown key" },
+    { "name: \"{{node}}\"\ngrace_s: fast\n", "t:2: grace_s: wrong value" },
+    { "name: \"{{node}}\"\n", "callers_address: missing" },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      struct wy_gate_settings gate = { 0 };
+      GString *errors = g_string_new (NULL);
+
+      cr_expect_not (template_is_good ("t", rows[i].text,
+                                       wy_gate_settings_table,
+                                       wy_gate_settings_count, &gate, errors));
+      cr_expect_not_null (strstr (errors->str, rows[i].fault), "%s: %s",
+                          rows[i].text, errors->str);
+      wy_settings_free (wy_gate_settings_table, wy_gate_settings_count, &gate);
+      g_string_free (errors, TRUE);
+    }
+}
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -2,6 +2,8 @@
 #include <criterion/criterion.h>
 #include <string.h>
 
+#include <jansson.h>
+
 #include "gate/gate_state.h"
 #include "platform/config_wire.h"
 #include "support/platform_world.h"
@@ -163,3 +165,31 @@
   platform_answer_free (a);
   stop ();
 }
+
+/* An operator asks one entry what it believes and how old that is.  */
+Test (gate, status)
+{
+  struct platform_answer *a;
+  json_t *doc;
+
+  start ();
+  cr_expect_eq (status_of ("/p/x"), 200);
+  platform_world_run_ms (&w, 800);
+  a = ask (METRICS, "/v1/status");
+  doc = json_loads (a->body->str, 0, NULL);
+  cr_assert_not_null (doc, "%s", a->body->str);
+  cr_expect_eq (json_integer_value (json_object_get (
+                    json_object_get (doc, "config"), "version")),
+                1);
+  cr_expect_eq (json_array_size (json_object_get (doc, "entries")), 1);
+  cr_expect_eq (json_array_size (json_object_get (doc, "replicas")), 1);
+  cr_expect_str_eq (
+      json_string_value (json_object_get (
+          json_array_get (json_object_get (doc, "replicas"), 0), "state")),
+      "ready");
+  cr_expect_lt (json_integer_value (json_object_get (doc, "replicas_age_ms")),
+                2000);
+  json_decref (doc);
+  platform_answer_free (a);
+  stop ();
+}
