--- a/src/trace/note.c
+++ b/src/trace/note.c
@@ -167,7 +167,7 @@
       note.second = ts->tv_sec;
       note.lines = 0;
     }
-  if (note.out->len < KEPT_BYTES / REQUEST_DIVISOR * part
+  if (note.out->len < (size_t)KEPT_BYTES / REQUEST_DIVISOR * part
       && note.lines < LINES_PER_S / REQUEST_DIVISOR * part)
     {
       note.lines++;
