One copy of step keys, key sets, settings rows and free ports

src/check: wy_check_keys and wy_check_step serve samples and steps; one search for killed incarnations.

--- a/src/agent/settings.c
+++ b/src/agent/settings.c
@@ -5,16 +5,8 @@
     = { "error", "warn", "info", "debug", NULL };
 static const char *const target_kinds[] = { "model", "service", NULL };
 
-#define TEXT(name, fallback, help)                                            \
-  {                                                                           \
-#name, WY_SETTING_TEXT, offsetof(struct wy_agent_settings, name),         \
-        fallback, 0, 0, NULL, NULL, help                                      \
-  }
-#define NUMBER(name, fallback, min, max, unit, help)                          \
-  {                                                                           \
-#name, WY_SETTING_NUMBER, offsetof(struct wy_agent_settings, name),       \
-        fallback, min, max, NULL, unit, help                                  \
-  }
+#define TEXT(...) WY_TEXT_ROW (struct wy_agent_settings, __VA_ARGS__)
+#define NUMBER(...) WY_NUMBER_ROW (struct wy_agent_settings, __VA_ARGS__)
 
 const struct wy_setting wy_agent_settings_table[] = {
   TEXT (name, NULL, "identifier of the target, as in the instance list"),
--- a/src/check/check.c
+++ b/src/check/check.c
@@ -145,6 +145,30 @@
   return g_hash_table_lookup (index, value);
 }
 
+/* What KEY_OF makes of the events NAME, as a set.  Free it with
+   g_hash_table_destroy.  */
+GHashTable *
+wy_check_keys (const struct wy_check *c, const char *name,
+               char *(*key_of) (const struct wy_event *e))
+{
+  GHashTable *keys
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+
+  for (guint i = 0; i < c->timeline->events->len; i++)
+    if (wy_event_is (c->timeline->events->pdata[i], name))
+      g_hash_table_add (keys, key_of (c->timeline->events->pdata[i]));
+  return keys;
+}
+
+/* The step that E tells of: "yard/trainer/number".  */
+char *
+wy_check_step (const struct wy_event *e)
+{
+  return g_strdup_printf ("%s/%s/%" G_GINT64_FORMAT, wy_event_text (e, "yard"),
+                          wy_event_text (e, "trainer"),
+                          wy_event_number (e, "step", -1));
+}
+
 /* Tell whether the timeline has an event NAME.  */
 bool
 wy_check_has (const struct wy_check *c, const char *name)
--- a/src/check/lives.c
+++ b/src/check/lives.c
@@ -95,9 +95,8 @@
   return one && one->ended;
 }
 
-/* Whether an incarnation of PROCESS was killed.  */
-bool
-wy_lives_killed (const struct wy_lives *l, const char *process)
+static bool
+any_killed (const struct wy_lives *l, const char *process, const char *role)
 {
   GHashTableIter it;
   gpointer p;
@@ -107,26 +106,23 @@
     {
       const struct life *one = p;
 
-      if (!one->ended && !strcmp (one->process, process))
+      if (!one->ended && (!process || !strcmp (one->process, process))
+          && (!role || !strcmp (one->role, role)))
         return true;
     }
   return false;
 }
 
+/* Whether an incarnation of PROCESS was killed.  */
+bool
+wy_lives_killed (const struct wy_lives *l, const char *process)
+{
+  return any_killed (l, process, NULL);
+}
+
 /* Whether an incarnation of ROLE was killed.  */
 bool
 wy_lives_any_killed (const struct wy_lives *l, const char *role)
 {
-  GHashTableIter it;
-  gpointer p;
-
-  g_hash_table_iter_init (&it, l->lives);
-  while (g_hash_table_iter_next (&it, NULL, &p))
-    {
-      const struct life *one = p;
-
-      if (!one->ended && !strcmp (one->role, role))
-        return true;
-    }
-  return false;
+  return any_killed (l, NULL, role);
 }
--- a/src/check/report.h
+++ b/src/check/report.h
@@ -14,6 +14,9 @@
 GHashTable *wy_check_index (const struct wy_check *c, const char *name,
                             const char *key);
 GPtrArray *wy_check_lookup (GHashTable *index, const char *value);
+GHashTable *wy_check_keys (const struct wy_check *c, const char *name,
+                           char *(*key_of) (const struct wy_event *e));
+char *wy_check_step (const struct wy_event *e);
 bool wy_check_has (const struct wy_check *c, const char *name);
 
 void wy_verify_attribution (struct wy_check *c);
--- a/src/check/samples.c
+++ b/src/check/samples.c
@@ -181,14 +181,6 @@
   g_hash_table_destroy (finished);
 }
 
-static char *
-step_key (const struct wy_event *e)
-{
-  return g_strdup_printf ("%s/%s/%" G_GINT64_FORMAT, wy_event_text (e, "yard"),
-                          wy_event_text (e, "trainer"),
-                          wy_event_number (e, "step", -1));
-}
-
 static bool
 same_samples (const struct wy_event *a, const struct wy_event *b)
 {
@@ -201,7 +193,7 @@
 static void
 claim_samples (struct wy_check *c, GHashTable *owners, struct wy_event *e)
 {
-  char *step = step_key (e);
+  char *step = wy_check_step (e);
   size_t i;
   json_t *id;
 
@@ -231,7 +223,7 @@
 static void
 verify_fixed (struct wy_check *c, struct batches *b, struct wy_event *e)
 {
-  char *step = step_key (e);
+  char *step = wy_check_step (e);
   struct wy_event *before = g_hash_table_lookup (b->fixed, step);
   size_t i;
   json_t *id;
@@ -258,7 +250,7 @@
 static void
 verify_used (struct wy_check *c, struct batches *b, struct wy_event *e)
 {
-  char *step = step_key (e);
+  char *step = wy_check_step (e);
   struct wy_event *fixed = g_hash_table_lookup (b->fixed, step);
   bool trained = wy_event_is (e, "trainer.trained");
 
@@ -297,7 +289,7 @@
       if (!wy_event_is (e, "step.handed")
           && !wy_event_is (e, "trainer.trained"))
         continue;
-      step = step_key (e);
+      step = wy_check_step (e);
       if (g_hash_table_contains (b.fixed, step))
         verify_used (c, &b, e);
       else
--- a/src/check/steps.c
+++ b/src/check/steps.c
@@ -5,14 +5,6 @@
 #include "check/lives.h"
 #include "check/report.h"
 
-static char *
-step_key (const struct wy_event *e)
-{
-  return g_strdup_printf ("%s/%s/%" G_GINT64_FORMAT, wy_event_text (e, "yard"),
-                          wy_event_text (e, "trainer"),
-                          wy_event_number (e, "step", -1));
-}
-
 /* A stage of a step and the one that must have come before it.  */
 struct stage
 {
@@ -28,20 +20,8 @@
   { "step.acked", "trainer.trained", "trainer" },
 };
 
-/* The steps with an event NAME.  Its place in the order is not looked at: one
-   process may note a stage after another has acted on it.  */
-static GHashTable *
-steps_with (const struct wy_check *c, const char *name)
-{
-  GHashTable *steps
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-
-  for (guint i = 0; i < c->timeline->events->len; i++)
-    if (wy_event_is (c->timeline->events->pdata[i], name))
-      g_hash_table_add (steps, step_key (c->timeline->events->pdata[i]));
-  return steps;
-}
-
+/* Its place in the order is not looked at: one process may note a stage after
+   another has acted on it.  */
 static void
 verify_stage (struct wy_check *c, const struct wy_lives *lives,
               const struct stage *s)
@@ -50,7 +30,7 @@
 
   if (!wy_check_has (c, s->needs) || wy_lives_any_killed (lives, s->noted_by))
     return;
-  before = steps_with (c, s->needs);
+  before = wy_check_keys (c, s->needs, wy_check_step);
   for (guint i = 0; i < c->timeline->events->len; i++)
     {
       struct wy_event *e = c->timeline->events->pdata[i];
@@ -58,7 +38,7 @@
 
       if (!wy_event_is (e, s->name))
         continue;
-      key = step_key (e);
+      key = wy_check_step (e);
       if (!g_hash_table_contains (before, key))
         wy_check_violation (c, "course", e, NULL, "step %s: %s without %s",
                             key, s->name, s->needs);
@@ -122,19 +102,6 @@
   return used;
 }
 
-/* The incarnations that noted an event NAME.  */
-static GHashTable *
-lives_with (const struct wy_check *c, const char *name)
-{
-  GHashTable *set
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-
-  for (guint i = 0; i < c->timeline->events->len; i++)
-    if (wy_event_is (c->timeline->events->pdata[i], name))
-      g_hash_table_add (set, wy_event_life (c->timeline->events->pdata[i]));
-  return set;
-}
-
 static bool
 is_in (GHashTable *set, const struct wy_event *e)
 {
@@ -152,7 +119,7 @@
 verify_samples (struct wy_check *c, const struct wy_lives *lives)
 {
   GHashTable *dropped = wy_check_index (c, "sample.dropped", "sample");
-  GHashTable *lost = lives_with (c, "lease.lost");
+  GHashTable *lost = wy_check_keys (c, "lease.lost", wy_event_life);
   bool batches = wy_check_has (c, "step.fixed");
   GHashTable *used = used_samples (c);
 
@@ -294,7 +261,7 @@
 
   for (size_t i = 0; i < G_N_ELEMENTS (stages); i++)
     verify_stage (c, lives, &stages[i]);
-  verify_once (c, "step.fixed", step_key, "step");
+  verify_once (c, "step.fixed", wy_check_step, "step");
   verify_once (c, "sample.finished", sample_key, "sample");
   verify_once (c, "sample.dropped", sample_key, "sample");
   verify_samples (c, lives);
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -40,6 +40,18 @@
   const char *help;
 };
 
+/* Rows of a table for the field NAME of TYPE, whose key is its name.  */
+#define WY_TEXT_ROW(type, name, fallback, help)                               \
+  {                                                                           \
+#name, WY_SETTING_TEXT, offsetof(type, name), fallback, 0, 0, NULL, NULL, \
+        help                                                                  \
+  }
+#define WY_NUMBER_ROW(type, name, fallback, min, max, unit, help)             \
+  {                                                                           \
+#name, WY_SETTING_NUMBER, offsetof(type, name), fallback, min, max, NULL, \
+        unit, help                                                            \
+  }
+
 int wy_settings_parse (const char *path, const char *text, size_t size_bytes,
                        const struct wy_setting *table, size_t n, void *out,
                        GString *errors);
--- a/src/entry/settings.c
+++ b/src/entry/settings.c
@@ -6,16 +6,8 @@
 static const char *const log_levels[]
     = { "error", "warn", "info", "debug", NULL };
 
-#define TEXT(name, fallback, help)                                            \
-  {                                                                           \
-#name, WY_SETTING_TEXT, offsetof(struct wy_entry_settings, name),         \
-        fallback, 0, 0, NULL, NULL, help                                      \
-  }
-#define NUMBER(name, fallback, min, max, unit, help)                          \
-  {                                                                           \
-#name, WY_SETTING_NUMBER, offsetof(struct wy_entry_settings, name),       \
-        fallback, min, max, NULL, unit, help                                  \
-  }
+#define TEXT(...) WY_TEXT_ROW (struct wy_entry_settings, __VA_ARGS__)
+#define NUMBER(...) WY_NUMBER_ROW (struct wy_entry_settings, __VA_ARGS__)
 
 const struct wy_setting wy_entry_settings_table[] = {
   TEXT (name, NULL, "name of this process"),
--- a/tests/support/platform_world.c
+++ b/tests/support/platform_world.c
@@ -72,6 +72,22 @@
   return a;
 }
 
+/* A port that nobody listens on now.  */
+uint16_t
+platform_world_free_port (struct platform_world *w)
+{
+  uv_tcp_t probe;
+  struct sockaddr_in a = platform_loopback (0);
+  int n = sizeof a;
+
+  uv_tcp_init (&w->loop, &probe);
+  uv_tcp_bind (&probe, (const struct sockaddr *)&a, 0);
+  uv_tcp_getsockname (&probe, (struct sockaddr *)&a, &n);
+  uv_close ((uv_handle_t *)&probe, NULL);
+  uv_run (&w->loop, UV_RUN_NOWAIT);
+  return ntohs (a.sin_port);
+}
+
 /* A store and a caller's client.  */
 void
 platform_world_init (struct platform_world *w)
--- a/tests/support/platform_world.h
+++ b/tests/support/platform_world.h
@@ -61,5 +61,6 @@
 bool platform_answer_done (void *answer);
 void platform_answer_free (struct platform_answer *a);
 struct sockaddr_in platform_loopback (uint16_t port);
+uint16_t platform_world_free_port (struct platform_world *w);
 
 #endif
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -27,24 +27,12 @@
 {
 }
 
-/* Addresses that nobody listens on now.  */
 static void
 choose_addresses (void)
 {
   for (int i = 0; i < 4; i++)
-    {
-      uv_tcp_t probe;
-      struct sockaddr_in a = platform_loopback (0);
-      int n = sizeof a;
-
-      uv_tcp_init (&w.loop, &probe);
-      uv_tcp_bind (&probe, (const struct sockaddr *)&a, 0);
-      uv_tcp_getsockname (&probe, (struct sockaddr *)&a, &n);
-      snprintf (addresses[i], sizeof addresses[i], "127.0.0.1:%u",
-                ntohs (a.sin_port));
-      uv_close ((uv_handle_t *)&probe, NULL);
-      uv_run (&w.loop, UV_RUN_NOWAIT);
-    }
+    snprintf (addresses[i], sizeof addresses[i], "127.0.0.1:%u",
+              platform_world_free_port (&w));
 }
 
 static bool
--- a/tests/test_orders.c
+++ b/tests/test_orders.c
@@ -153,22 +153,6 @@
   stop ();
 }
 
-/* A port that nobody listens on now.  */
-static uint16_t
-free_port (void)
-{
-  uv_tcp_t probe;
-  struct sockaddr_in a = platform_loopback (0);
-  int n = sizeof a;
-
-  uv_tcp_init (&w.loop, &probe);
-  uv_tcp_bind (&probe, (const struct sockaddr *)&a, 0);
-  uv_tcp_getsockname (&probe, (struct sockaddr *)&a, &n);
-  uv_close ((uv_handle_t *)&probe, NULL);
-  uv_run (&w.loop, UV_RUN_NOWAIT);
-  return ntohs (a.sin_port);
-}
-
 /* What an orderer does shows on its own metrics address.  */
 Test (orders, metrics)
 {
@@ -179,7 +163,8 @@
   start ();
   wy_orderer_daemon_free (d);
   platform_world_run_ms (&w, 50);
-  snprintf (metrics, sizeof metrics, "127.0.0.1:%u", free_port ());
+  snprintf (metrics, sizeof metrics, "127.0.0.1:%u",
+            platform_world_free_port (&w));
   settings.metrics = metrics;
   start_daemon ();
   name_version (2);
