Checker: engines are known by incarnation, executions by request

Cause: tests with processes of their own name engines otherwise than their agents do, put the first configuration into the store themselves, and key filings by another text than the request; the new invariants took that for faults (7 tests red in a full run). Versions and records are now joined by the engine's incarnation and the request's id; the driver notes the configuration that it writes. The stand-in of the store is two files.

--- a/src/check/steps.c
+++ b/src/check/steps.c
@@ -177,11 +177,17 @@
                           e->incarnation, version);
 }
 
+/* An engine's incarnation is known to its agent, its name need not be.  */
+static char *
+at_engine (const struct wy_event *e, int64_t version)
+{
+  return g_strdup_printf ("%s/%" G_GINT64_FORMAT, e->incarnation, version);
+}
+
 static char *
 at_target (const struct wy_event *e, int64_t version)
 {
-  return g_strdup_printf ("%s/%s/%" G_GINT64_FORMAT,
-                          wy_event_text (e, "target"),
+  return g_strdup_printf ("%s/%" G_GINT64_FORMAT,
                           wy_event_text (e, "target_inc"), version);
 }
 
@@ -227,7 +233,7 @@
 verify_versions (struct wy_check *c, const struct wy_lives *lives)
 {
   GHashTable *published = versions_of (c, "version.published", anywhere);
-  GHashTable *loaded = versions_of (c, "engine.version", at_process);
+  GHashTable *loaded = versions_of (c, "engine.version", at_engine);
   GHashTable *told = versions_of (c, "target.version", at_process);
   GHashTable *started
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
--- a/src/standin/platform_store_state.h
+++ b/src/standin/platform_store_state.h
@@ -46,6 +46,13 @@
                                 struct wy_h1_request *r, int status,
                                 json_t *doc);
 json_t *wy_platform_store_row_json (const struct wy_platform_row *r);
+void wy_platform_store_get (struct wy_platform_store *s,
+                            struct wy_h1_request *r, const char *target);
+void wy_platform_store_parts (struct wy_platform_store *s,
+                              struct wy_h1_request *r, const char *target);
+void wy_platform_store_feed (struct wy_platform_store *s,
+                             struct wy_h1_request *r, const char *target);
+void wy_platform_store_tick (uv_timer_t *t);
 void wy_platform_store_transact (struct wy_platform_store *s,
                                  struct wy_h1_request *r);
 
--- a/tests/support/proc_yard.c
+++ b/tests/support/proc_yard.c
@@ -193,6 +193,7 @@
   start_targets (y);
   list_targets (y);
   post (y->table, "/txn", document);
+  driver_event (y, "config.accepted", ",\"revision\":1,\"digest\":\"given\"");
   for (uint32_t i = 0; i < YARD_ENTRIES; i++)
     proc_yard_start_entry (y, i);
   for (uint32_t i = 0; i < YARD_ENTRIES; i++)
