Ports files are put in place at once

Cause of a test that failed once in a full run beside load (entry_keys::plain_key_after_its_target_was_restarted, entry 0 refused connections for 20 s though it was ready): wyentryd emptied its ports file and then wrote it; who read in between took port 0.

--- a/src/cmd/wyentryd.c
+++ b/src/cmd/wyentryd.c
@@ -208,18 +208,20 @@
   return 0;
 }
 
+/* Whoever waits for the file must find it whole, so it is put in place at
+   once.  */
 static int
 write_ports (const struct process *p)
 {
-  FILE *f;
+  char *text;
+  gboolean ok;
 
   if (!*p->settings.ports_file)
     return 0;
-  f = fopen (p->settings.ports_file, "w");
-  if (!f)
-    return -1;
-  fprintf (f, "http %u\n", wy_entry_port (p->entry));
-  return fclose (f);
+  text = g_strdup_printf ("http %u\n", wy_entry_port (p->entry));
+  ok = g_file_set_contents (p->settings.ports_file, text, -1, NULL);
+  g_free (text);
+  return ok ? 0 : -1;
 }
 
 static int
--- a/src/standin/platform.c
+++ b/src/standin/platform.c
@@ -168,17 +168,21 @@
 write_ports (struct wy_platform *p)
 {
   char *path = g_strconcat (p->standin->common->ports_file, ".platform", NULL);
-  FILE *f = fopen (path, "w");
+  GString *text = g_string_new (NULL);
+  gboolean ok;
 
-  g_free (path);
-  if (!f)
-    return -1;
-  fprintf (f, "store %u\n", wy_platform_store_port (p->store));
+  g_string_append_printf (text, "store %u\n",
+                          wy_platform_store_port (p->store));
   for (int i = 0; i < WY_PLATFORM_DESKS; i++)
-    fprintf (f, "desk-%d %u\n", i, wy_platform_replica_port (p->desks[i]));
+    g_string_append_printf (text, "desk-%d %u\n", i,
+                            wy_platform_replica_port (p->desks[i]));
   for (int i = 0; i < WY_PLATFORM_ENGINES; i++)
-    fprintf (f, "engine-%d %u\n", i, wy_platform_replica_port (p->engines[i]));
-  return fclose (f);
+    g_string_append_printf (text, "engine-%d %u\n", i,
+                            wy_platform_replica_port (p->engines[i]));
+  ok = g_file_set_contents (path, text->str, (gssize)text->len, NULL);
+  g_string_free (text, TRUE);
+  g_free (path);
+  return ok ? 0 : -1;
 }
 
 static void
