--- a/src/orders/orderer.c
+++ b/src/orders/orderer.c
@@ -326,7 +326,9 @@
       order_load (d, n);
       return;
     }
-  if (now_ms < d->report_due_ms)
+  /* A replica that is not listed yet takes no calls; trying all the same opens
+     connections to it in vain, which it may charge for.  */
+  if (!*d->id || now_ms < d->report_due_ms)
     return;
   d->report_due_ms
       = now_ms + (n || d->ordered ? REPORT_BUSY_MS : REPORT_IDLE_MS);
--- a/tests/test_orders.c
+++ b/tests/test_orders.c
@@ -181,3 +181,24 @@
   platform_answer_free (a);
   stop ();
 }
+
+/* The machine has started and its replica is not in the list yet.  Nothing
+   must be sent to it; once it is listed it is asked and ordered.  */
+Test (orders, nothing_before_it_is_listed)
+{
+  char *entry;
+
+  start ();
+  wy_orderer_daemon_free (d);
+  platform_world_run_ms (&w, 50);
+  entry = wy_platform_replica_entry (w.replicas[0], "svc", "ready", NULL);
+  wy_platform_store_drop (w.store, WY_REPLICA_TABLE, "", "i-1");
+  start_daemon ();
+  name_version (2);
+  platform_world_run_ms (&w, 700);
+  cr_expect_eq (wy_platform_replica_connections (w.replicas[0]), 0);
+  wy_platform_store_put (w.store, WY_REPLICA_TABLE, "", "i-1", entry);
+  cr_expect (loads (2));
+  g_free (entry);
+  stop ();
+}
