An item that was interrupted takes any slot

Cause, found reading: an item expected to be short and placed far back in the order, that ran long and lost its replica, waited for half of the slots to be free like one that had not begun, and the first one that found none ended the round for all behind it. Test: items, interrupted_takes_any_slot.

--- a/src/decide/item_slots.c
+++ b/src/decide/item_slots.c
@@ -28,11 +28,12 @@
 static const double short_share = 0.5;
 
 /* The part of each target's slots that the item may find taken and still
-   start; 0: all of them.  */
+   start; 0: all of them.  One that was interrupted has lost time already, and
+   may well be longer than it was expected to be.  */
 double
 wy_item_slots_share (const struct wy_item_slots_options *o)
 {
-  if (o->place < o->items / LONG_DIVISOR || o->due_ms <= 0
+  if (o->was_run || o->place < o->items / LONG_DIVISOR || o->due_ms <= 0
       || o->waited_ms >= o->due_ms / WAIT_DIVISOR)
     return 0;
   return short_share;
--- a/src/gate/members.c
+++ b/src/gate/members.c
@@ -185,7 +185,6 @@
   struct wy_row_write w = { .table = WY_MEMBERS_TABLE, .key = beat_key };
   struct wy_rows_tx tx
       = { .part = m->o.env->node, .writes = &w, .n_writes = 1 };
-
   json_t *doc = json_pack (
       "{s:s, s:s, s:b, s:b, s:f, s:I}", "holder", m->o.env->holder, "address",
       m->o.address, "draining", m->draining, "leaving", m->leaving,
--- a/src/jobs/owned.c
+++ b/src/jobs/owned.c
@@ -240,6 +240,7 @@
 {
   const struct wy_route *route;
   int64_t now_ms = now_of (o);
+  bool full = false; /* for those that leave slots to others */
 
   if (o->dropped || o->lingering || o->n_waiting == 0 || !o->env->routing
       || o->env->stopping)
@@ -253,21 +254,25 @@
       struct wy_item_slots_options slots
           = { .place = k,
               .items = o->n_items,
+              .was_run = i->runs > 0,
               .waited_ms = now_ms - o->started_ms,
               .due_ms = route->result_deadline_ms };
       double share = wy_item_slots_share (&slots);
       struct wy_target *g;
 
       if (i->state != WY_ITEM_WAITING || i->not_before_ms > now_ms
-          || wy_run_is_held_back (i))
+          || (share > 0 && full) || wy_run_is_held_back (i))
         continue;
       g = wy_owned_pick (i, i->avoid, 0, share);
       /* The one that failed last is still better than none.  */
       if (!g && i->avoid)
         g = wy_owned_pick (i, NULL, 0, share);
-      if (!g)
+      if (!g && share > 0)
+        full = true;
+      else if (!g)
         return;
-      wy_run_start (i, g, route);
+      else
+        wy_run_start (i, g, route);
     }
 }
 
--- a/tests/test_decide_items.c
+++ b/tests/test_decide_items.c
@@ -166,3 +166,14 @@
   o.place = 0;
   cr_expect_eq (wy_item_slots_share (&o), 0);
 }
+
+/* A replica dies under an item that was expected to be short and has run for
+   seconds.  It must go on at once; the step waits for it.  */
+Test (items, interrupted_takes_any_slot)
+{
+  struct wy_item_slots_options o = {
+    .place = ITEMS - 1, .items = ITEMS, .was_run = true, .due_ms = DUE_MS
+  };
+
+  cr_expect_eq (wy_item_slots_share (&o), 0);
+}
