--- a/src/decide/item_slots.c
+++ b/src/decide/item_slots.c
@@ -33,7 +33,7 @@
 double
 wy_item_slots_share (const struct wy_item_slots_options *o)
 {
-  if (o->was_run || o->place < o->items / LONG_DIVISOR || o->due_ms <= 0
+  if (o->has_begun || o->place < o->items / LONG_DIVISOR || o->due_ms <= 0
       || o->waited_ms >= o->due_ms / WAIT_DIVISOR)
     return 0;
   return short_share;
--- a/src/decide/item_slots.h
+++ b/src/decide/item_slots.h
@@ -9,7 +9,7 @@
 {
   uint32_t place; /* of the item, longest expected first */
   uint32_t items; /* of the job */
-  bool was_run;   /* it ran before and was interrupted */
+  bool has_begun; /* there is text of it, from a run that was interrupted */
   int64_t waited_ms;
   int64_t due_ms; /* all results are due so long after the start; 0: never */
 };
--- a/src/jobs/owned.c
+++ b/src/jobs/owned.c
@@ -254,7 +254,7 @@
       struct wy_item_slots_options slots
           = { .place = k,
               .items = o->n_items,
-              .was_run = i->runs > 0,
+              .has_begun = i->last_event >= 0,
               .waited_ms = now_ms - o->started_ms,
               .due_ms = route->result_deadline_ms };
       double share = wy_item_slots_share (&slots);
--- a/tests/test_decide_items.c
+++ b/tests/test_decide_items.c
@@ -172,7 +172,7 @@
 Test (items, interrupted_takes_any_slot)
 {
   struct wy_item_slots_options o = {
-    .place = ITEMS - 1, .items = ITEMS, .was_run = true, .due_ms = DUE_MS
+    .place = ITEMS - 1, .items = ITEMS, .has_begun = true, .due_ms = DUE_MS
   };
 
   cr_expect_eq (wy_item_slots_share (&o), 0);
