--- a/src/agent/fence.c
+++ b/src/agent/fence.c
@@ -36,14 +36,6 @@
   return f;
 }
 
-/* Free F.  */
-void
-wy_fences_free (struct wy_fences *f)
-{
-  g_hash_table_destroy (f->leases);
-  g_free (f);
-}
-
 static struct fence *
 get (struct wy_fences *f, const char *lease)
 {
--- a/src/agent/fence.h
+++ b/src/agent/fence.h
@@ -14,7 +14,6 @@
 };
 
 struct wy_fences *wy_fences_new (void);
-void wy_fences_free (struct wy_fences *f);
 enum wy_fence_verdict wy_fences_offer (struct wy_fences *f, const char *lease,
                                        int64_t fence, uint64_t giver,
                                        uint64_t heard_seq, uint64_t sent_seq);
--- a/src/agent/once.c
+++ b/src/agent/once.c
@@ -226,13 +226,6 @@
   return e && e->ended;
 }
 
-/* Keys issued at or before this time are answered as unknown.  */
-int64_t
-wy_once_floor_ms (const struct wy_once *o)
-{
-  return o->floor_ms;
-}
-
 /* Members take effect no sooner than roster_trust_ms after the change was
    made.  So whoever has not learnt of a change is still right about keys
    issued until then, counted from the time at which its own configuration was
--- a/src/agent/once.h
+++ b/src/agent/once.h
@@ -66,6 +66,5 @@
 void wy_once_clock_stepped (struct wy_once *o, int64_t now_ms);
 void wy_once_ended (struct wy_once *o, uint64_t id);
 bool wy_once_has_ended (const struct wy_once *o, uint64_t id);
-int64_t wy_once_floor_ms (const struct wy_once *o);
 
 #endif
--- a/src/decide/place.c
+++ b/src/decide/place.c
@@ -355,10 +355,3 @@
     return 0;
   return p->target[slot].callers + p->target[slot].rollouts;
 }
-
-/* How many targets may get work, ejected ones included.  */
-uint32_t
-wy_place_placeable (const struct wy_place *p)
-{
-  return p->all.n;
-}
--- a/src/decide/place.h
+++ b/src/decide/place.h
@@ -94,10 +94,7 @@
 void wy_place_ended (struct wy_place *p, uint32_t slot,
                      enum wy_work_class work_class, enum wy_outcome outcome,
                      int64_t now_ms);
-bool wy_place_ejected (const struct wy_place *p, uint32_t slot,
-                       int64_t now_ms);
 uint32_t wy_place_in_flight (const struct wy_place *p, uint32_t slot);
-uint32_t wy_place_placeable (const struct wy_place *p);
 int wy_place_home (uint64_t key, const uint64_t *ids, uint32_t n);
 
 #endif
--- a/src/decide/place_health.c
+++ b/src/decide/place_health.c
@@ -135,10 +135,3 @@
            && t->failures == 0;
   return t->callers + t->rollouts <= (uint64_t)since_ms / RETURN_STEP_MS;
 }
-
-/* Whether SLOT is left out for now.  */
-bool
-wy_place_ejected (const struct wy_place *p, uint32_t slot, int64_t now_ms)
-{
-  return slot < p->o.targets_max && p->target[slot].ejected_until_ms > now_ms;
-}
--- a/src/decide/queue.c
+++ b/src/decide/queue.c
@@ -344,23 +344,3 @@
     at = quiet_ms;
   return at < now_ms ? now_ms : at;
 }
-
-/* A short stable name for R, for refusals and counters.  */
-const char *
-wy_refusal_name (enum wy_refusal r)
-{
-  switch (r)
-    {
-    case WY_REFUSAL_NONE:
-      return "none";
-    case WY_REFUSAL_CLOSING:
-      return "closing";
-    case WY_REFUSAL_DEADLINE:
-      return "deadline";
-    case WY_REFUSAL_FULL:
-      return "full";
-    case WY_REFUSAL_TOO_LARGE:
-      return "too-large";
-    }
-  return "unknown";
-}
--- a/src/decide/queue.h
+++ b/src/decide/queue.h
@@ -177,6 +177,5 @@
 uint32_t wy_queue_run_ms (const struct wy_queue *q, const struct wy_item *it);
 void wy_queue_load (const struct wy_queue *q, int64_t now_ms,
                     struct wy_queue_load *out);
-const char *wy_refusal_name (enum wy_refusal r);
 
 #endif
--- a/src/entry/outcomes.c
+++ b/src/entry/outcomes.c
@@ -226,15 +226,6 @@
     }
 }
 
-/* P refused to tell of a request.  */
-void
-wy_outcome_refused (struct wy_peer *p, const struct wy_frame_refused *f)
-{
-  struct wy_frame_end end = { .id = f->id, .ran = f->ran };
-
-  wy_outcome_frame (p, &end);
-}
-
 static void
 ask (struct question *q, struct wy_peer *p)
 {
--- a/src/entry/outcomes.h
+++ b/src/entry/outcomes.h
@@ -11,7 +11,6 @@
 void wy_outcome_note (const struct wy_request *r, enum wy_ran ran,
                       const char *state);
 void wy_outcome_frame (struct wy_peer *p, const struct wy_frame_end *f);
-void wy_outcome_refused (struct wy_peer *p, const struct wy_frame_refused *f);
 void wy_outcome_ask (struct wy_entry *e, struct wy_http_exchange *ex,
                      const char *id);
 void wy_outcome_sweep (struct wy_entry *e, int64_t now_ms);
--- a/src/http/error.h
+++ b/src/http/error.h
@@ -10,6 +10,4 @@
   WY_HTTP_ETIMEOUT = -104
 };
 
-const char *wy_http_strerror (int err);
-
 #endif
--- a/src/inner/conn.h
+++ b/src/inner/conn.h
@@ -86,11 +86,7 @@
                               const struct wy_conn_events *events);
 int wy_conn_send (struct wy_conn *c, const struct wy_frame *f);
 void wy_conn_close (struct wy_conn *c);
-void wy_conn_set_user (struct wy_conn *c, void *user);
-void *wy_conn_user (const struct wy_conn *c);
 bool wy_conn_is_ready (const struct wy_conn *c);
-const char *wy_conn_process (const struct wy_conn *c);
-const char *wy_conn_incarnation (const struct wy_conn *c);
 void wy_conn_ping (struct wy_conn *c);
 uint64_t wy_conn_ping_seq (const struct wy_conn *c);
 size_t wy_conn_unsent_bytes (const struct wy_conn *c);
--- a/src/inner/conn_state.h
+++ b/src/inner/conn_state.h
@@ -34,7 +34,6 @@
   GByteArray *out; /* not yet handed to the socket */
   size_t writing_bytes;
   struct wy_frame_arena *arena;
-  void *user;
 
   /* Of the peer.  */
   char *process;
--- a/src/inner/conn_view.c
+++ b/src/inner/conn_view.c
@@ -1,20 +1,6 @@
 /* What the owner of a connection may ask of it.  */
 #include "inner/conn_state.h"
 
-/* Keep USER with C.  */
-void
-wy_conn_set_user (struct wy_conn *c, void *user)
-{
-  c->user = user;
-}
-
-/* What was kept with C.  */
-void *
-wy_conn_user (const struct wy_conn *c)
-{
-  return c->user;
-}
-
 /* Tell whether the peer of C has proved its key and C is open.  */
 bool
 wy_conn_is_ready (const struct wy_conn *c)
@@ -22,20 +8,6 @@
   return c->state == WY_CONN_READY;
 }
 
-/* Name of the peer, NULL before it is known.  */
-const char *
-wy_conn_process (const struct wy_conn *c)
-{
-  return c->process;
-}
-
-/* Incarnation of the peer, NULL before it is known.  */
-const char *
-wy_conn_incarnation (const struct wy_conn *c)
-{
-  return c->incarnation;
-}
-
 /* Send a PING now, without waiting for the heartbeat.  */
 void
 wy_conn_ping (struct wy_conn *c)
--- a/src/standin/frame.h
+++ b/src/standin/frame.h
@@ -79,8 +79,6 @@
   void (*on_gone) (struct wy_standin_call *c, void *ctx);
   void *gone_ctx;
 };
-
-const struct wy_standin_kind *wy_standin_kind_find (const char *name);
 int wy_standin_main (const struct wy_standin_kind *kind, int argc,
                      char **argv);
 void wy_standin_quit (struct wy_standin *s);
--- a/src/standin/platform_store.c
+++ b/src/standin/platform_store.c
@@ -169,13 +169,6 @@
   return g_hash_table_size (s->objects);
 }
 
-/* Calls that have come.  */
-uint64_t
-wy_platform_store_calls (const struct wy_platform_store *s)
-{
-  return s->calls;
-}
-
 /* What goes wrong, to be changed at will.  */
 struct wy_platform_store_faults *
 wy_platform_store_faults (struct wy_platform_store *s)
@@ -241,7 +234,6 @@
   struct wy_platform_store *s = ctx;
   const char *t = wy_h1_target (r);
 
-  s->calls++;
   if (disturbed (s, r))
     return;
   if (g_str_has_prefix (t, "/api/rows-get"))
--- a/src/standin/platform_store.h
+++ b/src/standin/platform_store.h
@@ -46,6 +46,5 @@
 uint32_t wy_platform_store_count (const struct wy_platform_store *s,
                                   const char *table, const char *part);
 uint32_t wy_platform_store_objects (const struct wy_platform_store *s);
-uint64_t wy_platform_store_calls (const struct wy_platform_store *s);
 
 #endif
--- a/src/standin/platform_store_state.h
+++ b/src/standin/platform_store_state.h
@@ -32,7 +32,6 @@
   GHashTable *objects; /* GBytes by name */
   GPtrArray *waits;    /* struct wait */
   int64_t version;
-  uint64_t calls;
   struct wy_platform_store_faults faults;
 };
 
--- a/src/yard/rollout.c
+++ b/src/yard/rollout.c
@@ -235,13 +235,6 @@
   return !r->closing && wy_lease_valid (r->lease);
 }
 
-/* The model whose weights R rolls out.  */
-const char *
-wy_rollout_model (const struct wy_rollout *r)
-{
-  return r->model;
-}
-
 /* Give no more orders, and the lease to another.  Orders under way may still
    take effect; they carry a fencing number that the next holder's is above. */
 void
--- a/src/yard/rollout.h
+++ b/src/yard/rollout.h
@@ -17,7 +17,6 @@
 struct wy_rollout *wy_rollout_new (const struct wy_rollout_options *o);
 void wy_rollout_goal (struct wy_rollout *r, int64_t version);
 bool wy_rollout_active (const struct wy_rollout *r);
-const char *wy_rollout_model (const struct wy_rollout *r);
 void wy_rollout_stop (struct wy_rollout *r);
 void wy_rollout_free (struct wy_rollout *r);
 
