--- a/src/jobs/run.c
+++ b/src/jobs/run.c
@@ -4,7 +4,7 @@
    goes on behind the last whole event.  What a run adds counts only if its
    weights are new enough, and if the route wants one version alone, only if
    they are the ones that made the text before it.  */
-#include "jobs/owned.h"
+#include "jobs/run_state.h"
 
 #include <string.h>
 
@@ -14,20 +14,6 @@
 
 enum
 {
-  /* A run without an event for so long has lost its replica, whether or not
-     another could take it.  */
-  SILENCE_MS = 2500,
-  /* A run is moved to another replica, which reads its prompt and text again
-     in some ten ms, when it has made no headway for this many events of the
-     usual pace.  A replica that loads weights stands still for about a
-     second; one that has turned slow, or dark, for longer.  */
-  STALL_EVENTS = 5,
-  STALL_MIN_MS = 150,
-  /* Before its first event a run may have to wait its turn.  */
-  FIRST_STALL_EVENTS = 9,
-  FIRST_STALL_MIN_MS = 300,
-  /* Events after which a run's own pace is told from chance.  */
-  PACED_EVENTS = 6,
   /* Pauses before another run, so that a fault that stays is not met in a
      tight loop.  */
   RETRY_MS = 20,
@@ -40,47 +26,9 @@
   STATUS_FAILED = 500
 };
 
-/* A run this much slower than usual is moved, to a replica that is not.  */
-static const double slow_factor = 1.7;
-static const double sound_factor = 1.3;
-
-/* Why a run is of no more use, found while its bytes are read.  */
-enum run_fault
-{
-  RUN_SOUND,
-  RUN_STALE,   /* weights older than the job allows */
-  RUN_MIXED,   /* other weights than the text so far, on a route for one */
-  RUN_FOREIGN, /* an answer to another request */
-  RUN_GAP      /* an event is missing */
-};
-
-enum headway
-{
-  HEADWAY_SOUND,
-  HEADWAY_STALLED,
-  HEADWAY_SLOW
-};
-
-struct wy_run
-{
-  struct wy_item *item;
-  struct wy_target *target;
-  struct wy_h1_call *call;
-  struct wy_events events;
-  int status;
-  bool not_run;
-  bool single_version;
-  enum run_fault fault;
-  int64_t version;
-  int64_t started_ms;
-  int64_t heard_ms;
-  int64_t first_ms; /* of the first event */
-  uint32_t n_events;
-  uint32_t allowed_failures;
-};
-
-static int64_t
-now_of (const struct wy_run *r)
+/* Monotonic time in ms.  */
+int64_t
+wy_run_now_ms (const struct wy_run *r)
 {
   return wy_clock_mono_ms (r->item->job->env->clock);
 }
@@ -111,7 +59,7 @@
 
   r->item->run = NULL;
   wy_events_clear (&r->events);
-  wy_target_ended (env->targets, r->target, outcome, now_of (r));
+  wy_target_ended (env->targets, r->target, outcome, wy_run_now_ms (r));
   g_free (r);
 }
 
@@ -126,8 +74,8 @@
            i->spec->id, i->job->record->id, r->target->info.id, outcome,
            r->status, r->n_events, (long long)i->last_event,
            (long long)r->version, (long long)i->job->spec->min_version,
-           i->runs, (long long)(now_of (r) - r->started_ms),
-           (long long)(now_of (r) - r->heard_ms));
+           i->runs, (long long)(wy_run_now_ms (r) - r->started_ms),
+           (long long)(wy_run_now_ms (r) - r->heard_ms));
 }
 
 static void
@@ -140,10 +88,11 @@
     wy_target_hold (g);
 }
 
-/* The item waits for another run.  */
-static void
-again (struct wy_run *r, enum wy_target_outcome outcome, int64_t pause_ms,
-       const char *why)
+/* End R with OUTCOME for its target; its item waits PAUSE_MS at least for
+   another run.  */
+void
+wy_run_again (struct wy_run *r, enum wy_target_outcome outcome,
+              int64_t pause_ms, const char *why)
 {
   struct wy_item *i = r->item;
 
@@ -151,7 +100,7 @@
   (*i->job->env->count.items_broken)++;
   i->state = WY_ITEM_WAITING;
   i->job->n_waiting++;
-  i->not_before_ms = now_of (r) + pause_ms;
+  i->not_before_ms = wy_run_now_ms (r) + pause_ms;
   set_avoid (i, r->target);
   free_run (r, outcome);
 }
@@ -268,17 +217,17 @@
   r->call = NULL;
   if (fault == RUN_MIXED)
     forget_text (i);
-  again (r,
-         fault == RUN_FOREIGN || fault == RUN_GAP ? WY_TARGET_BROKEN
-                                                  : WY_TARGET_ABANDONED,
-         RETRY_MS, fault_name (fault));
+  wy_run_again (r,
+                fault == RUN_FOREIGN || fault == RUN_GAP ? WY_TARGET_BROKEN
+                                                         : WY_TARGET_ABANDONED,
+                RETRY_MS, fault_name (fault));
 }
 
 static void
 on_data (void *ctx, const char *p, size_t n)
 {
   struct wy_run *r = ctx;
-  int64_t now_ms = now_of (r);
+  int64_t now_ms = wy_run_now_ms (r);
   uint32_t before = r->n_events;
 
   if (r->status == STATUS_OK && !r->fault)
@@ -323,7 +272,7 @@
       wy_item_end (i, true);
     }
   else
-    again (r, WY_TARGET_ANSWERED, RETRY_FAILED_MS, "replica_failed");
+    wy_run_again (r, WY_TARGET_ANSWERED, RETRY_FAILED_MS, "replica_failed");
 }
 
 static uint64_t
@@ -343,10 +292,11 @@
     {
       i->unstarted++;
       wy_crash_watch_broken (&i->job->env->crashes, fingerprint_of (i),
-                             r->target->info.id, now_of (r));
+                             r->target->info.id, wy_run_now_ms (r));
     }
-  again (r, WY_TARGET_BROKEN,
-         MAX (RETRY_MS, wy_crash_watch_pause_ms (i->unstarted)), "broken_off");
+  wy_run_again (r, WY_TARGET_BROKEN,
+                MAX (RETRY_MS, wy_crash_watch_pause_ms (i->unstarted)),
+                "broken_off");
 }
 
 /* Whether I must wait because replicas crashed under it where it ran before,
@@ -377,18 +327,18 @@
 
   r->call = NULL;
   if (r->fault)
-    again (r, WY_TARGET_BROKEN, RETRY_MS, fault_name (r->fault));
+    wy_run_again (r, WY_TARGET_BROKEN, RETRY_MS, fault_name (r->fault));
   else if (err == WY_H1_ECONNECT)
-    again (r, WY_TARGET_BROKEN, RETRY_MS, "no_connection");
+    wy_run_again (r, WY_TARGET_BROKEN, RETRY_MS, "no_connection");
   else if (err)
     broken_off (r);
   else if (r->not_run)
-    again (r, r->status == 421 ? WY_TARGET_ELSEWHERE : WY_TARGET_FULL,
-           RETRY_MS, r->status == 421 ? "not_there" : "full");
+    wy_run_again (r, r->status == 421 ? WY_TARGET_ELSEWHERE : WY_TARGET_FULL,
+                  RETRY_MS, r->status == 421 ? "not_there" : "full");
   else if (r->status != STATUS_OK)
     refused_by_replica (r);
   else if (wy_events_in_midst (&r->events) || r->item->last_event < 0)
-    again (r, WY_TARGET_BROKEN, RETRY_MS, "cut_short");
+    wy_run_again (r, WY_TARGET_BROKEN, RETRY_MS, "cut_short");
   else
     complete (r);
   wy_owned_pump (job);
@@ -399,7 +349,7 @@
 {
   const struct wy_item *i = r->item;
   const struct wy_target *g = r->target;
-  int64_t now_ms = now_of (r);
+  int64_t now_ms = wy_run_now_ms (r);
 
   wy_note ("item.run_started",
            "id=%s job=%s target=%s after=%lld run=%u in_flight=%u load=%u "
@@ -439,7 +389,7 @@
   r->version = -1;
   r->single_version = route->single_version;
   r->allowed_failures = route->attempts;
-  r->started_ms = now_of (r);
+  r->started_ms = wy_run_now_ms (r);
   r->heard_ms = r->started_ms;
   wy_events_init (&r->events);
   i->run = r;
@@ -456,56 +406,3 @@
   r->call = wy_h1_call_start (env->http, &o);
   g_array_free (fields, TRUE);
 }
-
-static void
-stop (struct wy_run *r, enum wy_target_outcome outcome, const char *why)
-{
-  wy_h1_call_cancel (r->call);
-  r->call = NULL;
-  again (r, outcome, 0, why);
-}
-
-/* How R gets on, against the usual time of an event.  */
-static enum headway
-headway_of (const struct wy_run *r, double typical_ms)
-{
-  double silent_ms = (double)(now_of (r) - r->heard_ms);
-  double stall_ms = r->n_events ? MAX (STALL_EVENTS * typical_ms, STALL_MIN_MS)
-                                : MAX (FIRST_STALL_EVENTS * typical_ms,
-                                       FIRST_STALL_MIN_MS);
-  double pace_ms
-      = r->n_events > PACED_EVENTS
-            ? (double)(r->heard_ms - r->first_ms) / (r->n_events - 1)
-            : 0;
-
-  if (silent_ms > stall_ms)
-    return HEADWAY_STALLED;
-  return pace_ms > slow_factor * typical_ms ? HEADWAY_SLOW : HEADWAY_SOUND;
-}
-
-/* End R if its replica has fallen silent; move it if another replica would
-   bring it on faster.  */
-void
-wy_run_check (struct wy_run *r)
-{
-  struct wy_gate_env *env = r->item->job->env;
-  double typical_ms
-      = wy_targets_typical_pace_ms (env->targets, r->target->info.service);
-  enum headway headway = HEADWAY_SOUND;
-
-  if (now_of (r) - r->heard_ms >= SILENCE_MS)
-    {
-      stop (r, WY_TARGET_SILENT, "silent");
-      return;
-    }
-  /* A pace of 1 ms stands for none known.  */
-  if (typical_ms > 1)
-    headway = headway_of (r, typical_ms);
-  if (headway == HEADWAY_SOUND
-      || !wy_owned_pick (r->item, r->target, typical_ms * sound_factor, 0))
-    return;
-  if (headway == HEADWAY_STALLED)
-    stop (r, WY_TARGET_STALLED, "stalled");
-  else
-    stop (r, WY_TARGET_ABANDONED, "slow");
-}
