Items with a scorer are listed with the score of their whole text

Texts that wait for a score are kept for a takeover. A job whose scorer can't be read or has no route is refused.

--- a/src/gate/env.h
+++ b/src/gate/env.h
@@ -28,10 +28,14 @@
   uint64_t *items_started;
   uint64_t *items_done;
   uint64_t *items_broken;
+  uint64_t *scores_asked;
+  uint64_t *scores_broken;
+  uint64_t *score_hedges;
   uint64_t *jobs_accepted;
   uint64_t *jobs_taken_over;
   struct wy_hist *latency_us;
   struct wy_hist *item_us;
+  struct wy_hist *score_us;
   struct wy_family *ended;      /* by route, outcome and reason */
   struct wy_family *latency_by; /* by route, target's service and outcome */
 };
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -69,6 +69,14 @@
          && wy_watch_is_synced (g->replicas);
 }
 
+static bool
+config_is_fresh (const struct wy_gate *g)
+{
+  int64_t age_ms = wy_watch_age_ms (g->operator_rows);
+
+  return age_ms >= 0 && age_ms <= CONFIG_FRESH_MS;
+}
+
 /* No route is known for the request ID.  Callers do not come again after 404,
    so it is only said where the configuration is known to be the present one:
    an entry that was paused, or cut off from the store, may not have heard of
@@ -77,7 +85,7 @@
 refuse_unknown (struct wy_gate *g, struct wy_h1_request *r, const char *id)
 {
   int64_t age_ms = wy_watch_age_ms (g->operator_rows);
-  bool sure = age_ms >= 0 && age_ms <= CONFIG_FRESH_MS;
+  bool sure = config_is_fresh (g);
   int status = sure ? 404 : 503;
   const char *reason = sure ? "no_route" : "no_route_yet";
 
@@ -119,7 +127,7 @@
   if (!route)
     refuse_unknown (g, r, info.id ? info.id : "");
   else if (route->kind == WY_ROUTE_JOB && !strcmp (wy_h1_method (r), "POST"))
-    wy_jobs_accept (g->jobs, r, route);
+    wy_jobs_accept (g->jobs, r, config_is_fresh (g));
   else
     wy_proxy_start (&g->env, r, route);
 }
--- a/src/gate/gate_state.h
+++ b/src/gate/gate_state.h
@@ -45,6 +45,7 @@
   int64_t *log_dropped;
   int64_t *jobs_oldest_ms;
   int64_t *items_waiting;
+  int64_t *items_scoring;
   int64_t *items_unlisted;
   struct wy_family *store_ended; /* by verb and outcome */
 };
--- a/src/gate/gauges.c
+++ b/src/gate/gauges.c
@@ -40,6 +40,13 @@
                                       "Job items with a result");
   c->items_broken = wy_metrics_counter (m, "wy_gate_item_runs_broken_total",
                                         "Runs of job items that broke off");
+  c->scores_asked = wy_metrics_counter (m, "wy_gate_score_calls_total",
+                                        "Calls for scores of items' texts");
+  c->scores_broken = wy_metrics_counter (m, "wy_gate_score_calls_failed_total",
+                                         "Of these, without a score");
+  c->score_hedges
+      = wy_metrics_counter (m, "wy_gate_score_hedges_total",
+                            "Second replicas asked for a score that was late");
   c->jobs_accepted = wy_metrics_counter (m, "wy_gate_jobs_accepted_total",
                                          "Jobs accepted here");
   c->jobs_taken_over = wy_metrics_counter (m, "wy_gate_jobs_taken_over_total",
@@ -52,6 +59,9 @@
                                          WY_GATE_HISTOGRAM_SETS);
   c->latency_us = wy_metrics_histogram (m, "wy_gate_answer_us",
                                         "Time to a replica's whole answer");
+  c->score_us = wy_metrics_histogram (m, "wy_gate_score_us",
+                                      "Time from an item's whole text to its"
+                                      " score");
   c->item_us = wy_metrics_histogram (m, "wy_gate_item_us",
                                      "Time from a job's acceptance to an"
                                      " item's result");
@@ -92,6 +102,8 @@
       m, "wy_gate_jobs_oldest_ms", "Age of the oldest job that is run here");
   v->items_waiting = wy_metrics_gauge (m, "wy_gate_items_waiting",
                                        "Job items that wait for a replica");
+  v->items_scoring = wy_metrics_gauge (
+      m, "wy_gate_items_scoring", "Job items whose text waits for a score");
   v->items_unlisted = wy_metrics_gauge (
       m, "wy_gate_items_unlisted", "Job items whose results are not listed");
   v->store_ended = wy_metrics_counters (m, "wy_gate_store_calls_ended_total",
@@ -141,6 +153,7 @@
   wy_jobs_work (g->jobs, &work);
   *v->jobs_oldest_ms = work.oldest_ms;
   *v->items_waiting = work.waiting;
+  *v->items_scoring = work.scoring;
   *v->items_unlisted = work.unlisted;
   read_store_calls (v, &rows);
   *v->jobs_known = wy_jobs_is_synced (g->jobs);
--- a/src/gate/proxy_end.c
+++ b/src/gate/proxy_end.c
@@ -234,7 +234,8 @@
     wy_answer_send (a, r);
   wy_answer_free (a);
   if (p->kind != WY_ROUTE_STREAM)
-    wy_target_paced (t->target, (double)(now_ms - t->started_ms), now_ms);
+    wy_target_paced (t->target, WY_WORK_REQUEST,
+                     (double)(now_ms - t->started_ms), now_ms);
   wy_proxy_end_try (t, WY_TARGET_ANSWERED);
   wy_proxy_finish (p);
 }
--- a/src/gate/status.c
+++ b/src/gate/status.c
@@ -81,6 +81,15 @@
   json_t *list;
 };
 
+/* What is believed of the times of T, by the kind of work.  */
+static json_t *
+pace_of (const struct wy_target *t)
+{
+  return json_pack ("{s:f, s:f, s:f}", "request", t->pace[WY_WORK_REQUEST].ms,
+                    "event", t->pace[WY_WORK_EVENT].ms, "score",
+                    t->pace[WY_WORK_SCORE].ms);
+}
+
 static void
 add_replica (void *ctx, const struct wy_target *t)
 {
@@ -99,8 +108,8 @@
                  (int)t->in_flight, "load", (int)t->reported_load,
                  "load_age_ms",
                  integer (t->reported_ms ? now_ms - t->reported_ms : -1),
-                 "pace_ms", json_real (t->pace_ms), "failures",
-                 (int)t->failures, "versions", models_of (t)));
+                 "pace_ms", pace_of (t), "failures", (int)t->failures,
+                 "versions", models_of (t)));
 }
 
 static json_t *
--- a/src/gate/targets.c
+++ b/src/gate/targets.c
@@ -241,13 +241,26 @@
 static uint32_t
 slots_of (const struct wy_target *g, const struct wy_pick *p)
 {
-  uint32_t n = (uint32_t)(g->info.slots * p->slots_share);
+  uint32_t n = p->slots_share > 0 ? (uint32_t)(g->info.slots * p->slots_share)
+                                  : g->info.slots;
 
-  if (p->slots_share <= 0)
-    return g->info.slots;
+  if (n + p->slots_left > g->info.slots)
+    n = g->info.slots > p->slots_left ? g->info.slots - p->slots_left : 0;
   return n ? n : 1;
 }
 
+/* Time of a unit of WORK at G; UNKNOWN_MS when there is no fresh proof.  */
+static double
+pace_of (const struct wy_target *g, enum wy_work work, double unknown_ms,
+         int64_t now_ms)
+{
+  const struct wy_pace *p = &g->pace[work];
+
+  if (p->ms <= 0 || now_ms - p->seen_ms > PACE_TRUST_MS)
+    return unknown_ms;
+  return p->ms;
+}
+
 static bool
 fits (const struct wy_target *g, const struct wy_pick *p, int64_t now_ms)
 {
@@ -259,8 +272,8 @@
     return false;
   if (p->within_slots && load_of (g, now_ms) >= slots_of (g, p))
     return false;
-  if (p->pace_limit_ms > 0 && g->pace_ms > p->pace_limit_ms
-      && now_ms - g->pace_seen_ms <= PACE_TRUST_MS)
+  if (p->pace_limit_ms > 0
+      && pace_of (g, p->work, 0, now_ms) > p->pace_limit_ms)
     return false;
   /* After a failure one request at a time shows whether it is back.  */
   if ((g->failures && g->in_flight) || (g->refusals && g->unanswered))
@@ -268,14 +281,6 @@
   return now_ms >= g->avoid_until_ms;
 }
 
-static double
-pace_of (const struct wy_target *g, double typical_ms, int64_t now_ms)
-{
-  if (g->pace_ms <= 0 || now_ms - g->pace_seen_ms > PACE_TRUST_MS)
-    return typical_ms;
-  return g->pace_ms;
-}
-
 /* Expected cost of one more request on G: its pace, rising a little with the
    load while there are free slots, since a larger batch is a slower one, and
    steeply beyond, where the request would wait for another to end.  */
@@ -283,7 +288,7 @@
 cost_of (const struct wy_targets *t, const struct wy_target *g,
          const struct wy_pick *p, double typical_ms, int64_t now_ms)
 {
-  double pace = pace_of (g, typical_ms, now_ms);
+  double pace = pace_of (g, p->work, typical_ms, now_ms);
   double load = (double)load_of (g, now_ms) / g->info.slots;
   double cost = pace * (1 + load / 2);
 
@@ -309,11 +314,12 @@
   return x < y ? -1 : x > y;
 }
 
-/* The pace that most targets of SERVICE keep: the median over them, which a
-   few slow ones do not move; 1 when none is known, so that costs can be
-   compared.  */
+/* The pace that most targets of SERVICE keep at WORK: the median over them,
+   which a few slow ones do not move; 1 when none is known, so that costs can
+   be compared.  */
 double
-wy_targets_typical_pace_ms (const struct wy_targets *t, const char *service)
+wy_targets_typical_pace_ms (const struct wy_targets *t, const char *service,
+                            enum wy_work work)
 {
   double pace[TYPICAL_MAX];
   GHashTableIter it;
@@ -325,8 +331,8 @@
     {
       const struct wy_target *g = p;
 
-      if (g->pace_ms > 0 && is_ready (g, service))
-        pace[n++] = g->pace_ms;
+      if (g->pace[work].ms > 0 && is_ready (g, service))
+        pace[n++] = g->pace[work].ms;
     }
   if (n == 0)
     return 1;
@@ -341,7 +347,7 @@
 struct wy_target *
 wy_targets_pick (struct wy_targets *t, const struct wy_pick *p, int64_t now_ms)
 {
-  double typical_ms = wy_targets_typical_pace_ms (t, p->service);
+  double typical_ms = wy_targets_typical_pace_ms (t, p->service, p->work);
   struct wy_target *best = NULL;
   double best_cost = 0;
   uint32_t ties = 0;
@@ -463,13 +469,16 @@
   g->reported_ms = now_ms;
 }
 
-/* G has done a unit of work in MS.  */
+/* G has done a unit of WORK in MS.  */
 void
-wy_target_paced (struct wy_target *g, double ms, int64_t now_ms)
+wy_target_paced (struct wy_target *g, enum wy_work work, double ms,
+                 int64_t now_ms)
 {
-  if (g->pace_ms <= 0 || now_ms - g->pace_seen_ms > PACE_TRUST_MS)
-    g->pace_ms = ms;
+  struct wy_pace *p = &g->pace[work];
+
+  if (p->ms <= 0 || now_ms - p->seen_ms > PACE_TRUST_MS)
+    p->ms = ms;
   else
-    g->pace_ms += pace_weight * (ms - g->pace_ms);
-  g->pace_seen_ms = now_ms;
+    p->ms += pace_weight * (ms - p->ms);
+  p->seen_ms = now_ms;
 }
--- a/src/gate/targets.h
+++ b/src/gate/targets.h
@@ -11,6 +11,23 @@
 
 struct wy_targets;
 
+/* Kinds of work whose times are of no use to each other: one service may
+   answer callers in some ten ms and score texts in some hundred.  */
+enum wy_work
+{
+  WY_WORK_REQUEST, /* a caller's, whole */
+  WY_WORK_EVENT,   /* of a job's item */
+  WY_WORK_SCORE,   /* of an item's text */
+  WY_WORKS
+};
+
+/* How long a target takes for a unit of one kind of work.  */
+struct wy_pace
+{
+  double ms; /* smoothed; 0: not known */
+  int64_t seen_ms;
+};
+
 struct wy_target
 {
   struct wy_replica info;
@@ -24,8 +41,7 @@
   uint32_t reported_load;  /* running and waiting, of all callers */
   uint32_t in_flight_then; /* ours among them */
   int64_t reported_ms;
-  double pace_ms; /* smoothed time of a unit of work; 0: not known */
-  int64_t pace_seen_ms;
+  struct wy_pace pace[WY_WORKS];
 };
 
 enum wy_target_outcome
@@ -43,6 +59,7 @@
 struct wy_pick
 {
   const char *service;
+  enum wy_work work;
   const char *availability_zone; /* of the entry; nearer targets win ties */
   const char *model;             /* NULL: any */
   int64_t min_version;
@@ -50,6 +67,7 @@
   uint32_t in_flight_limit; /* of this entry on one target; 0: none */
   bool within_slots;        /* only where a request starts at once */
   double slots_share;       /* the part of them that may be taken; 0: all */
+  uint32_t slots_left;      /* and so many of them are left free */
   double pace_limit_ms;     /* not where work is slower; 0: anywhere */
   const struct wy_target *const *tried;
   uint32_t n_tried;
@@ -72,7 +90,7 @@
 struct wy_target *wy_targets_pick (struct wy_targets *t,
                                    const struct wy_pick *p, int64_t now_ms);
 double wy_targets_typical_pace_ms (const struct wy_targets *t,
-                                   const char *service);
+                                   const char *service, enum wy_work work);
 
 void wy_target_hold (struct wy_target *g);
 void wy_target_release (struct wy_targets *t, struct wy_target *g);
@@ -81,7 +99,8 @@
                       enum wy_target_outcome outcome, int64_t now_ms);
 void wy_target_heard (struct wy_target *g);
 void wy_target_loaded (struct wy_target *g, uint32_t load, int64_t now_ms);
-void wy_target_paced (struct wy_target *g, double ms, int64_t now_ms);
+void wy_target_paced (struct wy_target *g, enum wy_work work, double ms,
+                      int64_t now_ms);
 void wy_target_saw_version (struct wy_target *g, const char *model,
                             int64_t version);
 int64_t wy_target_version (const struct wy_target *g, const char *model);
--- a/src/jobs/accept.c
+++ b/src/jobs/accept.c
@@ -14,6 +14,7 @@
 #include "base/id.h"
 #include "gate/answer.h"
 #include "jobs/carry.h"
+#include "jobs/score.h"
 #include "platform/job_wire.h"
 #include "trace/note.h"
 
@@ -261,10 +262,34 @@
   a->record->holder = g_strdup (holder);
 }
 
-/* Take in the job that R submits on ROUTE.  */
+/* Whether each item of SPEC that is to be scored can be.  */
+static bool
+has_scorer_routes (const struct wy_jobs *j, const struct wy_job_spec *spec)
+{
+  for (guint k = 0; k < spec->items->len; k++)
+    {
+      const struct wy_item_spec *i = g_ptr_array_index (spec->items, k);
+
+      if (i->scorer && !wy_scorer_route (j->env->routing, i->scorer))
+        return false;
+    }
+  return true;
+}
+
+static void
+refuse_job (struct wy_h1_request *r, const char *id, int status,
+            const char *why, size_t body_bytes)
+{
+  wy_note ("job.submitted", "id=%s status=%d reason=%s bytes=%zu", id, status,
+           why, body_bytes);
+  wy_refuse (r, status, why, status == 503 ? RETRY_AFTER_MS : 0);
+}
+
+/* Take in the job that R submits.  Without CONFIG_IS_FRESH a route that is not
+   known here may be known elsewhere.  */
 void
 wy_jobs_accept (struct wy_jobs *j, struct wy_h1_request *r,
-                const struct wy_route *route)
+                bool config_is_fresh)
 {
   struct wy_request_info info;
   struct wy_job_spec *spec;
@@ -289,17 +314,20 @@
     }
   if (!wy_jobs_have_room (j, n))
     {
-      wy_note ("job.submitted", "id=%s status=503 reason=memory bytes=%zu",
-               info.id, n);
-      wy_refuse (r, 503, "memory", RETRY_AFTER_MS);
+      refuse_job (r, info.id, 503, "memory", n);
       return;
     }
   spec = wy_job_decode (body, n, &why);
   if (!spec)
     {
-      wy_note ("job.submitted", "id=%s status=400 reason=%s bytes=%zu",
-               info.id, why, n);
-      wy_refuse (r, 400, why, 0);
+      refuse_job (r, info.id, 400, why, n);
+      return;
+    }
+  if (!has_scorer_routes (j, spec))
+    {
+      refuse_job (r, info.id, config_is_fresh ? 400 : 503, "no_scorer_route",
+                  n);
+      wy_job_spec_free (spec);
       return;
     }
   a = g_new0 (struct accept, 1);
--- a/src/jobs/carry.c
+++ b/src/jobs/carry.c
@@ -62,6 +62,12 @@
   g_free (e);
 }
 
+static bool
+has_whole_text (const struct wy_item *i)
+{
+  return i->state == WY_ITEM_SCORING || i->state == WY_ITEM_ENDED;
+}
+
 /* Whether the text of I has grown enough to be stored for PURPOSE.  A later
    job asks for newer weights than this one did.  */
 static bool
@@ -72,11 +78,13 @@
   switch (purpose)
     {
     case WY_CARRY_SAME_JOB:
+      if (i->state == WY_ITEM_SCORING)
+        return i->last_event > i->checkpoint_event;
       return i->run
              && i->last_event - MAX (i->checkpoint_event, 0)
                     >= CHECKPOINT_EVENTS;
     case WY_CARRY_LATER_RUNNING:
-      if (!i->run && i->state != WY_ITEM_ENDED)
+      if (!i->run && !has_whole_text (i))
         return false;
       break;
     case WY_CARRY_LATER_JOB:
@@ -101,7 +109,7 @@
         versions, json_integer (g_array_index (i->versions, int64_t, k)));
   doc = json_pack ("{s:s, s:o, s:I, s:b, s:I}", "text", i->text->str,
                    "versions", versions, "last", (json_int_t)i->last_event,
-                   "complete", i->state == WY_ITEM_ENDED, "at_ms",
+                   "complete", has_whole_text (i), "at_ms",
                    (json_int_t)now_ms);
   text = doc ? json_dumps (doc, JSON_COMPACT) : NULL;
   out = g_strdup (text);
@@ -358,7 +366,7 @@
   for (uint32_t k = 0; k < chunks; k++)
     g_ptr_array_add (c->keys, g_strdup_printf ("%s.%05u", e->id, k));
   if (e->complete)
-    wy_item_end (i, false);
+    wy_item_text_whole (i);
 }
 
 static void
--- a/src/jobs/jobs.c
+++ b/src/jobs/jobs.c
@@ -126,8 +126,8 @@
 {
   struct wy_jobs *j = ctx;
 
-  wy_note ("job.listed", "id=%s listed=%u of=%u waiting=%u", o->record->id,
-           o->n_listed, o->n_items, o->n_waiting);
+  wy_note ("job.listed", "id=%s listed=%u of=%u waiting=%u scoring=%u",
+           o->record->id, o->n_listed, o->n_items, o->n_waiting, o->n_scoring);
   wy_jobs_wake_readers (j, o->record->id);
 }
 
@@ -388,6 +388,7 @@
 
       out->oldest_ms = MAX (out->oldest_ms, now_ms - o->started_ms);
       out->waiting += o->n_waiting;
+      out->scoring += o->n_scoring;
       out->unlisted += o->ended.length;
     }
 }
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -33,6 +33,7 @@
 {
   int64_t oldest_ms; /* age of the oldest job; 0: none */
   uint32_t waiting;  /* items without a run */
+  uint32_t scoring;  /* items whose text waits for its score */
   uint32_t unlisted; /* items with a result that is not listed */
 };
 
@@ -59,7 +60,7 @@
 void wy_jobs_targets_changed (struct wy_jobs *j);
 
 void wy_jobs_accept (struct wy_jobs *j, struct wy_h1_request *r,
-                     const struct wy_route *route);
+                     bool config_is_fresh);
 bool wy_jobs_take_handed (struct wy_jobs *j, struct wy_h1_request *r);
 void wy_jobs_call (struct wy_jobs *j, struct wy_h1_request *r,
                    const struct wy_job_call *call);
--- a/src/jobs/owned.c
+++ b/src/jobs/owned.c
@@ -5,6 +5,7 @@
 
 #include "decide/item_slots.h"
 #include "jobs/carry.h"
+#include "jobs/score.h"
 #include "trace/note.h"
 
 enum
@@ -15,7 +16,10 @@
   /* Trainers submit the next step about a second after they end one.  */
   LINGER_MS = 2000,
   /* Ticks between two looks for text worth storing.  */
-  CHECKPOINT_TICKS = 5
+  CHECKPOINT_TICKS = 5,
+  /* Second calls for scores that a job may make at once: as many as a replica
+     has under way when it goes dark.  */
+  SECOND_SCORES = 8
 };
 
 static int64_t
@@ -24,8 +28,9 @@
   return wy_clock_mono_ms (o->env->clock);
 }
 
-static const struct wy_route *
-route_of (const struct wy_owned *o)
+/* The route by which O was submitted; NULL: it is gone.  */
+const struct wy_route *
+wy_owned_route (const struct wy_owned *o)
 {
   const struct wy_route *r
       = wy_routing_match (o->env->routing, o->record->host, o->record->path);
@@ -33,6 +38,46 @@
   return r && r->kind == WY_ROUTE_JOB ? r : NULL;
 }
 
+/* Time until the items of O may be given up; -1: not known.  */
+int64_t
+wy_owned_time_left_ms (const struct wy_owned *o)
+{
+  const struct wy_route *route = wy_owned_route (o);
+  int64_t store_ms = wy_rows_store_now_ms (o->env->rows);
+  int64_t left_ms;
+
+  if (!route || !route->retention_ms || !store_ms || !o->record->accepted_ms)
+    return -1;
+  left_ms = (int64_t)route->retention_ms + RETENTION_SLACK_MS
+            - (store_ms - o->record->accepted_ms);
+  return MAX (left_ms, 0);
+}
+
+/* Answers that the text of I can't be scored after which it is given up: its
+   job's route and the scorer's each name a number, and both must be
+   reached.  */
+uint32_t
+wy_owned_allowed_failures (const struct wy_item *i)
+{
+  const struct wy_route *job = wy_owned_route (i->job);
+  const struct wy_route *scorer
+      = wy_scorer_route (i->job->env->routing, i->spec->scorer);
+
+  return MAX (MAX (job ? job->attempts : 0, scorer ? scorer->attempts : 0), 1);
+}
+
+static struct wy_group *
+group_of (struct wy_owned *o, const char *name)
+{
+  struct wy_group *g = g_hash_table_lookup (o->groups, name);
+
+  if (g)
+    return g;
+  g = g_new0 (struct wy_group, 1);
+  g_hash_table_insert (o->groups, (char *)name, g);
+  return g;
+}
+
 static gint
 by_expected_length (gconstpointer a, gconstpointer b)
 {
@@ -63,12 +108,17 @@
   o->items = g_new0 (struct wy_item, o->n_items);
   g_queue_init (&o->ended);
   o->batch = g_ptr_array_new ();
+  o->groups = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  wy_retry_init (&o->second_scores,
+                 &(struct wy_retry_options){ .burst = SECOND_SCORES });
   for (uint32_t k = 0; k < o->n_items; k++)
     {
       struct wy_item *i = &o->items[k];
 
       i->job = o;
       i->spec = g_ptr_array_index (o->spec->items, k);
+      i->group = group_of (o, i->spec->group);
+      i->group->missing++;
       i->text = g_string_new (NULL);
       i->versions = g_array_new (FALSE, FALSE, sizeof (int64_t));
       i->last_event = -1;
@@ -98,6 +148,7 @@
       wy_result_free (i->result);
     }
   g_free (o->items);
+  g_hash_table_destroy (o->groups);
   g_ptr_array_free (o->order, TRUE);
   g_ptr_array_free (o->batch, TRUE);
   g_queue_clear (&o->ended);
@@ -118,6 +169,13 @@
     o->flush.data = NULL;
 }
 
+static void
+stop_scoring (struct wy_item *i)
+{
+  wy_score_free (i->score);
+  i->score = NULL;
+}
+
 /* Stop running the job and free it when nothing points to it any more.  */
 void
 wy_owned_drop (struct wy_owned *o)
@@ -126,8 +184,11 @@
     return;
   o->dropped = true;
   for (uint32_t k = 0; k < o->n_items; k++)
-    if (o->items[k].run)
-      wy_run_cancel (o->items[k].run);
+    {
+      if (o->items[k].run)
+        wy_run_cancel (o->items[k].run);
+      stop_scoring (&o->items[k]);
+    }
   uv_close ((uv_handle_t *)&o->flush, on_flush_closed);
 }
 
@@ -156,26 +217,41 @@
       if (i->state == WY_ITEM_LISTED || strcmp (i->spec->id, item) != 0)
         continue;
       i->state = WY_ITEM_LISTED;
+      i->group->missing--;
       o->n_waiting--;
       o->n_listed++;
       return;
     }
 }
 
-/* The item I has its result: it waits to be listed.  */
-void
-wy_item_end (struct wy_item *i, bool given_up)
+static void
+leave_state (struct wy_item *i)
+{
+  if (i->state == WY_ITEM_WAITING)
+    i->job->n_waiting--;
+  if (i->state == WY_ITEM_SCORING)
+    {
+      stop_scoring (i);
+      i->job->n_scoring--;
+    }
+}
+
+/* The item I has its result: it waits to be listed.  MARK of the answer that
+   scored its text: NULL, there is no scorer, or it is given up.  */
+static void
+end_item (struct wy_item *i, bool given_up, const char *mark)
 {
   struct wy_result *r = wy_result_new (i->spec->id);
 
   r->given_up = given_up;
   r->text = g_strdup (given_up ? "" : i->text->str);
+  r->score = g_strdup (mark);
   if (!given_up)
     for (guint k = 0; k < i->versions->len; k++)
       wy_result_add_version (r, g_array_index (i->versions, int64_t, k));
-  if (i->state == WY_ITEM_WAITING)
-    i->job->n_waiting--;
+  leave_state (i);
   i->state = WY_ITEM_ENDED;
+  i->group->missing--;
   i->result = r;
   (*i->job->env->count.items_done)++;
   wy_hist_add (i->job->env->count.item_us,
@@ -185,6 +261,35 @@
   wy_lister_schedule (i->job);
 }
 
+/* The text of I is whole: it is the result, or it is to be scored.  */
+void
+wy_item_text_whole (struct wy_item *i)
+{
+  if (!i->spec->scorer)
+    {
+      end_item (i, false, NULL);
+      return;
+    }
+  leave_state (i);
+  i->state = WY_ITEM_SCORING;
+  i->score = wy_score_new (i);
+  i->job->n_scoring++;
+}
+
+/* The text of I is scored, by an answer with MARK.  */
+void
+wy_item_scored (struct wy_item *i, const char *mark)
+{
+  end_item (i, false, mark);
+}
+
+/* The item I will not be done, and is listed so.  */
+void
+wy_item_give_up (struct wy_item *i)
+{
+  end_item (i, true, NULL);
+}
+
 static void
 give_up_all (struct wy_owned *o, const char *why)
 {
@@ -200,8 +305,8 @@
           i->state = WY_ITEM_WAITING;
           o->n_waiting++;
         }
-      if (i->state == WY_ITEM_WAITING)
-        wy_item_end (i, true);
+      if (i->state == WY_ITEM_WAITING || i->state == WY_ITEM_SCORING)
+        wy_item_give_up (i);
     }
 }
 
@@ -213,8 +318,9 @@
                double pace_limit_ms, double slots_share)
 {
   const struct wy_owned *o = i->job;
-  const struct wy_route *route = route_of (o);
-  struct wy_pick q = { .availability_zone = o->env->availability_zone,
+  const struct wy_route *route = wy_owned_route (o);
+  struct wy_pick q = { .work = WY_WORK_EVENT,
+                       .availability_zone = o->env->availability_zone,
                        .model = *o->spec->model ? o->spec->model : NULL,
                        .min_version = o->spec->min_version,
                        .newest_version = o->newest_version,
@@ -242,10 +348,11 @@
   int64_t now_ms = now_of (o);
   bool full = false; /* for those that leave slots to others */
 
+  wy_scores_pump (o);
   if (o->dropped || o->lingering || o->n_waiting == 0 || !o->env->routing
       || o->env->stopping)
     return;
-  route = route_of (o);
+  route = wy_owned_route (o);
   if (!route)
     return;
   for (uint32_t k = 0; k < o->n_items && o->n_waiting; k++)
@@ -279,14 +386,7 @@
 static void
 check_time (struct wy_owned *o)
 {
-  const struct wy_route *route = route_of (o);
-  int64_t store_ms = wy_rows_store_now_ms (o->env->rows);
-
-  if (!route || !route->retention_ms || !store_ms || !o->record->accepted_ms
-      || !o->n_waiting)
-    return;
-  if (store_ms - o->record->accepted_ms
-      > (int64_t)route->retention_ms + RETENTION_SLACK_MS)
+  if (o->n_waiting + o->n_scoring && wy_owned_time_left_ms (o) == 0)
     give_up_all (o, "retention");
 }
 
@@ -298,8 +398,12 @@
   if (o->dropped || !o->env->routing)
     return;
   for (uint32_t k = 0; check_runs && k < o->n_items; k++)
-    if (o->items[k].run)
-      wy_run_check (o->items[k].run);
+    {
+      if (o->items[k].run)
+        wy_run_check (o->items[k].run);
+      if (o->items[k].score)
+        wy_score_check (o->items[k].score);
+    }
   check_time (o);
   if (++o->ticks % CHECKPOINT_TICKS == 0 && *o->spec->model)
     wy_carry_save (o, WY_CARRY_SAME_JOB);
@@ -319,6 +423,8 @@
     {
       struct wy_item *i = &o->items[k];
 
+      if (i->score)
+        wy_score_pause (i->score);
       /* Text that no later job can use is not worth a slot.  */
       if (i->run && i->carried_event < 0)
         {
--- a/src/jobs/owned.h
+++ b/src/jobs/owned.h
@@ -2,6 +2,7 @@
 #ifndef WY_JOBS_OWNED_H
 #define WY_JOBS_OWNED_H
 
+#include "decide/retry.h"
 #include "gate/env.h"
 #include "gate/events.h"
 #include "jobs/record.h"
@@ -10,17 +11,26 @@
 
 enum wy_item_state
 {
-  WY_ITEM_WAITING,
-  WY_ITEM_RUNNING,
-  WY_ITEM_ENDED, /* its result waits to be listed */
+  WY_ITEM_WAITING, /* for a target */
+  WY_ITEM_RUNNING, /* its text is being made */
+  WY_ITEM_SCORING, /* its text is whole, the score of it is not known */
+  WY_ITEM_ENDED,   /* its result waits to be listed */
   WY_ITEM_LISTED
 };
 
 struct wy_run;
+struct wy_score;
+
+/* Items that count together.  */
+struct wy_group
+{
+  uint32_t missing; /* items without a result */
+};
 
 struct wy_item
 {
   struct wy_owned *job;
+  struct wy_group *group;
   const struct wy_item_spec *spec;
   enum wy_item_state state;
   GString *text; /* of the events so far */
@@ -33,7 +43,8 @@
   uint32_t unstarted; /* runs in a row that broke off before any event */
   int64_t not_before_ms;
   struct wy_target *avoid; /* held; where the last run failed, or NULL */
-  struct wy_run *run;
+  struct wy_run *run;      /* while it runs */
+  struct wy_score *score;  /* while it is scored */
   struct wy_result *result;
 };
 
@@ -51,9 +62,12 @@
   struct wy_job_spec *spec;
   int64_t newest_version; /* of the weights, as named; 0: not known */
   struct wy_item *items;
-  GPtrArray *order; /* of items, in which they are started */
+  GPtrArray *order;   /* of items, in which they are started */
+  GHashTable *groups; /* struct wy_group by name */
   uint32_t n_items;
   uint32_t n_waiting;
+  uint32_t n_scoring;
+  struct wy_retry_budget second_scores;
   uint32_t n_listed;
   GQueue ended;     /* struct wy_item whose results wait */
   size_t row_bytes; /* of a row in the store */
@@ -97,7 +111,13 @@
 bool wy_owned_linger_tick (struct wy_owned *o);
 bool wy_owned_is_done (const struct wy_owned *o);
 
-void wy_item_end (struct wy_item *i, bool given_up);
+const struct wy_route *wy_owned_route (const struct wy_owned *o);
+int64_t wy_owned_time_left_ms (const struct wy_owned *o);
+uint32_t wy_owned_allowed_failures (const struct wy_item *i);
+
+void wy_item_text_whole (struct wy_item *i);
+void wy_item_scored (struct wy_item *i, const char *mark);
+void wy_item_give_up (struct wy_item *i);
 void wy_lister_schedule (struct wy_owned *o);
 
 bool wy_run_is_held_back (struct wy_item *i);
--- a/src/jobs/result.c
+++ b/src/jobs/result.c
@@ -24,6 +24,7 @@
     return;
   g_free (r->item);
   g_free (r->text);
+  g_free (r->score);
   g_array_free (r->versions, TRUE);
   g_free (r);
 }
@@ -53,6 +54,8 @@
   doc = json_pack ("{s:s, s:b, s:s, s:o}", "item", r->item, "given_up",
                    r->given_up, "text", r->text ? r->text : "", "versions",
                    versions);
+  if (doc && r->score)
+    json_object_set_new (doc, "score", json_string (r->score));
   text = doc ? json_dumps (doc, JSON_COMPACT) : NULL;
   out = g_strdup (text ? text : "");
   free (text);
@@ -75,6 +78,7 @@
       r = wy_result_new (item);
       r->given_up = json_is_true (json_object_get (doc, "given_up"));
       r->text = g_strdup (json_string_value (json_object_get (doc, "text")));
+      r->score = g_strdup (json_string_value (json_object_get (doc, "score")));
       json_array_foreach (json_object_get (doc, "versions"), i, v)
           wy_result_add_version (r, json_integer_value (v));
     }
--- a/src/jobs/result.h
+++ b/src/jobs/result.h
@@ -13,6 +13,7 @@
   char *item;
   bool given_up;
   char *text;
+  char *score;      /* mark of the answer that scored the text; NULL: none */
   GArray *versions; /* int64_t, of the weights that made the text, rising */
 };
 
--- a/src/jobs/run.c
+++ b/src/jobs/run.c
@@ -233,7 +233,7 @@
   if (r->status == STATUS_OK && !r->fault)
     wy_events_feed (&r->events, p, n, on_event, r);
   if (before && r->n_events > before)
-    wy_target_paced (r->target,
+    wy_target_paced (r->target, WY_WORK_EVENT,
                      (double)(now_ms - r->heard_ms) / (r->n_events - before),
                      now_ms);
   else if (r->n_events)
@@ -250,7 +250,7 @@
   struct wy_item *i = r->item;
   log_run (r, "completed");
   free_run (r, WY_TARGET_ANSWERED);
-  wy_item_end (i, false);
+  wy_item_text_whole (i);
 }
 
 static void
@@ -262,14 +262,14 @@
     {
       log_run (r, "never");
       free_run (r, WY_TARGET_ANSWERED);
-      wy_item_end (i, true);
+      wy_item_give_up (i);
     }
   else if (r->status == STATUS_FAILED
            && ++i->failed_runs >= r->allowed_failures)
     {
       log_run (r, "failed");
       free_run (r, WY_TARGET_ANSWERED);
-      wy_item_end (i, true);
+      wy_item_give_up (i);
     }
   else
     wy_run_again (r, WY_TARGET_ANSWERED, RETRY_FAILED_MS, "replica_failed");
@@ -357,7 +357,8 @@
            i->spec->id, i->job->record->id, g->info.id,
            (long long)i->last_event, i->runs, g->in_flight, g->reported_load,
            g->reported_ms ? (long long)(now_ms - g->reported_ms) : -1LL,
-           g->pace_ms, (long long)wy_target_version (g, i->job->spec->model));
+           g->pace[WY_WORK_EVENT].ms,
+           (long long)wy_target_version (g, i->job->spec->model));
 }
 
 /* Run I on G, behind the text that it has.  */
--- a/src/jobs/run_check.c
+++ b/src/jobs/run_check.c
@@ -67,8 +67,8 @@
 wy_run_check (struct wy_run *r)
 {
   struct wy_gate_env *env = r->item->job->env;
-  double typical_ms
-      = wy_targets_typical_pace_ms (env->targets, r->target->info.service);
+  double typical_ms = wy_targets_typical_pace_ms (
+      env->targets, r->target->info.service, WY_WORK_EVENT);
   enum headway headway = HEADWAY_SOUND;
 
   if (wy_run_now_ms (r) - r->heard_ms >= SILENCE_MS)
--- a/src/jobs/spec.c
+++ b/src/jobs/spec.c
@@ -1,6 +1,18 @@
 /* A job as its trainer submitted it.  */
 #include "jobs/spec.h"
 
+static void
+free_scorer (struct wy_scorer_spec *s)
+{
+  if (!s)
+    return;
+  g_free (s->id);
+  g_free (s->host);
+  g_free (s->path);
+  g_free (s->body);
+  g_free (s);
+}
+
 static void
 free_item (gpointer p)
 {
@@ -19,6 +31,7 @@
   g_free (i->path);
   g_free (i->group);
   g_free (i->body);
+  free_scorer (i->scorer);
   g_free (i);
 }
 
--- a/src/jobs/spec.h
+++ b/src/jobs/spec.h
@@ -9,6 +9,16 @@
 
 #include "h1/head.h"
 
+/* A request whose answer scores an item's text.  */
+struct wy_scorer_spec
+{
+  char *id;
+  char *host; /* these two find its route */
+  char *path;
+  unsigned char *body;
+  size_t body_size_bytes;
+};
+
 struct wy_item_spec
 {
   char *id;
@@ -17,7 +27,8 @@
   GArray *fields; /* struct wy_h1_pair, owned texts */
   unsigned char *body;
   size_t body_size_bytes;
-  uint32_t expected_tokens; /* the submitter's guess; 0: none */
+  uint32_t expected_tokens;      /* the submitter's guess; 0: none */
+  struct wy_scorer_spec *scorer; /* NULL: the text alone is the result */
 };
 
 struct wy_job_spec
--- a/tests/support/job_world.c
+++ b/tests/support/job_world.c
@@ -15,9 +15,7 @@
 
   wy_job_call_read (wy_h1_method (r), wy_h1_target (r), wy_h1_head (r), &call);
   if (call.kind == WY_JOB_CALL_NONE)
-    wy_jobs_accept (
-        job_entry.jobs, r,
-        wy_routing_match (job_world.env.routing, "h", wy_h1_target (r)));
+    wy_jobs_accept (job_entry.jobs, r, true);
   else
     wy_jobs_call (job_entry.jobs, r, &call);
 }
--- a/tests/support/platform_world.c
+++ b/tests/support/platform_world.c
@@ -108,11 +108,12 @@
 {
   struct wy_gate_counters *c = &w->env.count;
   uint64_t **counters[]
-      = { &c->requests,       &c->answered,     &c->refused,
-          &c->failed,         &c->hung_up,      &c->retries,
-          &c->held_back,      &c->hedges,       &c->items_started,
-          &c->items_done,     &c->items_broken, &c->jobs_accepted,
-          &c->jobs_taken_over };
+      = { &c->requests,        &c->answered,     &c->refused,
+          &c->failed,          &c->hung_up,      &c->retries,
+          &c->held_back,       &c->hedges,       &c->items_started,
+          &c->items_done,      &c->items_broken, &c->jobs_accepted,
+          &c->jobs_taken_over, &c->scores_asked, &c->scores_broken,
+          &c->score_hedges };
   char name[32];
 
   w->metrics = wy_metrics_new ();
@@ -122,6 +123,7 @@
       *counters[i] = wy_metrics_counter (w->metrics, name, "");
     }
   c->latency_us = wy_metrics_histogram (w->metrics, "latency", "");
+  c->score_us = wy_metrics_histogram (w->metrics, "score", "");
   c->item_us = wy_metrics_histogram (w->metrics, "item", "");
   c->ended = wy_metrics_counters (w->metrics, "ended", "", 64);
   c->latency_by = wy_metrics_histograms (w->metrics, "latency_by", "", 16);
--- a/tests/test_gate_decide.c
+++ b/tests/test_gate_decide.c
@@ -79,9 +79,9 @@
   struct wy_target *a = add (t, "a");
   struct wy_target *b = add (t, "b");
 
-  wy_target_paced (a, 40, 0);
-  wy_target_paced (b, 42, 0);
-  wy_target_paced (slow, 160, 0);
+  wy_target_paced (a, WY_WORK_REQUEST, 40, 0);
+  wy_target_paced (b, WY_WORK_REQUEST, 42, 0);
+  wy_target_paced (slow, WY_WORK_REQUEST, 160, 0);
   for (int i = 0; i < 2 * SLOTS - 1; i++)
     wy_target_started (wy_targets_pick (t, &any, 10));
   cr_expect_eq (slow->in_flight, 0);
