Scores in the stand-ins, the checker and tests

Cause: the part that scores items stood without tests, and the stand-in of the platform, the demo and the soak did not speak of scorers.

--- a/src/check/check.c
+++ b/src/check/check.c
@@ -41,6 +41,8 @@
     wy_verify_course },
   { "results", "a job's results keep their places and are there to the end",
     wy_verify_results },
+  { "scores", "a score is the answer to its own call, for the whole text",
+    wy_verify_scores },
 };
 const size_t wy_n_invariants = G_N_ELEMENTS (wy_invariants);
 
--- a/src/decide/scoring.c
+++ b/src/decide/scoring.c
@@ -19,7 +19,8 @@
      which target has one, so each needs it.  */
   SLOTS_LEFT = 1,
   /* Pauses before the same score is asked for again: a fault that stays is not
-     met in a tight loop, and a target is back from a refusal in some ten ms.  */
+     met in a tight loop, and a target is back from a refusal in some ten ms.
+   */
   PAUSE_MIN_MS = 20,
   PAUSE_DOUBLINGS_MAX = 5
 };
--- a/src/jobs/score.c
+++ b/src/jobs/score.c
@@ -179,8 +179,8 @@
 second_ms (const struct wy_score *s, const struct wy_route *route,
            const char *service)
 {
-  double typical_ms = wy_targets_typical_pace_ms (
-      s->item->job->env->targets, service, WY_WORK_SCORE);
+  double typical_ms = wy_targets_typical_pace_ms (s->item->job->env->targets,
+                                                  service, WY_WORK_SCORE);
 
   return wy_scoring_second_ms (typical_ms, route->target_latency_ms);
 }
@@ -330,7 +330,8 @@
            i->spec->id, i->job->record->id, spec->id, g->info.id, s->asked,
            g->in_flight, g->reported_load,
            g->reported_ms ? (long long)(t->started_ms - g->reported_ms) : -1LL,
-           g->pace[WY_WORK_SCORE].ms, (long long)(t->started_ms - s->since_ms));
+           g->pace[WY_WORK_SCORE].ms,
+           (long long)(t->started_ms - s->since_ms));
   wy_item_fields (NULL, 0, &f, fields);
   o.fields = (const struct wy_h1_pair *)fields->data;
   o.n_fields = fields->len;
--- a/src/standin/platform.c
+++ b/src/standin/platform.c
@@ -197,11 +197,33 @@
                   request, "replica", replica, "digest", digest);
 }
 
+static void
+on_whole (void *ctx, const char *replica, const char *request)
+{
+  const struct wy_platform *p = ctx;
+
+  wy_trace_event (p->standin->trace, "text.whole", "{s:s, s:s}", "item",
+                  request, "replica", replica);
+}
+
+static void
+on_answer (void *ctx, const char *replica, const char *request, int status,
+           const char *mark)
+{
+  const struct wy_platform *p = ctx;
+
+  wy_trace_event (p->standin->trace, "replica.answered",
+                  "{s:s, s:s, s:i, s:s}", "req", request, "replica", replica,
+                  "status", status, "mark", mark);
+}
+
 static struct wy_platform_replica *
 new_replica (struct wy_platform *p, const char *id, const char *model)
 {
   struct wy_platform_replica_options o = { .loop = p->standin->loop,
                                            .on_run = on_run,
+                                           .on_whole = on_whole,
+                                           .on_answer = on_answer,
                                            .ctx = p,
                                            .id = g_strdup (id),
                                            .slots = WY_PLATFORM_SLOTS,
--- a/src/standin/platform.h
+++ b/src/standin/platform.h
@@ -19,7 +19,8 @@
   WY_PLATFORM_ENGINES = 3,
   WY_PLATFORM_DESKS = 2,
   WY_PLATFORM_SLOTS = 8,
-  WY_PLATFORM_EVENTS = 12
+  WY_PLATFORM_EVENTS = 12,
+  WY_PLATFORM_STEP_ATTEMPTS = 3
 };
 
 /* What callers and the trainer have seen.  */
--- a/src/standin/platform_faults.c
+++ b/src/standin/platform_faults.c
@@ -87,8 +87,14 @@
   struct wy_platform_replica_faults *f = wy_platform_replica_faults (r);
   uint32_t n = between (p, 1, CALLS_MAX);
 
-  switch (between (p, 0, 6))
+  switch (between (p, 0, 8))
     {
+    case 7:
+      f->hang = 1;
+      break;
+    case 8:
+      f->unstamped = 1;
+      break;
     case 0:
       f->cuts = n;
       f->cut_after = between (p, 0, CUT_AFTER_MAX);
--- a/src/standin/platform_operator.c
+++ b/src/standin/platform_operator.c
@@ -47,13 +47,13 @@
       s,
       "{\"version\":%u,\"routes\":["
       "{\"name\":\"steps\",\"host\":\"%s\",\"prefix\":\"%s\","
-      "\"kind\":\"rollout\",\"service\":\"engines\",\"attempts\":3,"
+      "\"kind\":\"rollout\",\"service\":\"engines\",\"attempts\":%d,"
       "\"timeoutMs\":10000,\"retentionS\":60,\"resultDeadlineMs\":7500},"
       "{\"name\":\"desk\",\"host\":\"%s\",\"prefix\":\"%s\","
       "\"kind\":\"safe\",\"service\":\"desks\",\"attempts\":2,"
       "\"timeoutMs\":%u,\"targetLatencyMs\":150},",
-      v, WY_PLATFORM_HOST, WY_PLATFORM_JOBS, WY_PLATFORM_HOST,
-      WY_PLATFORM_CALLS,
+      v, WY_PLATFORM_HOST, WY_PLATFORM_JOBS, WY_PLATFORM_STEP_ATTEMPTS,
+      WY_PLATFORM_HOST, WY_PLATFORM_CALLS,
       TIMEOUT_MIN_MS + TIMEOUT_STEP_MS * (v % TIMEOUT_STEPS));
   g_string_append_printf (
       s,
--- a/src/standin/platform_replica.c
+++ b/src/standin/platform_replica.c
@@ -15,9 +15,13 @@
   IDLE_MS = 60000
 };
 
+/* A plain request whose body begins so is answered 500 by every replica.  */
+#define FAILS_ALWAYS "fail"
+
 struct run
 {
   struct wy_platform_replica *replica;
+  char *id;
   struct wy_h1_request *request;
   uv_timer_t timer;
   int64_t next; /* event */
@@ -38,6 +42,7 @@
   int64_t last_resume;
   uint32_t runs;
   uint32_t running;
+  uint32_t answers; /* of plain requests */
   struct wy_platform_replica_faults faults;
 };
 
@@ -61,7 +66,10 @@
 static void
 on_timer_closed (uv_handle_t *h)
 {
-  g_free (h->data);
+  struct run *u = h->data;
+
+  g_free (u->id);
+  g_free (u);
 }
 
 static void
@@ -118,6 +126,8 @@
     {
       wy_h1_on_hangup (u->request, NULL, NULL);
       wy_h1_finish (u->request);
+      if (r->o.on_whole)
+        r->o.on_whole (r->o.ctx, r->o.id, u->id);
       end_run (u);
     }
 }
@@ -140,6 +150,7 @@
   r->running++;
   r->last_resume = after ? g_ascii_strtoll (after, NULL, 10) : 0;
   u->replica = r;
+  u->id = g_strdup (id);
   u->request = q;
   u->version = r->version;
   u->next = r->last_resume + 1;
@@ -213,20 +224,88 @@
     wy_h1_respond (q, status, NULL, 0, "", 0);
 }
 
+/* A plain request that is being worked on.  */
+struct plain_run
+{
+  struct wy_platform_replica *replica;
+  struct wy_h1_request *request;
+  char *id;
+  int status;
+  uv_timer_t timer;
+};
+
 static void
-plain (struct wy_platform_replica *r, struct wy_h1_request *q, int status,
-       const char *id)
+on_plain_closed (uv_handle_t *h)
+{
+  struct plain_run *u = h->data;
+
+  g_free (u->id);
+  g_free (u);
+}
+
+static void
+end_plain (struct plain_run *u)
+{
+  u->replica->running--;
+  uv_close ((uv_handle_t *)&u->timer, on_plain_closed);
+}
+
+static void
+on_plain_gone (void *ctx)
+{
+  end_plain (ctx);
+}
+
+static void
+answer_plain (struct plain_run *u)
 {
+  struct wy_platform_replica *r = u->replica;
   size_t n;
-  const char *body = wy_h1_body (q, &n);
+  const char *body = wy_h1_body (u->request, &n);
+  char load[48];
+  char mark[160];
   struct wy_h1_pair fields[3]
-      = { { "Attempt-Id", take (&r->faults.foreign) ? "another" : id },
-          { "Server-Load", "0,0,4" },
-          { "Response-Stamp", "stamp" } };
+      = { { "Attempt-Id", take (&r->faults.foreign) ? "another" : u->id },
+          { "Server-Load", load },
+          { "Response-Stamp", mark } };
 
+  snprintf (load, sizeof load, "%u,0,%u", r->running - 1, r->o.slots);
+  snprintf (mark, sizeof mark, "%s.%s.%u", u->id, r->o.id, r->answers++);
+  if (r->o.on_answer)
+    r->o.on_answer (r->o.ctx, r->o.id, u->id, u->status, mark);
+  wy_h1_on_hangup (u->request, NULL, NULL);
   /* The body comes back, so that a caller can tell its own answer.  */
-  wy_h1_respond (q, status, fields, take (&r->faults.unstamped) ? 2 : 3, body,
-                 n);
+  wy_h1_respond (u->request, u->status, fields,
+                 take (&r->faults.unstamped) ? 2 : 3, body, n);
+  end_plain (u);
+}
+
+static void
+on_plain_timer (uv_timer_t *t)
+{
+  answer_plain (t->data);
+}
+
+static void
+plain (struct wy_platform_replica *r, struct wy_h1_request *q, int status,
+       const char *id)
+{
+  struct plain_run *u = g_new0 (struct plain_run, 1);
+
+  r->running++;
+  u->replica = r;
+  u->request = q;
+  u->id = g_strdup (id);
+  u->status = status;
+  uv_timer_init (r->o.loop, &u->timer);
+  u->timer.data = u;
+  wy_h1_on_hangup (q, on_plain_gone, u);
+  if (take (&r->faults.hang))
+    return;
+  if (r->faults.answer_ms)
+    uv_timer_start (&u->timer, on_plain_timer, r->faults.answer_ms, 0);
+  else
+    answer_plain (u);
 }
 
 static void
@@ -275,7 +354,12 @@
 
       r->runs++;
       tell_run (r, id, body, n);
-      plain (r, q, 200, id);
+      plain (r, q,
+             n >= strlen (FAILS_ALWAYS)
+                     && !memcmp (body, FAILS_ALWAYS, strlen (FAILS_ALWAYS))
+                 ? 500
+                 : 200,
+             id);
     }
 }
 
--- a/src/standin/platform_replica.h
+++ b/src/standin/platform_replica.h
@@ -19,6 +19,8 @@
   uint32_t unstamped;   /* without the mark of a replica's answer */
   uint32_t lose;        /* run, the answer lost */
   uint32_t lose_orders; /* performed, not answered */
+  uint32_t hang;        /* plain services: run and never answered */
+  uint32_t answer_ms;   /* plain services: time of an answer */
   uint32_t order_load_ms;
   bool silent;
 };
@@ -34,6 +36,12 @@
   /* A request or item runs; BODY is what a plain one is answered with.  */
   void (*on_run) (void *ctx, const char *replica, const char *request,
                   const char *body, size_t n);
+  /* A stream has been sent to its last event; NULL: nobody asks.  */
+  void (*on_whole) (void *ctx, const char *replica, const char *request);
+  /* A plain request is answered with STATUS under MARK, which no other answer
+     has; NULL: nobody asks.  */
+  void (*on_answer) (void *ctx, const char *replica, const char *request,
+                     int status, const char *mark);
   void *ctx;
 };
 
--- a/src/standin/platform_trainer.c
+++ b/src/standin/platform_trainer.c
@@ -6,11 +6,17 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* The scorer of an item has this and the item's id for its own.  */
+#define SCORER_PREFIX "score-"
+/* Of the item whose text can't be scored.  */
+#define FAILING_SUFFIX "-5"
+
 enum
 {
   GROUPS = 6,
   GROUP_SIZE = 4,
   ITEMS = GROUPS * GROUP_SIZE,
+  FAILING_ITEM = 5, /* its text can't be scored */
   STEPS_MAX = 256,
   PAUSE_MS = 100,
   STATUS_OK = 200,
@@ -78,9 +84,12 @@
     g_string_append_printf (
         s,
         "%s{\"id\":\"s%u-%d\",\"path\":\"%s%d\",\"headers\":{\"Model\":"
-        "\"%s\"},\"body\":\"aGVsbG8=\",\"tokens\":9,\"group\":\"s%u-g%d\"}",
+        "\"%s\"},\"body\":\"aGVsbG8=\",\"tokens\":9,\"group\":\"s%u-g%d\","
+        "\"scorer\":{\"id\":\"" SCORER_PREFIX "s%u-%d\",\"host\":\"%s\","
+        "\"path\":\"%sscore\",\"body\":\"%s\"}}",
         i ? "," : "", trainer.n, i, WY_PLATFORM_JOBS, i, WY_PLATFORM_MODEL,
-        trainer.n, i / GROUP_SIZE);
+        trainer.n, i / GROUP_SIZE, trainer.n, i, WY_PLATFORM_HOST,
+        WY_PLATFORM_CALLS, i == FAILING_ITEM ? "ZmFpbA==" : "c2NvcmU=");
   g_string_append (s, "]}");
   return g_string_free (s, FALSE);
 }
@@ -138,21 +147,34 @@
   return g_string_free (s, FALSE);
 }
 
+static const char *
+text_of (const json_t *r, const char *key)
+{
+  const char *v = json_string_value (json_object_get (r, key));
+
+  return v ? v : "";
+}
+
 /* Check one new result of the step at hand against what was sent.  */
 static void
 check_result (struct step *s, json_t *r)
 {
   struct wy_platform *p = trainer.platform;
-  const char *id = json_string_value (json_object_get (r, "id"));
-  const char *state = json_string_value (json_object_get (r, "state"));
-  const char *text = json_string_value (json_object_get (r, "text"));
+  const char *id = text_of (r, "id");
+  const char *state = text_of (r, "state");
   char *want = whole_text ();
   json_t *v;
   size_t i;
 
-  if (!id || !g_hash_table_add (s->items, g_strdup (id)))
+  if (!*id || !g_hash_table_add (s->items, g_strdup (id)))
     wy_platform_violation (p, "%s: item %s listed twice", s->id, id);
-  if (g_strcmp0 (state, "completed") != 0 || g_strcmp0 (text, want) != 0)
+  if (!strcmp (state, "abandoned"))
+    {
+      if (!g_str_has_suffix (id, FAILING_SUFFIX))
+        wy_platform_violation (p, "%s: item %s is given up", s->id, id);
+    }
+  else if (strcmp (state, "completed") != 0
+           || strcmp (text_of (r, "text"), want) != 0)
     wy_platform_violation (p, "%s: item %s is not whole", s->id, id);
   json_array_foreach (json_object_get (r, "versions"), i,
                       v) if (json_integer_value (v) < MAX (trainer.n, 1))
@@ -166,14 +188,20 @@
 note_result (const struct step *s, size_t position, const json_t *r,
              const char *text)
 {
-  const char *id = json_string_value (json_object_get (r, "id"));
+  const char *id = text_of (r, "id");
+  const char *state = text_of (r, "state");
+  const char *score = text_of (r, "score");
+  char *scorer;
   char digest[WY_PLATFORM_DIGEST_SIZE_BYTES];
 
   wy_platform_digest (text, strlen (text), digest);
+  scorer = g_strconcat (SCORER_PREFIX, id, NULL);
   wy_trace_event (trainer.platform->standin->trace, "result.read",
-                  "{s:s, s:I, s:s, s:s}", "job", s->id, "position",
-                  (json_int_t)position, "item", id ? id : "", "digest",
-                  digest);
+                  "{s:s, s:I, s:s, s:s, s:s, s:s, s:s, s:i}", "job", s->id,
+                  "position", (json_int_t)position, "item", id, "digest",
+                  digest, "state", state, "score", score, "scorer", scorer,
+                  "allowed_failures", WY_PLATFORM_STEP_ATTEMPTS);
+  g_free (scorer);
 }
 
 /* Take in the results from position AT on.  */
--- a/tests/support/job_world.c
+++ b/tests/support/job_world.c
@@ -79,9 +79,8 @@
   platform_world_free (&job_world);
 }
 
-/* A job of JOB_ITEMS items; the caller frees it.  */
-char *
-job_world_body (int64_t min_version)
+static char *
+body_with (int64_t min_version, const char *host, const char *scorer_body)
 {
   GString *s = g_string_new (NULL);
 
@@ -90,15 +89,40 @@
                           "\"desiredCount\":2,\"items\":[",
                           (int)min_version);
   for (int i = 0; i < JOB_ITEMS; i++)
-    g_string_append_printf (
-        s,
-        "%s{\"id\":\"it-%d\",\"path\":\"/p/%d\",\"headers\":{\"Model\":\"m\"},"
-        "\"body\":\"aGVsbG8=\",\"tokens\":9,\"group\":\"g%d\"}",
-        i ? "," : "", i, i, i / 2);
+    {
+      g_string_append_printf (
+          s,
+          "%s{\"id\":\"it-%d\",\"path\":\"/p/"
+          "%d\",\"headers\":{\"Model\":\"m\"},"
+          "\"body\":\"aGVsbG8=\",\"tokens\":9,\"group\":\"g%d\"",
+          i ? "," : "", i, i, i / 2);
+      if (host)
+        g_string_append_printf (
+            s,
+            ",\"scorer\":{\"id\":\"sc-%d\",\"host\":\"%s\","
+            "\"path\":\"/s/x\",\"body\":\"%s\"}",
+            i, host, scorer_body);
+      g_string_append_c (s, '}');
+    }
   g_string_append (s, "]}");
   return g_string_free (s, FALSE);
 }
 
+/* A job of JOB_ITEMS items; the caller frees it.  */
+char *
+job_world_body (int64_t min_version)
+{
+  return body_with (min_version, NULL, NULL);
+}
+
+/* The same, each item scored by the route "/s/" of HOST, asked with BODY in
+   base64.  */
+char *
+job_world_scored_body (const char *host, const char *body)
+{
+  return body_with (1, host, body);
+}
+
 /* Call the entry and wait for its answer.  */
 struct platform_answer *
 job_world_call (const char *method, const char *target, const char *id,
@@ -115,16 +139,25 @@
   return a;
 }
 
+/* Submit BODY as the job ID; the status.  */
+int
+job_world_submit_body (const char *id, const char *body)
+{
+  struct platform_answer *a = job_world_call ("POST", "/p/job", id, body);
+  int status = a->status;
+
+  platform_answer_free (a);
+  return status;
+}
+
 /* Submit a job; its status.  */
 int
 job_world_submit (const char *id, int64_t min_version)
 {
   char *body = job_world_body (min_version);
-  struct platform_answer *a = job_world_call ("POST", "/p/job", id, body);
-  int status = a->status;
+  int status = job_world_submit_body (id, body);
 
   g_free (body);
-  platform_answer_free (a);
   return status;
 }
 
--- a/tests/support/job_world.h
+++ b/tests/support/job_world.h
@@ -30,6 +30,8 @@
 void job_world_start (int replicas);
 void job_world_stop (void);
 char *job_world_body (int64_t min_version);
+char *job_world_scored_body (const char *host, const char *body);
+int job_world_submit_body (const char *id, const char *body);
 struct platform_answer *job_world_call (const char *method, const char *target,
                                         const char *id, const char *body);
 int job_world_submit (const char *id, int64_t min_version);
--- a/tests/support/platform_world.c
+++ b/tests/support/platform_world.c
@@ -155,10 +155,9 @@
   make_counters (w);
 }
 
-/* A replica of the service "svc" that the entry knows of.  */
-struct wy_platform_replica *
-platform_world_add_replica (struct platform_world *w, const char *model,
-                            uint32_t events)
+static struct wy_platform_replica *
+add_replica (struct platform_world *w, const char *service, const char *model,
+             uint32_t events)
 {
   static const char *const ids[] = { "i-1", "i-2", "i-3", "i-4" };
   struct wy_platform_replica_options o = { .loop = &w->loop,
@@ -168,7 +167,7 @@
                                            .event_ms = EVENT_MS,
                                            .model = model };
   struct wy_platform_replica *r = wy_platform_replica_new (&o);
-  char *entry = wy_platform_replica_entry (r, "svc", "ready", NULL);
+  char *entry = wy_platform_replica_entry (r, service, "ready", NULL);
   struct wy_replica info;
 
   if (!wy_replica_decode (o.id, entry, strlen (entry), &info))
@@ -179,31 +178,57 @@
   return r;
 }
 
+/* A replica of the service "svc" that the entry knows of.  */
+struct wy_platform_replica *
+platform_world_add_replica (struct platform_world *w, const char *model,
+                            uint32_t events)
+{
+  return add_replica (w, "svc", model, events);
+}
+
+static struct wy_route *
+add_route (struct wy_routing *r, const char *host, const char *prefix,
+           const char *service)
+{
+  struct wy_route *t = wy_routing_add_route (r);
+  struct wy_service *s = wy_routing_add_service (r);
+  struct wy_split split = { g_strdup (service), 1 };
+
+  t->name = g_strdup (prefix);
+  t->host = g_strdup (host);
+  t->prefix = g_strdup (prefix);
+  t->timeout_ms = 2000;
+  t->target_latency_ms = 200;
+  g_array_append_val (t->splits, split);
+  s->name = g_strdup (service);
+  wy_routing_seal (r);
+  return t;
+}
+
+/* A replica of the service "desk", which HOST's route "/s/" leads to.  */
+struct wy_platform_replica *
+platform_world_add_scorer (struct platform_world *w, const char *host)
+{
+  if (!wy_routing_match (w->env.routing, host, "/s/"))
+    add_route (w->env.routing, host, "/s/", "desk")->attempts = 2;
+  return add_replica (w, "desk", NULL, 0);
+}
+
 /* One route, host "h" and prefix "/p/", to the service "svc".  */
 void
 platform_world_set_routing (struct platform_world *w, enum wy_route_kind kind,
                             uint32_t attempts)
 {
   struct wy_routing *r = wy_routing_new ();
-  struct wy_route *t = wy_routing_add_route (r);
-  struct wy_service *s = wy_routing_add_service (r);
-  struct wy_split split = { g_strdup ("svc"), 1 };
+  struct wy_route *t = add_route (r, "h", "/p/", "svc");
 
   r->version = 1;
   r->body_limit_bytes = 1 << 20;
   r->header_limit_bytes = 1 << 16;
-  t->name = g_strdup ("r");
-  t->host = g_strdup ("h");
-  t->prefix = g_strdup ("/p/");
   t->kind = kind;
-  t->timeout_ms = 2000;
-  t->target_latency_ms = 200;
   t->attempts = attempts;
   t->resumable = kind == WY_ROUTE_STREAM;
   t->retention_ms = 40000;
-  g_array_append_val (t->splits, split);
-  s->name = g_strdup ("svc");
-  wy_routing_seal (r);
   wy_routing_free (w->env.routing);
   w->env.routing = r;
 }
--- a/tests/support/platform_world.h
+++ b/tests/support/platform_world.h
@@ -47,6 +47,8 @@
 struct wy_platform_replica *
 platform_world_add_replica (struct platform_world *w, const char *model,
                             uint32_t events);
+struct wy_platform_replica *
+platform_world_add_scorer (struct platform_world *w, const char *host);
 void platform_world_set_routing (struct platform_world *w,
                                  enum wy_route_kind kind, uint32_t attempts);
 bool platform_world_until (struct platform_world *w, bool (*cond) (void *ctx),
--- a/tests/test_check.c
+++ b/tests/test_check.c
@@ -102,6 +102,14 @@
 #define READ(position, item, digest)                                          \
   "5 S result.read \"job\":\"j\",\"position\":" position ",\"item\":\"" item  \
   "\",\"digest\":\"" digest "\""
+#define WHOLE "5 S text.whole \"item\":\"i\""
+#define ANSWER(req, status, mark)                                             \
+  "5 S replica.answered \"req\":\"" req "\",\"status\":" status               \
+  ",\"mark\":\"" mark "\""
+#define SCORE(state, score)                                                   \
+  "5 S result.read \"job\":\"j\",\"position\":0,\"item\":\"i\","              \
+  "\"digest\":\"a\",\"scorer\":\"s\",\"allowed_failures\":2,\"state\":"       \
+  "\"" state "\",\"score\":\"" score "\""
 #define ACCEPTED(revision)                                                    \
   "5 E config.accepted \"revision\":" revision ",\"digest\":\"" revision "\""
 
@@ -253,6 +261,25 @@
     { "5 S job.accepted \"job\":\"j\"", READ ("0", "i", "a"),
       "5 S job.checked \"job\":\"j\",\"results\":0", "5 S process.stop" } },
   { "results", { "5 S job.accepted \"job\":\"j\"", "5 S process.stop" } },
+  { NULL,
+    { WHOLE, ANSWER ("s", "200", "m"), SCORE ("completed", "m"),
+      "5 S process.stop" } },
+  { "scores", { WHOLE, SCORE ("completed", ""), "5 S process.stop" } },
+  { "scores",
+    { WHOLE, ANSWER ("other", "200", "m"), SCORE ("completed", "m"),
+      "5 S process.stop" } },
+  { "scores",
+    { WHOLE, ANSWER ("s", "500", "m"), SCORE ("completed", "m"),
+      "5 S process.stop" } },
+  { "scores",
+    { ANSWER ("s", "200", "m"), WHOLE, SCORE ("completed", "m"),
+      "5 S process.stop" } },
+  { NULL,
+    { WHOLE, ANSWER ("s", "500", "m"), ANSWER ("s", "500", "n"),
+      SCORE ("abandoned", ""), "5 S process.stop" } },
+  { "scores",
+    { WHOLE, ANSWER ("s", "500", "m"), ANSWER ("s", "200", "n"),
+      SCORE ("abandoned", ""), "5 S process.stop" } },
   { "course",
     { TRUTH, SAMPLE, SAMPLE, BATCH ("step.fixed", "\"s1\"", "3", "4") } },
   { "course",
--- a/tests/test_gate_decide.c
+++ b/tests/test_gate_decide.c
@@ -93,6 +93,54 @@
   wy_targets_free (t);
 }
 
+/* A service answers people and scores texts, which takes eight times as long.
+   A replica that has scored lately must not look slow to people, nor one that
+   is slow at it good to the next text.  */
+Test (targets, kinds_of_work_have_their_own_pace)
+{
+  struct wy_targets *t = wy_targets_new (1);
+  struct wy_target *a = add (t, "a");
+  struct wy_target *b = add (t, "b");
+  struct wy_pick score = { .service = "svc", .work = WY_WORK_SCORE };
+
+  wy_target_paced (a, WY_WORK_REQUEST, 25, 0);
+  wy_target_paced (b, WY_WORK_REQUEST, 30, 0);
+  wy_target_paced (a, WY_WORK_SCORE, 900, 0);
+  wy_target_paced (b, WY_WORK_SCORE, 200, 0);
+  cr_expect_eq (wy_targets_pick (t, &any, 10), a);
+  cr_expect_eq (wy_targets_pick (t, &score, 10), b);
+  wy_targets_free (t);
+}
+
+/* Work that can wait here leaves slots of each replica to people, whose
+   entries do not know which has one; but a replica with a single slot is not
+   closed to it.  */
+Test (targets, slots_left_to_others)
+{
+  struct wy_targets *t = wy_targets_new (1);
+  struct wy_target *a = add (t, "a");
+  struct wy_pick p
+      = { .service = "svc", .within_slots = true, .slots_left = 1 };
+  struct wy_pick half = {
+    .service = "svc", .within_slots = true, .slots_share = 0.5, .slots_left = 1
+  };
+
+  for (int k = 0; k < SLOTS - 1; k++)
+    {
+      cr_expect_eq (wy_targets_pick (t, &half, 0), k < SLOTS / 2 ? a : NULL);
+      cr_expect_eq (wy_targets_pick (t, &p, 0), a);
+      wy_target_started (a);
+    }
+  cr_expect_null (wy_targets_pick (t, &p, 0));
+  p.slots_left = SLOTS;
+  wy_target_ended (t, a, WY_TARGET_ANSWERED, 0);
+  cr_expect_null (wy_targets_pick (t, &p, 0));
+  while (a->in_flight)
+    wy_target_ended (t, a, WY_TARGET_ANSWERED, 0);
+  cr_expect_eq (wy_targets_pick (t, &p, 0), a);
+  wy_targets_free (t);
+}
+
 /* A replica has crashed: each request sent to it costs the time to connect.
    It is left alone for a while, then tried with one request, then trusted.  */
 Test (targets, broken_one_is_tried_once)
--- a/tests/test_platform_wire.c
+++ b/tests/test_platform_wire.c
@@ -123,6 +123,60 @@
   wy_job_spec_free (s);
 }
 
+/* Items may name a request that scores their text.  One that can't be read is
+   not passed over: its item would be listed without a score, which the
+   submitter takes for one.  */
+Test (wire, scorers)
+{
+  static const struct
+  {
+    const char *scorer;
+    const char *why; /* NULL: the job is read */
+  } rows[] = {
+    { "{\"id\":\"s\",\"host\":\"h\",\"path\":\"/p\",\"body\":\"aGk=\"}",
+      NULL },
+    { "{\"id\":\"s\",\"host\":\"h\",\"path\":\"/p\"}", NULL },
+    { "null", NULL },
+    { "7", "scorer" },
+    { "[]", "scorer" },
+    { "{}", "scorer" },
+    { "{\"id\":\"s\",\"host\":\"h\",\"path\":7}", "scorer" },
+    { "{\"id\":\"s\",\"host\":\"h\",\"path\":\"p\"}", "scorer" },
+    { "{\"id\":\"s\",\"host\":\"h\\r\\nX: 1\",\"path\":\"/p\"}", "scorer" },
+    { "{\"id\":\"s\",\"host\":\"h\",\"path\":\"/p HTTP/1.1\"}", "scorer" },
+    { "{\"id\":\"s\",\"host\":\"h\",\"path\":\"/p\",\"body\":\"a?b=\"}",
+      "scorer" },
+    { "{\"id\":\"s\",\"host\":\"h\",\"path\":\"/p\",\"body\":\"aGk\"}",
+      "scorer" },
+    { "{\"id\":\"s\",\"host\":\"h\",\"path\":\"/p\",\"body\":{}}", "scorer" },
+  };
+
+  for (size_t k = 0; k < G_N_ELEMENTS (rows); k++)
+    {
+      char *job = g_strdup_printf (
+          "{\"items\":[{\"id\":\"a\",\"path\":\"/p/\",\"scorer\":%s}]}",
+          rows[k].scorer);
+      const char *why = NULL;
+      struct wy_job_spec *s = wy_job_decode (job, strlen (job), &why);
+
+      cr_expect_str_eq (why ? why : "", rows[k].why ? rows[k].why : "", "%s",
+                        rows[k].scorer);
+      cr_expect_eq (s == NULL, rows[k].why != NULL, "%s", rows[k].scorer);
+      if (s && k == 0)
+        {
+          const struct wy_item_spec *i = g_ptr_array_index (s->items, 0);
+
+          cr_assert_not_null (i->scorer);
+          cr_expect_str_eq (i->scorer->id, "s");
+          cr_expect_str_eq (i->scorer->path, "/p");
+          cr_expect_eq (i->scorer->body_size_bytes, 2);
+          cr_expect (!memcmp (i->scorer->body, "hi", 2));
+        }
+      wy_job_spec_free (s);
+      g_free (job);
+    }
+}
+
 Test (wire, job_calls)
 {
   static const struct
--- /dev/null
+++ b/tests/test_scores.c
@@ -0,0 +1,247 @@
+/* Scores of items: asked when the text is whole, kept apart from those of
+   other texts, and never a reason to make a text again.  */
+#include <criterion/criterion.h>
+#include <string.h>
+
+#include "support/job_world.h"
+
+/* In base64: what is answered with its score, and what never is.  */
+#define SCORED "c2NvcmU="
+#define UNSCORED "ZmFpbA=="
+
+enum
+{
+  /* One replica of the model; the others score.  */
+  ENGINE = 0,
+  SCORER = 1,
+  OTHER_SCORER = 2
+};
+
+static void
+start (int scorers)
+{
+  job_world_start (1);
+  for (int i = 0; i < scorers; i++)
+    platform_world_add_scorer (&job_world, "h");
+}
+
+static void
+submit (const char *scorer_body)
+{
+  char *body = job_world_scored_body ("h", scorer_body);
+
+  cr_assert_eq (job_world_submit_body ("j1", body), 202);
+  g_free (body);
+}
+
+static struct wy_platform_replica_faults *
+faults (int replica)
+{
+  return wy_platform_replica_faults (job_world.replicas[replica]);
+}
+
+static uint32_t
+runs (int replica)
+{
+  return wy_platform_replica_runs (job_world.replicas[replica]);
+}
+
+/* Each result has the mark of an answer to its own item's call.  */
+static void
+check_scores (void)
+{
+  job_world_check_all ("j1");
+  for (uint32_t n = 0; n < JOB_ITEMS; n++)
+    {
+      json_t *r = job_world_await ("j1", n);
+      char *own = g_strdup_printf ("sc-%s.", job_world_text (r, "id") + 3);
+
+      cr_expect (g_str_has_prefix (job_world_text (r, "score"), own),
+                 "%s has the score %s", job_world_text (r, "id"),
+                 job_world_text (r, "score"));
+      g_free (own);
+      json_decref (r);
+    }
+}
+
+static bool
+engine_is_done (void *ctx)
+{
+  return runs (ENGINE) >= JOB_ITEMS
+         && wy_platform_replica_running (job_world.replicas[ENGINE]) == 0;
+}
+
+static void
+start_next_entry (void)
+{
+  job_world_stop_entry ();
+  platform_world_run_ms (&job_world, 50);
+  g_free ((char *)job_world.env.holder);
+  job_world.env.holder = g_strdup ("n1/2");
+  job_world_start_entry ();
+}
+
+Test (scores, each_text_has_its_own)
+{
+  start (2);
+  submit (SCORED);
+  check_scores ();
+  cr_expect_eq (runs (ENGINE), JOB_ITEMS);
+  cr_expect_eq (runs (SCORER) + runs (OTHER_SCORER), JOB_ITEMS);
+  job_world_stop ();
+}
+
+/* The scoring service turns calls away, loses answers, cuts connections,
+   answers for others and leaves its mark out.  Nothing of this says that a
+   text can't be scored: the trainer must get every item, whole and with its
+   own score, and no text is made twice.  */
+Test (scores, a_service_that_fails_calls)
+{
+  start (2);
+  for (int i = SCORER; i <= OTHER_SCORER; i++)
+    {
+      faults (i)->refuse = 3;
+      faults (i)->lose = 2;
+      faults (i)->foreign = 2;
+      faults (i)->unstamped = 2;
+    }
+  submit (SCORED);
+  check_scores ();
+  cr_expect_eq (runs (ENGINE), JOB_ITEMS);
+  cr_expect_geq (*job_world.env.count.scores_broken, 10);
+  job_world_stop ();
+}
+
+/* The service fails on a text itself, each time it is asked.  The item is
+   given up once it has failed as often as both routes name, not before and not
+   much later, or its group would never be whole.  */
+Test (scores, texts_that_can_not_be_scored)
+{
+  start (2);
+  submit (UNSCORED);
+  for (uint32_t n = 0; n < JOB_ITEMS; n++)
+    {
+      json_t *r = job_world_await ("j1", n);
+
+      cr_expect_str_eq (job_world_text (r, "state"), "abandoned");
+      cr_expect_null (json_object_get (r, "score"));
+      json_decref (r);
+    }
+  /* Three attempts by the job's route, two by the scorer's.  */
+  cr_expect_eq (runs (SCORER) + runs (OTHER_SCORER), 3 * JOB_ITEMS);
+  cr_expect_eq (runs (ENGINE), JOB_ITEMS);
+  job_world_stop ();
+}
+
+/* A replica takes calls and never answers.  Each is asked for again elsewhere
+   long before its time limit, or the whole step would wait for it.  */
+Test (scores, a_replica_that_hangs)
+{
+  start (2);
+  faults (SCORER)->hang = 1000;
+  faults (SCORER)->answer_ms = 1000000;
+  submit (SCORED);
+  check_scores ();
+  cr_expect_eq (runs (ENGINE), JOB_ITEMS);
+  cr_expect_gt (*job_world.env.count.score_hedges, 0);
+  job_world_stop ();
+}
+
+/* The holder of a job dies while all its texts wait for their scores.  The
+   next one must ask for the scores alone: made again, the texts would cost the
+   step the time of its longest.  */
+Test (scores, holder_dies_while_scoring)
+{
+  start (1);
+  faults (SCORER)->silent = true;
+  submit (SCORED);
+  cr_assert (platform_world_until (&job_world, engine_is_done, NULL));
+  /* Two looks for text worth keeping.  */
+  platform_world_run_ms (&job_world, 1200);
+  faults (SCORER)->silent = false;
+  start_next_entry ();
+  check_scores ();
+  cr_expect_eq (runs (ENGINE), JOB_ITEMS, "%u texts made", runs (ENGINE));
+  job_world_stop ();
+}
+
+/* The trainer ends its job while scores are asked for.  No further call may
+   reach the service for it.  */
+Test (scores, nothing_asked_after_the_end)
+{
+  uint32_t asked;
+
+  start (1);
+  faults (SCORER)->answer_ms = 200;
+  submit (SCORED);
+  cr_assert (platform_world_until (&job_world, engine_is_done, NULL));
+  cr_expect_eq (job_world_status ("DELETE", "/api/lots/j1"), 200);
+  platform_world_run_ms (&job_world, 50);
+  asked = runs (SCORER);
+  platform_world_run_ms (&job_world, 800);
+  cr_expect_eq (runs (SCORER), asked);
+  cr_expect_eq (wy_platform_replica_running (job_world.replicas[SCORER]), 0);
+  job_world_stop ();
+}
+
+/* A scorer's host is none of ours, or its route leads to jobs.  The submitter
+   hears so at once; accepted, the job could never be listed.  */
+Test (scores, scorers_without_a_route)
+{
+  char *unknown = job_world_scored_body ("elsewhere", SCORED);
+  char *known = job_world_scored_body ("h", SCORED);
+
+  start (0);
+  cr_expect_eq (job_world_submit_body ("j1", unknown), 400);
+  cr_expect_eq (job_world_submit_body ("j2", known), 400);
+  platform_world_add_scorer (&job_world, "h");
+  cr_expect_eq (job_world_submit_body ("j1", known), 202);
+  check_scores ();
+  g_free (unknown);
+  g_free (known);
+  job_world_stop ();
+}
+
+/* The scorer's route is taken back while texts wait, and given again.  The
+   items wait for it; none is given up.  */
+Test (scores, route_gone_for_a_while)
+{
+  struct wy_routing *with;
+  struct wy_routing *without;
+
+  start (1);
+  with = job_world.env.routing;
+  job_world.env.routing = NULL;
+  platform_world_set_routing (&job_world, WY_ROUTE_JOB, 3);
+  without = job_world.env.routing;
+  job_world.env.routing = with;
+  faults (SCORER)->refuse = 1000;
+  submit (SCORED);
+  cr_assert (platform_world_until (&job_world, engine_is_done, NULL));
+  job_world.env.routing = without;
+  platform_world_run_ms (&job_world, 400);
+  faults (SCORER)->refuse = 0;
+  job_world.env.routing = with;
+  check_scores ();
+  cr_expect_eq (runs (ENGINE), JOB_ITEMS);
+  wy_routing_free (without);
+  job_world_stop ();
+}
+
+/* People ask at the service while a whole step waits for its scores.  Scores
+   must never take the last slot of a replica, nor wait in its queue, where
+   each person would wait for them.  */
+Test (scores, a_slot_stays_free)
+{
+  start (1);
+  faults (SCORER)->answer_ms = 60;
+  submit (SCORED);
+  for (int k = 0; k < 200 && wy_jobs_running (job_entry.jobs); k++)
+    {
+      cr_assert_lt (wy_platform_replica_running (job_world.replicas[SCORER]),
+                    4);
+      platform_world_run_ms (&job_world, 3);
+    }
+  check_scores ();
+  job_world_stop ();
+}
