Tests: products of times are widened

Cause: the linter found two products computed as int before they are compared with times of 64 bits.

--- a/tests/test_decide_scoring.c
+++ b/tests/test_decide_scoring.c
@@ -308,8 +308,8 @@
    soon that every call is made twice.  */
 Test (scoring, second_replica)
 {
-  cr_expect_geq (wy_scoring_second_ms (SCORE_MS, 800), 2 * SCORE_MS);
-  cr_expect_leq (wy_scoring_second_ms (SCORE_MS, 800), 4 * SCORE_MS);
+  cr_expect_geq (wy_scoring_second_ms (SCORE_MS, 800), (int64_t)2 * SCORE_MS);
+  cr_expect_leq (wy_scoring_second_ms (SCORE_MS, 800), (int64_t)4 * SCORE_MS);
   /* Nothing is known of the service yet: what its route promises counts.  */
   cr_expect_eq (wy_scoring_second_ms (1, 800), 400);
   cr_expect_eq (wy_scoring_second_ms (1, 0), INT64_MAX);
