Calls to the store that an outage has lost end when it is back

Change: a call that is answered ends those made more than 600 ms before it; objects only where it showed the store to be back. Objects wait 2 s and their bytes at 512 B/ms, not 5 s. Older failures say nothing of the path. Entries have their whole time to be heard of again after an outage. Ruled out: shorter limits for all calls, since a slow store answers in 0.5 s and objects in 1.5 s. Tests that failed first: calls_of_an_outage_end_with_it, lost_object_is_given_up_by_its_size, rows_overtake_no_object, nobody_is_gone_for_an_outage.

--- a/src/gate/members.c
+++ b/src/gate/members.c
@@ -60,6 +60,7 @@
   GHashTable *by_node; /* struct member */
   GHashTable *unseen;  /* holder -> time at which it was first asked for */
   int64_t ticked_ms;
+  bool was_stale; /* what is known, at the last tick */
   uint64_t beats;
   bool writing;
   bool writing_address;
@@ -141,6 +142,23 @@
     }
 }
 
+/* The store, or this process, was away, and the others' beats with it: they
+   have their whole time to be heard of again.  Counted on from before, all of
+   them would be gone some beats after an outage, and their jobs be taken over
+   all at once.  */
+static void
+count_anew (struct wy_members *m)
+{
+  GHashTableIter it;
+  gpointer p;
+
+  m->was_stale = false;
+  g_hash_table_iter_init (&it, m->by_node);
+  while (g_hash_table_iter_next (&it, NULL, &p))
+    if (((struct member *)p)->silent_ms < GONE_AFTER_MS)
+      ((struct member *)p)->silent_ms = 0;
+}
+
 static void
 on_tick (uv_timer_t *t)
 {
@@ -154,7 +172,12 @@
 
   m->ticked_ms = now_ms;
   if (passed_ms > STALL_MS || age_ms < 0 || age_ms > FRESH_MS)
-    return;
+    {
+      m->was_stale = true;
+      return;
+    }
+  if (m->was_stale)
+    count_anew (m);
   g_hash_table_iter_init (&it, m->by_node);
   while (g_hash_table_iter_next (&it, NULL, &p))
     {
--- a/src/rows/store.c
+++ b/src/rows/store.c
@@ -23,7 +23,15 @@
      a call without an answer by then is taken for lost.  */
   ROWS_TIMEOUT_MS = 1200,
   TX_TIMEOUT_MS = 2000,
-  OBJECT_TIMEOUT_MS = 5000,
+  /* An object takes some ten ms, or one and a half seconds when the store is
+     slow, and its bytes, here at a fifteenth of what the slowest links carry.
+     A lost answer costs a step no more.  */
+  OBJECT_TIMEOUT_MS = 2000,
+  OBJECT_BYTES_PER_MS = 512,
+  /* A call is taken for lost when one that was made so much later has been
+     answered: the slowest kind of call takes less than this over the fastest,
+     on a store that is slow too.  */
+  OVERTAKEN_MS = 600,
   /* A feed's answer is due this long after its wait.  */
   FEED_SLACK_MS = 600,
   SWEEP_MS = 100,
@@ -42,6 +50,8 @@
   GString *answer;
   int status;
   bool relayed;
+  int64_t started_ms;
+  int64_t transfer_ms; /* that its body may take */
   int64_t deadline_ms;
   wy_rows_cb *cb;
   void (*forward_cb) (void *ctx, int status, const char *body, size_t n);
@@ -60,6 +70,9 @@
   uv_timer_t sweep;
   GQueue calls;
   bool direct_ok;
+  int64_t direct_heard_ms; /* start of the newest call answered directly */
+  int64_t
+      regained_ms; /* start of the call that showed the path to work again */
   int64_t probe_ms;
   int64_t now_offset_ms; /* the store's clock less ours */
   bool has_now;
@@ -101,7 +114,13 @@
     }
   if (!ok)
     s->stats.direct_failed++;
-  note_path (s, ok, why);
+  /* What was lost before the newest answer says nothing about the path now. */
+  if (ok && !s->direct_ok)
+    s->regained_ms = k->started_ms;
+  if (ok || k->started_ms >= s->direct_heard_ms)
+    note_path (s, ok, why);
+  if (ok && k->started_ms > s->direct_heard_ms)
+    s->direct_heard_ms = k->started_ms;
 }
 
 static void
@@ -139,6 +158,62 @@
   deliver (k, &r);
 }
 
+/* End the calls for which IS_LOST holds.  No owner ends a call of its own, so
+   the ones found stay valid until their turn.  */
+static void
+end_lost (struct wy_rows *s,
+          bool (*is_lost) (const struct call *k, int64_t than_ms),
+          int64_t than_ms, const char *why)
+{
+  GPtrArray *lost = g_ptr_array_new ();
+
+  for (GList *l = s->calls.head; l; l = l->next)
+    if (is_lost (l->data, than_ms))
+      g_ptr_array_add (lost, l->data);
+  for (guint i = 0; i < lost->len; i++)
+    {
+      struct call *k = g_ptr_array_index (lost, i);
+
+      if (k->http)
+        wy_h1_call_cancel (k->http);
+      k->http = NULL;
+      fail (k, WY_ROWS_EUNKNOWN, why);
+    }
+  g_ptr_array_free (lost, TRUE);
+}
+
+static bool
+is_overdue (const struct call *k, int64_t now_ms)
+{
+  return now_ms >= k->deadline_ms;
+}
+
+/* Whether K is older than a call that was answered, made at MADE_MS, by more
+   than calls differ in their times.  What went out while the store was away is
+   not answered when it is back, and without this all that waits for it would
+   wait for its time limit.  Objects take longer than rows by more than that on
+   a slow store, so for them the call must be the one that showed the store to
+   be back.  */
+static bool
+is_overtaken (const struct call *k, int64_t made_ms)
+{
+  switch (k->verb)
+    {
+    case WY_STORE_FEED:
+      return false;
+    case WY_STORE_PUT_OBJECT:
+    case WY_STORE_GET_OBJECT:
+    case WY_STORE_DROP_OBJECT:
+      made_ms = k->store->regained_ms;
+      break;
+    case WY_STORE_GET:
+    case WY_STORE_PARTS:
+    case WY_STORE_TX:
+      break;
+    }
+  return made_ms - k->started_ms > OVERTAKEN_MS + k->transfer_ms;
+}
+
 static void
 on_head (void *ctx, const struct wy_h1_answer *a)
 {
@@ -148,7 +223,12 @@
 static void
 on_data (void *ctx, const char *p, size_t n)
 {
-  g_string_append_len (((struct call *)ctx)->answer, p, (gssize)n);
+  struct call *k = ctx;
+
+  g_string_append_len (k->answer, p, (gssize)n);
+  /* How long an object is shows as it comes.  */
+  if (k->verb == WY_STORE_GET_OBJECT)
+    k->deadline_ms = wy_clock_mono_ms (k->store->clock) + OBJECT_TIMEOUT_MS;
 }
 
 static void
@@ -174,35 +254,23 @@
     fail (k, r.err, k->status == 429 ? "rate" : "turned_away");
   else
     {
-      k->store->stats.ended[k->verb][WY_ROWS_DONE]++;
+      struct wy_rows *s = k->store;
+      int64_t made_ms = k->started_ms;
+
+      s->stats.ended[k->verb][WY_ROWS_DONE]++;
       count_end (k, true, "answered");
       deliver (k, &r);
+      end_lost (s, is_overtaken, made_ms, "overtaken");
     }
   wy_store_answer_free (decoded);
 }
 
-/* End the calls whose time is up.  No owner ends a call of its own, so the
-   ones found stay valid until their turn.  */
 static void
 on_sweep (uv_timer_t *t)
 {
   struct wy_rows *s = t->data;
-  int64_t now_ms = wy_clock_mono_ms (s->clock);
-  GPtrArray *overdue = g_ptr_array_new ();
-
-  for (GList *l = s->calls.head; l; l = l->next)
-    if (now_ms >= ((const struct call *)l->data)->deadline_ms)
-      g_ptr_array_add (overdue, l->data);
-  for (guint i = 0; i < overdue->len; i++)
-    {
-      struct call *k = g_ptr_array_index (overdue, i);
 
-      if (k->http)
-        wy_h1_call_cancel (k->http);
-      k->http = NULL;
-      fail (k, WY_ROWS_EUNKNOWN, "timeout");
-    }
-  g_ptr_array_free (overdue, TRUE);
+  end_lost (s, is_overdue, wy_clock_mono_ms (s->clock), "timeout");
 }
 
 /* Choose the path of a call: direct while that works, else a peer, but for
@@ -257,7 +325,8 @@
   k->answer = g_string_new (NULL);
   k->cb = cb;
   k->ctx = ctx;
-  k->deadline_ms = wy_clock_mono_ms (s->clock) + timeout_of (verb);
+  k->started_ms = wy_clock_mono_ms (s->clock);
+  k->deadline_ms = k->started_ms + timeout_of (verb);
   g_queue_push_tail (&s->calls, k);
   if (s->calls.length == 1)
     uv_timer_start (&s->sweep, on_sweep, SWEEP_MS, SWEEP_MS);
@@ -286,6 +355,9 @@
                                   .on_end = on_end,
                                   .ctx = k };
 
+  if (k->verb == WY_STORE_PUT_OBJECT)
+    k->transfer_ms = (int64_t)(n / OBJECT_BYTES_PER_MS);
+  k->deadline_ms += k->transfer_ms;
   uv_ip4_name (a, ip, sizeof ip);
   g_snprintf (host, sizeof host, "%s:%u", ip, ntohs (a->sin_port));
   fields[0].name = "Host";
--- a/tests/test_jobs_holder.c
+++ b/tests/test_jobs_holder.c
@@ -84,6 +84,39 @@
   job_world_stop ();
 }
 
+static bool
+hears_the_store (void *ctx)
+{
+  int64_t age_ms = wy_members_age_ms (job_entry.members);
+
+  return age_ms >= 0 && age_ms < 100;
+}
+
+/* The store was away, and every entry's heartbeats with it.  Taken for gone a
+   few beats after its return, all entries would have all their jobs taken over
+   at once, and each step would wait for that.  */
+Test (jobs, nobody_is_gone_for_an_outage)
+{
+  struct wy_platform_store_faults *f;
+
+  job_world_start (1);
+  f = wy_platform_store_faults (job_world.store);
+  wy_platform_store_put (job_world.store, WY_MEMBERS_TABLE, "n9", "beat",
+                         "{\"holder\":\"n9/1\",\"beat\":1}");
+  platform_world_run_ms (&job_world, 1200);
+  cr_expect_eq (wy_members_alive (job_entry.members), 2);
+  f->silent = true;
+  platform_world_run_ms (&job_world, 2500);
+  f->silent = false;
+  cr_assert (platform_world_until (&job_world, hears_the_store, NULL));
+  platform_world_run_ms (&job_world, 700);
+  cr_expect_eq (wy_members_alive (job_entry.members), 2);
+  /* It is silent all the same, and known to be gone in the end.  */
+  platform_world_run_ms (&job_world, 1600);
+  cr_expect_eq (wy_members_alive (job_entry.members), 1);
+  job_world_stop ();
+}
+
 /* The trainer ends its job while items run.  Nothing more may start, and what
    is listed stays.  */
 Test (jobs, nothing_starts_after_the_end)
--- a/tests/test_rows.c
+++ b/tests/test_rows.c
@@ -109,6 +109,107 @@
   platform_world_free (&w);
 }
 
+static void
+start_with_clock (struct wy_clock_manual *clock)
+{
+  struct wy_rows_options o = { .loop = &w.loop, .clock = &clock->clock };
+
+  start ();
+  wy_rows_free (w.env.rows);
+  wy_clock_manual_init (clock, 1000000);
+  wy_clock_manual_advance (clock, 1000);
+  o.http = w.env.http;
+  o.address = platform_loopback (wy_platform_store_port (w.store));
+  w.env.rows = wy_rows_new (&o);
+}
+
+static void
+put (const char *name, const char *bytes, size_t n, struct result *r)
+{
+  wy_rows_put_object (w.env.rows, name, bytes, n, on_result, r);
+  platform_world_run_ms (&w, 20);
+}
+
+/* The store says nothing for a while and is back.  What was sent meanwhile is
+   never answered; a write of results that waits for its own time limit keeps
+   a trainer from a step that is done.  A call that is answered shows that the
+   older ones are lost.  */
+Test (rows, calls_of_an_outage_end_with_it)
+{
+  struct wy_clock_manual clock;
+  struct wy_row_write write = { "t", "a", "1", 1 };
+  struct wy_rows_tx tx = { .part = "", .writes = &write, .n_writes = 1 };
+  struct result old = { 0 };
+  struct result young = { 0 };
+
+  start_with_clock (&clock);
+  wy_platform_store_faults (w.store)->silent = true;
+  wy_rows_tx (w.env.rows, &tx, on_result, &old);
+  platform_world_run_ms (&w, 20);
+  wy_clock_manual_advance (&clock, 500);
+  wy_rows_tx (w.env.rows, &tx, on_result, &young);
+  platform_world_run_ms (&w, 20);
+  wy_platform_store_faults (w.store)->silent = false;
+  wy_clock_manual_advance (&clock, 200);
+  write_row ("b", "1", 0);
+  cr_expect (old.done);
+  cr_expect_eq (old.err, WY_ROWS_EUNKNOWN);
+  /* Some calls take longer than others: this one may still be answered.  */
+  cr_expect (!young.done);
+  platform_world_free (&w);
+}
+
+/* The answer to a put of a job's body is lost.  The step waits for as long as
+   the bytes may take, not for seconds.  */
+Test (rows, lost_object_is_given_up_by_its_size)
+{
+  enum
+  {
+    LARGE_BYTES = 1024 * 1024
+  };
+  struct wy_clock_manual clock;
+  struct result small = { 0 };
+  struct result large = { 0 };
+  char *bytes = g_malloc0 (LARGE_BYTES);
+
+  start_with_clock (&clock);
+  wy_platform_store_faults (w.store)->silent = true;
+  put ("small", bytes, 1, &small);
+  put ("large", bytes, LARGE_BYTES, &large);
+  wy_clock_manual_advance (&clock, 2100);
+  platform_world_run_ms (&w, 250);
+  cr_expect (small.done);
+  cr_expect_eq (small.err, WY_ROWS_EUNKNOWN);
+  cr_expect (!large.done);
+  wy_clock_manual_advance (&clock, 2100);
+  platform_world_run_ms (&w, 250);
+  cr_expect (large.done);
+  g_free (bytes);
+  platform_world_free (&w);
+}
+
+/* On a slow store an object takes longer than many rows.  Rows that are
+   answered before it do not show that it is lost; that the store is back after
+   it was away does.  */
+Test (rows, rows_overtake_no_object)
+{
+  struct wy_clock_manual clock;
+  struct result object = { 0 };
+
+  start_with_clock (&clock);
+  wy_platform_store_faults (w.store)->silent = true;
+  put ("o", "1", 1, &object);
+  wy_platform_store_faults (w.store)->silent = false;
+  wy_clock_manual_advance (&clock, 1000);
+  write_row ("a", "1", 0);
+  cr_expect (!object.done);
+  wy_platform_store_faults (w.store)->refuse = 1;
+  write_row ("b", "1", 0);
+  write_row ("c", "1", 0);
+  cr_expect (object.done);
+  platform_world_free (&w);
+}
+
 /* A write is performed long after its sender has given it up and has written
    again.  The condition must keep it from undoing the newer write.  */
 Test (rows, late_write_does_nothing)
