Silence of entries is counted from answer to answer of the store

Change: time without an answer does not count at all; after a gap of more than 1,100 ms between two answers all have their whole time again.

--- a/src/gate/members.c
+++ b/src/gate/members.c
@@ -3,8 +3,8 @@
    Each entry writes a row of its own some times a second, and the others see
    it change.  There is no lease: a job's writes carry its row's version as a
    condition, so an entry wrongly taken for gone can do no harm, it only
-   loses its jobs.  Silence is counted only while the store answers, else an
-   outage of the store would make everybody gone at once.  */
+   loses its jobs.  Silence is counted from answer to answer of the store, else
+   an outage would make everybody gone at once.  */
 #include "gate/members.h"
 
 #include <math.h>
@@ -30,11 +30,10 @@
   /* One whose beat is late gets no new work.  */
   DOUBTED_AFTER_MS = 1100,
   TICK_MS = 200,
-  /* Rows older than this do not count as the store's present answer.  */
-  FRESH_MS = 1000,
-  /* A tick that comes this late means that the process itself stood still,
-     and that its clock says nothing about the others.  */
-  STALL_MS = 1000,
+  /* Answers of the store come some times a second.  Where one comes so long
+     after the one before it, the store was away, or this process stood
+     still.  */
+  AWAY_MS = 1100,
   WATCH_GAP_MS = 250,
   NAME_SIZE_BYTES = 128
 };
@@ -59,8 +58,7 @@
   uv_timer_t tick;
   GHashTable *by_node; /* struct member */
   GHashTable *unseen;  /* holder -> time at which it was first asked for */
-  int64_t ticked_ms;
-  bool was_stale; /* what is known, at the last tick */
+  int64_t counted_ms;  /* silence is counted to here: an answer of the store */
   uint64_t beats;
   bool writing;
   bool writing_address;
@@ -152,7 +150,6 @@
   GHashTableIter it;
   gpointer p;
 
-  m->was_stale = false;
   g_hash_table_iter_init (&it, m->by_node);
   while (g_hash_table_iter_next (&it, NULL, &p))
     if (((struct member *)p)->silent_ms < GONE_AFTER_MS)
@@ -163,21 +160,21 @@
 on_tick (uv_timer_t *t)
 {
   struct wy_members *m = t->data;
-  int64_t now_ms = wy_clock_mono_ms (m->o.env->clock);
-  int64_t passed_ms = now_ms - m->ticked_ms;
   int64_t age_ms = wy_watch_age_ms (m->watch);
+  int64_t answered_ms = wy_clock_mono_ms (m->o.env->clock) - age_ms;
+  int64_t passed_ms = answered_ms - m->counted_ms;
   bool any = false;
   GHashTableIter it;
   gpointer p;
 
-  m->ticked_ms = now_ms;
-  if (passed_ms > STALL_MS || age_ms < 0 || age_ms > FRESH_MS)
+  if (age_ms < 0 || passed_ms <= 0)
+    return;
+  m->counted_ms = answered_ms;
+  if (passed_ms > AWAY_MS)
     {
-      m->was_stale = true;
+      count_anew (m);
       return;
     }
-  if (m->was_stale)
-    count_anew (m);
   g_hash_table_iter_init (&it, m->by_node);
   while (g_hash_table_iter_next (&it, NULL, &p))
     {
@@ -281,7 +278,6 @@
   m->by_node = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
   m->unseen = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   m->watch = wy_watch_new (&w);
-  m->ticked_ms = wy_clock_mono_ms (o->env->clock);
   uv_timer_init (o->env->loop, &m->beat);
   m->beat.data = m;
   uv_timer_start (&m->beat, on_beat, 0, BEAT_MS);
