--- a/src/decide/scoring.c
+++ b/src/decide/scoring.c
@@ -5,19 +5,12 @@
    service.  A score takes several times as long as such a request; all asked
    for at once, they would fill every slot and queue, and each person would
    wait for several of them.  So calls for scores start only where a slot is
-   free, never behind another, and leave slots for others; what does not find
-   one waits here, where its order can still be chosen.  */
+   free, never behind another, and leave the last one of each target to people;
+   what does not find one waits here, where its order can still be chosen.  */
 #include "decide/scoring.h"
 
 enum
 {
-  /* Part of the time until results are due in which calls for scores keep to
-     half of the slots.  A step is as late as its last score: past this they
-     take all but one.  */
-  RELAXED_DIVISOR = 4,
-  /* One slot of each target stays free for people.  Their entries do not know
-     which target has one, so each needs it.  */
-  SLOTS_LEFT = 1,
   /* Pauses before the same score is asked for again: a fault that stays is not
      met in a tight loop, and a target is back from a refusal in some ten ms.
    */
@@ -25,8 +18,6 @@
   PAUSE_DOUBLINGS_MAX = 5
 };
 
-static const double relaxed_share = 0.5;
-
 /* A second target is asked when the first has taken so many times the usual:
    of times that spread by half around their mean, one in a hundred does.  */
 static const double second_factor = 3.0;
@@ -35,18 +26,6 @@
    elsewhere takes about one usual time.  */
 static const double slow_factor = 2.5;
 
-/* The slots that a call may use WAITED_MS after its job's start, whose results
-   are due DUE_MS after it (0: never).  */
-struct wy_scoring_slots
-wy_scoring_slots (int64_t waited_ms, int64_t due_ms)
-{
-  struct wy_scoring_slots s = { .left = SLOTS_LEFT };
-
-  if (due_ms > 0 && waited_ms < due_ms / RELAXED_DIVISOR)
-    s.share = relaxed_share;
-  return s;
-}
-
 /* Whether A is asked for before B.  Groups count only when whole, so the one
    that lacks least comes first; at the deadline more of them are whole than if
    all were in progress.  */
--- a/src/decide/scoring.h
+++ b/src/decide/scoring.h
@@ -5,11 +5,12 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/* Slots of a target that calls for scores may find taken and still start.  */
-struct wy_scoring_slots
+enum
 {
-  double share;  /* 0: all */
-  uint32_t left; /* and so many stay free in any case */
+  /* Slots of each target that calls for scores leave to people.  Their entries
+     do not know which target has a free one, so each needs it.  More do not
+     help them: what they leave is not used, and steps end later.  */
+  WY_SCORING_SLOTS_LEFT = 1
 };
 
 /* A text that waits for its score.  */
@@ -19,7 +20,6 @@
   int64_t since_ms;
 };
 
-struct wy_scoring_slots wy_scoring_slots (int64_t waited_ms, int64_t due_ms);
 bool wy_scoring_goes_first (const struct wy_scoring_turn *a,
                             const struct wy_scoring_turn *b);
 int64_t wy_scoring_second_ms (double typical_ms, uint32_t target_latency_ms);
--- a/src/jobs/score.c
+++ b/src/jobs/score.c
@@ -344,16 +344,14 @@
 /* A target for a call for S, other than those that can't score it or are
    asked already; NULL: none has a slot to spare.  */
 static struct wy_target *
-pick (struct wy_score *s, const struct wy_route *route,
-      const struct wy_scoring_slots *slots)
+pick (struct wy_score *s, const struct wy_route *route)
 {
   struct wy_gate_env *env = s->item->job->env;
   GPtrArray *tried = g_ptr_array_new ();
   struct wy_pick q = { .work = WY_WORK_SCORE,
                        .availability_zone = env->availability_zone,
                        .within_slots = true,
-                       .slots_share = slots->share,
-                       .slots_left = slots->left };
+                       .slots_left = WY_SCORING_SLOTS_LEFT };
   struct wy_target *g;
 
   q.service = wy_route_service (route, wy_rng_below (&env->rng, UINT32_MAX));
@@ -386,15 +384,6 @@
   return g;
 }
 
-static struct wy_scoring_slots
-slots_of (const struct wy_owned *o)
-{
-  const struct wy_route *route = wy_owned_route (o);
-
-  return wy_scoring_slots (wy_clock_mono_ms (o->env->clock) - o->started_ms,
-                           route ? route->result_deadline_ms : 0);
-}
-
 /* Ask a second target where the first takes long; end calls that got lost.  */
 void
 wy_score_check (struct wy_score *s)
@@ -404,7 +393,6 @@
       = wy_scorer_route (o->env->routing, s->item->spec->scorer);
   int64_t limit_ms
       = route && route->timeout_ms ? route->timeout_ms : DEFAULT_TIMEOUT_MS;
-  struct wy_scoring_slots slots = slots_of (o);
   struct score_try *running = NULL;
   struct wy_target *g;
   uint32_t n = 0;
@@ -427,7 +415,7 @@
       || now_of (s) - running->started_ms
              < second_ms (s, route, running->target->info.service))
     return;
-  g = pick (s, route, &slots);
+  g = pick (s, route);
   if (!g || wy_retry_take (&o->second_scores) != 0)
     return;
   (*o->env->count.score_hedges)++;
@@ -464,7 +452,6 @@
 wy_scores_pump (struct wy_owned *o)
 {
   int64_t now_ms = wy_clock_mono_ms (o->env->clock);
-  struct wy_scoring_slots slots = slots_of (o);
 
   if (o->dropped || o->lingering || !o->n_scoring || !o->env->routing)
     return;
@@ -477,7 +464,7 @@
       if (!i)
         return;
       route = wy_scorer_route (o->env->routing, i->spec->scorer);
-      g = route ? pick (i->score, route, &slots) : NULL;
+      g = route ? pick (i->score, route) : NULL;
       if (!g)
         return;
       wy_retry_request (&o->second_scores);
