Submitters hear at once that the store is away; finished jobs stay finished

And each finished job was taken up again up to four times before its row said "done", its body and all results being read for it. Tests that failed first: store_falls_silent, a_finished_one_is_not_taken_up.

--- a/src/jobs/accept.c
+++ b/src/jobs/accept.c
@@ -43,7 +43,9 @@
   bool asked;             /* the row may have been written */
   struct wy_carry *carry; /* text of its items; NULL: not read yet */
   bool reading_carry;
-  bool ended;
+  bool putting; /* its body */
+  bool writing; /* its row */
+  bool ended;   /* its submitter has its answer */
   int64_t started_ms;
   uv_timer_t timer;
 };
@@ -54,6 +56,14 @@
   g_free (h->data);
 }
 
+/* Free A when nothing points to it any more.  */
+static void
+release (struct accept *a)
+{
+  if (a->ended && !a->reading_carry && !a->putting && !a->writing)
+    uv_close ((uv_handle_t *)&a->timer, on_timer_closed);
+}
+
 static void
 end (struct accept *a, int status, const char *reason)
 {
@@ -81,13 +91,31 @@
         wy_refuse (r, status, reason, status == 503 ? RETRY_AFTER_MS : 0);
     }
   a->jobs->accepting_bytes -= a->body->len;
+  g_ptr_array_remove_fast (a->jobs->accepting, a);
   wy_job_record_free (a->record);
   wy_job_spec_free (a->spec);
   g_string_free (a->body, TRUE);
   wy_carry_free (a->carry);
+  uv_timer_stop (&a->timer);
   a->ended = true;
-  if (!a->reading_carry)
-    uv_close ((uv_handle_t *)&a->timer, on_timer_closed);
+  release (a);
+}
+
+/* End the submissions that wait for a store that is away.  A submitter that
+   hears so comes again, here or elsewhere, and is there when the store is
+   back; one that hears nothing gives up after a few attempts of a second or
+   two, and with them its step.  */
+void
+wy_jobs_accept_tick (struct wy_jobs *j)
+{
+  if (j->accepting->len == 0 || !wy_rows_is_away (j->env->rows))
+    return;
+  for (guint i = j->accepting->len; i > 0; i--)
+    {
+      struct accept *a = g_ptr_array_index (j->accepting, i - 1);
+
+      end (a, a->asked || a->writing ? 502 : 503, "store_away");
+    }
 }
 
 /* The text kept of earlier jobs is known; too late when the job runs.  */
@@ -103,7 +131,7 @@
       return;
     }
   wy_carry_free (c);
-  uv_close ((uv_handle_t *)&a->timer, on_timer_closed);
+  release (a);
 }
 
 static void
@@ -153,6 +181,12 @@
   struct accept *a = ctx;
   struct wy_job_record *found = NULL;
 
+  a->writing = false;
+  if (a->ended)
+    {
+      release (a);
+      return;
+    }
   if (!r->err)
     {
       accepted_here (a, r->version);
@@ -190,6 +224,7 @@
 
   if (!a->asked)
     a->record->accepted_ms = store_ms;
+  a->writing = true;
   wy_job_record_write (a->jobs->env->rows, a->record, on_row_written, a);
 }
 
@@ -200,6 +235,12 @@
 {
   struct accept *a = ctx;
 
+  a->putting = false;
+  if (a->ended)
+    {
+      release (a);
+      return;
+    }
   if (r->err && r->err != WY_ROWS_ECONFLICT)
     {
       if (r->err != WY_ROWS_EFULL && ++a->tries < PIECE_TRIES)
@@ -223,6 +264,7 @@
   char name[NAME_SIZE_BYTES];
 
   snprintf (name, sizeof name, "%s.%u", a->record->object, a->next);
+  a->putting = true;
   wy_rows_put_object (a->jobs->env->rows, name, a->body->str + at, n, on_piece,
                       a);
 }
@@ -330,8 +372,15 @@
       wy_job_spec_free (spec);
       return;
     }
+  if (wy_rows_is_away (j->env->rows))
+    {
+      refuse_job (r, info.id, 503, "store_away", n);
+      wy_job_spec_free (spec);
+      return;
+    }
   a = g_new0 (struct accept, 1);
   a->jobs = j;
+  g_ptr_array_add (j->accepting, a);
   a->request = r;
   a->spec = spec;
   a->body = g_string_new_len (body, (gssize)n);
--- a/src/jobs/jobs.c
+++ b/src/jobs/jobs.c
@@ -15,6 +15,8 @@
   TICK_MS = 100,
   /* Ticks between two looks at ended jobs whose runs go on.  */
   LINGER_TICKS = 3,
+  /* Ticks between two tries to mark jobs done in the store.  */
+  FINISH_TICKS = 10,
   /* A tick this much later than it should come tells that the process stood
      still.  */
   STALL_MS = 60,
@@ -105,6 +107,7 @@
       if (o)
         forget_owned (j, o);
       g_hash_table_remove (j->records, row->part);
+      wy_jobs_forget_finished (j, row->part);
       return;
     }
   r = wy_job_record_decode (row);
@@ -115,11 +118,6 @@
              (long long)row->version);
 }
 
-static void
-on_done_written (void *ctx, const struct wy_rows_result *r)
-{
-}
-
 /* Results of the job O are confirmed.  */
 void
 wy_jobs_on_listed (void *ctx, struct wy_owned *o)
@@ -139,14 +137,8 @@
 
   if (why == WY_OWNED_DONE)
     {
-      struct wy_job_record *r = wy_job_record_copy (o->record);
-
-      wy_note ("job.done", "id=%s items=%u", r->id, o->n_items);
-      r->state = WY_JOB_DONE;
-      /* Saves the next start from reading all its results; nothing depends on
-         it, so a lost answer does no harm.  */
-      wy_job_record_write (j->env->rows, r, on_done_written, j);
-      wy_job_record_free (r);
+      wy_note ("job.done", "id=%s items=%u", o->record->id, o->n_items);
+      wy_jobs_finish (j, o->record);
     }
   forget_owned (j, o);
 }
@@ -192,7 +184,8 @@
 should_take (struct wy_jobs *j, const struct wy_job_record *r, int64_t now_ms)
 {
   if (r->state != WY_JOB_OPEN || g_hash_table_contains (j->owned, r->id)
-      || g_hash_table_contains (j->taking, r->id))
+      || g_hash_table_contains (j->taking, r->id)
+      || g_hash_table_contains (j->finished, r->id))
     return false;
   if (!wy_jobs_have_room (j, 0))
     return false;
@@ -283,11 +276,14 @@
   j->ticked_ms = now_ms;
   if (++j->ticks % LINGER_TICKS == 0)
     tick_lingering (j);
+  if (j->ticks % FINISH_TICKS == 0)
+    wy_jobs_finish_again (j);
   if (!j->env->stopping)
     {
       look_for_work (j);
       wy_jobs_clean (j);
     }
+  wy_jobs_accept_tick (j);
   wy_jobs_read_tick (j);
 }
 
@@ -331,6 +327,9 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_record);
   j->owned = g_hash_table_new (g_str_hash, g_str_equal);
   j->lingering = g_ptr_array_new ();
+  j->accepting = g_ptr_array_new ();
+  j->finished
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   j->taking = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   g_queue_init (&j->waiting);
   j->watch = wy_watch_new (&w);
--- a/src/jobs/state.h
+++ b/src/jobs/state.h
@@ -24,6 +24,8 @@
   GHashTable *records;  /* struct wy_job_record by id */
   GHashTable *owned;    /* struct wy_owned by id */
   GPtrArray *lingering; /* struct wy_owned whose jobs have been ended */
+  GPtrArray *accepting; /* struct accept */
+  GHashTable *finished; /* struct finished by id */
   GHashTable *taking;   /* ids whose takeover or load is under way */
   GQueue waiting;       /* struct read: callers waiting for results */
 };
@@ -36,6 +38,10 @@
 void wy_jobs_on_listed (void *ctx, struct wy_owned *o);
 void wy_jobs_on_owned_end (void *ctx, struct wy_owned *o,
                            enum wy_owned_end why);
+void wy_jobs_finish (struct wy_jobs *j, const struct wy_job_record *r);
+void wy_jobs_finish_again (struct wy_jobs *j);
+void wy_jobs_forget_finished (struct wy_jobs *j, const char *id);
+void wy_jobs_accept_tick (struct wy_jobs *j);
 void wy_jobs_take_over (struct wy_jobs *j, const struct wy_job_record *r);
 void wy_jobs_hand_on (struct wy_jobs *j, const struct wy_job_record *r,
                       const struct sockaddr_in *address, const char *body,
--- a/src/rows/store.c
+++ b/src/rows/store.c
@@ -32,6 +32,10 @@
      answered: the slowest kind of call takes less than this over the fastest,
      on a store that is slow too.  */
   OVERTAKEN_MS = 600,
+  /* The store is away when the direct path fails and no answer has come on any
+     path for so long: while a peer reaches it, answers come some times a
+     second.  */
+  AWAY_MS = 600,
   /* A feed's answer is due this long after its wait.  */
   FEED_SLACK_MS = 600,
   SWEEP_MS = 100,
@@ -73,6 +77,7 @@
   int64_t direct_heard_ms; /* start of the newest call answered directly */
   int64_t
       regained_ms; /* start of the call that showed the path to work again */
+  int64_t answered_ms; /* the last answer, on whatever path */
   int64_t probe_ms;
   int64_t now_offset_ms; /* the store's clock less ours */
   bool has_now;
@@ -258,6 +263,7 @@
       int64_t made_ms = k->started_ms;
 
       s->stats.ended[k->verb][WY_ROWS_DONE]++;
+      s->answered_ms = wy_clock_mono_ms (s->clock);
       count_end (k, true, "answered");
       deliver (k, &r);
       end_lost (s, is_overtaken, made_ms, "overtaken");
@@ -536,3 +542,11 @@
     return 0;
   return wy_clock_mono_ms (s->clock) + s->now_offset_ms;
 }
+
+/* Whether the store answers on no path.  */
+bool
+wy_rows_is_away (const struct wy_rows *s)
+{
+  return !s->direct_ok
+         && wy_clock_mono_ms (s->clock) - s->answered_ms > AWAY_MS;
+}
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -84,6 +84,41 @@
   job_world_stop ();
 }
 
+static void
+expect_away (struct platform_answer *a)
+{
+  cr_assert (platform_world_until (&job_world, platform_answer_done, a));
+  cr_expect_eq (a->status, 503);
+  cr_expect_not_null (a->retry_after);
+  cr_expect (strstr (a->body->str, "store_away"), "%s", a->body->str);
+  platform_answer_free (a);
+}
+
+/* The store falls silent while a job is submitted.  A submitter that hears
+   nothing gives up after some attempts, and its step is lost; it must hear in
+   good time that the job does not run, and, once the store is known to be
+   away, at once.  The body that was sent late must not make the job run.  */
+Test (jobs, store_falls_silent)
+{
+  struct wy_h1_pair fields[] = { { "Host", "h" }, { "Attempt-Id", "j1" } };
+  uint16_t port;
+  char *body = job_world_body (1);
+
+  job_world_start (2);
+  port = wy_h1_server_port (job_entry.server);
+  wy_platform_store_faults (job_world.store)->silent = true;
+  for (int i = 0; i < 2; i++)
+    expect_away (platform_world_call (&job_world, port, "POST", "/p/job",
+                                      fields, 2, body));
+  wy_platform_store_faults (job_world.store)->silent = false;
+  platform_world_run_ms (&job_world, 1500);
+  cr_expect_eq (wy_jobs_running (job_entry.jobs), 0);
+  cr_expect_eq (job_world_submit ("j1", 1), 202);
+  job_world_check_all ("j1");
+  g_free (body);
+  job_world_stop ();
+}
+
 /* Writes of results are performed without an answer, or seconds late.  Each
    item must stand at one position, and a position never change.  */
 Test (jobs, lost_and_late_results)
--- a/tests/test_jobs_holder.c
+++ b/tests/test_jobs_holder.c
@@ -117,6 +117,36 @@
   job_world_stop ();
 }
 
+static bool
+all_is_listed (void *ctx)
+{
+  return job_world_listed ("j1") == JOB_ITEMS;
+}
+
+/* All results are listed, and the answer to the write that marks the job done
+   is lost.  The entry must not take it for a job without a holder: its body
+   and all its results would be read again, over and over.  */
+Test (jobs, a_finished_one_is_not_taken_up)
+{
+  struct wy_platform_store_faults *f;
+
+  job_world_start (2);
+  f = wy_platform_store_faults (job_world.store);
+  cr_expect_eq (job_world_submit ("j1", 1), 202);
+  f->deaf = true;
+  cr_assert (platform_world_until (&job_world, all_is_listed, NULL));
+  f->lose = 4;
+  platform_world_run_ms (&job_world, 700);
+  cr_expect_eq (*job_world.env.count.jobs_taken_over, 0);
+  f->deaf = false;
+  platform_world_run_ms (&job_world, 1500);
+  cr_expect_eq (*job_world.env.count.jobs_taken_over, 0);
+  cr_expect (strstr (wy_platform_store_value (job_world.store, WY_JOBS_TABLE,
+                                              "j1", WY_JOB_KEY),
+                     "done"));
+  job_world_stop ();
+}
+
 /* The trainer ends its job while items run.  Nothing more may start, and what
    is listed stays.  */
 Test (jobs, nothing_starts_after_the_end)
