Texts that wait for another replica keep nothing behind them

Cause, found in reading: a text on which all replicas but one have failed waits for that one; where it is full or left alone for a while, the text, first in line because little lacks to its group, kept every text behind it from the replicas that are free. The choice is cut into two short functions. Test that failed first: texts_that_wait_for_another_replica (no result came in 18 s).

--- a/Makefile
+++ b/Makefile
@@ -84,6 +84,7 @@
 
 lint: $(patsubst %.c,build/tidy/%.ok,$(ALL_C))
 	$(Q)clang-format --dry-run -Werror $(ALL_C) $(ALL_H)
+	$(Q)./scripts/check-names.sh
 
 # The pages on settings and log lines are made from the programs; the check
 # fails when they are old.
--- a/fuzz/fuzz_platform.c
+++ b/fuzz/fuzz_platform.c
@@ -71,6 +71,12 @@
 
       if (!*item->id || *item->path != '/')
         abort ();
+      if (item->scorer
+          && (!*item->scorer->id || !*item->scorer->host
+              || *item->scorer->path != '/'
+              || strpbrk (item->scorer->path, " \r\n")
+              || strpbrk (item->scorer->host, " \r\n")))
+        abort ();
     }
   wy_job_spec_free (s);
 }
--- a/src/jobs/score.c
+++ b/src/jobs/score.c
@@ -341,49 +341,51 @@
   g_array_free (fields, TRUE);
 }
 
-/* A target for a call for S, other than those that can't score it or are
-   asked already; NULL: none has a slot to spare.  */
+/* A target for a call for S that is not asked already; without AGAIN, none
+   that has failed on it.  NULL: none has a slot to spare.  */
 static struct wy_target *
-pick (struct wy_score *s, const struct wy_route *route)
+pick_one (struct wy_score *s, const char *service, bool again)
 {
   struct wy_gate_env *env = s->item->job->env;
+  double typical_ms
+      = wy_targets_typical_pace_ms (env->targets, service, WY_WORK_SCORE);
   GPtrArray *tried = g_ptr_array_new ();
-  struct wy_pick q = { .work = WY_WORK_SCORE,
-                       .availability_zone = env->availability_zone,
-                       .within_slots = true,
-                       .slots_left = WY_SCORING_SLOTS_LEFT };
+  struct wy_pick q
+      = { .service = service,
+          .work = WY_WORK_SCORE,
+          .availability_zone = env->availability_zone,
+          .in_flight_limit = wy_gate_in_flight_limit (env, service),
+          .within_slots = true,
+          .slots_left = WY_SCORING_SLOTS_LEFT,
+          .pace_limit_ms = wy_scoring_pace_limit_ms (typical_ms) };
   struct wy_target *g;
 
-  q.service = wy_route_service (route, wy_rng_below (&env->rng, UINT32_MAX));
-  q.in_flight_limit = wy_gate_in_flight_limit (env, q.service);
-  q.pace_limit_ms = wy_scoring_pace_limit_ms (
-      wy_targets_typical_pace_ms (env->targets, q.service, WY_WORK_SCORE));
   for (int k = 0; k < TRIES_MAX; k++)
     if (s->tries[k].target)
       g_ptr_array_add (tried, s->tries[k].target);
-  q.n_tried = tried->len;
-  for (guint k = 0; k < s->failed_at->len; k++)
+  for (guint k = 0; !again && k < s->failed_at->len; k++)
     g_ptr_array_add (tried, g_ptr_array_index (s->failed_at, k));
   q.tried = (const struct wy_target *const *)tried->pdata;
-  /* Those that failed on it are still better than none.  */
-  if (tried->len > q.n_tried)
-    {
-      uint32_t asked_now = q.n_tried;
-
-      q.n_tried = tried->len;
-      g = wy_targets_pick (env->targets, &q, now_of (s));
-      if (!g && wy_targets_ready (env->targets, q.service) <= tried->len)
-        {
-          q.n_tried = asked_now;
-          g = wy_targets_pick (env->targets, &q, now_of (s));
-        }
-    }
-  else
-    g = wy_targets_pick (env->targets, &q, now_of (s));
+  q.n_tried = tried->len;
+  g = wy_targets_pick (env->targets, &q, now_of (s));
   g_ptr_array_free (tried, TRUE);
   return g;
 }
 
+/* The same, one that has failed on S only where there is no other.  */
+static struct wy_target *
+pick (struct wy_score *s, const struct wy_route *route)
+{
+  struct wy_gate_env *env = s->item->job->env;
+  const char *service
+      = wy_route_service (route, wy_rng_below (&env->rng, UINT32_MAX));
+  struct wy_target *g = pick_one (s, service, false);
+
+  if (g || wy_targets_ready (env->targets, service) > s->failed_at->len)
+    return g;
+  return pick_one (s, service, true);
+}
+
 /* Ask a second target where the first takes long; end calls that got lost.  */
 void
 wy_score_check (struct wy_score *s)
@@ -465,8 +467,14 @@
         return;
       route = wy_scorer_route (o->env->routing, i->spec->scorer);
       g = route ? pick (i->score, route) : NULL;
-      if (!g)
+      if (!g && i->score->failed_at->len == 0)
         return;
+      if (!g)
+        {
+          /* The replicas that it may still ask have no room; others may.  */
+          i->score->not_before_ms = now_ms + wy_scoring_pause_ms (0);
+          continue;
+        }
       wy_retry_request (&o->second_scores);
       ask (i->score, g);
     }
--- a/tests/test_scores.c
+++ b/tests/test_scores.c
@@ -133,6 +133,51 @@
   job_world_stop ();
 }
 
+static char *
+few_fail_body (int failing, int others)
+{
+  GString *s = g_string_new ("{\"step\":1,\"model\":\"m\",\"items\":[");
+
+  for (int i = 0; i < failing + others; i++)
+    g_string_append_printf (
+        s,
+        "%s{\"id\":\"it-%d\",\"path\":\"/p/%d\",\"headers\":{\"Model\":\"m\"},"
+        "\"group\":\"g%d\",\"scorer\":{\"id\":\"sc-%d\",\"host\":\"h\","
+        "\"path\":\"/s/x\",\"body\":\"%s\"}}",
+        i ? "," : "", i, i, i < failing ? i : failing, i,
+        i < failing ? UNSCORED : SCORED);
+  g_string_append (s, "]}");
+  return g_string_free (s, FALSE);
+}
+
+/* One replica has failed on some texts, and the only other one is not to be
+   had now.  These texts come first, as little lacks to their groups; they must
+   not keep those behind them from the replica that is free.  */
+Test (scores, texts_that_wait_for_another_replica)
+{
+  enum
+  {
+    FAILING = 2,
+    OTHERS = 4
+  };
+  char *body = few_fail_body (FAILING, OTHERS);
+
+  start (2);
+  faults (SCORER)->answer_ms = 50;
+  wy_targets_find (job_world.env.targets, "i-3")->avoid_until_ms = INT64_MAX;
+  cr_assert_eq (job_world_submit_body ("j1", body), 202);
+  for (uint32_t n = 0; n < OTHERS; n++)
+    {
+      json_t *r = job_world_await ("j1", n);
+
+      cr_expect_str_eq (job_world_text (r, "state"), "completed");
+      json_decref (r);
+    }
+  cr_expect_eq (runs (SCORER), FAILING + OTHERS);
+  g_free (body);
+  job_world_stop ();
+}
+
 /* A replica takes calls and never answers.  Each is asked for again elsewhere
    long before its time limit, or the whole step would wait for it.  */
 Test (scores, a_replica_that_hangs)
