Calls that are given up are reset, not closed

Change: a connection whose call is not answered is reset when the call is given up, which drops what is still on its way. This holds for items and requests as for scores. Test that failed first: a_call_given_up_is_reset.

--- a/src/h1/client_call.c
+++ b/src/h1/client_call.c
@@ -32,10 +32,16 @@
   g_free (k);
 }
 
-/* Close the connection of K without a word.  */
+/* Close the connection of K without a word.  One whose call is not answered is
+   reset: while the network between is cut, what was sent on it is held up, and
+   after an ordinary close it would still be delivered seconds later, when the
+   cut heals.  The peer would run a request that was given up, perhaps of a job
+   that has ended meanwhile.  */
 void
 wy_h1_call_close (struct wy_h1_call *k)
 {
+  bool answered = !k->active || k->complete;
+
   if (k->closing)
     return;
   k->closing = true;
@@ -49,7 +55,8 @@
     }
   k->peer->open--;
   k->client->stats.open--;
-  uv_close ((uv_handle_t *)&k->tcp, on_closed);
+  if (answered || uv_tcp_close_reset (&k->tcp, on_closed))
+    uv_close ((uv_handle_t *)&k->tcp, on_closed);
 }
 
 /* End the call with ERR and close its connection.  */
--- a/tests/test_h1.c
+++ b/tests/test_h1.c
@@ -1,6 +1,9 @@
 /* HTTP/1.1 server and client: what each sees of the other's faults.  */
 #include <criterion/criterion.h>
+#include <errno.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "support/platform_world.h"
 
@@ -367,3 +370,41 @@
   cr_expect_eq (wy_h1_server_connections (h.server), 0);
   unserve (&h);
 }
+
+/* A call is given up while what was sent of it is still on its way, as when
+   the network between is cut.  Closed as usual, the connection would deliver
+   it all the same when the cut heals, and the server would do work that was
+   done elsewhere meanwhile, or was no longer wanted.  The server must meet a
+   reset, not an orderly end behind whole bytes.  */
+Test (h1, a_call_given_up_is_reset)
+{
+  struct sockaddr_in a = platform_loopback (0);
+  socklen_t n = sizeof a;
+  struct wy_h1_pair host = { "Host", "h" };
+  struct platform_answer *call;
+  char bytes[256];
+  int listener = socket (AF_INET, SOCK_STREAM, 0);
+  int conn;
+  ssize_t got;
+
+  platform_world_init (&w);
+  cr_assert_eq (bind (listener, (const struct sockaddr *)&a, sizeof a), 0);
+  cr_assert_eq (listen (listener, 1), 0);
+  cr_assert_eq (getsockname (listener, (struct sockaddr *)&a, &n), 0);
+  call = platform_world_call (&w, ntohs (a.sin_port), "GET", "/", &host, 1,
+                              NULL);
+  conn = accept (listener, NULL, NULL);
+  platform_world_run_ms (&w, 30);
+  cr_assert (wy_h1_call_sent (call->call));
+  platform_answer_free (call);
+  platform_world_run_ms (&w, 30);
+  /* What had arrived before can still be read.  */
+  do
+    got = read (conn, bytes, sizeof bytes);
+  while (got > 0);
+  cr_expect_eq (got, -1);
+  cr_expect_eq (errno, ECONNRESET);
+  close (conn);
+  close (listener);
+  platform_world_free (&w);
+}
