Steps end sooner: slow runs move at once, the last results come together, texts are kept in pieces

A text has up to 90 events of 78 ms, so a step needs 7.0 s, and a step comes every 4 s, two open: 1 s of training leaves nothing, and a step that its trainer never comes to is lost whole. 1: a run that was sound for 4 s stayed on a replica that had turned 3.9 times slower for 5 s more, since its pace over the whole run was judged: 3.7 s lost at once. 2: the last results, listed one by one, kept answering the trainer's question with what it can't go on with; it idled 0.67 s a step (122 jobs, modelled from their logs), and entries that do not run the job asked the store for it only every 200 to 300 ms. 3: whoever took a job over had texts up to 1.9 s old.

Change: two slow events in a row move a run (decide/headway); the last eighth of a job's results wait for each other until enough groups are whole or they are due (decide/listing); readers are asked for every 40 ms; texts are stored in pieces, each row only what is new, twice a second.

--- a/src/jobs/carry.c
+++ b/src/jobs/carry.c
@@ -1,18 +1,14 @@
 /* Text of unfinished items, kept in the store.
 
-   A row each item, in the part of its model for a later job and in the part of
-   its job for who takes that over: written by the entry that runs the
-   job, read and removed by the one that takes it over or accepts the next. The
-   rows are a help only: a lost one costs the time to make the text again, so
-   nothing here is settled or retried.  */
+   Rows of each item, in the part of its model for a later job and in the part
+   of its job for who takes that over: written by the entry that runs the job,
+   read by the one that takes it over or accepts the next.  The rows are a help
+   only: lost ones cost the time to make the text again.  */
 #include "jobs/carry.h"
 
-#include <stdlib.h>
 #include <string.h>
 
-#include <jansson.h>
-
-#include "jobs/result_rows.h"
+#include "jobs/text_rows.h"
 #include "trace/note.h"
 
 enum
@@ -24,42 +20,34 @@
   KEEP_MS = 60000,
   /* Less text than this is made again sooner than it is stored.  */
   EVENTS_MIN = 5,
-  /* Events that an item has gained when it is stored again for whoever may
-     take its job over: about a second of work.  */
-  CHECKPOINT_EVENTS = 24,
-  CHUNK_DIGITS = 6 /* ".00001" */
-};
-
-struct entry
-{
-  char *id;
-  char *text;
-  GArray *versions;
-  int64_t last_event;
-  bool complete;
-  int64_t at_ms;
+  /* Events that an item has gained when they are stored for whoever may take
+     its job over.  */
+  KEPT_EVENTS = 3
 };
 
 struct wy_carry
 {
   struct wy_gate_env *env;
   char *part;
-  GHashTable *entries; /* struct entry by id */
-  GPtrArray *keys;     /* of rows to remove: taken, or too old */
+  GHashTable *texts; /* struct wy_kept_text by item */
+  GPtrArray *keys;   /* of rows to remove: taken, or too old */
   char *from;
   void (*on_read) (void *ctx, struct wy_carry *c);
   void *ctx;
 };
 
-static void
-free_entry (gpointer p)
+/* Text of a job that is being stored, in one or more calls.  */
+struct wy_carry_write
 {
-  struct entry *e = p;
+  struct wy_owned *job; /* NULL: it was dropped meanwhile */
+  uint32_t calls;
+  bool failed;
+};
 
-  g_free (e->id);
-  g_free (e->text);
-  g_array_free (e->versions, TRUE);
-  g_free (e);
+static void
+free_text (gpointer p)
+{
+  wy_kept_text_free (p);
 }
 
 static bool
@@ -68,184 +56,200 @@
   return i->state == WY_ITEM_SCORING || i->state == WY_ITEM_ENDED;
 }
 
-/* Whether the text of I has grown enough to be stored for PURPOSE.  A later
-   job asks for newer weights than this one did.  */
 static bool
-is_worth_keeping (const struct wy_item *i, enum wy_carry_for purpose)
+may_be_kept (const struct wy_item *i)
 {
-  if (i->state == WY_ITEM_LISTED || (i->result && i->result->given_up))
+  return i->state != WY_ITEM_LISTED && !(i->result && i->result->given_up);
+}
+
+/* Whether the text of I has grown enough to be stored for who takes its job
+   over.  A whole one that is not listed is stored at once.  */
+static bool
+has_grown (const struct wy_item *i)
+{
+  if (!may_be_kept (i))
+    return false;
+  return has_whole_text (i) ? !i->kept_whole
+                            : i->last_event - i->kept_event >= KEPT_EVENTS;
+}
+
+/* Whether the text of I is worth storing for a later job, which asks for newer
+   weights than this one did; with RUNNING only if it may have grown.  */
+static bool
+is_worth_keeping (const struct wy_item *i, bool running)
+{
+  if (!may_be_kept (i) || (running && !i->run && !has_whole_text (i)))
     return false;
-  switch (purpose)
-    {
-    case WY_CARRY_SAME_JOB:
-      if (i->state == WY_ITEM_SCORING)
-        return i->last_event > i->checkpoint_event;
-      return i->run
-             && i->last_event - MAX (i->checkpoint_event, 0)
-                    >= CHECKPOINT_EVENTS;
-    case WY_CARRY_LATER_RUNNING:
-      if (!i->run && !has_whole_text (i))
-        return false;
-      break;
-    case WY_CARRY_LATER_JOB:
-      break;
-    }
   for (guint k = 0; k < i->versions->len; k++)
     if (g_array_index (i->versions, int64_t, k) <= i->job->spec->min_version)
       return false;
   return i->last_event >= EVENTS_MIN && i->last_event > i->carried_event;
 }
 
-static char *
-encode (const struct wy_item *i, int64_t now_ms)
+static void
+on_written (void *ctx, const struct wy_rows_result *r)
 {
-  json_t *versions = json_array ();
-  json_t *doc;
-  char *text;
-  char *out;
+}
 
-  for (guint k = 0; k < i->versions->len; k++)
-    json_array_append_new (
-        versions, json_integer (g_array_index (i->versions, int64_t, k)));
-  doc = json_pack ("{s:s, s:o, s:I, s:b, s:I}", "text", i->text->str,
-                   "versions", versions, "last", (json_int_t)i->last_event,
-                   "complete", has_whole_text (i), "at_ms",
-                   (json_int_t)now_ms);
-  text = doc ? json_dumps (doc, JSON_COMPACT) : NULL;
-  out = g_strdup (text);
-  free (text);
-  json_decref (doc);
-  return out;
+static void
+free_write (struct wy_carry_write *w)
+{
+  if (w->job)
+    w->job->keeping = NULL;
+  g_free (w);
 }
 
+/* What was sent is stored; or it may not be, and is sent again.  */
 static void
-on_written (void *ctx, const struct wy_rows_result *r)
+settle (struct wy_item *i, bool failed)
 {
+  if (!failed)
+    {
+      i->kept_bytes = i->sent_bytes;
+      return;
+    }
+  i->sent_bytes = i->kept_bytes;
+  i->kept_event = -1;
+  i->kept_whole = false;
 }
 
 static void
-write_rows (struct wy_owned *o, const char *part, GArray *writes)
+on_kept (void *ctx, const struct wy_rows_result *r)
 {
-  struct wy_rows_tx tx = { .part = part,
-                           .writes = (const struct wy_row_write *)writes->data,
-                           .n_writes = writes->len };
+  struct wy_carry_write *w = ctx;
 
-  if (writes->len)
-    wy_rows_tx (o->env->rows, &tx, on_written, NULL);
-  for (guint k = 0; k < writes->len; k++)
-    {
-      struct wy_row_write *w = &g_array_index (writes, struct wy_row_write, k);
+  w->failed = w->failed || r->err;
+  if (--w->calls)
+    return;
+  for (uint32_t k = 0; w->job && k < w->job->n_items; k++)
+    settle (&w->job->items[k], w->failed);
+  free_write (w);
+}
 
-      g_free ((char *)w->key);
-      g_free ((void *)w->value);
-    }
-  g_array_set_size (writes, 0);
+/* The job O is dropped: what is being stored for it ends without it.  */
+void
+wy_carry_detach (struct wy_owned *o)
+{
+  if (o->keeping)
+    o->keeping->job = NULL;
+  o->keeping = NULL;
 }
 
+/* Send the rows WRITES; W: the write that they belong to, or NULL.  */
 static void
-add_rows (GArray *writes, const char *id, const char *value, size_t row_bytes)
+send_rows (struct wy_owned *o, const char *part, GArray *writes,
+           struct wy_carry_write *w)
 {
-  size_t n = strlen (value);
-  uint32_t rows = wy_result_row_count (n, row_bytes);
+  struct wy_rows_tx tx = { .part = part };
 
-  for (uint32_t k = 0; k < rows; k++)
+  for (guint at = 0; at < writes->len; at += tx.n_writes)
     {
-      size_t at = (size_t)k * row_bytes;
-      size_t size = MIN (n - at, row_bytes);
-      struct wy_row_write w = { .table = WY_CARRY_TABLE,
-                                .key = g_strdup_printf ("%s.%05u", id, k),
-                                .value = g_memdup2 (value + at, size),
-                                .size_bytes = size };
-
-      g_array_append_val (writes, w);
+      size_t size = 0;
+
+      tx.writes = &g_array_index (writes, struct wy_row_write, at);
+      tx.n_writes = 0;
+      while (at + tx.n_writes < writes->len && tx.n_writes < BATCH_ROWS)
+        {
+          size += tx.writes[tx.n_writes].size_bytes;
+          if (tx.n_writes && size > BATCH_BYTES)
+            break;
+          tx.n_writes++;
+        }
+      if (w)
+        w->calls++;
+      wy_rows_tx (o->env->rows, &tx, w ? on_kept : on_written, w);
     }
 }
 
-/* Store the text of O's items that serves PURPOSE and was not stored yet.  */
+static void
+add_text (struct wy_item *i, GArray *writes, size_t from_bytes)
+{
+  struct wy_text_state s
+      = { .versions = (const int64_t *)i->versions->data,
+          .n_versions = i->versions->len,
+          .last_event = i->last_event,
+          .whole = has_whole_text (i),
+          .at_ms = wy_rows_store_now_ms (i->job->env->rows) };
+
+  while (i->text_id == 0)
+    i->text_id = wy_rng_u64 (&i->job->env->rng);
+  s.text_id = i->text_id;
+  wy_text_rows_add (writes, WY_CARRY_TABLE, i->spec->id, i->text->str,
+                    from_bytes, i->text->len, &s, i->job->row_bytes);
+}
+
+static void
+log_kept (const struct wy_owned *o, uint32_t items, const char *purpose)
+{
+  if (items)
+    wy_note ("job.text_kept", "id=%s items=%u for=%s", o->record->id, items,
+             purpose);
+}
+
+/* Store what the texts of O have gained for who takes it over.  One write is
+   under way at a time, since each goes on where the one before it ended.  */
 void
-wy_carry_save (struct wy_owned *o, enum wy_carry_for purpose)
+wy_carry_keep (struct wy_owned *o)
 {
-  GArray *writes = g_array_new (FALSE, FALSE, sizeof (struct wy_row_write));
-  const char *part
-      = purpose == WY_CARRY_SAME_JOB ? o->record->id : o->spec->model;
-  int64_t now_ms = wy_rows_store_now_ms (o->env->rows);
-  size_t size = 0;
+  GArray *writes;
   uint32_t n = 0;
 
+  if (o->keeping)
+    return;
+  writes = g_array_new (FALSE, FALSE, sizeof (struct wy_row_write));
   for (uint32_t k = 0; k < o->n_items; k++)
     {
-      const struct wy_item *i = &o->items[k];
-      char *value;
+      struct wy_item *i = &o->items[k];
 
-      if (!is_worth_keeping (i, purpose))
+      if (!has_grown (i))
         continue;
-      value = encode (i, now_ms);
-      if (!value)
-        continue;
-      if (purpose == WY_CARRY_SAME_JOB)
-        o->items[k].checkpoint_event = i->last_event;
-      else
-        o->items[k].carried_event = i->last_event;
-      size += strlen (value);
-      if (writes->len >= BATCH_ROWS / 2 || size > BATCH_BYTES)
-        {
-          write_rows (o, part, writes);
-          size = strlen (value);
-        }
-      add_rows (writes, i->spec->id, value, o->row_bytes);
-      g_free (value);
+      add_text (i, writes, i->kept_bytes);
+      i->sent_bytes = i->text->len;
+      i->kept_event = i->last_event;
+      i->kept_whole = has_whole_text (i);
       n++;
     }
-  write_rows (o, part, writes);
+  if (writes->len)
+    {
+      o->keeping = g_new0 (struct wy_carry_write, 1);
+      o->keeping->job = o;
+      send_rows (o, o->record->id, writes, o->keeping);
+    }
+  wy_text_rows_clear (writes);
   g_array_free (writes, TRUE);
-  if (n)
-    wy_note ("job.text_kept", "id=%s items=%u for=%s", o->record->id, n,
-             purpose == WY_CARRY_SAME_JOB ? "takeover" : "later_job");
+  log_kept (o, n, "takeover");
 }
 
-static struct entry *
-decode (const char *id, const GString *value)
+/* Store the text of O's unfinished items for a later job; with RUNNING only
+   what goes on still.  */
+void
+wy_carry_save (struct wy_owned *o, bool running)
 {
-  json_t *doc = json_loadb (value->str, value->len, 0, NULL);
-  const char *text = json_string_value (json_object_get (doc, "text"));
-  struct entry *e = NULL;
-  json_t *v;
-  size_t i;
+  GArray *writes = g_array_new (FALSE, FALSE, sizeof (struct wy_row_write));
+  uint32_t n = 0;
 
-  if (text)
+  for (uint32_t k = 0; k < o->n_items; k++)
     {
-      e = g_new0 (struct entry, 1);
-      e->id = g_strdup (id);
-      e->text = g_strdup (text);
-      e->versions = g_array_new (FALSE, FALSE, sizeof (int64_t));
-      e->last_event = json_integer_value (json_object_get (doc, "last"));
-      e->complete = json_is_true (json_object_get (doc, "complete"));
-      e->at_ms = json_integer_value (json_object_get (doc, "at_ms"));
-      json_array_foreach (json_object_get (doc, "versions"), i, v)
-      {
-        int64_t version = json_integer_value (v);
-
-        g_array_append_val (e->versions, version);
-      }
-    }
-  json_decref (doc);
-  return e;
-}
-
-static size_t
-id_size (const char *key)
-{
-  size_t n = strlen (key);
+      struct wy_item *i = &o->items[k];
 
-  return n > CHUNK_DIGITS ? n - CHUNK_DIGITS : n;
+      if (!is_worth_keeping (i, running))
+        continue;
+      add_text (i, writes, 0);
+      i->carried_event = i->last_event;
+      n++;
+    }
+  send_rows (o, o->spec->model, writes, NULL);
+  wy_text_rows_clear (writes);
+  g_array_free (writes, TRUE);
+  log_kept (o, n, "later_job");
 }
 
 static bool
 same_item (const struct wy_row *a, const struct wy_row *b)
 {
-  size_t n = id_size (a->key);
+  size_t n = wy_text_item_size (a->key);
 
-  return n == id_size (b->key) && !strncmp (a->key, b->key, n);
+  return n == wy_text_item_size (b->key) && !strncmp (a->key, b->key, n);
 }
 
 /* Take in the items whose rows are all in R; returns the key of the first row
@@ -253,36 +257,26 @@
 static const char *
 join (struct wy_carry *c, const struct wy_rows_result *r)
 {
-  GString *value = g_string_new (NULL);
-  const char *rest = NULL;
   size_t i = 0;
 
-  while (i < r->n && !rest)
+  while (i < r->n)
     {
       size_t first = i;
-      struct entry *e;
-      char *id;
+      struct wy_kept_text *t;
 
-      g_string_truncate (value, 0);
-      for (; i < r->n && same_item (&r->rows[first], &r->rows[i]); i++)
-        g_string_append_len (value, r->rows[i].value,
-                             (gssize)r->rows[i].size_bytes);
+      while (i < r->n && same_item (&r->rows[first], &r->rows[i]))
+        i++;
       if (i == r->n && r->more && first > 0)
-        {
-          rest = r->rows[first].key;
-          break;
-        }
-      id = g_strndup (r->rows[first].key, id_size (r->rows[first].key));
-      e = decode (id, value);
-      if (e)
-        g_hash_table_replace (c->entries, e->id, e);
+        return r->rows[first].key;
+      t = wy_text_rows_join (&r->rows[first], i - first);
       for (size_t k = first; k < i; k++)
-        if (!e || r->now_ms - e->at_ms > KEEP_MS)
-          g_ptr_array_add (c->keys, g_strdup (r->rows[k].key));
-      g_free (id);
+        g_ptr_array_add (t && r->now_ms - t->at_ms <= KEEP_MS ? t->keys
+                                                              : c->keys,
+                         g_strdup (r->rows[k].key));
+      if (t)
+        g_hash_table_replace (c->texts, t->item, t);
     }
-  g_string_free (value, TRUE);
-  return rest;
+  return NULL;
 }
 
 static void read_page (struct wy_carry *c);
@@ -321,8 +315,7 @@
 
   c->env = env;
   c->part = g_strdup (part);
-  c->entries
-      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_entry);
+  c->texts = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_text);
   c->keys = g_ptr_array_new_with_free_func (g_free);
   c->on_read = on_read;
   c->ctx = ctx;
@@ -335,7 +328,7 @@
 {
   if (!c)
     return;
-  g_hash_table_destroy (c->entries);
+  g_hash_table_destroy (c->texts);
   g_ptr_array_free (c->keys, TRUE);
   g_free (c->part);
   g_free (c->from);
@@ -343,29 +336,34 @@
 }
 
 static bool
-fits (const struct entry *e, const struct wy_job_spec *spec)
+fits (const struct wy_kept_text *t, const struct wy_job_spec *spec)
 {
-  if (e->versions->len == 0)
+  if (t->versions->len == 0)
     return false;
-  for (guint k = 0; k < e->versions->len; k++)
-    if (g_array_index (e->versions, int64_t, k) < spec->min_version)
+  for (guint k = 0; k < t->versions->len; k++)
+    if (g_array_index (t->versions, int64_t, k) < spec->min_version)
       return false;
   return true;
 }
 
+/* Go on with I from T; HERE tells that T lies in the part of I's job, where
+   the rest of it will follow.  */
 static void
-take (struct wy_carry *c, struct wy_item *i, const struct entry *e)
+take (struct wy_item *i, const struct wy_kept_text *t, bool here)
 {
-  size_t n = strlen (e->text);
-  uint32_t chunks = wy_result_row_count (n, i->job->row_bytes) + 1;
-
-  g_string_assign (i->text, e->text);
+  g_string_assign (i->text, t->text->str);
   g_array_set_size (i->versions, 0);
-  g_array_append_vals (i->versions, e->versions->data, e->versions->len);
-  i->last_event = e->last_event;
-  for (uint32_t k = 0; k < chunks; k++)
-    g_ptr_array_add (c->keys, g_strdup_printf ("%s.%05u", e->id, k));
-  if (e->complete)
+  g_array_append_vals (i->versions, t->versions->data, t->versions->len);
+  i->last_event = t->last_event;
+  i->text_id = t->text_id;
+  if (here)
+    {
+      i->kept_bytes = t->text->len;
+      i->sent_bytes = t->text->len;
+      i->kept_event = t->last_event;
+      i->kept_whole = t->whole;
+    }
+  if (t->whole)
     wy_item_text_whole (i);
 }
 
@@ -385,22 +383,28 @@
     wy_rows_tx (c->env->rows, &tx, on_written, NULL);
 }
 
-/* Give the items of O the text that C has of them.  Returns their number.  */
+/* Give the items of O the text that C has of them.  Returns their number. Rows
+   of the job itself stay until it is removed.  */
 uint32_t
 wy_carry_apply (struct wy_carry *c, struct wy_owned *o)
 {
+  bool here = !strcmp (c->part, o->record->id);
   uint32_t n = 0;
 
   for (uint32_t k = 0; k < o->n_items; k++)
     {
       struct wy_item *i = &o->items[k];
-      const struct entry *e = g_hash_table_lookup (c->entries, i->spec->id);
+      const struct wy_kept_text *t
+          = g_hash_table_lookup (c->texts, i->spec->id);
 
-      if (!e || i->state != WY_ITEM_WAITING || !fits (e, o->spec))
+      if (!t || i->state != WY_ITEM_WAITING || !fits (t, o->spec))
         continue;
-      take (c, i, e);
+      take (i, t, here);
+      for (guint r = 0; r < t->keys->len; r++)
+        g_ptr_array_add (c->keys, g_strdup (g_ptr_array_index (t->keys, r)));
       n++;
     }
-  remove_rows (c);
+  if (!here)
+    remove_rows (c);
   return n;
 }
--- a/src/jobs/carry.h
+++ b/src/jobs/carry.h
@@ -14,15 +14,9 @@
 
 struct wy_carry; /* what was read for one job */
 
-/* Who the text is kept for.  */
-enum wy_carry_for
-{
-  WY_CARRY_SAME_JOB,      /* whoever takes it over */
-  WY_CARRY_LATER_JOB,     /* one with the same items, once this is ended */
-  WY_CARRY_LATER_RUNNING, /* the same, of the runs that still go on */
-};
-
-void wy_carry_save (struct wy_owned *o, enum wy_carry_for purpose);
+void wy_carry_keep (struct wy_owned *o);
+void wy_carry_save (struct wy_owned *o, bool running);
+void wy_carry_detach (struct wy_owned *o);
 void wy_carry_read (struct wy_gate_env *env, const char *part,
                     void (*on_read) (void *ctx, struct wy_carry *c),
                     void *ctx);
--- a/src/jobs/jobs.c
+++ b/src/jobs/jobs.c
@@ -71,7 +71,9 @@
       wy_job_record_free (r);
       return;
     }
-  if (!old || old->state != r->state || strcmp (old->holder, r->holder) != 0)
+  if (wy_watch_is_synced (j->watch)
+      && (!old || old->state != r->state
+          || strcmp (old->holder, r->holder) != 0))
     wy_note ("job.seen", "id=%s state=%s holder=%s version=%lld", r->id,
              wy_job_state_name (r->state), r->holder,
              (long long)r->row_version);
@@ -284,7 +286,6 @@
       wy_jobs_clean (j);
     }
   wy_jobs_accept_tick (j);
-  wy_jobs_read_tick (j);
 }
 
 /* A trainer has named VERSION of MODEL.  */
--- a/src/jobs/lister.c
+++ b/src/jobs/lister.c
@@ -10,6 +10,7 @@
 
 #include <string.h>
 
+#include "decide/listing.h"
 #include "jobs/result_rows.h"
 #include "trace/note.h"
 
@@ -46,11 +47,27 @@
   uv_timer_start (&o->flush, on_flush, delay_ms, 0);
 }
 
-/* Results wait to be listed.  */
+static bool
+waits_for_others (const struct wy_owned *o)
+{
+  const struct wy_route *route = wy_owned_route (o);
+  struct wy_listing_options l = { .items = o->n_items,
+                                  .results = o->n_listed + o->ended.length,
+                                  .whole_groups = o->whole_groups,
+                                  .wanted_groups = o->spec->wanted_groups,
+                                  .age_ms = wy_owned_age_ms (o),
+                                  .stopping = o->env->stopping };
+
+  l.due_ms = route ? route->result_deadline_ms : 0;
+  return wy_listing_waits (&l);
+}
+
+/* Results wait to be listed: now, or with others that are still to come.  */
 void
 wy_lister_schedule (struct wy_owned *o)
 {
-  schedule (o, GATHER_MS);
+  if (!waits_for_others (o))
+    schedule (o, GATHER_MS);
 }
 
 /* Take results off the queue for one transaction, up to its limits; their rows
@@ -110,7 +127,7 @@
     return;
   if (wy_owned_is_done (o))
     o->on_end (o->ctx, o, WY_OWNED_DONE);
-  else if (o->ended.length)
+  else if (o->ended.length && !waits_for_others (o))
     schedule (o, 0);
 }
 
--- a/src/jobs/owned.c
+++ b/src/jobs/owned.c
@@ -38,19 +38,26 @@
   return r && r->kind == WY_ROUTE_JOB ? r : NULL;
 }
 
+/* Time since O was accepted, by the store's clock; -1: not known.  */
+int64_t
+wy_owned_age_ms (const struct wy_owned *o)
+{
+  int64_t store_ms = wy_rows_store_now_ms (o->env->rows);
+
+  return store_ms && o->record->accepted_ms ? store_ms - o->record->accepted_ms
+                                            : -1;
+}
+
 /* Time until the items of O may be given up; -1: not known.  */
 int64_t
 wy_owned_time_left_ms (const struct wy_owned *o)
 {
   const struct wy_route *route = wy_owned_route (o);
-  int64_t store_ms = wy_rows_store_now_ms (o->env->rows);
-  int64_t left_ms;
+  int64_t age_ms = wy_owned_age_ms (o);
 
-  if (!route || !route->retention_ms || !store_ms || !o->record->accepted_ms)
+  if (!route || !route->retention_ms || age_ms < 0)
     return -1;
-  left_ms = (int64_t)route->retention_ms + RETENTION_SLACK_MS
-            - (store_ms - o->record->accepted_ms);
-  return MAX (left_ms, 0);
+  return MAX ((int64_t)route->retention_ms + RETENTION_SLACK_MS - age_ms, 0);
 }
 
 /* Answers that the text of I can't be scored after which it is given up: its
@@ -123,7 +130,7 @@
       i->versions = g_array_new (FALSE, FALSE, sizeof (int64_t));
       i->last_event = -1;
       i->carried_event = -1;
-      i->checkpoint_event = -1;
+      i->kept_event = -1;
     }
   o->order = g_ptr_array_new ();
   for (uint32_t k = 0; k < o->n_items; k++)
@@ -147,6 +154,7 @@
       g_array_free (i->versions, TRUE);
       wy_result_free (i->result);
     }
+  wy_carry_detach (o);
   g_free (o->items);
   g_hash_table_destroy (o->groups);
   g_ptr_array_free (o->order, TRUE);
@@ -205,6 +213,13 @@
   return false;
 }
 
+static void
+has_result (struct wy_item *i)
+{
+  if (--i->group->missing == 0)
+    i->job->whole_groups++;
+}
+
 /* ITEM has been listed by whoever ran the job before, at the next
    position.  */
 void
@@ -217,7 +232,7 @@
       if (i->state == WY_ITEM_LISTED || strcmp (i->spec->id, item) != 0)
         continue;
       i->state = WY_ITEM_LISTED;
-      i->group->missing--;
+      has_result (i);
       o->n_waiting--;
       o->n_listed++;
       return;
@@ -251,8 +266,8 @@
       wy_result_add_version (r, g_array_index (i->versions, int64_t, k));
   leave_state (i);
   i->state = WY_ITEM_ENDED;
-  i->group->missing--;
   i->result = r;
+  has_result (i);
   (*i->job->env->count.items_done)++;
   wy_hist_add (i->job->env->count.item_us,
                (uint64_t)(now_of (i->job) - i->job->started_ms)
@@ -405,8 +420,10 @@
         wy_score_check (o->items[k].score);
     }
   check_time (o);
+  if (o->ended.length)
+    wy_lister_schedule (o);
   if (++o->ticks % CHECKPOINT_TICKS == 0 && *o->spec->model)
-    wy_carry_save (o, WY_CARRY_SAME_JOB);
+    wy_carry_keep (o);
   wy_owned_pump (o);
 }
 
@@ -418,7 +435,7 @@
 {
   o->lingering = true;
   o->lingers_until_ms = now_of (o) + LINGER_MS;
-  wy_carry_save (o, WY_CARRY_LATER_JOB);
+  wy_carry_save (o, false);
   for (uint32_t k = 0; k < o->n_items; k++)
     {
       struct wy_item *i = &o->items[k];
@@ -441,7 +458,7 @@
 {
   bool any = false;
 
-  wy_carry_save (o, WY_CARRY_LATER_RUNNING);
+  wy_carry_save (o, true);
   if (now_of (o) >= o->lingers_until_ms || o->env->stopping)
     return false;
   for (uint32_t k = 0; k < o->n_items; k++)
--- a/src/jobs/owned.h
+++ b/src/jobs/owned.h
@@ -20,6 +20,7 @@
 
 struct wy_run;
 struct wy_score;
+struct wy_carry_write;
 
 /* Items that count together.  */
 struct wy_group
@@ -35,9 +36,13 @@
   enum wy_item_state state;
   GString *text; /* of the events so far */
   GArray *versions;
-  int64_t last_event;       /* -1: none */
-  int64_t carried_event;    /* last one stored for a later job; -1: none */
-  int64_t checkpoint_event; /* the same, for who takes this job over */
+  int64_t last_event;    /* -1: none */
+  uint64_t text_id;      /* of this making of the text; 0: none yet */
+  size_t kept_bytes;     /* of the text, stored for who takes this job over */
+  size_t sent_bytes;     /* the same, confirmed or on its way */
+  int64_t kept_event;    /* the last event told with them */
+  bool kept_whole;       /* it is told that the text is whole */
+  int64_t carried_event; /* last one stored for a later job; -1: none */
   uint32_t failed_runs;
   uint32_t runs;
   uint32_t unstarted; /* runs in a row that broke off before any event */
@@ -62,8 +67,9 @@
   struct wy_job_spec *spec;
   int64_t newest_version; /* of the weights, as named; 0: not known */
   struct wy_item *items;
-  GPtrArray *order;   /* of items, in which they are started */
-  GHashTable *groups; /* struct wy_group by name */
+  GPtrArray *order;      /* of items, in which they are started */
+  GHashTable *groups;    /* struct wy_group by name */
+  uint32_t whole_groups; /* whose items all have results */
   uint32_t n_items;
   uint32_t n_waiting;
   uint32_t n_scoring;
@@ -79,7 +85,8 @@
   /* The write of results under way.  */
   bool writing;
   bool scheduled;
-  GPtrArray *batch; /* struct wy_item */
+  struct wy_carry_write *keeping; /* text being stored, or NULL */
+  GPtrArray *batch;               /* struct wy_item */
   uint32_t write_failures;
   uv_timer_t flush;
   void (*on_listed) (void *ctx, struct wy_owned *o);
@@ -112,6 +119,7 @@
 bool wy_owned_is_done (const struct wy_owned *o);
 
 const struct wy_route *wy_owned_route (const struct wy_owned *o);
+int64_t wy_owned_age_ms (const struct wy_owned *o);
 int64_t wy_owned_time_left_ms (const struct wy_owned *o);
 uint32_t wy_owned_allowed_failures (const struct wy_item *i);
 
--- a/src/jobs/read.c
+++ b/src/jobs/read.c
@@ -12,8 +12,9 @@
 
 enum
 {
-  /* How often the store is asked anew for a caller that waits for results.  */
-  POLL_MS = 200,
+  /* Between two questions to the store for a caller that waits for results:
+     a trainer idles meanwhile, and few wait at a time.  */
+  POLL_MS = 40,
   PAGE_ROWS = 200,
   /* Of results in one answer, as the platform's clients expect.  */
   ANSWER_BYTES = 900000,
@@ -28,10 +29,10 @@
   struct wy_h1_request *request;
   struct wy_job_call call;
   struct wy_job_record *record; /* as read for this call */
+  int64_t asked_ms;
   int64_t until_ms;
-  int64_t next_ms;
   bool reading;
-  bool woken;
+  bool woken; /* results were listed while they were being read */
   uint32_t tries;
   uv_timer_t timer;
   GList link; /* in jobs->waiting */
@@ -110,6 +111,9 @@
         break;
       n++;
     }
+  wy_note ("job.read", "id=%s after=%llu results=%u waited_ms=%lld",
+           d->call.job, (unsigned long long)d->call.after, n,
+           (long long)(wy_clock_mono_ms (d->jobs->env->clock) - d->asked_ms));
   respond_json (
       d, wy_results_encode (d->record->total, d->call.after + n,
                             (struct wy_result *const *)results->pdata, n));
@@ -118,6 +122,8 @@
   g_ptr_array_free (results, TRUE);
 }
 
+static void read_results (struct read *d);
+
 static bool
 may_have_more (const struct read *d)
 {
@@ -126,6 +132,15 @@
   return d->call.after < d->record->total && (!r || r->state == WY_JOB_OPEN);
 }
 
+static void
+on_poll (uv_timer_t *t)
+{
+  struct read *d = t->data;
+
+  if (!d->reading)
+    read_results (d);
+}
+
 static void
 on_results (void *ctx, const struct wy_rows_result *r)
 {
@@ -140,7 +155,7 @@
     answer_results (d, r);
   else
     {
-      d->next_ms = d->woken ? now_ms : now_ms + POLL_MS;
+      uv_timer_start (&d->timer, on_poll, d->woken ? 0 : POLL_MS, 0);
       d->woken = false;
       if (d->link.data)
         return;
@@ -338,7 +353,8 @@
   d->jobs = j;
   d->request = r;
   d->call = *call;
-  d->until_ms = wy_clock_mono_ms (j->env->clock) + call->wait_ms;
+  d->asked_ms = wy_clock_mono_ms (j->env->clock);
+  d->until_ms = d->asked_ms + call->wait_ms;
   uv_timer_init (j->env->loop, &d->timer);
   d->timer.data = d;
   wy_h1_on_hangup (r, on_hangup, d);
@@ -364,22 +380,7 @@
       if (strcmp (d->call.job, id) != 0)
         continue;
       d->woken = d->reading;
-      d->next_ms = 0;
-    }
-  wy_jobs_read_tick (j);
-}
-
-/* Ask the store anew for the callers whose time has come.  */
-void
-wy_jobs_read_tick (struct wy_jobs *j)
-{
-  int64_t now_ms = wy_clock_mono_ms (j->env->clock);
-
-  for (GList *l = j->waiting.head; l; l = l->next)
-    {
-      struct read *d = l->data;
-
-      if (!d->reading && now_ms >= d->next_ms)
+      if (!d->reading)
         read_results (d);
     }
 }
--- a/src/jobs/run.c
+++ b/src/jobs/run.c
@@ -69,13 +69,16 @@
   const struct wy_item *i = r->item;
 
   wy_note ("item.run_ended",
-           "id=%s job=%s target=%s outcome=%s status=%d events=%u last=%lld "
-           "version=%lld min_version=%lld runs=%u ms=%lld silent_ms=%lld",
-           i->spec->id, i->job->record->id, r->target->info.id, outcome,
-           r->status, r->n_events, (long long)i->last_event,
-           (long long)r->version, (long long)i->job->spec->min_version,
-           i->runs, (long long)(wy_run_now_ms (r) - r->started_ms),
-           (long long)(wy_run_now_ms (r) - r->heard_ms));
+           "id=%s job=%s group=%s expected=%u target=%s outcome=%s status=%d "
+           "events=%u last=%lld version=%lld min_version=%lld runs=%u "
+           "ms=%lld silent_ms=%lld job_ms=%lld",
+           i->spec->id, i->job->record->id, i->spec->group,
+           i->spec->expected_tokens, r->target->info.id, outcome, r->status,
+           r->n_events, (long long)i->last_event, (long long)r->version,
+           (long long)i->job->spec->min_version, i->runs,
+           (long long)(wy_run_now_ms (r) - r->started_ms),
+           (long long)(wy_run_now_ms (r) - r->heard_ms),
+           (long long)(wy_run_now_ms (r) - i->job->started_ms));
 }
 
 static void
@@ -111,6 +114,11 @@
   g_string_truncate (i->text, 0);
   g_array_set_size (i->versions, 0);
   i->last_event = -1;
+  i->text_id = 0;
+  i->kept_bytes = 0;
+  i->sent_bytes = 0;
+  i->kept_event = -1;
+  i->kept_whole = false;
 }
 
 /* Stop R without a word; its item is gone or ends otherwise.  */
@@ -233,11 +241,13 @@
   if (r->status == STATUS_OK && !r->fault)
     wy_events_feed (&r->events, p, n, on_event, r);
   if (before && r->n_events > before)
-    wy_target_paced (r->target, WY_WORK_EVENT,
-                     (double)(now_ms - r->heard_ms) / (r->n_events - before),
-                     now_ms);
-  else if (r->n_events)
-    r->first_ms = now_ms;
+    {
+      uint32_t n = r->n_events - before;
+      double event_ms = (double)(now_ms - r->heard_ms) / n;
+
+      wy_run_paced (r, n, event_ms);
+      wy_target_paced (r->target, WY_WORK_EVENT, event_ms, now_ms);
+    }
   if (r->n_events > before)
     r->heard_ms = now_ms;
   if (r->fault)
--- a/src/jobs/run_state.h
+++ b/src/jobs/run_state.h
@@ -27,12 +27,14 @@
   int64_t version;
   int64_t started_ms;
   int64_t heard_ms;
-  int64_t first_ms; /* of the first event */
   uint32_t n_events;
+  double event_ms; /* that the last event took; 0: not known */
+  double event_before_ms;
   uint32_t allowed_failures;
 };
 
 int64_t wy_run_now_ms (const struct wy_run *r);
+void wy_run_paced (struct wy_run *r, uint32_t n, double event_ms);
 void wy_run_again (struct wy_run *r, enum wy_target_outcome outcome,
                    int64_t pause_ms, const char *why);
 
--- a/src/jobs/state.h
+++ b/src/jobs/state.h
@@ -49,7 +49,6 @@
 bool wy_jobs_have_room (const struct wy_jobs *j, size_t body_bytes);
 void wy_jobs_clean (struct wy_jobs *j);
 void wy_jobs_wake_readers (struct wy_jobs *j, const char *id);
-void wy_jobs_read_tick (struct wy_jobs *j);
 
 void wy_job_load (struct wy_jobs *j, const struct wy_job_record *r,
                   void (*on_done) (void *ctx, int err,
--- /dev/null
+++ b/src/jobs/text_rows.c
@@ -0,0 +1,193 @@
+/* Pieces of texts as rows.
+
+   A text grows at its end, so only what is new is written; a whole text of
+   ninety events written again with every few of them would be some hundred
+   kilobytes.  A piece follows another only at the byte where that ends and
+   under the same making: what a broken off and forgotten text has left in the
+   store is never taken for the rest of the next one.  */
+#include "jobs/text_rows.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+enum
+{
+  AT_DIGITS = 11, /* ".0000000000" */
+  ID_SIZE = 17
+};
+
+static char *
+encode (const char *bytes, size_t n, const struct wy_text_state *s, bool last)
+{
+  char id[ID_SIZE];
+  json_t *doc = json_object ();
+  char *text;
+  char *out;
+
+  snprintf (id, sizeof id, "%016llx", (unsigned long long)s->text_id);
+  json_object_set_new (doc, "text", json_stringn (bytes, n));
+  json_object_set_new (doc, "id", json_string (id));
+  json_object_set_new (doc, "at_ms", json_integer (s->at_ms));
+  if (last)
+    {
+      json_t *versions = json_array ();
+
+      for (uint32_t k = 0; k < s->n_versions; k++)
+        json_array_append_new (versions, json_integer (s->versions[k]));
+      json_object_set_new (doc, "versions", versions);
+      json_object_set_new (doc, "last", json_integer (s->last_event));
+      json_object_set_new (doc, "whole", json_boolean (s->whole));
+    }
+  text = json_dumps (doc, JSON_COMPACT);
+  json_decref (doc);
+  out = g_strdup (text);
+  free (text);
+  return out;
+}
+
+static size_t
+character_start (const char *text, size_t at, size_t from)
+{
+  while (at > from && ((unsigned char)text[at] & 0xc0) == 0x80)
+    at--;
+  return at;
+}
+
+/* Append rows (struct wy_row_write of TABLE) with the bytes of TEXT from
+   FROM_BYTES to TO_BYTES, its end, to WRITES; STATE holds with the last of
+   them. The keys and values are copies.  */
+void
+wy_text_rows_add (GArray *writes, const char *table, const char *item,
+                  const char *text, size_t from_bytes, size_t to_bytes,
+                  const struct wy_text_state *state, size_t row_bytes)
+{
+  size_t at = from_bytes;
+
+  do
+    {
+      /* Quoted characters take more bytes than they are.  */
+      size_t end = MIN (to_bytes, at + row_bytes / 2);
+      struct wy_row_write w = { .table = table };
+
+      end = end < to_bytes ? character_start (text, end, at) : end;
+      w.value = encode (text + at, end - at, state, end == to_bytes);
+      w.key = g_strdup_printf ("%s.%010zu", item, at);
+      w.size_bytes = strlen (w.value);
+      g_array_append_val (writes, w);
+      at = end;
+    }
+  while (at < to_bytes);
+}
+
+/* Free what wy_text_rows_add has added to WRITES.  */
+void
+wy_text_rows_clear (GArray *writes)
+{
+  for (guint k = 0; k < writes->len; k++)
+    {
+      struct wy_row_write *w = &g_array_index (writes, struct wy_row_write, k);
+
+      g_free ((char *)w->key);
+      g_free ((void *)w->value);
+    }
+  g_array_set_size (writes, 0);
+}
+
+/* Bytes of KEY that name its item.  */
+size_t
+wy_text_item_size (const char *key)
+{
+  size_t n = strlen (key);
+
+  return n > AT_DIGITS ? n - AT_DIGITS : n;
+}
+
+static void
+take_state (struct wy_kept_text *t, json_t *doc)
+{
+  json_t *v;
+  size_t k;
+
+  t->last_event = json_integer_value (json_object_get (doc, "last"));
+  t->whole = json_is_true (json_object_get (doc, "whole"));
+  g_array_set_size (t->versions, 0);
+  json_array_foreach (json_object_get (doc, "versions"), k, v)
+  {
+    int64_t version = json_integer_value (v);
+
+    g_array_append_val (t->versions, version);
+  }
+}
+
+static struct wy_kept_text *
+new_text (const char *key)
+{
+  struct wy_kept_text *t = g_new0 (struct wy_kept_text, 1);
+
+  t->item = g_strndup (key, wy_text_item_size (key));
+  t->text = g_string_new (NULL);
+  t->versions = g_array_new (FALSE, FALSE, sizeof (int64_t));
+  t->keys = g_ptr_array_new_with_free_func (g_free);
+  t->last_event = -1;
+  return t;
+}
+
+/* Take the piece ROW in if it fits behind T.  SOUND_BYTES is as far as the
+   text is known to end with an event.  */
+static void
+add_piece (struct wy_kept_text *t, const struct wy_row *row,
+           size_t *sound_bytes)
+{
+  const char *at = row->key + wy_text_item_size (row->key) + 1;
+  json_t *doc = json_loadb (row->value, row->size_bytes, 0, NULL);
+  const char *text = json_string_value (json_object_get (doc, "text"));
+  const char *id = json_string_value (json_object_get (doc, "id"));
+  uint64_t text_id = id ? g_ascii_strtoull (id, NULL, 16) : 0;
+
+  if (text && text_id && g_ascii_strtoull (at, NULL, 10) == t->text->len
+      && (t->text->len == 0 || text_id == t->text_id))
+    {
+      t->text_id = text_id;
+      t->at_ms = json_integer_value (json_object_get (doc, "at_ms"));
+      g_string_append (t->text, text);
+      if (json_object_get (doc, "last"))
+        {
+          take_state (t, doc);
+          *sound_bytes = t->text->len;
+        }
+    }
+  json_decref (doc);
+}
+
+/* The text in the N rows ROWS of one item, in the order of their keys, as far
+   as it goes on without a gap; NULL: there is none.  */
+struct wy_kept_text *
+wy_text_rows_join (const struct wy_row *rows, size_t n)
+{
+  struct wy_kept_text *t = new_text (rows[0].key);
+  size_t sound_bytes = 0;
+
+  for (size_t k = 0; k < n; k++)
+    add_piece (t, &rows[k], &sound_bytes);
+  g_string_truncate (t->text, sound_bytes);
+  if (t->last_event >= 0)
+    return t;
+  wy_kept_text_free (t);
+  return NULL;
+}
+
+/* Free T, which may be NULL.  */
+void
+wy_kept_text_free (struct wy_kept_text *t)
+{
+  if (!t)
+    return;
+  g_free (t->item);
+  g_string_free (t->text, TRUE);
+  g_array_free (t->versions, TRUE);
+  g_ptr_array_free (t->keys, TRUE);
+  g_free (t);
+}
--- a/tests/test_jobs_holder.c
+++ b/tests/test_jobs_holder.c
@@ -72,7 +72,7 @@
   cr_assert_not_null (record);
   other = g_strdup (record);
   strstr (other, "n1/1")[1] = '9';
-  wy_platform_store_put (job_world.store, WY_MEMBERS_TABLE, "n9", "beat",
+  wy_platform_store_put (job_world.store, WY_MEMBERS_TABLE, "0", "n9",
                          "{\"holder\":\"n9/1\",\"beat\":1}");
   wy_platform_store_put (job_world.store, WY_JOBS_TABLE, "j1", WY_JOB_KEY,
                          other);
@@ -84,6 +84,32 @@
   job_world_stop ();
 }
 
+/* The store turns another entry away, whose calls go through peers.  Given a
+   new job, it would take a detour with each result, and be taken for gone as
+   soon as a few heartbeats are lost: its step would be begun anew elsewhere.
+ */
+Test (jobs, none_for_an_entry_that_is_turned_away)
+{
+  char *record;
+
+  job_world_start (2);
+  wy_platform_store_put (job_world.store, WY_MEMBERS_TABLE, "0", "n9",
+                         "{\"holder\":\"n9/1\",\"address\":\"127.0.0.1:1\","
+                         "\"cpu_share\":1000000,\"relayed\":true,"
+                         "\"beat\":1}");
+  platform_world_run_ms (&job_world, 500);
+  cr_expect_eq (wy_members_alive (job_entry.members), 2);
+  cr_expect_eq (job_world_submit ("j1", 1), 202);
+  record = wy_platform_store_value (job_world.store, WY_JOBS_TABLE, "j1",
+                                    WY_JOB_KEY);
+  cr_assert_not_null (record);
+  cr_expect_not_null (strstr (record, "n1/1"), "%s", record);
+  g_free (record);
+  job_world_check_all ("j1");
+  cr_expect_eq (*job_world.env.count.jobs_taken_over, 0);
+  job_world_stop ();
+}
+
 static bool
 hears_the_store (void *ctx)
 {
@@ -101,7 +127,7 @@
 
   job_world_start (1);
   f = wy_platform_store_faults (job_world.store);
-  wy_platform_store_put (job_world.store, WY_MEMBERS_TABLE, "n9", "beat",
+  wy_platform_store_put (job_world.store, WY_MEMBERS_TABLE, "0", "n9",
                          "{\"holder\":\"n9/1\",\"beat\":1}");
   platform_world_run_ms (&job_world, 500);
   cr_expect_eq (wy_members_alive (job_entry.members), 2);
