Jobs run on the stronger entries; fewer last results wait; the store's client and the list of entries in parts

And the last eighth of a job's results, texts of up to 36 KB, took two transactions: the trainer read one of them and paused.

Change: entries with less than half of the most processor time run jobs only where there are no others, takeovers included; the last twenty-fourth waits.

--- a/src/decide/listing.c
+++ b/src/decide/listing.c
@@ -12,10 +12,10 @@
 
 enum
 {
-  /* The last one result in so many waits.  The earlier ones are listed as they
-     come: so many at once would take several transactions, and the trainer
-     several questions.  */
-  LAST_DIVISOR = 8
+  /* The last one result in so many waits.  More of them, long as they are,
+     would not fit into one transaction, and the trainer would read them in two
+     answers; and they would all travel at the moment when it waits.  */
+  LAST_DIVISOR = 24
 };
 
 /* Whether results that are known wait for others.  They do not once they are
@@ -26,5 +26,5 @@
   if (o->stopping || o->due_ms <= 0 || o->age_ms >= o->due_ms
       || o->whole_groups >= o->wanted_groups)
     return false;
-  return o->items - o->results < o->items / LAST_DIVISOR;
+  return o->items - o->results < (o->items + LAST_DIVISOR - 1) / LAST_DIVISOR;
 }
--- a/src/gate/members.c
+++ b/src/gate/members.c
@@ -5,9 +5,8 @@
    condition, so an entry wrongly taken for gone can do no harm, it only
    loses its jobs.  Silence is counted from answer to answer of the store, else
    an outage would make everybody gone at once.  */
-#include "gate/members.h"
+#include "gate/members_state.h"
 
-#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -29,48 +28,12 @@
   PARTS = 16,
   PART_SIZE_BYTES = 8,
   BEAT_MS = 500,
-  /* An entry whose beat did not change for so long, while the store answered,
-     is gone: three beats, so that one slow or lost write does not count.  */
-  GONE_AFTER_MS = 1600,
-  /* One whose beat is late gets no new work.  */
-  DOUBTED_AFTER_MS = 1100,
   TICK_MS = 200,
   /* Answers of the store come some times a second.  Where one comes so long
      after the one before it, the store was away, or this process stood
      still.  */
   AWAY_MS = 1100,
-  WATCH_GAP_MS = 250,
-  NAME_SIZE_BYTES = 128
-};
-
-struct member
-{
-  char node[NAME_SIZE_BYTES];
-  char holder[NAME_SIZE_BYTES];
-  struct sockaddr_in address;
-  bool has_address;
-  double cpu_share;
-  bool draining; /* takes no new jobs */
-  bool relayed;  /* reaches the store through others alone */
-  bool leaving;  /* its jobs are free */
-  int64_t silent_ms;
-};
-
-struct wy_members
-{
-  struct wy_members_options o;
-  struct wy_watch *watch;
-  uv_timer_t beat;
-  uv_timer_t tick;
-  GHashTable *by_node; /* struct member */
-  GHashTable *unseen;  /* holder -> time at which it was first asked for */
-  int64_t counted_ms;  /* silence is counted to here: an answer of the store */
-  uint64_t beats;
-  bool writing;
-  bool writing_address;
-  bool address_written;
-  bool draining;
-  bool leaving;
+  WATCH_GAP_MS = 250
 };
 
 static void
@@ -78,7 +41,7 @@
 {
   const char *v = json_string_value (json_object_get (doc, key));
 
-  g_strlcpy (out, v ? v : "", NAME_SIZE_BYTES);
+  g_strlcpy (out, v ? v : "", WY_MEMBERS_NAME_SIZE_BYTES);
 }
 
 static void
@@ -139,7 +102,7 @@
   learn_crashes (m, e, json_object_get (doc, "crashed"));
   json_decref (doc);
   if (strcmp (was.holder, e->holder) != 0 || was.leaving != e->leaving
-      || was.silent_ms >= GONE_AFTER_MS)
+      || was.silent_ms >= WY_MEMBERS_GONE_AFTER_MS)
     {
       /* Those of the first reading are told of together.  */
       if (wy_watch_is_synced (m->watch))
@@ -161,7 +124,7 @@
 
   g_hash_table_iter_init (&it, m->by_node);
   while (g_hash_table_iter_next (&it, NULL, &p))
-    if (((struct member *)p)->silent_ms < GONE_AFTER_MS)
+    if (((struct member *)p)->silent_ms < WY_MEMBERS_GONE_AFTER_MS)
       ((struct member *)p)->silent_ms = 0;
 }
 
@@ -188,10 +151,10 @@
   while (g_hash_table_iter_next (&it, NULL, &p))
     {
       struct member *e = p;
-      bool was_gone = e->silent_ms >= GONE_AFTER_MS;
+      bool was_gone = e->silent_ms >= WY_MEMBERS_GONE_AFTER_MS;
 
       e->silent_ms += passed_ms;
-      if (was_gone || e->silent_ms < GONE_AFTER_MS)
+      if (was_gone || e->silent_ms < WY_MEMBERS_GONE_AFTER_MS)
         continue;
       any = true;
       wy_note ("entry.gone",
@@ -323,211 +286,3 @@
   m->leaving = true;
   write_beat (m);
 }
-
-static bool
-is_alive (const struct member *e)
-{
-  return !e->leaving && e->silent_ms < GONE_AFTER_MS;
-}
-
-/* Number of entries alive; at least 1, this one.  */
-uint32_t
-wy_members_alive (const struct wy_members *m)
-{
-  GHashTableIter it;
-  gpointer p;
-  uint32_t n = 0;
-
-  g_hash_table_iter_init (&it, m->by_node);
-  while (g_hash_table_iter_next (&it, NULL, &p))
-    n += is_alive (p);
-  return n ? n : 1;
-}
-
-/* A holder that no row tells of may just have started, its job's row being
-   seen before its own: it is gone when that stays so.  */
-static bool
-is_gone_unseen (struct wy_members *m, const char *holder)
-{
-  int64_t now_ms = wy_clock_mono_ms (m->o.env->clock);
-  int64_t *since_ms = g_hash_table_lookup (m->unseen, holder);
-
-  if (since_ms)
-    return now_ms - *since_ms >= GONE_AFTER_MS;
-  since_ms = g_new (int64_t, 1);
-  *since_ms = now_ms;
-  g_hash_table_insert (m->unseen, g_strdup (holder), since_ms);
-  return false;
-}
-
-/* Whether HOLDER, "NODE/INCARNATION", will do no more work: its instance is
-   silent or leaving, or has started anew since.  */
-bool
-wy_members_is_gone (struct wy_members *m, const char *holder)
-{
-  const char *slash = strchr (holder, '/');
-  char node[NAME_SIZE_BYTES];
-  const struct member *e;
-
-  if (!slash || (size_t)(slash - holder) >= sizeof node)
-    return true;
-  if (!wy_watch_is_synced (m->watch))
-    return false;
-  memcpy (node, holder, (size_t)(slash - holder));
-  node[slash - holder] = '\0';
-  e = g_hash_table_lookup (m->by_node, node);
-  /* Incarnations are in the order of their starts.  */
-  if (!e || strcmp (holder, e->holder) > 0)
-    return is_gone_unseen (m, holder);
-  return !is_alive (e) || strcmp (e->holder, holder) != 0;
-}
-
-static uint64_t
-weight_of (const char *node, const char *key)
-{
-  return wy_hash64 (node, strlen (node), wy_hash64 (key, strlen (key), 0));
-}
-
-/* Weighted rendezvous hashing: the largest of these wins, with a chance in
-   proportion to CPU_SHARE, and stays the winner while it is there.  Instances
-   differ fivefold, and one that runs a job reads all of its streams.  */
-static double
-claim_of (const char *node, const char *key, double cpu_share)
-{
-  double u = ((double)weight_of (node, key) + 1) / 18446744073709551616.0;
-
-  return (cpu_share > 0 ? cpu_share : 1) / -log (u < 1 ? u : 0.5);
-}
-
-/* The entry that work of KEY goes to: always the same one while it is alive,
-   so that its connections to the targets are used again.  One that the store
-   turns away does not get new work: each of its results would take a detour,
-   and its heartbeats may be missed.  False: this entry, or none that is known;
-   HOLDER and ADDRESS are set else.  */
-bool
-wy_members_choose (const struct wy_members *m, const char *key,
-                   const char **holder, struct sockaddr_in *address)
-{
-  const char *node = m->o.env->node;
-  double best = m->draining || !wy_rows_is_direct (m->o.env->rows)
-                    ? 0
-                    : claim_of (node, key, m->o.cpu_share);
-  const struct member *found = NULL;
-  GHashTableIter it;
-  gpointer p;
-
-  g_hash_table_iter_init (&it, m->by_node);
-  while (g_hash_table_iter_next (&it, NULL, &p))
-    {
-      const struct member *e = p;
-      double w = claim_of (e->node, key, e->cpu_share);
-
-      if (!is_alive (e) || e->draining || e->relayed || !e->has_address
-          || e->silent_ms > DOUBTED_AFTER_MS || !strcmp (e->node, node)
-          || w <= best)
-        continue;
-      best = w;
-      found = e;
-    }
-  if (!found)
-    return false;
-  *holder = found->holder;
-  *address = found->address;
-  return true;
-}
-
-/* Place of this entry among those alive in the order that KEY gives them;
-   each key gives another, so that work without a holder spreads.  */
-uint32_t
-wy_members_rank (const struct wy_members *m, const char *key)
-{
-  const char *node = m->o.env->node;
-  uint64_t own = weight_of (node, key);
-  GHashTableIter it;
-  gpointer p;
-  uint32_t rank = 0;
-
-  g_hash_table_iter_init (&it, m->by_node);
-  while (g_hash_table_iter_next (&it, NULL, &p))
-    {
-      const struct member *e = p;
-
-      if (is_alive (e) && strcmp (e->node, node) != 0)
-        rank += weight_of (e->node, key) > own;
-    }
-  return rank;
-}
-
-/* Write the addresses of the other entries alive to OUT, MAX at most.  */
-size_t
-wy_members_addresses (const struct wy_members *m, struct sockaddr_in *out,
-                      size_t max)
-{
-  GHashTableIter it;
-  gpointer p;
-  size_t n = 0;
-
-  g_hash_table_iter_init (&it, m->by_node);
-  while (g_hash_table_iter_next (&it, NULL, &p) && n < max)
-    {
-      const struct member *e = p;
-
-      if (is_alive (e) && e->has_address
-          && strcmp (e->node, m->o.env->node) != 0)
-        out[n++] = e->address;
-    }
-  return n;
-}
-
-/* Where the entry of ROW, of the table of addresses, takes calls to the store;
-   false: it can't be read.  */
-bool
-wy_member_address (const struct wy_row *row, struct sockaddr_in *out)
-{
-  char text[NAME_SIZE_BYTES];
-
-  if (row->size_bytes >= sizeof text)
-    return false;
-  memcpy (text, row->value, row->size_bytes);
-  text[row->size_bytes] = '\0';
-  return wy_address_parse (text, out);
-}
-
-static const char *
-state_of (const struct member *e)
-{
-  if (e->silent_ms >= GONE_AFTER_MS)
-    return "gone";
-  if (e->leaving)
-    return "leaving";
-  return e->draining ? "draining" : "alive";
-}
-
-/* Tell FN of each entry that is known.  */
-void
-wy_members_each (const struct wy_members *m,
-                 void (*fn) (void *ctx, const struct wy_member_view *v),
-                 void *ctx)
-{
-  GHashTableIter it;
-  gpointer p;
-
-  g_hash_table_iter_init (&it, m->by_node);
-  while (g_hash_table_iter_next (&it, NULL, &p))
-    {
-      const struct member *e = p;
-      struct wy_member_view v = { .node = e->node,
-                                  .holder = e->holder,
-                                  .state = state_of (e),
-                                  .silent_ms = e->silent_ms };
-
-      fn (ctx, &v);
-    }
-}
-
-/* Age in ms of what is known; -1: nothing is.  */
-int64_t
-wy_members_age_ms (const struct wy_members *m)
-{
-  return wy_watch_age_ms (m->watch);
-}
--- /dev/null
+++ b/src/rows/store_state.h
@@ -0,0 +1,56 @@
+/* Inside of the store's client: src/rows/store.c and src/rows/call.c.  */
+#ifndef WY_ROWS_STORE_STATE_H
+#define WY_ROWS_STORE_STATE_H
+
+#include <glib.h>
+
+#include "base/rng.h"
+#include "h1/client.h"
+#include "platform/store_wire.h"
+#include "rows/paths.h"
+#include "rows/rows.h"
+
+struct wy_rows_call
+{
+  struct wy_rows *store;
+  struct wy_h1_call *http;
+  enum wy_store_verb verb;
+  char *target;
+  const char *method;
+  char *body; /* NULL: none */
+  size_t body_size_bytes;
+  GString *answer;
+  int status;
+  struct sockaddr_in address; /* that it was sent to */
+  bool relayed;
+  uint32_t tries;
+  int64_t started_ms;
+  int64_t transfer_ms; /* that its body may take */
+  int64_t deadline_ms;
+  wy_rows_cb *cb;
+  void (*forward_cb) (void *ctx, int status, const char *body, size_t n);
+  void *ctx;
+};
+
+struct wy_rows
+{
+  uv_loop_t *loop;
+  const struct wy_clock *clock;
+  struct wy_h1_client *http;
+  struct wy_paths paths;
+  uv_timer_t sweep;
+  GQueue calls;
+  int64_t answered_ms;   /* the last answer, on whatever path */
+  int64_t now_offset_ms; /* the store's clock less ours */
+  bool has_now;
+  struct wy_rng rng;
+  struct wy_rows_stats stats;
+};
+
+struct wy_rows_call *wy_rows_call_new (struct wy_rows *s,
+                                       enum wy_store_verb verb, char *target,
+                                       wy_rows_cb *cb, void *ctx);
+void wy_rows_call_start (struct wy_rows_call *k, const void *body, size_t n);
+void wy_rows_call_free (struct wy_rows_call *k);
+
+#endif
--- a/tests/test_jobs_holder.c
+++ b/tests/test_jobs_holder.c
@@ -110,6 +110,39 @@
   job_world_stop ();
 }
 
+static void
+put_entry (const char *node, const char *cpu_share)
+{
+  char *value = g_strdup_printf ("{\"holder\":\"%s/1\",\"address\":"
+                                 "\"127.0.0.1:1\",\"cpu_share\":%s,"
+                                 "\"beat\":1}",
+                                 node, cpu_share);
+
+  wy_platform_store_put (job_world.store, WY_MEMBERS_TABLE, "0", node, value);
+  g_free (value);
+}
+
+/* Half of the entries are small instances with a fifth of the processor time
+   of the others.  By their number they would get every fifth job; each of its
+   results would then be listed some hundred ms late, and its trainer idle.  */
+Test (jobs, none_for_weak_entries)
+{
+  char node[8];
+
+  job_world_start (2);
+  for (int i = 0; i < 30; i++)
+    {
+      g_snprintf (node, sizeof node, "w%d", i);
+      put_entry (node, "0.2");
+    }
+  platform_world_run_ms (&job_world, 500);
+  cr_expect_eq (wy_members_alive (job_entry.members), 31);
+  cr_expect_eq (job_world_submit ("j1", 1), 202);
+  job_world_check_all ("j1");
+  cr_expect_eq (*job_world.env.count.jobs_taken_over, 0);
+  job_world_stop ();
+}
+
 static bool
 hears_the_store (void *ctx)
 {
