--- a/src/decide/item_slots.c
+++ b/src/decide/item_slots.c
@@ -7,12 +7,7 @@
    longer the more runs share their target.  Started together, the short items
    fill all slots for a second or two, just when the next step's long ones
    arrive.  So short ones leave part of the slots until they would be late
-   themselves.
-
-   Measured over ten runs of half a minute under faults, 38 targets with 12
-   slots and three trainers, fixed seeds: 81.4% of the work done in time, 79.9
-   and 80.5% (the set run twice) with all slots for all; new connections a run
-   2,651, and 3,264 and 3,143, since fewer items run at the same time.  */
+   themselves.  */
 #include "decide/item_slots.h"
 
 enum
--- a/src/decide/load_turn.c
+++ b/src/decide/load_turn.c
@@ -16,8 +16,7 @@
      weights feeds at full speed.  */
   LOADING_DIVISOR = 5,
   /* Replicas of a model beyond its share, as the share times the period over
-     this.  With two models on each replica, or one and a half, loads queued
-     (1.5 to 2.7 s instead of 0.9) and fewer steps were ready in time.  */
+     this.  With more, loads queue at the store of weights.  */
   SPREAD_DIVISOR = 2
 };
 
--- a/src/gate/targets.c
+++ b/src/gate/targets.c
@@ -39,10 +39,7 @@
    which is lost for the few items that do not end in this one.  But half of a
    model's targets have those, and the more of a step runs on the other half,
    the slower its longest items are, for which all wait.  So it costs as much
-   as about a third of the slots in use.  Measured over 36 runs of half a
-   minute, 12 targets and three trainers, fixed seeds: 95.0% of the work done
-   in time, 94.5% with a cost of half a pace; of 16 calm runs none had a
-   trainer a step short at the end, 3 with half.  */
+   as about a third of the slots in use.  */
 static const double old_weights_cost = 0.15;
 /* A new connection takes a target about a ms of one of its slots and may be
    priced; one that is open and unused is worth a detour to a target with up
