Bytes that are no characters do not stop the keeping of texts; a peer that is turned away says so

Read over: a text with a long run of continuation bytes, as a faulty replica may send, would have kept the cutting of rows from ever getting on (test, hangs before); and a peer that the store turns away by refusals for the rate passed these on, so that calls kept going through it.

--- a/src/jobs/text_rows.c
+++ b/src/jobs/text_rows.c
@@ -16,7 +16,8 @@
 enum
 {
   AT_DIGITS = 11, /* ".0000000000" */
-  ID_SIZE = 17
+  ID_SIZE = 17,
+  CHARACTER_BYTES = 4 /* of UTF-8, at most */
 };
 
 static char *
@@ -48,12 +49,16 @@
   return out;
 }
 
+/* Where the character at AT begins; AT, if the bytes there are none.  */
 static size_t
 character_start (const char *text, size_t at, size_t from)
 {
-  while (at > from && ((unsigned char)text[at] & 0xc0) == 0x80)
-    at--;
-  return at;
+  size_t start = at;
+
+  while (start > from && at - start < CHARACTER_BYTES
+         && ((unsigned char)text[start] & 0xc0) == 0x80)
+    start--;
+  return start > from && at - start < CHARACTER_BYTES ? start : at;
 }
 
 /* Append rows (struct wy_row_write of TABLE) with the bytes of TEXT from
--- a/src/rows/call.c
+++ b/src/rows/call.c
@@ -146,10 +146,9 @@
 fail (struct wy_rows_call *k, int err, const char *why)
 {
   struct wy_rows_result r = { .err = err };
+  bool rate_limited = is_rate_limited (k) && !is_turned_away_by_rate (k);
 
-  bool rate_limited = is_rate_limited (k);
-
-  if (!rate_limited || is_turned_away_by_rate (k))
+  if (!rate_limited)
     count_end (k, false, why);
   wy_note ("store.call_failed", "verb=%s via=%s outcome=%s reason=%s",
            wy_store_verb_name (k->verb), k->relayed ? "peer" : "direct",
--- a/tests/test_jobs_text.c
+++ b/tests/test_jobs_text.c
@@ -146,3 +146,21 @@
   cr_expect_null (read_back ((int)writes->len - 1));
   g_string_free (text, TRUE);
 }
+
+/* A replica sends bytes that are no characters.  They can't be kept, but must
+   not hold up the entry, and the text before them is kept.  */
+Test (text_rows, bytes_that_are_no_characters)
+{
+  char text[1000];
+  struct wy_kept_text *t;
+
+  memset (text, 0x80, sizeof text);
+  memcpy (text, "one", 3);
+  text[sizeof text - 1] = '\0';
+  keep (9, "one", 0, 0);
+  keep (9, text, 3, 1);
+  t = read_back (-1);
+  cr_assert_not_null (t);
+  cr_expect_str_eq (t->text->str, "one");
+  wy_kept_text_free (t);
+}
