Weak entries take jobs over last

Cause: entries try in slots of 250 ms, each in one of as many as its place in the order; 73 weak ones behind 60 others would together try in every second slot, so half of the jobs of a dead holder would go to an entry that is not to run any. Their places count sixteenfold now: one slot in twenty.

--- a/src/gate/members_choice.c
+++ b/src/gate/members_choice.c
@@ -11,7 +11,9 @@
 enum
 {
   /* An entry whose beat is so late gets no new work.  */
-  DOUBTED_AFTER_MS = 1100
+  DOUBTED_AFTER_MS = 1100,
+  /* Places in the order of tries that one takes which is not to run jobs.  */
+  WEAK_RANKS = 16
 };
 
 /* Of the most processor time that an entry has, what one must have to run
@@ -170,7 +172,8 @@
 
 /* Place of this entry among those alive in the order that KEY gives them;
    each key gives another, so that work without a holder spreads.  Those that
-   are to run jobs come first.  */
+   are to run jobs come first, the others so far behind that all of them
+   together rarely come before.  */
 uint32_t
 wy_members_rank (const struct wy_members *m, const char *key)
 {
@@ -195,7 +198,7 @@
       else
         rank += weight_of (e->node, key) > own;
     }
-  return rank;
+  return strong ? rank : rank * WEAK_RANKS;
 }
 
 /* Write the addresses of the other entries alive to OUT, MAX at most.  */
--- a/tests/test_jobs_holder.c
+++ b/tests/test_jobs_holder.c
@@ -143,6 +143,27 @@
   job_world_stop ();
 }
 
+/* A holder dies.  Whoever takes its jobs over should be able to carry them:
+   with as many small instances as large ones, every second job would else go
+   from one that can to one that can't.  */
+Test (jobs, weak_entries_take_over_last)
+{
+  char node[8];
+
+  job_world_start (1);
+  platform_world_run_ms (&job_world, 500);
+  cr_expect_eq (wy_members_rank (job_entry.members, "j1"), 0);
+  for (int i = 0; i < 10; i++)
+    {
+      g_snprintf (node, sizeof node, "s%d", i);
+      put_entry (node, "5");
+    }
+  platform_world_run_ms (&job_world, 500);
+  cr_expect_eq (wy_members_alive (job_entry.members), 11);
+  cr_expect_geq (wy_members_rank (job_entry.members, "j1"), 10 * 10);
+  job_world_stop ();
+}
+
 static bool
 hears_the_store (void *ctx)
 {
