--- a/scripts/item-stages.py
+++ b/scripts/item-stages.py
@@ -9,23 +9,9 @@
 replica, the time its text took, the wait for a scoring replica, the score, and
 over jobs: the last text, the last score, all listed, from the job's start.
 """
-import json
 import sys
 
-
-def read(paths):
-    for path in paths:
-        with open(path, errors="replace") as f:
-            for line in f:
-                at = line.find("{")
-                if at < 0:
-                    continue
-                try:
-                    doc = json.loads(line[at:])
-                except ValueError:
-                    continue
-                if isinstance(doc, dict) and "event" in doc and "t" in doc:
-                    yield doc
+from loglines import read
 
 
 def quantiles(values):
--- a/scripts/step-idle.py
+++ b/scripts/step-idle.py
@@ -10,26 +10,12 @@
 and the difference; then their mean, p50 and p90. A log that left lines out
 makes groups look whole too early.
 """
-import json
 import math
 import sys
 
 from collections import defaultdict
 
-
-def read(paths):
-    for path in paths:
-        with open(path, errors="replace") as f:
-            for line in f:
-                at = line.find("{")
-                if at < 0:
-                    continue
-                try:
-                    doc = json.loads(line[at:])
-                except ValueError:
-                    continue
-                if isinstance(doc, dict) and "event" in doc and "t" in doc:
-                    yield doc
+from loglines import read
 
 
 def collect(docs):
