Organisations: keys are checked, replicas are told the organisation, jobs belong to it

Cause: a configuration now names organisations with keys.

Change: src/orgs holds organisations and digests of their keys and decides on a request; 401 and 404 only where the configuration is current, 503 with Retry-After else. Key and claimed organisation of a caller reach no replica, log line or peer. A job's key in the store is its organisation and its name, so that two organisations may choose the same name and neither can tell the other's jobs from none; its row says the organisation, takeovers need no key. Rows without one, written before, are found by any caller with a valid key and run without one.

--- a/src/gate/answer.c
+++ b/src/gate/answer.c
@@ -34,6 +34,19 @@
   wy_h1_respond (r, status, fields, n, body, strlen (body));
 }
 
+/* Answer R with 401: its caller has shown no valid key.  */
+void
+wy_refuse_unauthorized (struct wy_h1_request *r, const char *reason)
+{
+  static const struct wy_h1_pair fields[]
+      = { { "Content-Type", "application/json" },
+          { "WWW-Authenticate", "Bearer" } };
+  char body[128];
+
+  g_snprintf (body, sizeof body, "{\"status\":401,\"reason\":\"%s\"}", reason);
+  wy_h1_respond (r, 401, fields, G_N_ELEMENTS (fields), body, strlen (body));
+}
+
 static void
 keep_text (struct wy_answer *a, const char *text)
 {
--- a/src/gate/answer.h
+++ b/src/gate/answer.h
@@ -18,6 +18,7 @@
 
 void wy_refuse (struct wy_h1_request *r, int status, const char *reason,
                 uint32_t retry_after_ms);
+void wy_refuse_unauthorized (struct wy_h1_request *r, const char *reason);
 struct wy_answer *wy_answer_new (int status, const struct wy_h1_head *head);
 void wy_answer_free (struct wy_answer *a);
 void wy_answer_send (const struct wy_answer *a, struct wy_h1_request *r);
--- a/src/gate/proxy.c
+++ b/src/gate/proxy.c
@@ -204,7 +204,9 @@
   struct wy_forward_info f
       = { .replica = g->info.id,
           .time_left_ms = p->has_deadline ? p->deadline_ms - now_ms : -1,
-          .after_event = p->after_event };
+          .after_event = p->after_event,
+          .has_orgs = p->has_orgs,
+          .organisation = p->organisation };
   struct wy_h1_call_options o = { .address = g->info.address,
                                   .method = wy_h1_method (p->request),
                                   .target = wy_h1_target (p->request),
@@ -387,10 +389,10 @@
   return true;
 }
 
-/* Pass R on as ROUTE says; the answer follows.  */
+/* Pass R on as ROUTE says, for ORG, or NULL; the answer follows.  */
 void
 wy_proxy_start (struct wy_gate_env *env, struct wy_h1_request *r,
-                const struct wy_route *route)
+                const struct wy_route *route, const struct wy_org *org)
 {
   struct wy_proxied *p = g_new0 (struct wy_proxied, 1);
   struct wy_request_info info;
@@ -406,6 +408,8 @@
   p->service = g_strdup (
       wy_route_service (route, wy_rng_below (&env->rng, UINT32_MAX)));
   p->config_version = env->routing->version;
+  p->has_orgs = env->routing->orgs != NULL;
+  p->organisation = org ? g_strdup (org->name) : NULL;
   p->attempts_left = route->attempts;
   p->after_event = info.after_event;
   p->tried = g_ptr_array_new ();
--- a/src/gate/proxy.h
+++ b/src/gate/proxy.h
@@ -6,6 +6,6 @@
 #include "h1/server.h"
 
 void wy_proxy_start (struct wy_gate_env *env, struct wy_h1_request *r,
-                     const struct wy_route *route);
+                     const struct wy_route *route, const struct wy_org *org);
 
 #endif
--- a/src/gate/proxy_end.c
+++ b/src/gate/proxy_end.c
@@ -17,6 +17,13 @@
   RETRY_AFTER_CRASHES_MS = 30000
 };
 
+/* The organisation that P runs for, "" for none.  */
+const char *
+wy_proxy_organisation (const struct wy_proxied *p)
+{
+  return p->organisation ? p->organisation : "";
+}
+
 /* Monotonic time in ms.  */
 int64_t
 wy_proxy_now_ms (const struct wy_proxied *p)
@@ -94,6 +101,7 @@
   g_free (p->id);
   g_free (p->route);
   g_free (p->service);
+  g_free (p->organisation);
   uv_close ((uv_handle_t *)&p->timer, on_timer_closed);
 }
 
@@ -126,10 +134,10 @@
 {
   count_end (p, outcome, reason);
   wy_note ("request.ended",
-           "id=%s route=%s service=%s config=%lld outcome=%s status=%d "
-           "reason=%s sends=%u ms=%lld",
-           p->id, p->route, p->service, (long long)p->config_version, outcome,
-           status, reason, p->sends,
+           "id=%s route=%s service=%s organisation=%s config=%lld outcome=%s "
+           "status=%d reason=%s sends=%u ms=%lld",
+           p->id, p->route, p->service, wy_proxy_organisation (p),
+           (long long)p->config_version, outcome, status, reason, p->sends,
            (long long)(wy_proxy_now_ms (p) - p->started_ms));
 }
 
@@ -221,11 +229,12 @@
   wy_hist_add (p->env->count.latency_us,
                (uint64_t)(now_ms - p->started_ms) * WY_US_PER_MS);
   wy_note ("request.ended",
-           "id=%s route=%s service=%s config=%lld outcome=answered status=%d "
-           "target=%s sends=%u ms=%lld target_ms=%lld",
-           p->id, p->route, p->service, (long long)p->config_version,
-           a->status, t->target->info.id, p->sends,
-           (long long)(now_ms - p->started_ms),
+           "id=%s route=%s service=%s organisation=%s config=%lld "
+           "outcome=answered status=%d target=%s sends=%u ms=%lld "
+           "target_ms=%lld",
+           p->id, p->route, p->service, wy_proxy_organisation (p),
+           (long long)p->config_version, a->status, t->target->info.id,
+           p->sends, (long long)(now_ms - p->started_ms),
            (long long)(now_ms - t->started_ms));
   count_end (p, "answered", "replica");
   if (p->streaming)
--- a/src/gate/proxy_state.h
+++ b/src/gate/proxy_state.h
@@ -40,6 +40,8 @@
   char *id;
   char *route;
   char *service;
+  bool has_orgs;
+  char *organisation; /* that it runs for; NULL: none */
   int64_t config_version;
   int64_t started_ms;
   int64_t deadline_ms; /* the caller must have an answer */
@@ -61,6 +63,7 @@
 };
 
 uint64_t wy_proxy_fingerprint (struct wy_proxied *p);
+const char *wy_proxy_organisation (const struct wy_proxied *p);
 int64_t wy_proxy_now_ms (const struct wy_proxied *p);
 void wy_proxy_end_try (struct wy_try *t, enum wy_target_outcome outcome);
 void wy_proxy_finish (struct wy_proxied *p);
--- a/src/gate/routing.c
+++ b/src/gate/routing.c
@@ -47,6 +47,7 @@
     return;
   g_ptr_array_free (r->routes, TRUE);
   g_ptr_array_free (r->services, TRUE);
+  wy_orgs_free (r->orgs);
   g_free (r);
 }
 
@@ -116,6 +117,20 @@
   return NULL;
 }
 
+/* Whether jobs can be submitted at HOST without a key.  */
+bool
+wy_routing_has_public_jobs (const struct wy_routing *r, const char *host)
+{
+  for (guint i = 0; i < r->routes->len; i++)
+    {
+      const struct wy_route *t = g_ptr_array_index (r->routes, i);
+
+      if (t->kind == WY_ROUTE_JOB && t->is_public && host_matches (t, host))
+        return true;
+    }
+  return false;
+}
+
 /* The service NAME; NULL: none.  */
 const struct wy_service *
 wy_routing_service (const struct wy_routing *r, const char *name)
--- a/src/gate/routing.h
+++ b/src/gate/routing.h
@@ -9,6 +9,8 @@
 
 #include <glib.h>
 
+#include "orgs/orgs.h"
+
 enum wy_route_kind
 {
   WY_ROUTE_IDEMPOTENT,     /* may run more than once */
@@ -35,6 +37,7 @@
   uint32_t attempts;          /* replicas that one attempt may run on */
   bool resumable;
   bool single_version;
+  bool is_public;              /* needs no key */
   uint32_t retention_ms;       /* jobs: then the rest is given up */
   uint32_t result_deadline_ms; /* jobs: results are due */
   GArray *splits;              /* struct wy_split, at least one */
@@ -55,8 +58,9 @@
   uint32_t body_limit_bytes;
   uint32_t header_timeout_ms;
   uint32_t idle_timeout_ms;
-  GPtrArray *routes;   /* struct wy_route, longest prefix first */
-  GPtrArray *services; /* struct wy_service */
+  GPtrArray *routes;    /* struct wy_route, longest prefix first */
+  GPtrArray *services;  /* struct wy_service */
+  struct wy_orgs *orgs; /* NULL: callers need no keys */
 };
 
 struct wy_routing *wy_routing_new (void);
@@ -68,6 +72,7 @@
                                          const char *host, const char *path);
 const struct wy_service *wy_routing_service (const struct wy_routing *r,
                                              const char *name);
+bool wy_routing_has_public_jobs (const struct wy_routing *r, const char *host);
 const char *wy_route_service (const struct wy_route *r, uint32_t draw);
 
 #endif
--- a/src/jobs/accept.c
+++ b/src/jobs/accept.c
@@ -271,14 +271,16 @@
 
 static struct wy_job_record *
 new_record (struct wy_jobs *j, const struct wy_request_info *info,
-            const char *path, uint64_t total, size_t body_bytes)
+            const char *key, const char *organisation, const char *path,
+            uint64_t total, size_t body_bytes)
 {
   struct wy_job_record *r = g_new0 (struct wy_job_record, 1);
   char unique[WY_ID_SIZE_BYTES];
 
   /* Another entry may accept the same submission at the same time.  */
   wy_id_new (j->env->clock, unique);
-  r->id = g_strdup (info->id);
+  r->id = g_strdup (key);
+  r->organisation = g_strdup (organisation);
   r->holder = g_strdup (j->env->holder);
   r->state = WY_JOB_OPEN;
   r->host = g_strdup (info->host);
@@ -327,12 +329,20 @@
   wy_refuse (r, status, why, status == 503 ? RETRY_AFTER_MS : 0);
 }
 
-/* Take in the job that R submits.  Without CONFIG_IS_FRESH a route that is not
-   known here may be known elsewhere.  */
+static bool
+is_job_name (const char *id)
+{
+  return id && *id && strlen (id) < WY_JOB_NAME_SIZE_BYTES
+         && !strchr (id, '/');
+}
+
+/* Take in the job that R submits for ORGANISATION.  Without CONFIG_IS_FRESH a
+   route that is not known here may be known elsewhere.  */
 void
 wy_jobs_accept (struct wy_jobs *j, struct wy_h1_request *r,
-                bool config_is_fresh)
+                const char *organisation, bool config_is_fresh)
 {
+  char key[WY_JOB_KEY_SIZE_BYTES];
   struct wy_request_info info;
   struct wy_job_spec *spec;
   struct accept *a;
@@ -342,39 +352,38 @@
 
   wy_request_read (wy_h1_head (r), &info);
   body = wy_h1_body (r, &n);
-  if (!info.id || !*info.id
-      || strlen (info.id) >= sizeof ((struct wy_job_call *)0)->job)
+  if (!is_job_name (info.id))
     {
       wy_refuse (r, 400, "no_id", 0);
       return;
     }
-  if (wy_jobs_find (j, info.id))
+  wy_job_key (organisation, info.id, key, sizeof key);
+  if (wy_jobs_find (j, key))
     {
-      wy_note ("job.submitted", "id=%s status=202 reason=known", info.id);
+      wy_note ("job.submitted", "id=%s status=202 reason=known", key);
       wy_h1_respond (r, STATUS_ACCEPTED, NULL, 0, "", 0);
       return;
     }
   if (!wy_jobs_have_room (j, n))
     {
-      refuse_job (r, info.id, 503, "memory", n);
+      refuse_job (r, key, 503, "memory", n);
       return;
     }
   spec = wy_job_decode (body, n, &why);
   if (!spec)
     {
-      refuse_job (r, info.id, 400, why, n);
+      refuse_job (r, key, 400, why, n);
       return;
     }
   if (!has_scorer_routes (j, spec))
     {
-      refuse_job (r, info.id, config_is_fresh ? 400 : 503, "no_scorer_route",
-                  n);
+      refuse_job (r, key, config_is_fresh ? 400 : 503, "no_scorer_route", n);
       wy_job_spec_free (spec);
       return;
     }
   if (wy_rows_is_away (j->env->rows))
     {
-      refuse_job (r, info.id, 503, "store_away", n);
+      refuse_job (r, key, 503, "store_away", n);
       wy_job_spec_free (spec);
       return;
     }
@@ -384,7 +393,8 @@
   a->request = r;
   a->spec = spec;
   a->body = g_string_new_len (body, (gssize)n);
-  a->record = new_record (j, &info, wy_h1_target (r), spec->items->len, n);
+  a->record = new_record (j, &info, key, organisation, wy_h1_target (r),
+                          spec->items->len, n);
   choose_holder (a);
   a->started_ms = wy_clock_mono_ms (j->env->clock);
   j->accepting_bytes += n;
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -60,9 +60,9 @@
 void wy_jobs_targets_changed (struct wy_jobs *j);
 
 void wy_jobs_accept (struct wy_jobs *j, struct wy_h1_request *r,
-                     bool config_is_fresh);
+                     const char *organisation, bool config_is_fresh);
 bool wy_jobs_take_handed (struct wy_jobs *j, struct wy_h1_request *r);
 void wy_jobs_call (struct wy_jobs *j, struct wy_h1_request *r,
-                   const struct wy_job_call *call);
+                   const char *organisation, const struct wy_job_call *call);
 
 #endif
--- a/src/jobs/read.c
+++ b/src/jobs/read.c
@@ -342,17 +342,38 @@
   wy_rows_get (d->jobs->env->rows, &range, on_record, d);
 }
 
-/* Answer the call CALL that R makes on a job.  */
+/* The job that CALL of ORGANISATION is about, as last told; NULL: none.  A job
+   that was accepted before jobs belonged to organisations is found by its name
+   alone.  */
+static const struct wy_job_record *
+find_for (struct wy_jobs *j, const char *organisation,
+          struct wy_job_call *call)
+{
+  const struct wy_job_record *known;
+
+  wy_job_key (organisation, call->name, call->job, sizeof call->job);
+  known = wy_jobs_find (j, call->job);
+  if (known || !*organisation)
+    return known;
+  known = wy_jobs_find (j, call->name);
+  if (known)
+    g_strlcpy (call->job, call->name, sizeof call->job);
+  return known;
+}
+
+/* Answer the call CALL that R makes on a job for ORGANISATION, "" for none.
+ */
 void
 wy_jobs_call (struct wy_jobs *j, struct wy_h1_request *r,
-              const struct wy_job_call *call)
+              const char *organisation, const struct wy_job_call *call)
 {
-  const struct wy_job_record *known = wy_jobs_find (j, call->job);
+  const struct wy_job_record *known;
   struct read *d = g_new0 (struct read, 1);
 
   d->jobs = j;
   d->request = r;
   d->call = *call;
+  known = find_for (j, organisation, &d->call);
   d->asked_ms = wy_clock_mono_ms (j->env->clock);
   d->until_ms = d->asked_ms + call->wait_ms;
   uv_timer_init (j->env->loop, &d->timer);
--- a/src/jobs/record.c
+++ b/src/jobs/record.c
@@ -7,6 +7,8 @@
 #include <glib.h>
 #include <jansson.h>
 
+#include "platform/request_wire.h"
+
 static const char *const state_names[] = { "open", "ended", "done" };
 
 /* The word for STATE in rows and logs.  */
@@ -16,6 +18,33 @@
   return state_names[state];
 }
 
+/* The key in the store of the job that callers of ORGANISATION know as NAME.
+   Names are the callers' own: two organisations may choose the same, and
+   neither can reach the other's job by it.  NAME holds no slash.  */
+void
+wy_job_key (const char *organisation, const char *name, char *out, size_t size)
+{
+  char *digest = NULL;
+
+  /* A part of the store has a limited length.  */
+  if (strlen (organisation) + 1 + WY_JOB_NAME_SIZE_BYTES > size)
+    {
+      digest = g_compute_checksum_for_string (G_CHECKSUM_SHA256, organisation,
+                                              -1);
+      organisation = digest;
+    }
+  g_snprintf (out, size, "%s%s%s", organisation, *organisation ? "/" : "",
+              name);
+  g_free (digest);
+}
+
+/* The organisation that R runs for; NULL: none.  */
+const char *
+wy_job_organisation (const struct wy_job_record *r)
+{
+  return r->organisation && *r->organisation ? r->organisation : NULL;
+}
+
 /* A copy of R.  */
 struct wy_job_record *
 wy_job_record_copy (const struct wy_job_record *r)
@@ -23,6 +52,7 @@
   struct wy_job_record *c = g_memdup2 (r, sizeof *r);
 
   c->id = g_strdup (r->id);
+  c->organisation = g_strdup (r->organisation);
   c->holder = g_strdup (r->holder);
   c->host = g_strdup (r->host);
   c->path = g_strdup (r->path);
@@ -37,6 +67,7 @@
   if (!r)
     return;
   g_free (r->id);
+  g_free (r->organisation);
   g_free (r->holder);
   g_free (r->host);
   g_free (r->path);
@@ -49,7 +80,8 @@
 wy_job_record_encode (const struct wy_job_record *r)
 {
   json_t *doc = json_pack (
-      "{s:s, s:s, s:s, s:s, s:s, s:I, s:I, s:I}", "holder", r->holder, "state",
+      "{s:s, s:s, s:s, s:s, s:s, s:s, s:I, s:I, s:I}", "holder", r->holder,
+      "organisation", r->organisation ? r->organisation : "", "state",
       state_names[r->state], "host", r->host, "path", r->path, "object",
       r->object, "pieces", (json_int_t)r->pieces, "total",
       (json_int_t)r->total, "accepted_ms", (json_int_t)r->accepted_ms);
@@ -82,6 +114,7 @@
       r = g_new0 (struct wy_job_record, 1);
       r->id = g_strdup (row->part);
       r->holder = text_of (doc, "holder");
+      r->organisation = text_of (doc, "organisation");
       for (int i = 0; i < (int)G_N_ELEMENTS (state_names); i++)
         if (!strcmp (state, state_names[i]))
           r->state = (enum wy_job_state)i;
--- a/src/jobs/record.h
+++ b/src/jobs/record.h
@@ -22,8 +22,9 @@
 
 struct wy_job_record
 {
-  char *id;
-  char *holder; /* entry that runs it, "NODE/INCARNATION" */
+  char *id;           /* its key in the store: wy_job_key */
+  char *organisation; /* that it runs for; "": none */
+  char *holder;       /* entry that runs it, "NODE/INCARNATION" */
   enum wy_job_state state;
   char *host; /* these two find its route */
   char *path;
@@ -34,6 +35,9 @@
   int64_t row_version;
 };
 
+void wy_job_key (const char *organisation, const char *name, char *out,
+                 size_t size);
+const char *wy_job_organisation (const struct wy_job_record *r);
 const char *wy_job_state_name (enum wy_job_state state);
 struct wy_job_record *wy_job_record_copy (const struct wy_job_record *r);
 void wy_job_record_free (struct wy_job_record *r);
--- a/src/jobs/run.c
+++ b/src/jobs/run.c
@@ -379,11 +379,14 @@
   struct wy_gate_env *env = i->job->env;
   struct wy_run *r = g_new0 (struct wy_run, 1);
   GArray *fields = g_array_new (FALSE, FALSE, sizeof (struct wy_h1_pair));
-  struct wy_forward_info f = { .replica = g->info.id,
-                               .time_left_ms = -1,
-                               .after_event = i->last_event,
-                               .id = i->spec->id,
-                               .host = i->job->record->host };
+  struct wy_forward_info f
+      = { .replica = g->info.id,
+          .time_left_ms = -1,
+          .after_event = i->last_event,
+          .id = i->spec->id,
+          .host = i->job->record->host,
+          .has_orgs = env->routing->orgs != NULL,
+          .organisation = wy_job_organisation (i->job->record) };
   struct wy_h1_call_options o = { .address = g->info.address,
                                   .method = "POST",
                                   .target = i->spec->path,
--- a/src/jobs/score.c
+++ b/src/jobs/score.c
@@ -304,11 +304,14 @@
   const struct wy_scorer_spec *spec = i->spec->scorer;
   struct score_try *t = free_try (s);
   GArray *fields = g_array_new (FALSE, FALSE, sizeof (struct wy_h1_pair));
-  struct wy_forward_info f = { .replica = g->info.id,
-                               .time_left_ms = wy_owned_time_left_ms (i->job),
-                               .after_event = -1,
-                               .id = spec->id,
-                               .host = spec->host };
+  struct wy_forward_info f
+      = { .replica = g->info.id,
+          .time_left_ms = wy_owned_time_left_ms (i->job),
+          .after_event = -1,
+          .id = spec->id,
+          .host = spec->host,
+          .has_orgs = i->job->env->routing->orgs != NULL,
+          .organisation = wy_job_organisation (i->job->record) };
   struct wy_h1_call_options o = { .address = g->info.address,
                                   .method = "POST",
                                   .target = spec->path,
--- /dev/null
+++ b/src/orgs/access.h
@@ -0,0 +1,45 @@
+/* Whether a caller may use a route, and for which organisation it acts.  */
+#ifndef WY_ORGS_ACCESS_H
+#define WY_ORGS_ACCESS_H
+
+#include <stdbool.h>
+
+#include "orgs/orgs.h"
+
+/* The key as the caller presents it.  */
+enum wy_credential
+{
+  WY_CREDENTIAL_NONE,
+  WY_CREDENTIAL_MALFORMED, /* not of the bearer scheme, or empty */
+  WY_CREDENTIAL_SEVERAL,   /* more than one field */
+  WY_CREDENTIAL_KEY
+};
+
+enum wy_route_access
+{
+  WY_ROUTE_ACCESS_UNKNOWN, /* no such route */
+  WY_ROUTE_ACCESS_PUBLIC,
+  WY_ROUTE_ACCESS_KEYED
+};
+
+enum wy_access
+{
+  WY_ACCESS_ADMIT,
+  WY_ACCESS_UNAUTHORIZED, /* 401: no valid key */
+  WY_ACCESS_NO_ROUTE,     /* 404 */
+  WY_ACCESS_NOT_SURE      /* 503: the configuration may be out of date */
+};
+
+struct wy_access_query
+{
+  const struct wy_orgs *orgs; /* NULL: the deployment has none */
+  enum wy_credential credential;
+  const char *key; /* with WY_CREDENTIAL_KEY */
+  enum wy_route_access route;
+  bool config_is_fresh;
+};
+
+enum wy_access wy_access_decide (const struct wy_access_query *q,
+                                 const struct wy_org **org);
+
+#endif
--- a/tests/support/job_world.c
+++ b/tests/support/job_world.c
@@ -7,6 +7,7 @@
 struct platform_world job_world;
 struct job_entry job_entry;
 uint64_t job_memory_bytes;
+const char *job_organisation = "";
 
 static void
 on_request (void *ctx, struct wy_h1_request *r)
@@ -15,9 +16,9 @@
 
   wy_job_call_read (wy_h1_method (r), wy_h1_target (r), wy_h1_head (r), &call);
   if (call.kind == WY_JOB_CALL_NONE)
-    wy_jobs_accept (job_entry.jobs, r, true);
+    wy_jobs_accept (job_entry.jobs, r, job_organisation, true);
   else
-    wy_jobs_call (job_entry.jobs, r, &call);
+    wy_jobs_call (job_entry.jobs, r, job_organisation, &call);
 }
 
 static bool
--- a/tests/support/job_world.h
+++ b/tests/support/job_world.h
@@ -24,6 +24,7 @@
 extern struct job_entry job_entry;
 /* Of the entry that starts next; 0: no limit.  */
 extern uint64_t job_memory_bytes;
+extern const char *job_organisation; /* that callers act for; "": none */
 
 void job_world_start_entry (void);
 void job_world_stop_entry (void);
--- /dev/null
+++ b/tests/test_jobs_orgs.c
@@ -0,0 +1,84 @@
+/* Jobs belong to the organisation that submitted them.  */
+#include <criterion/criterion.h>
+#include <string.h>
+
+#include "jobs/record.h"
+#include "platform/request_wire.h"
+#include "support/job_world.h"
+
+Test (job_orgs, keys)
+{
+  char a[WY_JOB_KEY_SIZE_BYTES];
+  char b[WY_JOB_KEY_SIZE_BYTES];
+  char name[WY_JOB_NAME_SIZE_BYTES];
+  char org[300];
+
+  wy_job_key ("", "j", a, sizeof a);
+  cr_expect_str_eq (a, "j");
+  wy_job_key ("acme", "j", a, sizeof a);
+  wy_job_key ("bank", "j", b, sizeof b);
+  cr_expect_str_neq (a, b);
+  memset (name, 'n', sizeof name);
+  name[sizeof name - 1] = '\0';
+  memset (org, 'o', sizeof org);
+  org[sizeof org - 1] = '\0';
+  wy_job_key (org, name, a, sizeof a);
+  cr_expect_str_eq (a + strlen (a) - strlen (name), name);
+  org[0] = 'p';
+  wy_job_key (org, name, b, sizeof b);
+  cr_expect_str_neq (a, b);
+}
+
+/* Two organisations choose the same name for a job.  Guards against one of
+   them being told that its job is kept when only the other's is, and against
+   reading or ending the other's.  */
+Test (job_orgs, equal_names)
+{
+  job_organisation = "acme";
+  job_world_start (2);
+  cr_expect_eq (job_world_submit ("j1", 1), 202);
+  job_world_check_all ("j1");
+  job_organisation = "bank";
+  cr_expect_eq (job_world_status ("GET", "/api/lots/j1"), 404);
+  cr_expect_eq (job_world_status ("DELETE", "/api/lots/j1"), 404);
+  cr_expect_eq (job_world_status ("GET", "/api/items/j1?id=it-0"), 404);
+  cr_expect_eq (job_world_submit ("j1", 1), 202);
+  job_world_check_all ("j1");
+  cr_expect_eq (job_world_status ("DELETE", "/api/lots/j1"), 200);
+  job_organisation = "acme";
+  job_world_check_all ("j1");
+  cr_expect_eq (job_world_listed ("acme/j1"), JOB_ITEMS);
+  cr_expect_eq (job_world_listed ("bank/j1"), JOB_ITEMS);
+  job_world_stop ();
+}
+
+/* A job was accepted before jobs belonged to organisations; its submitter has
+   a key by now and must still reach it.  */
+Test (job_orgs, job_without_organisation)
+{
+  job_organisation = "";
+  job_world_start (2);
+  cr_expect_eq (job_world_submit ("j1", 1), 202);
+  job_world_check_all ("j1");
+  job_organisation = "acme";
+  job_world_check_all ("j1");
+  cr_expect_eq (job_world_status ("DELETE", "/api/lots/j1"), 200);
+  job_world_stop ();
+}
+
+/* The entry that takes a job over needs no key: the organisation is read from
+   the job's row.  */
+Test (job_orgs, takeover)
+{
+  job_organisation = "acme";
+  job_world_start (1);
+  cr_expect_eq (job_world_submit ("j1", 1), 202);
+  job_world_stop_entry ();
+  job_world.env.holder = "n2/1";
+  job_world.env.node = "n2";
+  job_world_start_entry ();
+  job_world_check_all ("j1");
+  job_organisation = "bank";
+  cr_expect_eq (job_world_status ("GET", "/api/lots/j1"), 404);
+  job_world_stop ();
+}
--- a/tests/test_proxy.c
+++ b/tests/test_proxy.c
@@ -12,7 +12,8 @@
 on_request (void *ctx, struct wy_h1_request *r)
 {
   wy_proxy_start (&w.env, r,
-                  wy_routing_match (w.env.routing, "h", wy_h1_target (r)));
+                  wy_routing_match (w.env.routing, "h", wy_h1_target (r)),
+                  NULL);
 }
 
 static void
