Usage of organisations is reported by one entry at a time, each window once

Cause: the platform expects, for each window of time, how many requests of each organisation replicas began, from one holder with a rising generation.

Change: src/duties. A lease in the store's rows (decisions of src/lease/state.c, fed with the time since boot) names the holder and its generation. Each entry stores its counts by window as they change, and says in its heartbeat up to which window all of them are stored; the holder adds them up, fixes the report's text in a row written on the condition that there is none, and sends what that row holds. Windows go by the store's steady clock; its zero in the time of day is the median of what the entries tell, since the store's clock counts from its own start.

--- a/src/base/clock.c
+++ b/src/base/clock.c
@@ -15,11 +15,19 @@
   clock_gettime (CLOCK_REALTIME, out);
 }
 
+static void
+system_boottime (const struct wy_clock *clock, struct timespec *out)
+{
+  (void)clock;
+  clock_gettime (CLOCK_BOOTTIME, out);
+}
+
 /* The clock of the operating system.  */
 const struct wy_clock *
 wy_clock_system (void)
 {
-  static const struct wy_clock clock = { system_monotonic, system_wall };
+  static const struct wy_clock clock
+      = { system_monotonic, system_wall, system_boottime };
   return &clock;
 }
 
@@ -41,6 +49,7 @@
 {
   m->clock.monotonic = manual_monotonic;
   m->clock.wall = manual_wall;
+  m->clock.boottime = manual_monotonic;
   m->mono = wy_timespec_from_ms (0);
   m->wall = wy_timespec_from_ms (wall_ms);
 }
@@ -74,6 +83,17 @@
          + ts.tv_nsec / WY_NS_PER_US;
 }
 
+/* Milliseconds from an arbitrary start, time in which the machine was
+   suspended included.  */
+int64_t
+wy_clock_boot_ms (const struct wy_clock *clock)
+{
+  struct timespec ts;
+
+  clock->boottime (clock, &ts);
+  return wy_timespec_ms (&ts);
+}
+
 /* Milliseconds since the epoch.  */
 int64_t
 wy_clock_wall_ms (const struct wy_clock *clock)
--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -16,6 +16,8 @@
 {
   void (*monotonic) (const struct wy_clock *clock, struct timespec *out);
   void (*wall) (const struct wy_clock *clock, struct timespec *out);
+  /* Like the monotonic time, but goes on while the machine is suspended.  */
+  void (*boottime) (const struct wy_clock *clock, struct timespec *out);
 };
 
 /* A clock that moves only when told to.  */
@@ -31,6 +33,7 @@
 void wy_clock_manual_advance (struct wy_clock_manual *m, int64_t ms);
 int64_t wy_clock_mono_ms (const struct wy_clock *clock);
 int64_t wy_clock_mono_us (const struct wy_clock *clock);
+int64_t wy_clock_boot_ms (const struct wy_clock *clock);
 int64_t wy_clock_wall_ms (const struct wy_clock *clock);
 int64_t wy_timespec_ms (const struct timespec *ts);
 struct timespec wy_timespec_from_ms (int64_t ms);
--- /dev/null
+++ b/src/duties/usage.h
@@ -0,0 +1,56 @@
+/* Reports of usage: counts of this entry go to the store as they change, and
+   the holder of the duties adds up those of all entries and reports each
+   window once.  */
+#ifndef WY_DUTIES_USAGE_H
+#define WY_DUTIES_USAGE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <uv.h>
+
+#include "base/clock.h"
+#include "duties/holder.h"
+#include "duties/calls.h"
+#include "duties/usage_count.h"
+#include "rows/rows.h"
+
+struct wy_usage;
+
+struct wy_usage_options
+{
+  uv_loop_t *loop;
+  const struct wy_clock *clock;
+  struct wy_rows *rows;
+  const char *holder; /* this start of the instance */
+  struct wy_duty_holder *duties;
+  struct wy_duty_calls *calls;
+  uint32_t window_ms;
+  uint32_t late_ms; /* a report is due so long after its window's end */
+  /* The time of day at zero of the store's clock; 0: not known yet.  */
+  int64_t (*epoch_ms) (void *ctx);
+  /* The newest window whose counts all entries alive have stored.  */
+  int64_t (*complete_everywhere) (void *ctx);
+  void (*on_complete) (void *ctx, int64_t window); /* of this entry's */
+  void *ctx;
+};
+
+struct wy_usage_stats
+{
+  uint64_t reported; /* windows accepted by the platform */
+  uint64_t late;     /* after they were due */
+  uint64_t missed;
+  uint64_t rejected;
+  uint64_t forced; /* without the counts of some entry */
+  int64_t last_window;
+};
+
+struct wy_usage *wy_usage_new (const struct wy_usage_options *o);
+void wy_usage_free (struct wy_usage *u);
+int64_t wy_usage_begin (struct wy_usage *u, const char *organisation);
+void wy_usage_end (struct wy_usage *u, int64_t window,
+                   const char *organisation, bool begun);
+void wy_usage_acquired (struct wy_usage *u);
+void wy_usage_stats (const struct wy_usage *u, struct wy_usage_stats *out);
+
+#endif
--- /dev/null
+++ b/src/duties/usage_store.c
@@ -0,0 +1,100 @@
+/* Stores the counts of this entry.
+
+   A row an entry and window holds the counts so far.  It is written at once
+   when they change, and then at most some times a second: what an entry has
+   not stored when it is killed is missing from the report.  Each write bears
+   the version of the one before it as its condition, so that one which the
+   store performs late cannot undo a newer one.  */
+#include "duties/usage_state.h"
+
+#include <string.h>
+
+#include "trace/note.h"
+
+enum
+{
+  /* Least time between two writes of one entry.  */
+  GAP_MS = 100,
+  RETRY_MS = 200
+};
+
+static void store_next (struct wy_usage *u);
+
+static void
+on_timer (uv_timer_t *t)
+{
+  store_next (t->data);
+}
+
+static void
+arm (struct wy_usage *u, int64_t gap_ms)
+{
+  int64_t due_ms = u->stored_ms + gap_ms - wy_usage_now_ms (u);
+
+  if (!uv_is_active ((uv_handle_t *)&u->store_timer))
+    uv_timer_start (&u->store_timer, on_timer,
+                    due_ms > 0 ? (uint64_t)due_ms : 0, 0);
+}
+
+static void
+on_stored (void *ctx, const struct wy_rows_result *r)
+{
+  struct wy_usage *u = ctx;
+  struct wy_usage_window *w = u->storing;
+
+  if (u->freed)
+    return;
+  u->storing = NULL;
+  if (!r->err)
+    {
+      w->row_version = r->version;
+      w->stored = w->storing;
+    }
+  else if (r->err == WY_ROWS_ECONFLICT)
+    /* An earlier write of ours, whose answer was lost.  */
+    w->row_version = r->n ? r->rows[0].version : 0;
+  else
+    wy_note ("usage.unstored", "window=%lld err=%d", (long long)w->number,
+             r->err);
+  w->storing = 0;
+  if (wy_usage_counts_next (u->counts))
+    arm (u, r->err ? RETRY_MS : GAP_MS);
+}
+
+static void
+store_next (struct wy_usage *u)
+{
+  struct wy_usage_window *w = wy_usage_counts_next (u->counts);
+  char part[WY_USAGE_PART_SIZE_BYTES];
+  struct wy_row_ref condition
+      = { .table = WY_USAGE_COUNTS_TABLE, .key = u->o.holder };
+  struct wy_row_write write
+      = { .table = WY_USAGE_COUNTS_TABLE, .key = u->o.holder };
+  struct wy_rows_tx tx = { .part = part,
+                           .conditions = &condition,
+                           .n_conditions = 1,
+                           .writes = &write,
+                           .n_writes = 1 };
+  char *value;
+
+  if (!w || u->storing)
+    return;
+  wy_usage_part (w->number, part);
+  value = wy_usage_counts_encode (w);
+  condition.version = w->row_version;
+  write.value = value;
+  write.size_bytes = strlen (value);
+  w->storing = w->changes;
+  u->storing = w;
+  u->stored_ms = wy_usage_now_ms (u);
+  wy_rows_tx (u->o.rows, &tx, on_stored, u);
+  g_free (value);
+}
+
+/* The counts have changed.  */
+void
+wy_usage_store_soon (struct wy_usage *u)
+{
+  if (!u->storing)
+    arm (u, GAP_MS);
+}
--- /dev/null
+++ b/src/gate/duties.c
@@ -0,0 +1,149 @@
+/* The duties as part of an entry: who is a candidate, and what the other
+   entries are told.  */
+#include "gate/gate_state.h"
+
+#include "trace/note.h"
+
+/* One lease for all: an instance that can do one duty can do the others, and
+   a second lease would cost as many calls to the store again.  */
+#define SUBJECT "platform"
+
+enum
+{
+  /* Entries that look after the lease, first of all the strong ones; the
+     others would only add calls.  */
+  CANDIDATES = 4,
+  /* What is known of the entries is current.  */
+  MEMBERS_FRESH_MS = 1100
+};
+
+static bool
+may_hold (void *ctx)
+{
+  const struct wy_gate *g = ctx;
+  int64_t age_ms = wy_members_age_ms (g->members);
+
+  return !g->stop_asked_ms && g->env.routing && age_ms >= 0
+         && age_ms <= MEMBERS_FRESH_MS && wy_rows_is_direct (g->env.rows)
+         && wy_members_rank (g->members, SUBJECT) < CANDIDATES;
+}
+
+static void
+on_acquired (void *ctx)
+{
+  const struct wy_gate *g = ctx;
+
+  if (g->env.usage)
+    wy_usage_acquired (g->env.usage);
+}
+
+static void
+on_lost (void *ctx)
+{
+  const struct wy_gate *g = ctx;
+
+  wy_duty_calls_stop (g->duty_calls);
+}
+
+static int64_t
+epoch_ms (void *ctx)
+{
+  const struct wy_gate *g = ctx;
+
+  return wy_members_epoch_ms (g->members);
+}
+
+static int64_t
+complete_everywhere (void *ctx)
+{
+  const struct wy_gate *g = ctx;
+
+  return wy_members_usage_complete (g->members);
+}
+
+static void
+on_complete (void *ctx, int64_t window)
+{
+  const struct wy_gate *g = ctx;
+
+  wy_members_tell_usage (g->members, window);
+}
+
+static void
+start_usage (struct wy_gate *g)
+{
+  const struct wy_gate_settings *s = g->o.settings;
+  struct wy_usage_options o
+      = { .loop = g->o.loop,
+          .clock = g->o.clock,
+          .rows = g->env.rows,
+          .holder = g->holder,
+          .duties = g->duties,
+          .calls = g->duty_calls,
+          .window_ms = (uint32_t)(s->usage_window_s * WY_MS_PER_S),
+          .late_ms = (uint32_t)(s->usage_late_s * WY_MS_PER_S),
+          .epoch_ms = epoch_ms,
+          .complete_everywhere = complete_everywhere,
+          .on_complete = on_complete,
+          .ctx = g };
+
+  g->env.usage = wy_usage_new (&o);
+}
+
+/* Start what the settings of G ask for.  Returns 0, or WY_H1_EBIND for an
+   address that can't be read.  */
+int
+wy_gate_start_duties (struct wy_gate *g)
+{
+  const struct wy_gate_settings *s = g->o.settings;
+  struct wy_duty_holder_options h
+      = { .loop = g->o.loop,
+          .clock = g->o.clock,
+          .rows = g->env.rows,
+          .subject = SUBJECT,
+          .holder = g->holder,
+          .seed = wy_hash64 (g->incarnation, WY_ID_LEN, 7),
+          .ttl_ms = (uint32_t)s->lease_ms,
+          .may_hold = may_hold,
+          .on_acquired = on_acquired,
+          .on_lost = on_lost,
+          .ctx = g };
+  struct wy_duty_calls_options c = { .loop = g->o.loop,
+                                     .clock = g->o.clock,
+                                     .http = g->env.http,
+                                     .address = s->platform,
+                                     .node = s->name };
+  int err;
+
+  if (!*s->platform)
+    return 0;
+  g->duties = wy_duty_holder_new (&h);
+  c.duties = g->duties;
+  err = wy_duty_calls_new (&g->duty_calls, &c);
+  if (err)
+    return err;
+  for (guint i = 0; i < s->duties->len; i++)
+    if (wy_duty_is_usage (g_ptr_array_index (s->duties, i)))
+      start_usage (g);
+  return 0;
+}
+
+/* The entry stops: another one is to take the duties at once.  */
+void
+wy_gate_stop_duties (struct wy_gate *g)
+{
+  if (g->duties)
+    wy_duty_holder_give_up (g->duties, 0, "stopping");
+}
+
+/* Close what wy_gate_start_duties has started.  */
+void
+wy_gate_free_duties (struct wy_gate *g)
+{
+  if (g->env.usage)
+    wy_usage_free (g->env.usage);
+  if (g->duty_calls)
+    wy_duty_calls_free (g->duty_calls);
+  if (g->duties)
+    wy_duty_holder_free (g->duties);
+}
--- a/src/gate/env.h
+++ b/src/gate/env.h
@@ -9,6 +9,7 @@
 #include "base/clock.h"
 #include "base/rng.h"
 #include "decide/crash_watch.h"
+#include "duties/usage.h"
 #include "gate/routing.h"
 #include "gate/targets.h"
 #include "h1/client.h"
@@ -55,6 +56,7 @@
   bool stopping;
   struct wy_rng rng;
   struct wy_crash_watch crashes;
+  struct wy_usage *usage; /* NULL: nobody asks for it */
   struct wy_gate_counters count;
 };
 
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -411,6 +411,9 @@
   if (err)
     return err;
   wy_gate_follow_store (g);
+  err = wy_gate_start_duties (g);
+  if (err)
+    return err;
   uv_timer_init (o->loop, &g->tick);
   g->tick.data = g;
   uv_timer_start (&g->tick, on_tick, TICK_MS, TICK_MS);
@@ -432,6 +435,7 @@
            wy_h1_server_active (g->callers), wy_jobs_running (g->jobs));
   wy_h1_server_announce_close (g->callers);
   wy_members_drain (g->members);
+  wy_gate_stop_duties (g);
 }
 
 /* Take in settings that have changed; addresses stay as they are.  */
@@ -452,6 +456,7 @@
   wy_h1_server_free (g->peers);
   if (g->metrics_server)
     wy_h1_server_free (g->metrics_server);
+  wy_gate_free_duties (g);
   wy_jobs_free (g->jobs);
   wy_members_free (g->members);
   wy_watch_free (g->operator_rows);
--- a/src/gate/gate_state.h
+++ b/src/gate/gate_state.h
@@ -3,6 +3,7 @@
 #define WY_GATE_GATE_STATE_H
 
 #include "base/id.h"
+#include "duties/calls.h"
 #include "gate/env.h"
 #include "gate/gate.h"
 #include "gate/members.h"
@@ -60,6 +61,8 @@
   struct wy_gate_gauges gauges;
   struct wy_members *members;
   struct wy_jobs *jobs;
+  struct wy_duty_holder *duties; /* NULL: the platform expects none */
+  struct wy_duty_calls *duty_calls;
   struct wy_watch *operator_rows;
   struct wy_watch *replicas;
   struct wy_h1_server *callers;
@@ -74,6 +77,9 @@
   bool stopped;
 };
 
+int wy_gate_start_duties (struct wy_gate *g);
+void wy_gate_stop_duties (struct wy_gate *g);
+void wy_gate_free_duties (struct wy_gate *g);
 void wy_gate_set_limits (struct wy_gate *g);
 void wy_gate_set_relays (struct wy_gate *g);
 void wy_gate_make_metrics (struct wy_gate *g);
--- a/src/gate/members.c
+++ b/src/gate/members.c
@@ -66,6 +66,12 @@
     wy_note ("request.held_back", "node=%s requests=%u", e->node, n);
 }
 
+static int64_t
+window_of (json_t *v)
+{
+  return json_is_integer (v) ? json_integer_value (v) : -1;
+}
+
 static void
 on_row (void *ctx, const struct wy_row *row)
 {
@@ -99,6 +105,8 @@
   e->leaving = json_is_true (json_object_get (doc, "leaving"));
   e->relayed = json_is_true (json_object_get (doc, "relayed"));
   e->silent_ms = 0;
+  e->usage_complete = window_of (json_object_get (doc, "usage_complete"));
+  e->epoch_ms = json_integer_value (json_object_get (doc, "epoch_ms"));
   learn_crashes (m, e, json_object_get (doc, "crashed"));
   json_decref (doc);
   if (strcmp (was.holder, e->holder) != 0 || was.leaving != e->leaving
@@ -141,6 +149,7 @@
 
   if (age_ms < 0 || passed_ms <= 0)
     return;
+  wy_members_learn_epoch (m);
   m->counted_ms = answered_ms;
   if (passed_ms > AWAY_MS)
     {
@@ -182,6 +191,7 @@
       "address", m->o.address, "draining", m->draining, "leaving", m->leaving,
       "relayed", !wy_rows_is_direct (m->o.env->rows), "cpu_share",
       m->o.cpu_share, "beat", (json_int_t)++m->beats);
+  int64_t store_ms = wy_rows_store_now_ms (m->o.env->rows);
   char *value;
 
   snprintf (part, sizeof part, "%u",
@@ -191,6 +201,13 @@
         doc, "crashed",
         wy_crash_rows_encode (&m->o.env->crashes,
                               wy_clock_mono_ms (m->o.env->clock)));
+  if (store_ms)
+    json_object_set_new (
+        doc, "epoch_ms",
+        json_integer (wy_clock_wall_ms (m->o.env->clock) - store_ms));
+  if (m->usage_complete >= 0)
+    json_object_set_new (doc, "usage_complete",
+                         json_integer (m->usage_complete));
   value = json_dumps (doc, JSON_COMPACT);
   json_decref (doc);
   w.value = value;
@@ -250,6 +267,7 @@
                                 .ctx = m };
 
   m->o = *o;
+  m->usage_complete = -1;
   m->by_node = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
   m->unseen = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   m->watch = wy_watch_new (&w);
@@ -271,6 +289,14 @@
   uv_close ((uv_handle_t *)&m->tick, NULL);
 }
 
+/* Tell the others, with the next heartbeat, that the usage counted here is in
+   the store for all windows up to WINDOW.  */
+void
+wy_members_tell_usage (struct wy_members *m, int64_t window)
+{
+  m->usage_complete = window;
+}
+
 /* Tell the others that this entry takes no new jobs.  */
 void
 wy_members_drain (struct wy_members *m)
--- a/src/gate/members.h
+++ b/src/gate/members.h
@@ -39,6 +39,9 @@
 struct wy_members *wy_members_new (const struct wy_members_options *o);
 void wy_members_free (struct wy_members *m);
 void wy_members_leave (struct wy_members *m);
+void wy_members_tell_usage (struct wy_members *m, int64_t window);
+int64_t wy_members_epoch_ms (const struct wy_members *m);
+int64_t wy_members_usage_complete (const struct wy_members *m);
 uint32_t wy_members_alive (const struct wy_members *m);
 bool wy_members_is_gone (struct wy_members *m, const char *holder);
 void wy_members_drain (struct wy_members *m);
--- a/src/gate/members_choice.c
+++ b/src/gate/members_choice.c
@@ -40,6 +40,67 @@
   return n ? n : 1;
 }
 
+static gint
+by_value (gconstpointer a, gconstpointer b)
+{
+  int64_t x = *(const int64_t *)a;
+  int64_t y = *(const int64_t *)b;
+
+  return x < y ? -1 : x > y;
+}
+
+/* Take the median of what the entries tell of the time of day, which is off,
+   or steps, on some of them.  */
+void
+wy_members_learn_epoch (struct wy_members *m)
+{
+  GArray *told = g_array_new (FALSE, FALSE, sizeof (int64_t));
+  GHashTableIter it;
+  gpointer p;
+
+  g_hash_table_iter_init (&it, m->by_node);
+  while (g_hash_table_iter_next (&it, NULL, &p))
+    {
+      const struct member *e = p;
+
+      if (is_alive (e) && e->epoch_ms)
+        g_array_append_val (told, e->epoch_ms);
+    }
+  g_array_sort (told, by_value);
+  if (told->len)
+    m->epoch_ms = g_array_index (told, int64_t, told->len / 2);
+  g_array_free (told, TRUE);
+}
+
+/* The time of day at zero of the store's clock, as the entries together tell
+   it; 0: not known yet.  */
+int64_t
+wy_members_epoch_ms (const struct wy_members *m)
+{
+  return m->epoch_ms;
+}
+
+/* The newest window for which all entries alive have stored the usage that
+   they counted.  */
+int64_t
+wy_members_usage_complete (const struct wy_members *m)
+{
+  int64_t complete = m->usage_complete;
+  GHashTableIter it;
+  gpointer p;
+
+  g_hash_table_iter_init (&it, m->by_node);
+  while (g_hash_table_iter_next (&it, NULL, &p))
+    {
+      const struct member *e = p;
+
+      if (e->silent_ms < WY_MEMBERS_GONE_AFTER_MS && e->usage_complete >= 0
+          && strcmp (e->node, m->o.env->node) != 0)
+        complete = MIN (complete, e->usage_complete);
+    }
+  return complete;
+}
+
 /* A holder that no row tells of may just have started, its job's row being
    seen before its own: it is gone when that stays so.  */
 static bool
--- a/src/gate/members_state.h
+++ b/src/gate/members_state.h
@@ -24,6 +24,10 @@
   bool relayed;  /* reaches the store through others alone */
   bool leaving;  /* its jobs are free */
   int64_t silent_ms;
+  int64_t epoch_ms;       /* its time of day at zero of the store's clock; 0:
+                             not told */
+  int64_t usage_complete; /* window to which its counts are stored; -1: it
+                             does not count */
 };
 
 struct wy_members
@@ -36,6 +40,8 @@
   GHashTable *unseen;  /* holder -> time at which it was first asked for */
   int64_t counted_ms;  /* silence is counted to here: an answer of the store */
   uint64_t beats;
+  int64_t epoch_ms;       /* median of the entries' */
+  int64_t usage_complete; /* of this entry; -1: it does not count */
   bool writing;
   bool writing_address;
   bool address_written;
@@ -43,4 +49,6 @@
   bool leaving;
 };
 
+void wy_members_learn_epoch (struct wy_members *m);
+
 #endif
--- a/src/gate/proxy.c
+++ b/src/gate/proxy.c
@@ -92,6 +92,8 @@
   else
     p->attempts_left++;
   wy_proxy_end_try (t, outcome);
+  if (!ran && !p->may_have_run && !any_running (p))
+    wy_proxy_usage_settle (p, false);
   wy_events_reset (&p->events);
   (*p->env->count.retries)++;
   go_on (p, reason);
@@ -230,6 +232,7 @@
   wy_target_started (g);
   p->sends++;
   p->attempts_left--;
+  wy_proxy_usage_sent (p);
   t->call = wy_h1_call_start (p->env->http, &o);
   g_array_free (fields, TRUE);
 }
--- a/src/gate/proxy_end.c
+++ b/src/gate/proxy_end.c
@@ -95,6 +95,7 @@
       wy_proxy_end_try (&p->tries[i], outcome_of (&p->tries[i]));
   for (guint i = 0; i < p->tried->len; i++)
     wy_target_release (p->env->targets, g_ptr_array_index (p->tried, i));
+  wy_proxy_usage_settle (p, true);
   g_ptr_array_free (p->tried, TRUE);
   wy_events_clear (&p->events);
   wy_answer_free (p->spare);
--- a/src/gate/proxy_state.h
+++ b/src/gate/proxy_state.h
@@ -41,7 +41,8 @@
   char *route;
   char *service;
   bool has_orgs;
-  char *organisation; /* that it runs for; NULL: none */
+  char *organisation;   /* that it runs for; NULL: none */
+  int64_t usage_window; /* that it is counted in; 0: not counted */
   int64_t config_version;
   int64_t started_ms;
   int64_t deadline_ms; /* the caller must have an answer */
@@ -63,6 +64,8 @@
 };
 
 uint64_t wy_proxy_fingerprint (struct wy_proxied *p);
+void wy_proxy_usage_sent (struct wy_proxied *p);
+void wy_proxy_usage_settle (struct wy_proxied *p, bool begun);
 const char *wy_proxy_organisation (const struct wy_proxied *p);
 int64_t wy_proxy_now_ms (const struct wy_proxied *p);
 void wy_proxy_end_try (struct wy_try *t, enum wy_target_outcome outcome);
--- a/src/gate/settings.c
+++ b/src/gate/settings.c
@@ -91,7 +91,42 @@
     .min = 1,
     .max = 600,
     .unit = "s",
-    .help = "Time between the request to stop and the end by force" }
+    .help = "Time between the request to stop and the end by force" },
+  { .key = "platform_address",
+    .kind = WY_SETTING_TEXT,
+    .offset = FIELD (platform),
+    .fallback = "",
+    .help = "IP:PORT where the platform takes the calls that one entry at a"
+            " time makes; empty: there are none" },
+  { .key = "duties",
+    .kind = WY_SETTING_LIST,
+    .offset = FIELD (duties),
+    .help = "Kinds of such calls that the platform expects" },
+  { .key = "usage_window_s",
+    .kind = WY_SETTING_REAL,
+    .offset = FIELD (usage_window_s),
+    .fallback = "5",
+    .min = 0.1,
+    .max = 86400,
+    .unit = "s",
+    .help = "Length of the windows that usage is reported for" },
+  { .key = "usage_late_s",
+    .kind = WY_SETTING_REAL,
+    .offset = FIELD (usage_late_s),
+    .fallback = "10",
+    .min = 1,
+    .max = 86400,
+    .unit = "s",
+    .help = "A report of usage is due so long after its window's end" },
+  { .key = "lease_ms",
+    .kind = WY_SETTING_NUMBER,
+    .offset = FIELD (lease_ms),
+    .fallback = "3000",
+    .min = 500,
+    .max = 600000,
+    .unit = "ms",
+    .help = "Lease of the entry that makes these calls; a dead one is waited"
+            " for so long" }
 };
 
 const size_t wy_gate_settings_count = G_N_ELEMENTS (wy_gate_settings_table);
--- a/src/gate/settings.h
+++ b/src/gate/settings.h
@@ -20,6 +20,11 @@
   double keep_s;
   double cpu_share;
   double grace_s;
+  char *platform; /* IP:PORT of the calls that one entry makes; "": none */
+  GPtrArray *duties;
+  double usage_window_s;
+  double usage_late_s;
+  int64_t lease_ms;
 };
 
 extern const struct wy_setting wy_gate_settings_table[];
--- a/src/rows/call.c
+++ b/src/rows/call.c
@@ -4,6 +4,8 @@
 
 #include <string.h>
 
+#include <glib.h>
+
 #include "trace/note.h"
 
 enum
@@ -27,6 +29,8 @@
   TRIES_MAX = 4,
   /* Refused for the rate alone for so long, a process is turned away.  */
   RATE_LIMITED_MS = 1500,
+  /* Answers by which the store's clock is judged.  */
+  OFFSET_SPAN_MS = 15000,
   STATUS_RATE = 429
 };
 
@@ -63,6 +67,26 @@
              why);
 }
 
+/* The store's clock read STORE_MS when it answered, some time ago: the answer
+   that was fastest on its way tells best, so the largest difference of the
+   last spans is the one that counts.  */
+static void
+learn_time (struct wy_rows *s, int64_t store_ms)
+{
+  int64_t now_ms = wy_clock_mono_ms (s->clock);
+  int64_t offset_ms = store_ms - now_ms;
+
+  if (!s->has_now || now_ms - s->offset_since_ms >= OFFSET_SPAN_MS)
+    {
+      s->now_offset_ms = s->has_now ? s->offset_max_ms : offset_ms;
+      s->offset_max_ms = offset_ms;
+      s->offset_since_ms = now_ms;
+      s->has_now = true;
+    }
+  s->offset_max_ms = MAX (s->offset_max_ms, offset_ms);
+  s->now_offset_ms = MAX (s->now_offset_ms, s->offset_max_ms);
+}
+
 static void
 deliver (struct wy_rows_call *k, const struct wy_rows_result *r)
 {
@@ -70,10 +94,7 @@
   void *ctx = k->ctx;
 
   if (r->now_ms)
-    {
-      k->store->has_now = true;
-      k->store->now_offset_ms = r->now_ms - wy_clock_mono_ms (k->store->clock);
-    }
+    learn_time (k->store, r->now_ms);
   if (k->forward_cb)
     k->forward_cb (ctx, k->status, k->answer->str, k->answer->len);
   else
--- a/src/rows/store_state.h
+++ b/src/rows/store_state.h
@@ -42,6 +42,8 @@
   GQueue calls;
   int64_t answered_ms;   /* the last answer, on whatever path */
   int64_t now_offset_ms; /* the store's clock less ours */
+  int64_t offset_max_ms; /* of the answers since this time: */
+  int64_t offset_since_ms;
   bool has_now;
   struct wy_rng rng;
   struct wy_rows_stats stats;
