--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -176,7 +176,7 @@
                           : route->is_public ? WY_ROUTE_ACCESS_PUBLIC
                                              : WY_ROUTE_ACCESS_KEYED,
                           &org);
-  if (access != WY_ACCESS_ADMIT)
+  if (!route || access != WY_ACCESS_ADMIT)
     refuse_access (g, r, &info, access);
   else if (route->kind == WY_ROUTE_JOB && !strcmp (wy_h1_method (r), "POST"))
     wy_jobs_accept (g->jobs, r, org ? org->name : "", config_is_fresh (g));
--- /dev/null
+++ b/tests/test_duties.c
@@ -0,0 +1,258 @@
+/* Duties with one holder: the lease, counts and reports of usage.  */
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "platform/duty_wire.h"
+#include "support/duty_world.h"
+
+static struct duty_entry a;
+static struct duty_entry b;
+
+static void
+start_two (void)
+{
+  duty_world_start ();
+  a = (struct duty_entry){ .may_hold = true, .peer = &b };
+  b = (struct duty_entry){ .peer = &a };
+  duty_entry_start (&a, "a");
+  duty_entry_start (&b, "b");
+  cr_assert (platform_world_until (&duty_world, duty_entry_holds, &a));
+  b.may_hold = true;
+}
+
+static void
+stop (void)
+{
+  cr_expect_eq (wy_platform_duties_violations (duty_platform)->len, 0);
+  duty_entry_kill (&a);
+  duty_entry_kill (&b);
+  duty_world_stop ();
+}
+
+Test (usage_counts, windows)
+{
+  struct wy_usage_counts *c = wy_usage_counts_new (1000);
+  struct wy_usage_window *w;
+  int64_t k = wy_usage_counts_begin (c, "acme", 5100);
+  char *text;
+
+  cr_expect_eq (k, 5);
+  cr_expect_eq (wy_usage_counts_begin (c, "bank", 5900), 5);
+  cr_expect_eq (wy_usage_counts_begin (c, "acme", 6100), 6);
+  w = wy_usage_counts_next (c);
+  cr_assert_not_null (w);
+  cr_expect_eq (w->number, 5);
+  /* Not stored yet, and its requests are open.  */
+  cr_expect_eq (wy_usage_counts_complete (c, 6800), 4);
+  wy_usage_counts_end (c, 5, "bank", false);
+  wy_usage_counts_end (c, 5, "acme", true);
+  text = wy_usage_counts_encode (w);
+  cr_expect_not_null (strstr (text, "\"acme\":1"));
+  cr_expect_not_null (strstr (text, "\"bank\":0"));
+  w->stored = w->changes;
+  cr_expect_eq (wy_usage_counts_complete (c, 6800), 5);
+  cr_expect_eq (wy_usage_counts_next (c)->number, 6);
+  /* A request that stays open does not hold its window back for good.  */
+  wy_usage_counts_next (c)->stored = 1;
+  cr_expect_eq (wy_usage_counts_complete (c, 7800), 5);
+  cr_expect_eq (wy_usage_counts_complete (c, 9000), 7);
+  g_free (text);
+  wy_usage_counts_free (c);
+}
+
+Test (usage_counts, sum)
+{
+  GHashTable *sum = wy_usage_counts_table ();
+  const char *rows[] = { "{\"b\":1,\"a\":2}", "{\"a\":3,\"c\":0}", "garbage" };
+  char *text;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    wy_usage_counts_add (sum, rows[i], strlen (rows[i]));
+  text = wy_usage_report_body (7, sum);
+  cr_expect_str_eq (text, "{\"counts\":{\"a\":5,\"b\":1},\"window\":7}");
+  g_free (text);
+  g_hash_table_destroy (sum);
+}
+
+/* The holder is killed: another one takes over, with a higher generation.  */
+Test (duties, holder_killed)
+{
+  int64_t generation;
+
+  start_two ();
+  generation = wy_duty_holder_generation (a.duties);
+  cr_expect (!duty_entry_holds (&b));
+  duty_entry_kill (&a);
+  cr_expect (platform_world_until (&duty_world, duty_entry_holds, &b));
+  cr_expect_gt (wy_duty_holder_generation (b.duties), generation);
+  stop ();
+}
+
+/* Guards against a holder that was suspended and goes on as if no time had
+   passed: its monotonic clock has not counted the time.  */
+Test (duties, holder_suspended)
+{
+  start_two ();
+  a.slept_ms += DUTY_LEASE_MS;
+  cr_expect (!duty_entry_holds (&a));
+  stop ();
+}
+
+static bool
+is_held (void *ctx)
+{
+  return duty_entry_holds (&a) || duty_entry_holds (&b);
+}
+
+/* The holder's machine was replaced while the lease lasted: the one that has
+   the same name waits as long as any other.  */
+Test (duties, restarted_under_its_name)
+{
+  int64_t generation;
+
+  start_two ();
+  generation = wy_duty_holder_generation (a.duties);
+  b.may_hold = false;
+  duty_entry_kill (&a);
+  a = (struct duty_entry){ .may_hold = true, .peer = &b };
+  duty_entry_start (&a, "a");
+  cr_expect (platform_world_until (&duty_world, duty_entry_holds, &a));
+  cr_expect_gt (wy_duty_holder_generation (a.duties), generation);
+  stop ();
+}
+
+/* All entries are killed at once, and come back.  */
+Test (duties, all_killed)
+{
+  int64_t generation;
+
+  start_two ();
+  generation = wy_duty_holder_generation (a.duties);
+  duty_entry_kill (&a);
+  duty_entry_kill (&b);
+  a = (struct duty_entry){ .may_hold = true, .peer = &b };
+  b = (struct duty_entry){ .may_hold = true, .peer = &a };
+  duty_entry_start (&a, "a");
+  duty_entry_start (&b, "b");
+  cr_expect (platform_world_until (&duty_world, is_held, NULL));
+  cr_expect_gt (
+      wy_duty_holder_generation (duty_entry_holds (&a) ? a.duties : b.duties),
+      generation);
+  stop ();
+}
+
+/* The holder stops: it hands over without the lease having to lapse.  */
+Test (duties, holder_stops)
+{
+  start_two ();
+  wy_duty_holder_give_up (a.duties, 0, "test");
+  cr_expect (!duty_entry_holds (&a));
+  cr_expect (platform_world_until (&duty_world, duty_entry_holds, &b));
+  cr_expect (!duty_entry_holds (&a));
+  stop ();
+}
+
+static bool
+three_windows (void *ctx)
+{
+  return wy_platform_duties_windows (duty_platform) >= 3;
+}
+
+static int64_t counted_window;
+
+static bool
+is_counted (void *ctx)
+{
+  counted_window = wy_usage_begin (((struct duty_entry *)ctx)->usage, "acme");
+  return counted_window != 0;
+}
+
+static bool
+acme_is_reported (void *ctx)
+{
+  return wy_platform_duties_count (duty_platform, "acme") == *(int *)ctx;
+}
+
+/* Requests counted at two entries come in one report, those that no target ran
+   do not.  */
+Test (usage, reported)
+{
+  int wanted = 2;
+  int64_t w;
+
+  start_two ();
+  cr_assert (platform_world_until (&duty_world, is_counted, &a));
+  wy_usage_end (a.usage, counted_window, "acme", true);
+  cr_assert (platform_world_until (&duty_world, is_counted, &b));
+  wy_usage_end (b.usage, counted_window, "acme", true);
+  w = wy_usage_begin (b.usage, "acme");
+  wy_usage_end (b.usage, w, "acme", false);
+  cr_expect (platform_world_until (&duty_world, acme_is_reported, &wanted));
+  cr_expect (platform_world_until (&duty_world, three_windows, NULL));
+  stop ();
+}
+
+/* An entry is killed right after it has counted: what it has stored counts. */
+Test (usage, counting_entry_killed)
+{
+  int wanted = 1;
+
+  start_two ();
+  cr_assert (platform_world_until (&duty_world, is_counted, &b));
+  platform_world_run_ms (&duty_world, DUTY_WINDOW_MS / 4);
+  duty_entry_kill (&b);
+  cr_expect (platform_world_until (&duty_world, acme_is_reported, &wanted));
+  stop ();
+}
+
+/* Answers of the platform and of the store get lost, calls are refused: no
+   window is reported twice with other counts, and none is left out.  */
+Test (usage, faults_of_the_platform)
+{
+  struct wy_platform_duties_faults *f;
+  int wanted = 1;
+
+  start_two ();
+  f = wy_platform_duties_faults (duty_platform);
+  f->busy = 1;
+  f->rate = 1;
+  f->lose = 1;
+  wy_platform_store_faults (duty_world.store)->lose = 2;
+  cr_assert (platform_world_until (&duty_world, is_counted, &a));
+  wy_usage_end (a.usage, counted_window, "acme", true);
+  cr_expect (platform_world_until (&duty_world, acme_is_reported, &wanted));
+  stop ();
+}
+
+/* The holder is killed after a window's report was fixed and sent.  Guards
+   against a successor that adds the counts up anew, when more of them have
+   come, and reports the window a second time with others.  */
+Test (usage, successor_sends_what_is_fixed)
+{
+  char part[32];
+
+  start_two ();
+  cr_assert (platform_world_until (&duty_world, three_windows, NULL));
+  /* Counts that come too late for their windows.  */
+  for (int64_t k = wy_usage_begin (b.usage, "x") - 6, n = 0; n < 6; n++)
+    {
+      snprintf (part, sizeof part, "%lld", (long long)(k + n));
+      wy_platform_store_put (duty_world.store, "wy-usage", part, "z/1",
+                             "{\"late\":9}");
+    }
+  duty_entry_kill (&a);
+  cr_expect (platform_world_until (&duty_world, duty_entry_holds, &b));
+  platform_world_run_ms (&duty_world, 2 * DUTY_WINDOW_MS);
+  stop ();
+}
+
+/* A cut lies between the holder and the platform: another entry, which may
+   reach it, is to have the duties.  */
+Test (duties, platform_unreached)
+{
+  start_two ();
+  wy_platform_duties_faults (duty_platform)->silent = true;
+  cr_expect (platform_world_until (&duty_world, duty_entry_holds, &b));
+  stop ();
+}
