Replicas of scaled services are ordered by load

Cause: services may have a number of replicas, between bounds for each availability zone, that the holder of the duties orders; nobody did.

Entries tell in their heartbeats how many slots of scaled services they keep busy; the holder of the duties sums them up and orders.

--- /dev/null
+++ b/src/duties/scaling.h
@@ -0,0 +1,43 @@
+/* Orders for the number of replicas of services whose number may change.  */
+#ifndef WY_DUTIES_SCALING_H
+#define WY_DUTIES_SCALING_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <uv.h>
+
+#include "base/clock.h"
+#include "decide/scaling.h"
+#include "duties/calls.h"
+#include "duties/holder.h"
+
+struct wy_scaler;
+
+/* One service in one availability zone, as it is now.  */
+struct wy_scaled
+{
+  const char *service;
+  const char *availability_zone;
+  uint32_t replicas; /* listed and not leaving */
+  struct wy_scaling_load load;
+};
+
+struct wy_scaler_options
+{
+  uv_loop_t *loop;
+  const struct wy_clock *clock;
+  struct wy_duty_holder *duties;
+  struct wy_duty_calls *calls;
+  /* Calls FN for all that is scaled.  */
+  void (*each) (void *ctx, void (*fn) (void *arg, const struct wy_scaled *s),
+                void *arg);
+  void *ctx;
+};
+
+struct wy_scaler *wy_scaler_new (const struct wy_scaler_options *o);
+void wy_scaler_free (struct wy_scaler *s);
+void wy_scaler_acquired (struct wy_scaler *s);
+uint64_t wy_scaler_orders (const struct wy_scaler *s);
+
+#endif
--- a/src/gate/duties.c
+++ b/src/gate/duties.c
@@ -35,6 +35,8 @@
 
   if (g->env.usage)
     wy_usage_acquired (g->env.usage);
+  if (g->scaler)
+    wy_scaler_acquired (g->scaler);
 }
 
 static void
@@ -90,6 +92,85 @@
   g->env.usage = wy_usage_new (&o);
 }
 
+struct zones
+{
+  const struct wy_gate *gate;
+  GHashTable *replicas; /* struct wy_scaled by "service/zone" */
+};
+
+/* Count the target T among the replicas of its service and zone.  A replica
+   that is leaving still shows that its service runs there.  */
+static void
+count_replica (void *ctx, const struct wy_target *t)
+{
+  struct zones *z = ctx;
+  const struct wy_service *v
+      = wy_routing_service (z->gate->env.routing, t->info.service);
+  struct wy_scaled *s;
+  char *key;
+
+  if (!v || !v->is_scaled || !t->listed)
+    return;
+  key = g_strdup_printf ("%s/%s", t->info.service, t->info.availability_zone);
+  s = g_hash_table_lookup (z->replicas, key);
+  if (!s)
+    {
+      s = g_new0 (struct wy_scaled, 1);
+      s->service = t->info.service;
+      s->availability_zone = t->info.availability_zone;
+      s->load.minimum = v->replicas_min;
+      s->load.maximum = v->replicas_max;
+      s->load.boot_ms = v->boot_ms;
+      s->load.slots = t->info.slots;
+      g_hash_table_insert (z->replicas, key, s);
+    }
+  else
+    g_free (key);
+  s->replicas += !t->info.draining;
+}
+
+/* Tell FN of the services whose replicas are ordered, by zone.  */
+static void
+each_scaled (void *ctx, void (*fn) (void *arg, const struct wy_scaled *s),
+             void *arg)
+{
+  const struct wy_gate *g = ctx;
+  int64_t age_ms = wy_members_age_ms (g->members);
+  struct zones z = { .gate = g };
+  GHashTableIter it;
+  gpointer p;
+
+  if (!g->env.routing || !wy_routing_has_scaled (g->env.routing)
+      || !wy_watch_is_synced (g->replicas))
+    return;
+  z.replicas = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  wy_targets_each (g->env.targets, count_replica, &z);
+  g_hash_table_iter_init (&it, z.replicas);
+  while (g_hash_table_iter_next (&it, NULL, &p))
+    {
+      struct wy_scaled *s = p;
+
+      s->load.busy
+          = wy_members_busy (g->members, s->service, s->availability_zone);
+      s->load.complete = age_ms >= 0 && age_ms <= MEMBERS_FRESH_MS;
+      fn (arg, s);
+    }
+  g_hash_table_destroy (z.replicas);
+}
+
+static void
+start_scaler (struct wy_gate *g)
+{
+  struct wy_scaler_options o = { .loop = g->o.loop,
+                                 .clock = g->o.clock,
+                                 .duties = g->duties,
+                                 .calls = g->duty_calls,
+                                 .each = each_scaled,
+                                 .ctx = g };
+
+  g->scaler = wy_scaler_new (&o);
+}
+
 /* Start what the settings of G ask for.  Returns 0, or WY_H1_EBIND for an
    address that can't be read.  */
 int
@@ -123,8 +204,12 @@
   if (err)
     return err;
   for (guint i = 0; i < s->duties->len; i++)
-    if (wy_duty_is_usage (g_ptr_array_index (s->duties, i)))
-      start_usage (g);
+    {
+      if (wy_duty_is_usage (g_ptr_array_index (s->duties, i)))
+        start_usage (g);
+      if (wy_duty_is_scaling (g_ptr_array_index (s->duties, i)))
+        start_scaler (g);
+    }
   return 0;
 }
 
@@ -142,6 +227,8 @@
 {
   if (g->env.usage)
     wy_usage_free (g->env.usage);
+  if (g->scaler)
+    wy_scaler_free (g->scaler);
   if (g->duty_calls)
     wy_duty_calls_free (g->duty_calls);
   if (g->duties)
--- a/src/gate/gate_state.h
+++ b/src/gate/gate_state.h
@@ -4,6 +4,7 @@
 
 #include "base/id.h"
 #include "duties/calls.h"
+#include "duties/scaling.h"
 #include "gate/env.h"
 #include "gate/gate.h"
 #include "gate/members.h"
@@ -63,6 +64,7 @@
   struct wy_jobs *jobs;
   struct wy_duty_holder *duties; /* NULL: the platform expects none */
   struct wy_duty_calls *duty_calls;
+  struct wy_scaler *scaler; /* NULL: nobody asks for it */
   struct wy_watch *operator_rows;
   struct wy_watch *replicas;
   struct wy_h1_server *callers;
--- a/src/gate/members.c
+++ b/src/gate/members.c
@@ -66,6 +66,15 @@
     wy_note ("request.held_back", "node=%s requests=%u", e->node, n);
 }
 
+static void
+free_member (gpointer p)
+{
+  struct member *e = p;
+
+  json_decref (e->busy);
+  g_free (e);
+}
+
 static int64_t
 window_of (json_t *v)
 {
@@ -106,6 +115,8 @@
   e->relayed = json_is_true (json_object_get (doc, "relayed"));
   e->silent_ms = 0;
   e->usage_complete = window_of (json_object_get (doc, "usage_complete"));
+  json_decref (e->busy);
+  e->busy = json_incref (json_object_get (doc, "busy"));
   e->epoch_ms = json_integer_value (json_object_get (doc, "epoch_ms"));
   learn_crashes (m, e, json_object_get (doc, "crashed"));
   json_decref (doc);
@@ -147,6 +158,7 @@
   GHashTableIter it;
   gpointer p;
 
+  wy_busy_sample (m->busy, m->o.env);
   if (age_ms < 0 || passed_ms <= 0)
     return;
   wy_members_learn_epoch (m);
@@ -192,6 +204,7 @@
       "relayed", !wy_rows_is_direct (m->o.env->rows), "cpu_share",
       m->o.cpu_share, "beat", (json_int_t)++m->beats);
   int64_t store_ms = wy_rows_store_now_ms (m->o.env->rows);
+  json_t *busy = wy_busy_encode (m->busy);
   char *value;
 
   snprintf (part, sizeof part, "%u",
@@ -201,6 +214,8 @@
         doc, "crashed",
         wy_crash_rows_encode (&m->o.env->crashes,
                               wy_clock_mono_ms (m->o.env->clock)));
+  if (busy)
+    json_object_set_new (doc, "busy", busy);
   if (store_ms)
     json_object_set_new (
         doc, "epoch_ms",
@@ -268,7 +283,9 @@
 
   m->o = *o;
   m->usage_complete = -1;
-  m->by_node = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  m->by_node
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_member);
+  m->busy = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   m->unseen = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   m->watch = wy_watch_new (&w);
   uv_timer_init (o->env->loop, &m->beat);
--- a/src/gate/members.h
+++ b/src/gate/members.h
@@ -40,6 +40,8 @@
 void wy_members_free (struct wy_members *m);
 void wy_members_leave (struct wy_members *m);
 void wy_members_tell_usage (struct wy_members *m, int64_t window);
+double wy_members_busy (const struct wy_members *m, const char *service,
+                        const char *availability_zone);
 int64_t wy_members_epoch_ms (const struct wy_members *m);
 int64_t wy_members_usage_complete (const struct wy_members *m);
 uint32_t wy_members_alive (const struct wy_members *m);
--- a/src/gate/members_choice.c
+++ b/src/gate/members_choice.c
@@ -40,6 +40,26 @@
   return n ? n : 1;
 }
 
+/* Slots of SERVICE in AVAILABILITY_ZONE that all entries alive keep busy.  */
+double
+wy_members_busy (const struct wy_members *m, const char *service,
+                 const char *availability_zone)
+{
+  double sum = wy_busy_here (m->busy, service, availability_zone);
+  GHashTableIter it;
+  gpointer p;
+
+  g_hash_table_iter_init (&it, m->by_node);
+  while (g_hash_table_iter_next (&it, NULL, &p))
+    {
+      const struct member *e = p;
+
+      if (is_alive (e) && strcmp (e->node, m->o.env->node) != 0)
+        sum += wy_busy_of (e->busy, service, availability_zone);
+    }
+  return sum;
+}
+
 static gint
 by_value (gconstpointer a, gconstpointer b)
 {
--- a/src/gate/members_state.h
+++ b/src/gate/members_state.h
@@ -2,6 +2,7 @@
 #ifndef WY_GATE_MEMBERS_STATE_H
 #define WY_GATE_MEMBERS_STATE_H
 
+#include "gate/busy.h"
 #include "gate/members.h"
 #include "rows/watch.h"
 
@@ -24,6 +25,7 @@
   bool relayed;  /* reaches the store through others alone */
   bool leaving;  /* its jobs are free */
   int64_t silent_ms;
+  json_t *busy;           /* slots that it keeps busy, or NULL */
   int64_t epoch_ms;       /* its time of day at zero of the store's clock; 0:
                              not told */
   int64_t usage_complete; /* window to which its counts are stored; -1: it
@@ -40,6 +42,7 @@
   GHashTable *unseen;  /* holder -> time at which it was first asked for */
   int64_t counted_ms;  /* silence is counted to here: an answer of the store */
   uint64_t beats;
+  GHashTable *busy;       /* double * by name, of this entry */
   int64_t epoch_ms;       /* median of the entries' */
   int64_t usage_complete; /* of this entry; -1: it does not count */
   bool writing;
--- a/src/gate/routing.c
+++ b/src/gate/routing.c
@@ -145,6 +145,17 @@
   return NULL;
 }
 
+/* Whether the number of replicas of some service is ordered.  */
+bool
+wy_routing_has_scaled (const struct wy_routing *r)
+{
+  for (guint i = 0; i < r->services->len; i++)
+    if (((const struct wy_service *)g_ptr_array_index (r->services, i))
+            ->is_scaled)
+      return true;
+  return false;
+}
+
 /* The service of R that the number DRAW chooses by the weights.  */
 const char *
 wy_route_service (const struct wy_route *r, uint32_t draw)
--- a/src/gate/routing.h
+++ b/src/gate/routing.h
@@ -48,7 +48,11 @@
   char *name;
   uint32_t connection_limit; /* of one replica, over all callers; 0: none */
   uint32_t slots;            /* of one replica; 0: not told */
-  GPtrArray *models;         /* char * */
+  bool is_scaled;            /* its number of replicas is ordered */
+  uint32_t replicas_min;     /* in each availability zone */
+  uint32_t replicas_max;
+  uint32_t boot_ms;  /* from the order to the first request served */
+  GPtrArray *models; /* char * */
 };
 
 struct wy_routing
@@ -73,6 +77,7 @@
 const struct wy_service *wy_routing_service (const struct wy_routing *r,
                                              const char *name);
 bool wy_routing_has_public_jobs (const struct wy_routing *r, const char *host);
+bool wy_routing_has_scaled (const struct wy_routing *r);
 const char *wy_route_service (const struct wy_route *r, uint32_t draw);
 
 #endif
--- a/tests/test_duties.c
+++ b/tests/test_duties.c
@@ -237,13 +237,13 @@
   /* Counts that come too late for their windows.  */
   for (int64_t k = wy_usage_begin (b.usage, "x") - 6, n = 0; n < 6; n++)
     {
-      snprintf (part, sizeof part, "%lld", (long long)(k + n));
+      snprintf (part, sizeof part, "%lld", (long long)k + n);
       wy_platform_store_put (duty_world.store, "wy-usage", part, "z/1",
                              "{\"late\":9}");
     }
   duty_entry_kill (&a);
   cr_expect (platform_world_until (&duty_world, duty_entry_holds, &b));
-  platform_world_run_ms (&duty_world, 2 * DUTY_WINDOW_MS);
+  platform_world_run_ms (&duty_world, 2L * DUTY_WINDOW_MS);
   stop ();
 }
 
