Organisations, keys and duties in the demo and soak; status, metrics, explain

The stand-in's callers and trainer are two organisations; replicas note a key that reaches them or a wrong organisation, each version adds a key and takes one away, and the platform's single calls are checked for the order of their holders. wyctl explain finds a job by the name that its caller knows, and the story of a window of usage by its number.

--- a/bench/micro.c
+++ b/bench/micro.c
@@ -11,6 +11,7 @@
 #include "base/rng.h"
 #include "decide/place.h"
 #include "decide/queue.h"
+#include "orgs/access.h"
 #include "trace/note.h"
 
 #define SEED 20261202
@@ -20,6 +21,8 @@
 #define OFFERS 1000000
 #define KEYS 20000
 #define AZS 7
+#define ACCESS_KEYS 10000
+#define KEY_SIZE_BYTES 24
 #define N(a) (sizeof (a) / sizeof ((a)[0]))
 
 static const uint32_t sizes[] = { 12, 120, 1200, 3200 };
@@ -171,6 +174,44 @@
   return ns;
 }
 
+/* Authorization of a request, each key in turn.  */
+static double
+access_ns (uint32_t keys)
+{
+  struct wy_orgs *orgs = wy_orgs_new ();
+  struct wy_org *org = wy_orgs_add (orgs, "org");
+  char (*key)[KEY_SIZE_BYTES] = calloc (keys, sizeof *key);
+  uint32_t n = 0;
+  int64_t from_us;
+  double ns;
+
+  if (!key)
+    abort ();
+  for (uint32_t i = 0; i < keys; i++)
+    {
+      snprintf (key[i], sizeof key[i], "key-%012u", i);
+      wy_orgs_add_key (orgs, org, key[i]);
+    }
+  from_us = wy_clock_mono_us (wy_clock_system ());
+  for (uint32_t i = 0; i < OFFERS; i++)
+    {
+      struct wy_access_query q = { .orgs = orgs,
+                                   .credential = WY_CREDENTIAL_KEY,
+                                   .key = key[i % keys],
+                                   .route = WY_ROUTE_ACCESS_KEYED,
+                                   .config_is_fresh = true };
+      const struct wy_org *found;
+
+      n += wy_access_decide (&q, &found) == WY_ACCESS_ADMIT;
+    }
+  ns = ns_since (from_us, OFFERS);
+  if (n != OFFERS)
+    abort ();
+  free (key);
+  wy_orgs_free (orgs);
+  return ns;
+}
+
 int
 main (void)
 {
@@ -188,6 +229,7 @@
     }
   line ("queue_ns", 64, queue_ns (64));
   line ("queue_ns", 4000, queue_ns (4000));
+  line ("access_ns", ACCESS_KEYS, access_ns (ACCESS_KEYS));
   line ("log_line_ns", 1, log_line_ns ());
   return 0;
 }
--- a/scripts/platform.sh
+++ b/scripts/platform.sh
@@ -70,6 +70,11 @@
 store_address: 127.0.0.1:$5
 seeds: [${seeds%,}]
 grace_s: ${GRACE_S:-6}
+platform_address: 127.0.0.1:$(port_of duties)
+duties: ["usage_report", "scaling"]
+usage_window_s: 1
+usage_late_s: 8
+lease_ms: 1500
 Y
 }
 
--- a/src/ctl/explain.c
+++ b/src/ctl/explain.c
@@ -129,16 +129,38 @@
   remember (s->services, text_of (l, "service"));
 }
 
+/* Whether TEXT is ID, or the key of a job ID: "ORGANISATION/ID".  */
+static bool
+is_id (const char *text, const char *id)
+{
+  const char *name = strrchr (text, '/');
+
+  return !strcmp (text, id) || (name && !strcmp (name + 1, id));
+}
+
+/* Whether L is about the window of usage with the number ID.  */
+static bool
+is_window (const struct log_line *l, const char *id)
+{
+  json_t *window = json_object_get (l->doc, "window");
+  char *end;
+
+  return json_is_integer (window)
+         && json_integer_value (window) == strtoll (id, &end, 10) && !*end;
+}
+
 static bool
 names (const struct log_line *l, const char *id)
 {
   const char *key;
   json_t *v;
 
-  json_object_foreach (
-      l->doc, key, v) if (json_is_string (v)
-                          && !strcmp (json_string_value (v), id)) return true;
-  return false;
+  json_object_foreach (l->doc, key, v)
+  {
+    if (json_is_string (v) && is_id (json_string_value (v), id))
+      return true;
+  }
+  return is_window (l, id);
 }
 
 static uint32_t
@@ -193,7 +215,8 @@
       || g_str_has_prefix (l->event, "process.")
       || g_str_has_prefix (l->event, "config."))
     return g_hash_table_contains (s->processes, text_of (l, "process"));
-  return !strcmp (l->event, "entry.gone");
+  return !strcmp (l->event, "entry.gone")
+         || g_str_has_prefix (l->event, "duties.");
 }
 
 static void
--- a/src/gate/gate_state.h
+++ b/src/gate/gate_state.h
@@ -49,6 +49,14 @@
   int64_t *items_waiting;
   int64_t *items_scoring;
   int64_t *items_unlisted;
+  int64_t *organisations;
+  int64_t *keys;
+  int64_t *duties_held;
+  int64_t *usage_reported;
+  int64_t *usage_late;
+  int64_t *usage_missed;
+  int64_t *usage_forced;
+  int64_t *scale_orders;
   struct wy_family *store_ended; /* by verb and outcome */
 };
 
--- a/src/gate/gauges.c
+++ b/src/gate/gauges.c
@@ -109,6 +109,26 @@
   v->store_ended = wy_metrics_counters (m, "wy_gate_store_calls_ended_total",
                                         "Calls to the store by how they ended",
                                         WY_GATE_LABEL_SETS);
+  v->organisations
+      = wy_metrics_gauge (m, "wy_gate_organisations",
+                          "Organisations of the configuration in force");
+  v->keys = wy_metrics_gauge (m, "wy_gate_access_keys",
+                              "Their access keys together");
+  v->duties_held
+      = wy_metrics_gauge (m, "wy_gate_duties_held",
+                          "1: this entry makes the platform's single calls");
+  v->usage_reported
+      = wy_metrics_gauge (m, "wy_gate_usage_reported",
+                          "Windows of usage reported since the start");
+  v->usage_late = wy_metrics_gauge (m, "wy_gate_usage_late",
+                                    "Of these, after they were due");
+  v->usage_missed = wy_metrics_gauge (m, "wy_gate_usage_missed",
+                                      "Windows of usage given up or rejected");
+  v->usage_forced
+      = wy_metrics_gauge (m, "wy_gate_usage_forced",
+                          "Windows reported without some entry's counts");
+  v->scale_orders = wy_metrics_gauge (m, "wy_gate_scale_orders",
+                                      "Orders for numbers of replicas");
   v->log_dropped = wy_metrics_gauge (m, "wy_gate_log_lines_dropped",
                                      "Log lines left out since the start");
 }
@@ -132,6 +152,25 @@
       }
 }
 
+static void
+read_duties (const struct wy_gate *g)
+{
+  const struct wy_gate_gauges *v = &g->gauges;
+  const struct wy_orgs *orgs = g->env.routing ? g->env.routing->orgs : NULL;
+  struct wy_usage_stats usage = { 0 };
+
+  *v->organisations = orgs ? (int64_t)wy_orgs_count (orgs) : 0;
+  *v->keys = orgs ? (int64_t)wy_orgs_key_count (orgs) : 0;
+  *v->duties_held = g->duties && wy_duty_holder_holds (g->duties);
+  if (g->env.usage)
+    wy_usage_stats (g->env.usage, &usage);
+  *v->usage_reported = (int64_t)usage.reported;
+  *v->usage_late = (int64_t)usage.late;
+  *v->usage_missed = (int64_t)(usage.missed + usage.rejected);
+  *v->usage_forced = (int64_t)usage.forced;
+  *v->scale_orders = g->scaler ? (int64_t)wy_scaler_orders (g->scaler) : 0;
+}
+
 /* Read the gauges anew.  */
 void
 wy_gate_read_gauges (struct wy_gate *g)
@@ -161,5 +200,6 @@
   *v->entries_age_ms = wy_members_age_ms (g->members);
   *v->replicas_age_ms = wy_watch_age_ms (g->replicas);
   *v->config_version = g->env.routing ? g->env.routing->version : 0;
+  read_duties (g);
   *v->log_dropped = (int64_t)wy_note_dropped ();
 }
--- a/src/gate/status.c
+++ b/src/gate/status.c
@@ -24,11 +24,32 @@
 {
   const struct wy_routing *r = g->env.routing;
 
-  return json_pack ("{s:o, s:i, s:o}", "version", integer (r ? r->version : 0),
-                    "routes", r ? (int)r->routes->len : 0, "age_ms",
+  return json_pack ("{s:o, s:i, s:i, s:o}", "version",
+                    integer (r ? r->version : 0), "routes",
+                    r ? (int)r->routes->len : 0, "organisations",
+                    r && r->orgs ? (int)wy_orgs_count (r->orgs) : 0, "age_ms",
                     integer (wy_watch_age_ms (g->operator_rows)));
 }
 
+/* Who makes the platform's single calls, as last seen here.  */
+static json_t *
+duties_of (const struct wy_gate *g)
+{
+  struct wy_duty_holder_view v = { .holder = "" };
+  struct wy_usage_stats usage = { 0 };
+
+  if (g->duties)
+    wy_duty_holder_view (g->duties, &v);
+  if (g->env.usage)
+    wy_usage_stats (g->env.usage, &usage);
+  return json_pack ("{s:s, s:o, s:b, s:o, s:o, s:o}", "holder", v.holder,
+                    "generation", integer (v.generation), "held_here",
+                    v.held_here, "usage_window", integer (usage.last_window),
+                    "usage_reported", integer ((int64_t)usage.reported),
+                    "usage_missed",
+                    integer ((int64_t)(usage.missed + usage.rejected)));
+}
+
 static json_t *
 store_of (const struct wy_gate *g)
 {
@@ -149,12 +170,13 @@
 wy_gate_status (const struct wy_gate *g)
 {
   json_t *doc = json_pack (
-      "{s:s, s:s, s:b, s:o, s:o, s:o, s:o, s:o, s:o, s:o}", "node",
+      "{s:s, s:s, s:b, s:o, s:o, s:o, s:o, s:o, s:o, s:o, s:o}", "node",
       g->env.node, "holder", g->env.holder, "stopping", g->stop_asked_ms != 0,
-      "config", config_of (g), "store", store_of (g), "entries_age_ms",
-      integer (wy_members_age_ms (g->members)), "entries", entries_of (g),
-      "replicas_age_ms", integer (wy_watch_age_ms (g->replicas)), "replicas",
-      replicas_of (g), "jobs", jobs_of (g));
+      "config", config_of (g), "duties", duties_of (g), "store", store_of (g),
+      "entries_age_ms", integer (wy_members_age_ms (g->members)), "entries",
+      entries_of (g), "replicas_age_ms",
+      integer (wy_watch_age_ms (g->replicas)), "replicas", replicas_of (g),
+      "jobs", jobs_of (g));
   char *text = json_dumps (doc, JSON_COMPACT);
   char *out = g_strdup (text);
 
--- a/src/standin/platform.c
+++ b/src/standin/platform.c
@@ -137,11 +137,12 @@
     json_array_append_new (list,
                            json_string (g_ptr_array_index (b->violations, i)));
   doc = json_pack (
-      "{s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:o}", "calm_sent",
-      (int)b->calm_sent, "calm_answered", (int)b->calm_answered, "sent",
-      (int)b->sent, "answered", (int)b->answered, "refused", (int)b->refused,
-      "failed", (int)b->failed, "retries", (int)b->retries, "steps",
-      (int)b->steps, "results", (int)b->results, "violations", list);
+      "{s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:o}",
+      "usage_windows", (int)wy_platform_duties_windows (p->duties),
+      "calm_sent", (int)b->calm_sent, "calm_answered", (int)b->calm_answered,
+      "sent", (int)b->sent, "answered", (int)b->answered, "refused",
+      (int)b->refused, "failed", (int)b->failed, "retries", (int)b->retries,
+      "steps", (int)b->steps, "results", (int)b->results, "violations", list);
   if (*s->report)
     err = json_dump_file (doc, s->report, JSON_INDENT (2));
   json_decref (doc);
@@ -173,6 +174,8 @@
 
   g_string_append_printf (text, "store %u\n",
                           wy_platform_store_port (p->store));
+  g_string_append_printf (text, "duties %u\n",
+                          wy_platform_duties_port (p->duties));
   for (int i = 0; i < WY_PLATFORM_DESKS; i++)
     g_string_append_printf (text, "desk-%d %u\n", i,
                             wy_platform_replica_port (p->desks[i]));
@@ -197,6 +200,26 @@
                   request, "replica", replica, "digest", digest);
 }
 
+/* Callers' requests run for their organisation, items for the trainer's, and
+   no key gets as far as a replica.  */
+static void
+on_sender (void *ctx, const char *request, const char *organisation,
+           const char *key)
+{
+  struct wy_platform *p = ctx;
+  bool of_office = g_str_has_prefix (request, WY_PLATFORM_CALL_ID)
+                   || g_str_has_prefix (request, WY_PLATFORM_PROBE_ID);
+
+  if (key)
+    wy_platform_violation (p, "%s reached a replica with its key", request);
+  if (!organisation
+      || strcmp (organisation,
+                 of_office ? WY_PLATFORM_OFFICE : WY_PLATFORM_BANK)
+             != 0)
+    wy_platform_violation (p, "%s ran for organisation \"%s\"", request,
+                           organisation ? organisation : "");
+}
+
 static void
 on_whole (void *ctx, const char *replica, const char *request)
 {
@@ -222,6 +245,7 @@
 {
   struct wy_platform_replica_options o = { .loop = p->standin->loop,
                                            .on_run = on_run,
+                                           .on_sender = on_sender,
                                            .on_whole = on_whole,
                                            .on_answer = on_answer,
                                            .ctx = p,
@@ -288,7 +312,8 @@
   p->books.violations = g_ptr_array_new_with_free_func (g_free);
   p->client = wy_h1_client_new (&http);
   p->store = wy_platform_store_new (&store);
-  if (!p->store || !start_replicas (p) || write_ports (p))
+  p->duties = wy_platform_duties_new (s->loop, 0);
+  if (!p->store || !p->duties || !start_replicas (p) || write_ports (p))
     return -1;
   read_gates (p, s->settings);
   p->chance_ms = (uint64_t)(((const struct settings *)s->settings)->chance_s
@@ -317,6 +342,13 @@
 void
 wy_platform_finish (struct wy_platform *p)
 {
+  const GPtrArray *of_duties = wy_platform_duties_violations (p->duties);
+
+  for (guint i = 0; i < of_duties->len; i++)
+    wy_platform_violation (p, "%s",
+                           (const char *)g_ptr_array_index (of_duties, i));
+  if (wy_platform_duties_windows (p->duties) == 0)
+    wy_platform_violation (p, "no window of usage was reported");
   p->standin->failed = write_report (p) || p->books.violations->len > 0;
   wy_standin_quit (p->standin);
 }
@@ -348,14 +380,30 @@
   g_free (c);
 }
 
-/* Call one entry after the other.  on_done and ctx are to be set by the
-   caller of this.  */
+/* Call one entry after the other, as the organisation that calls TARGET.
+   on_done and ctx are to be set by the caller of this.  */
 struct wy_platform_call *
 wy_platform_call (struct wy_platform *p, const char *method,
                   const char *target, const char *id, const char *body)
+{
+  bool of_bank = g_str_has_prefix (target, WY_PLATFORM_JOBS)
+                 || g_str_has_prefix (target, "/api/");
+
+  return wy_platform_call_keyed (p, method, target, id, body,
+                                 of_bank ? WY_PLATFORM_BANK_KEY
+                                         : WY_PLATFORM_OFFICE_KEY);
+}
+
+/* The same with KEY.  */
+struct wy_platform_call *
+wy_platform_call_keyed (struct wy_platform *p, const char *method,
+                        const char *target, const char *id, const char *body,
+                        const char *key)
 {
   struct wy_platform_call *c = g_new0 (struct wy_platform_call, 1);
+  char credential[64];
   struct wy_h1_pair fields[] = { { "Host", WY_PLATFORM_HOST },
+                                 { "Authorization", credential },
                                  { "Wait-Milliseconds", "500" },
                                  { "Deadline-Milliseconds", "2000" },
                                  { "Attempt-Id", id } };
@@ -365,7 +413,7 @@
           .method = method,
           .target = target,
           .fields = fields,
-          .n_fields = id ? 4 : 2,
+          .n_fields = id ? 5 : 3,
           .body = body,
           .body_size_bytes = body ? strlen (body) : 0,
           .on_head = on_head,
@@ -373,6 +421,7 @@
           .on_end = on_end,
           .ctx = c };
 
+  g_snprintf (credential, sizeof credential, "Bearer %s", key);
   c->platform = p;
   c->body = g_string_new (NULL);
   wy_h1_call_start (p->client, &o);
--- a/src/standin/platform.h
+++ b/src/standin/platform.h
@@ -5,6 +5,7 @@
 
 #include "h1/client.h"
 #include "standin/frame.h"
+#include "standin/platform_duties.h"
 #include "standin/platform_replica.h"
 #include "standin/platform_store.h"
 
@@ -12,6 +13,13 @@
 #define WY_PLATFORM_JOBS "/steps/"
 #define WY_PLATFORM_CALLS "/desk/"
 #define WY_PLATFORM_MODEL "model"
+/* Organisations: of the callers, and of the trainer.  */
+#define WY_PLATFORM_OFFICE "office"
+#define WY_PLATFORM_OFFICE_KEY "office-key"
+#define WY_PLATFORM_BANK "bank"
+#define WY_PLATFORM_BANK_KEY "bank-key"
+#define WY_PLATFORM_CALL_ID "call-"
+#define WY_PLATFORM_PROBE_ID "probe-"
 
 enum
 {
@@ -42,6 +50,7 @@
 {
   struct wy_standin *standin;
   struct wy_platform_store *store;
+  struct wy_platform_duties *duties;
   struct wy_platform_replica *engines[WY_PLATFORM_ENGINES];
   struct wy_platform_replica *desks[WY_PLATFORM_DESKS];
   struct wy_h1_client *client;
@@ -76,6 +85,10 @@
                                            const char *method,
                                            const char *target, const char *id,
                                            const char *body);
+struct wy_platform_call *
+wy_platform_call_keyed (struct wy_platform *p, const char *method,
+                        const char *target, const char *id, const char *body,
+                        const char *key);
 void wy_platform_violation (struct wy_platform *p, const char *fmt, ...)
     __attribute__ ((format (printf, 2, 3)));
 void wy_platform_digest (const char *p, size_t n,
--- a/src/standin/platform_callers.c
+++ b/src/standin/platform_callers.c
@@ -22,7 +22,7 @@
 static void
 id_of (uint32_t number, uint32_t tries, char out[ID_SIZE_BYTES])
 {
-  snprintf (out, ID_SIZE_BYTES, "call-%u-%u", number, tries);
+  snprintf (out, ID_SIZE_BYTES, WY_PLATFORM_CALL_ID "%u-%u", number, tries);
 }
 
 static void
--- a/src/standin/platform_operator.c
+++ b/src/standin/platform_operator.c
@@ -5,6 +5,9 @@
 
 #include <stdio.h>
 
+/* Each version adds a key and takes the one before away.  */
+#define KEY_FORMAT "rolling-%u"
+
 enum
 {
   CHANGE_MS = 900,
@@ -15,7 +18,10 @@
   TIMEOUT_MIN_MS = 1500,
   TIMEOUT_STEP_MS = 100,
   TIMEOUT_STEPS = 10,
-  STATUS_UNKNOWN = 404
+  STATUS_OK = 200,
+  STATUS_UNKNOWN = 404,
+  STATUS_UNAUTHORIZED = 401,
+  KEY_SIZE_BYTES = 24
 };
 
 static struct
@@ -64,8 +70,12 @@
       "\"engine\":{\"slots\":%d,\"models\":[{\"name\":\"%s\"}]}},"
       "{\"name\":\"desks\",\"connectionLimit\":100}],"
       "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":1048576,"
-      "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}",
-      WY_PLATFORM_HOST, prefix, WY_PLATFORM_SLOTS, WY_PLATFORM_MODEL);
+      "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},"
+      "\"tenants\":[{\"name\":\"%s\",\"accessKeys\":[\"%s\",\"" KEY_FORMAT
+      "\"]},{\"name\":\"%s\",\"accessKeys\":[\"%s\"]}]}",
+      WY_PLATFORM_HOST, prefix, WY_PLATFORM_SLOTS, WY_PLATFORM_MODEL,
+      WY_PLATFORM_OFFICE, WY_PLATFORM_OFFICE_KEY, v, WY_PLATFORM_BANK,
+      WY_PLATFORM_BANK_KEY);
   wy_platform_store_put (p->store, "op", "", "config", s->str);
   op.written_ms[v] = uv_now (p->standin->loop);
   g_string_free (s, TRUE);
@@ -83,10 +93,20 @@
 static void
 on_probed (struct wy_platform_call *c, int err)
 {
-  if (!err && c->status == STATUS_UNKNOWN && c->calm
-      && c->number == op.version)
-    wy_platform_violation (c->platform, "version %u is not in force",
-                           c->number);
+  if (!err && c->calm && c->number == op.version
+      && (c->status == STATUS_UNKNOWN || c->status == STATUS_UNAUTHORIZED))
+    wy_platform_violation (c->platform,
+                           "version %u is not in force: answered %d",
+                           c->number, c->status);
+}
+
+/* The key of the version before has been taken away.  */
+static void
+on_probed_old_key (struct wy_platform_call *c, int err)
+{
+  if (!err && c->calm && c->number == op.version && c->status == STATUS_OK)
+    wy_platform_violation (
+        c->platform, "a key that version %u took away is admitted", c->number);
 }
 
 static void
@@ -99,16 +119,19 @@
   char prefix[32];
   char target[40];
   char id[40];
+  char key[KEY_SIZE_BYTES];
+  bool old_key = op.probes % 2 && v > 1;
 
   if (p->ending || age_ms < IN_FORCE_MS)
     return;
   prefix_of (v, prefix);
   snprintf (target, sizeof target, "%sx", prefix);
-  snprintf (id, sizeof id, "probe-%u", op.probes++);
-  c = wy_platform_call (p, "POST", target, id, "probe");
+  snprintf (id, sizeof id, WY_PLATFORM_PROBE_ID "%u", op.probes++);
+  snprintf (key, sizeof key, KEY_FORMAT, old_key ? v - 1 : v);
+  c = wy_platform_call_keyed (p, "POST", target, id, "probe", key);
   c->number = v;
   c->calm = p->calm;
-  c->on_done = on_probed;
+  c->on_done = old_key ? on_probed_old_key : on_probed;
 }
 
 /* Write the first configuration; while faults come by chance, change it.  In
--- a/src/standin/platform_replica.c
+++ b/src/standin/platform_replica.c
@@ -309,9 +309,12 @@
 }
 
 static void
-tell_run (const struct wy_platform_replica *r, const char *id,
-          const char *body, size_t n)
+tell_run (const struct wy_platform_replica *r, const struct wy_h1_head *head,
+          const char *id, const char *body, size_t n)
 {
+  if (r->o.on_sender)
+    r->o.on_sender (r->o.ctx, id, wy_h1_head_get (head, "Tenant"),
+                    wy_h1_head_get (head, "Authorization"));
   if (r->o.on_run)
     r->o.on_run (r->o.ctx, r->o.id, id, body, n);
 }
@@ -332,7 +335,7 @@
   else if (take (&r->faults.lose))
     {
       r->runs++;
-      tell_run (r, id, "", 0);
+      tell_run (r, head, id, "", 0);
       wy_h1_break (q);
     }
   else if (take (&r->faults.never))
@@ -344,7 +347,7 @@
     }
   else if (r->o.model)
     {
-      tell_run (r, id, "", 0);
+      tell_run (r, head, id, "", 0);
       stream (r, q, id);
     }
   else
@@ -353,7 +356,7 @@
       const char *body = wy_h1_body (q, &n);
 
       r->runs++;
-      tell_run (r, id, body, n);
+      tell_run (r, head, id, body, n);
       plain (r, q,
              n >= strlen (FAILS_ALWAYS)
                      && !memcmp (body, FAILS_ALWAYS, strlen (FAILS_ALWAYS))
--- a/src/standin/platform_replica.h
+++ b/src/standin/platform_replica.h
@@ -36,6 +36,10 @@
   /* A request or item runs; BODY is what a plain one is answered with.  */
   void (*on_run) (void *ctx, const char *replica, const char *request,
                   const char *body, size_t n);
+  /* The same request names ORGANISATION, NULL for none, and bears KEY, NULL
+     for none; NULL: nobody asks.  */
+  void (*on_sender) (void *ctx, const char *request, const char *organisation,
+                     const char *key);
   /* A stream has been sent to its last event; NULL: nobody asks.  */
   void (*on_whole) (void *ctx, const char *replica, const char *request);
   /* A plain request is answered with STATUS under MARK, which no other answer
--- a/tests/test_duties.c
+++ b/tests/test_duties.c
@@ -256,3 +256,43 @@
   cr_expect (platform_world_until (&duty_world, duty_entry_holds, &b));
   stop ();
 }
+
+static int
+call_platform (const char *holder, const char *generation, const char *body)
+{
+  struct wy_h1_pair fields[] = { { "Host", "p" },
+                                 { "Duty-Holder", holder },
+                                 { "Fencing-Token", generation } };
+  struct platform_answer *p = platform_world_call (
+      &duty_world, wy_platform_duties_port (duty_platform), "POST", "/usage",
+      fields, G_N_ELEMENTS (fields), body);
+  int status;
+
+  cr_assert (platform_world_until (&duty_world, platform_answer_done, p));
+  status = p->status;
+  platform_answer_free (p);
+  return status;
+}
+
+/* Guards against a stand-in that would let every order of holders pass.  */
+Test (duties, stand_in_notices)
+{
+  const GPtrArray *v;
+
+  duty_world_start ();
+  v = wy_platform_duties_violations (duty_platform);
+  cr_expect_eq (
+      call_platform ("a", "2", "{\"window\":1,\"counts\":{\"x\":1}}"), 200);
+  cr_expect_eq (
+      call_platform ("a", "2", "{\"window\":1,\"counts\":{\"x\":1}}"), 200);
+  cr_expect_eq (v->len, 0);
+  call_platform ("a", "2", "{\"window\":1,\"counts\":{\"x\":2}}");
+  cr_expect_eq (v->len, 1);
+  call_platform ("b", "2", "{\"window\":2,\"counts\":{}}");
+  cr_expect_eq (v->len, 2);
+  call_platform ("b", "1", "{\"window\":3,\"counts\":{}}");
+  cr_expect_eq (v->len, 3);
+  cr_expect_eq (call_platform ("b", "3", "{\"window\":-1,\"counts\":{}}"),
+                400);
+  duty_world_stop ();
+}
