Jobs take turns by their organisation's priority, then their route's, then age

Cause: an organisation's priority goes before its route's; jobs of one entry took turns by age alone. Change: a comparison without I/O, tested as a table.

--- a/src/jobs/jobs.c
+++ b/src/jobs/jobs.c
@@ -8,6 +8,7 @@
 
 #include <string.h>
 
+#include "decide/job_turn.h"
 #include "trace/note.h"
 
 enum
@@ -216,25 +217,53 @@
   g_ptr_array_free (found, TRUE);
 }
 
-static gint
-by_age (gconstpointer a, gconstpointer b)
+struct turn
+{
+  struct wy_job_turn turn;
+  struct wy_owned *job;
+};
+
+/* An organisation that the configuration no longer has is as one without a
+   priority.  */
+static struct wy_job_turn
+turn_of (const struct wy_owned *o)
 {
-  const struct wy_owned *x = a;
-  const struct wy_owned *y = b;
+  const struct wy_routing *r = o->env->routing;
+  const struct wy_route *route = r ? wy_owned_route (o) : NULL;
+  const struct wy_org *org
+      = r && r->orgs ? wy_orgs_find (r->orgs, o->record->organisation) : NULL;
+
+  return (struct wy_job_turn){ .organisation_priority
+                               = org ? org->priority : UINT32_MAX,
+                               .route_priority = route ? route->priority : 0,
+                               .accepted_ms = o->record->accepted_ms };
+}
 
-  if (x->record->accepted_ms == y->record->accepted_ms)
-    return 0;
-  return x->record->accepted_ms < y->record->accepted_ms ? -1 : 1;
+static gint
+by_turn (gconstpointer a, gconstpointer b)
+{
+  return wy_job_turn_compare (&((const struct turn *)a)->turn,
+                              &((const struct turn *)b)->turn);
 }
 
 static void
 each_owned (struct wy_jobs *j, void (*fn) (struct wy_owned *o))
 {
-  GList *all = g_list_sort (g_hash_table_get_values (j->owned), by_age);
+  GArray *all = g_array_new (FALSE, FALSE, sizeof (struct turn));
+  GHashTableIter it;
+  gpointer p;
 
-  for (GList *l = all; l; l = l->next)
-    fn (l->data);
-  g_list_free (all);
+  g_hash_table_iter_init (&it, j->owned);
+  while (g_hash_table_iter_next (&it, NULL, &p))
+    {
+      struct turn t = { turn_of (p), p };
+
+      g_array_append_val (all, t);
+    }
+  g_array_sort (all, by_turn);
+  for (guint i = 0; i < all->len; i++)
+    fn (g_array_index (all, struct turn, i).job);
+  g_array_free (all, TRUE);
 }
 
 static void
--- a/src/orgs/orgs.c
+++ b/src/orgs/orgs.c
@@ -12,7 +12,8 @@
 
 struct wy_orgs
 {
-  GPtrArray *list;    /* struct wy_org */
+  GPtrArray *list; /* struct wy_org */
+  GHashTable *by_name;
   GHashTable *by_key; /* digest -> struct wy_org */
 };
 
@@ -64,6 +65,7 @@
   struct wy_orgs *o = g_new0 (struct wy_orgs, 1);
 
   o->list = g_ptr_array_new_with_free_func (free_org);
+  o->by_name = g_hash_table_new (g_str_hash, g_str_equal);
   o->by_key = g_hash_table_new_full (digest_hash, digest_equal, g_free, NULL);
   return o;
 }
@@ -75,6 +77,7 @@
   if (!o)
     return;
   g_hash_table_destroy (o->by_key);
+  g_hash_table_destroy (o->by_name);
   g_ptr_array_free (o->list, TRUE);
   g_free (o);
 }
@@ -88,6 +91,7 @@
   org->name = g_strdup (name);
   org->priority = UINT32_MAX;
   g_ptr_array_add (o->list, org);
+  g_hash_table_insert (o->by_name, org->name, org);
   return org;
 }
 
@@ -111,6 +115,13 @@
   return g_hash_table_lookup (o->by_key, &d);
 }
 
+/* The organisation NAME; NULL: none.  */
+const struct wy_org *
+wy_orgs_find (const struct wy_orgs *o, const char *name)
+{
+  return g_hash_table_lookup (o->by_name, name);
+}
+
 /* Number of organisations in O.  */
 size_t
 wy_orgs_count (const struct wy_orgs *o)
--- a/src/orgs/orgs.h
+++ b/src/orgs/orgs.h
@@ -22,6 +22,7 @@
 void wy_orgs_add_key (struct wy_orgs *o, struct wy_org *org, const char *key);
 const struct wy_org *wy_orgs_find_key (const struct wy_orgs *o,
                                        const char *key);
+const struct wy_org *wy_orgs_find (const struct wy_orgs *o, const char *name);
 size_t wy_orgs_count (const struct wy_orgs *o);
 size_t wy_orgs_key_count (const struct wy_orgs *o);
 
--- /dev/null
+++ b/tests/test_decide_turn.c
@@ -0,0 +1,32 @@
+/* Whose items are started first.  */
+#include <criterion/criterion.h>
+
+#include "decide/job_turn.h"
+
+Test (job_turn, order)
+{
+  static const struct
+  {
+    struct wy_job_turn first;
+    struct wy_job_turn second;
+  } rows[] = {
+    /* The organisation's priority goes before the route's, and before age. */
+    { { 0, 5, 200 }, { 1, 0, 100 } },
+    /* Without one the route's counts.  */
+    { { UINT32_MAX, 1, 200 }, { UINT32_MAX, 2, 100 } },
+    { { UINT32_MAX, 0, 200 }, { 1, 0, 100 } },
+    /* Among equal organisations the route's decides.  */
+    { { 1, 1, 200 }, { 1, 2, 100 } },
+    /* Among equals the older job.  */
+    { { 1, 1, 100 }, { 1, 1, 200 } },
+  };
+
+  for (size_t i = 0; i < sizeof rows / sizeof *rows; i++)
+    {
+      cr_expect_lt (wy_job_turn_compare (&rows[i].first, &rows[i].second), 0,
+                    "row %zu", i);
+      cr_expect_gt (wy_job_turn_compare (&rows[i].second, &rows[i].first), 0,
+                    "row %zu", i);
+      cr_expect_eq (wy_job_turn_compare (&rows[i].first, &rows[i].first), 0);
+    }
+}
