--- a/src/config/template.c
+++ b/src/config/template.c
@@ -11,10 +11,18 @@
 
 static const char text_sample[] = "127.0.0.1:1";
 
+/* The setting that LINE sets; a line that is there only where a value is begins
+   with the place that says so.  */
 static const struct wy_setting *
 setting_of (const char *line, const struct wy_setting *table, size_t n)
 {
-  size_t key = strcspn (line, ": ");
+  const char *close
+      = g_str_has_prefix (line, "{{#") ? strstr (line, "}}") : NULL;
+  size_t key;
+
+  if (close)
+    line = close + 2;
+  key = strcspn (line, ": ");
 
   for (size_t i = 0; i < n; i++)
     if (strlen (table[i].key) == key && !strncmp (table[i].key, line, key))
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -62,6 +62,7 @@
                                         .peers = addresses[PEERS],
                                         .metrics = addresses[METRICS],
                                         .store = store,
+                                        .platform = "",
                                         .seeds = g_ptr_array_new (),
                                         .object_bytes = 1 << 20,
                                         .row_bytes = 1 << 16,
