--- a/src/ctl/explain.c
+++ b/src/ctl/explain.c
@@ -33,6 +33,7 @@
   GHashTable *targets;
   GHashTable *services;
   GHashTable *processes;
+  bool of_usage; /* the story of a window of usage */
   uint32_t unreadable;
   double from_s;
   double to_s;
@@ -123,6 +124,7 @@
     s->from_s = l->t_s;
   if (l->t_s > s->to_s)
     s->to_s = l->t_s;
+  s->of_usage = s->of_usage || g_str_has_prefix (l->event, "usage.");
   remember (s->processes, text_of (l, "process"));
   remember (s->targets, text_of (l, "target"));
   remember (s->jobs, text_of (l, "job"));
@@ -216,7 +218,7 @@
       || g_str_has_prefix (l->event, "config."))
     return g_hash_table_contains (s->processes, text_of (l, "process"));
   return !strcmp (l->event, "entry.gone")
-         || g_str_has_prefix (l->event, "duties.");
+         || (s->of_usage && g_str_has_prefix (l->event, "duties."));
 }
 
 static void
--- a/tests/test_explain.c
+++ b/tests/test_explain.c
@@ -71,6 +71,48 @@
       "target=t1 outcome=broken_off\n");
 }
 
+static const char duties[]
+    = "{\"t\":10.0,\"process\":\"g1\",\"incarnation\":\"a\","
+      "\"event\":\"usage.reported\",\"window\":7,\"generation\":1}\n"
+      "{\"t\":10.5,\"process\":\"g1\",\"incarnation\":\"a\","
+      "\"event\":\"duties.lost\",\"generation\":1}\n"
+      "{\"t\":10.6,\"process\":\"g1\",\"incarnation\":\"a\","
+      "\"event\":\"job.ended\",\"id\":\"acme/j7\"}\n"
+      "{\"t\":11.0,\"process\":\"g2\",\"incarnation\":\"b\","
+      "\"event\":\"usage.reported\",\"window\":7,\"generation\":2}\n";
+
+static int
+explain_duties (const char *id)
+{
+  struct wy_ctl ctl = { 0 };
+  char *args[] = { (char *)id, paths[0] };
+
+  write_file (paths[0], duties);
+  return wy_ctl_explain (&ctl, args, 2);
+}
+
+/* The story of a window holds who held the duties.  */
+Test (explain, window_of_usage, .init = cr_redirect_stdout)
+{
+  cr_expect_eq (explain_duties ("7"), WY_CTL_OK);
+  fflush (stdout);
+  cr_expect_stdout_eq_str (
+      "   +0.000  g1                       usage.reported       window=7 "
+      "generation=1\n"
+      "   +0.500  g1                       duties.lost          generation=1\n"
+      "   +1.000  g2                       usage.reported       window=7 "
+      "generation=2\n");
+}
+
+/* A job is found by the name that its caller knows.  */
+Test (explain, job_of_an_organisation, .init = cr_redirect_stdout)
+{
+  cr_expect_eq (explain_duties ("j7"), WY_CTL_OK);
+  fflush (stdout);
+  cr_expect_stdout_eq_str ("   +0.000  g1                       job.ended"
+                           "            id=acme/j7\n");
+}
+
 Test (explain, nothing_known_is_said)
 {
   cr_expect_eq (explain ("nobody"), WY_CTL_FAILED);
