--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -5,10 +5,8 @@
 #include <string.h>
 
 #include "gate/answer.h"
-#include "gate/proxy.h"
 #include "gate/status.h"
 #include "platform/replica_wire.h"
-#include "platform/request_wire.h"
 #include "trace/note.h"
 
 /* Beside the metrics, where wyctl asks.  */
@@ -28,10 +26,6 @@
      process ends.  */
   HAND_OVER_SHARE = 2,
   END_MARGIN_MS = 1200,
-  RETRY_AFTER_MS = 500,
-  /* A configuration is the present one if the store said so within this time:
-     twice the time between two of its answers while nothing changes.  */
-  CONFIG_FRESH_MS = 2000,
   /* Connections to one target that a gate may have though its share of the
      limit is less.  */
   CONNECTIONS_MIN = 1,
@@ -69,121 +63,6 @@
          && wy_watch_is_synced (g->replicas);
 }
 
-static bool
-config_is_fresh (const struct wy_gate *g)
-{
-  int64_t age_ms = wy_watch_age_ms (g->operator_rows);
-
-  return age_ms >= 0 && age_ms <= CONFIG_FRESH_MS;
-}
-
-static const char *
-credential_name (enum wy_credential c)
-{
-  static const char *const names[] = { "none", "malformed", "several", "key" };
-
-  return names[c];
-}
-
-/* The request that INFO tells of is not admitted.  */
-static void
-refuse_access (struct wy_gate *g, struct wy_h1_request *r,
-               const struct wy_request_info *info, enum wy_access access)
-{
-  int status = access == WY_ACCESS_UNAUTHORIZED ? 401
-               : access == WY_ACCESS_NO_ROUTE   ? 404
-                                                : 503;
-  const char *reason = access == WY_ACCESS_UNAUTHORIZED ? "no_valid_key"
-                       : access == WY_ACCESS_NO_ROUTE   ? "no_route"
-                                                        : "config_may_be_old";
-
-  wy_note ("request.ended",
-           "id=%s outcome=refused status=%d reason=%s credential=%s "
-           "config=%lld config_age_ms=%lld",
-           info->id ? info->id : "", status, reason,
-           credential_name (info->credential),
-           (long long)g->env.routing->version,
-           (long long)wy_watch_age_ms (g->operator_rows));
-  if (access == WY_ACCESS_UNAUTHORIZED)
-    wy_refuse_unauthorized (r, reason);
-  else
-    wy_refuse (r, status, reason,
-               access == WY_ACCESS_NOT_SURE ? RETRY_AFTER_MS : 0);
-}
-
-static enum wy_access
-decide_access (const struct wy_gate *g, const struct wy_request_info *info,
-               enum wy_route_access route, const struct wy_org **org)
-{
-  struct wy_access_query q = { .orgs = g->env.routing->orgs,
-                               .credential = info->credential,
-                               .key = info->key,
-                               .route = route,
-                               .config_is_fresh = config_is_fresh (g) };
-
-  return wy_access_decide (&q, org);
-}
-
-/* Calls on a job name no route.  One that was submitted without a key is found
-   without one.  */
-static void
-call_job (struct wy_gate *g, struct wy_h1_request *r,
-          const struct wy_request_info *info, struct wy_job_call *call)
-{
-  bool open
-      = info->host && wy_routing_has_public_jobs (g->env.routing, info->host);
-  const struct wy_org *org;
-  enum wy_access access = decide_access (
-      g, info, open ? WY_ROUTE_ACCESS_PUBLIC : WY_ROUTE_ACCESS_KEYED, &org);
-
-  if (access != WY_ACCESS_ADMIT)
-    refuse_access (g, r, info, access);
-  else
-    wy_jobs_call (g->jobs, r, org ? org->name : "", call);
-}
-
-static void
-on_caller (void *ctx, struct wy_h1_request *r)
-{
-  struct wy_gate *g = ctx;
-  struct wy_request_info info;
-  struct wy_job_call call;
-  const struct wy_route *route;
-  const struct wy_org *org;
-  enum wy_access access;
-
-  wy_request_read (wy_h1_head (r), &info);
-  if (!g->env.routing)
-    {
-      wy_note ("request.ended",
-               "id=%s outcome=refused status=503 "
-               "reason=no_config",
-               info.id ? info.id : "");
-      wy_refuse (r, 503, "no_config", RETRY_AFTER_MS);
-      return;
-    }
-  wy_job_call_read (wy_h1_method (r), wy_h1_target (r), wy_h1_head (r), &call);
-  if (call.kind != WY_JOB_CALL_NONE)
-    {
-      call_job (g, r, &info, &call);
-      return;
-    }
-  route = info.host
-              ? wy_routing_match (g->env.routing, info.host, wy_h1_target (r))
-              : NULL;
-  access = decide_access (g, &info,
-                          !route             ? WY_ROUTE_ACCESS_UNKNOWN
-                          : route->is_public ? WY_ROUTE_ACCESS_PUBLIC
-                                             : WY_ROUTE_ACCESS_KEYED,
-                          &org);
-  if (!route || access != WY_ACCESS_ADMIT)
-    refuse_access (g, r, &info, access);
-  else if (route->kind == WY_ROUTE_JOB && !strcmp (wy_h1_method (r), "POST"))
-    wy_jobs_accept (g->jobs, r, org ? org->name : "", config_is_fresh (g));
-  else
-    wy_proxy_start (&g->env, r, route, org);
-}
-
 static void
 on_ready_check (void *ctx, struct wy_h1_request *r)
 {
@@ -287,7 +166,7 @@
 start_servers (struct wy_gate *g)
 {
   const struct wy_gate_settings *s = g->o.settings;
-  int err = listen_at (g, &g->callers, s->callers, on_caller);
+  int err = listen_at (g, &g->callers, s->callers, wy_gate_on_caller);
 
   if (!err)
     err = listen_at (g, &g->ready, s->ready, on_ready_check);
--- a/src/gate/gate_state.h
+++ b/src/gate/gate_state.h
@@ -87,6 +87,7 @@
   bool stopped;
 };
 
+void wy_gate_on_caller (void *ctx, struct wy_h1_request *r);
 int wy_gate_start_duties (struct wy_gate *g);
 void wy_gate_stop_duties (struct wy_gate *g);
 void wy_gate_free_duties (struct wy_gate *g);
