Names that cannot stand in a header field are no organisations; fuzz targets for keys and counts

A name with a line break in a configuration would have become a field of its own at replicas. The fuzzers read credentials, stored counts and configurations with organisations; their check of a job call looks at the name that the caller gave, which is read there now, instead of the key that is made of it later.

--- a/fuzz/fuzz_platform.c
+++ b/fuzz/fuzz_platform.c
@@ -6,9 +6,11 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "duties/usage_count.h"
 #include "gate/events.h"
 #include "jobs/record.h"
 #include "platform/config_wire.h"
+#include "platform/duty_wire.h"
 #include "platform/job_wire.h"
 #include "platform/replica_wire.h"
 #include "platform/request_wire.h"
@@ -16,7 +18,7 @@
 
 enum
 {
-  DECODERS = 9
+  DECODERS = 11
 };
 
 int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
@@ -99,12 +101,42 @@
 
   wy_h1_head_init (&head);
   wy_job_call_read ("GET", target, &head, &c);
-  if (c.kind != WY_JOB_CALL_NONE && !*c.job)
+  if (c.kind != WY_JOB_CALL_NONE && !*c.name)
     abort ();
   wy_h1_head_clear (&head);
   g_free (target);
 }
 
+/* A key is as it stands behind its scheme, and never empty.  */
+static void
+credential (const char *p, size_t n)
+{
+  char *value = g_strndup (p, n);
+  struct wy_h1_head head;
+  struct wy_request_info info;
+
+  wy_h1_head_init (&head);
+  wy_h1_head_url (&head, "/", 1);
+  wy_h1_head_name (&head, "Authorization", strlen ("Authorization"));
+  wy_h1_head_value (&head, value, strlen (value));
+  wy_request_read (&head, &info);
+  if ((info.credential == WY_CREDENTIAL_KEY) != (info.key != NULL)
+      || (info.key && (!*info.key || !strstr (value, info.key))))
+    abort ();
+  wy_h1_head_clear (&head);
+  g_free (value);
+}
+
+static void
+usage (const char *p, size_t n)
+{
+  GHashTable *sum = wy_usage_counts_table ();
+
+  wy_usage_counts_add (sum, p, n);
+  g_free (wy_usage_report_body (1, sum));
+  g_hash_table_destroy (sum);
+}
+
 int
 LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
 {
@@ -143,6 +175,12 @@
     case 7:
       record (p, size);
       break;
+    case 8:
+      credential (p, size);
+      break;
+    case 9:
+      usage (p, size);
+      break;
     default:
       wy_result_free (wy_result_decode (p, size));
       call (p, size);
--- a/tests/test_orgs.c
+++ b/tests/test_orgs.c
@@ -162,7 +162,8 @@
   wy_routing_free (r);
   r = decode (",\"tenants\":[{\"name\":\"a\",\"accessKeys\":[\"k1\",\"k2\"],"
               "\"priority\":1},{\"name\":\"b\",\"accessKeys\":[\"k3\",7]},"
-              "{\"accessKeys\":[\"k4\"]}]");
+              "{\"accessKeys\":[\"k4\"]},"
+              "{\"name\":\"x\\r\\nOther: 1\",\"accessKeys\":[\"k4\"]}]");
   cr_expect_eq (wy_orgs_count (r->orgs), 2);
   cr_expect_eq (wy_orgs_key_count (r->orgs), 3);
   org = wy_orgs_find_key (r->orgs, "k2");
