--- /dev/null
+++ b/tests/test_members_time.c
@@ -0,0 +1,84 @@
+/* What entries tell each other of the time, of usage and of load.  */
+#include <criterion/criterion.h>
+#include <stdio.h>
+
+#include "gate/members.h"
+#include "support/platform_world.h"
+
+enum
+{
+  EPOCH_MS = 1000000,
+  STEP_MS = 4000,
+  ENTRIES = 7
+};
+
+static struct platform_world w;
+static struct wy_members *members;
+
+static void
+tell (int entry, int64_t epoch_ms, int64_t window, double busy)
+{
+  char node[16];
+  char value[256];
+
+  snprintf (node, sizeof node, "e%d", entry);
+  snprintf (value, sizeof value,
+            "{\"holder\":\"%s/1\",\"address\":\"127.0.0.1:1\","
+            "\"epoch_ms\":%lld,\"usage_complete\":%lld,"
+            "\"busy\":{\"svc/z1\":%.2f}}",
+            node, (long long)epoch_ms, (long long)window, busy);
+  wy_platform_store_put (w.store, WY_MEMBERS_TABLE, "0", node, value);
+}
+
+static bool
+knows_all (void *ctx)
+{
+  return wy_members_alive (members) > ENTRIES
+         && wy_members_epoch_ms (members) != 0;
+}
+
+static void
+start (void)
+{
+  struct wy_members_options o = { .env = &w.env, .address = "127.0.0.1:2" };
+
+  platform_world_init (&w);
+  platform_world_add_env (&w, "own");
+  platform_world_set_routing (&w, WY_ROUTE_IDEMPOTENT, 1);
+  members = wy_members_new (&o);
+}
+
+static void
+stop (void)
+{
+  wy_members_free (members);
+  platform_world_free (&w);
+}
+
+/* The clocks of two entries have stepped.  Guards against windows of usage
+   that shift with them.  */
+Test (members_time, stepped_clocks)
+{
+  start ();
+  for (int i = 0; i < ENTRIES; i++)
+    tell (i, EPOCH_MS + (i < 2 ? STEP_MS : i), 7, 0);
+  cr_assert (platform_world_until (&w, knows_all, NULL));
+  platform_world_run_ms (&w, 300);
+  cr_expect_geq (wy_members_epoch_ms (members), EPOCH_MS);
+  cr_expect_leq (wy_members_epoch_ms (members), EPOCH_MS + ENTRIES);
+  stop ();
+}
+
+/* A window is complete when it is for each entry alive that counts.  */
+Test (members_time, usage_complete)
+{
+  start ();
+  wy_members_tell_usage (members, 9);
+  for (int i = 0; i < ENTRIES; i++)
+    tell (i, EPOCH_MS, i == 3 ? 6 : i == 4 ? -1 : 8, 0.5);
+  cr_assert (platform_world_until (&w, knows_all, NULL));
+  cr_expect_eq (wy_members_usage_complete (members), 6);
+  cr_expect_float_eq (wy_members_busy (members, "svc", "z1"), 3.5, 0.001);
+  cr_expect_eq (wy_members_busy (members, "svc", "z2"), 0);
+  stop ();
+}
