--- a/src/config/template.c
+++ b/src/config/template.c
@@ -11,8 +11,8 @@
 
 static const char text_sample[] = "127.0.0.1:1";
 
-/* The setting that LINE sets; a line that is there only where a value is begins
-   with the place that says so.  */
+/* The setting that LINE sets; a line that is there only where a value is
+   begins with the place that says so.  */
 static const struct wy_setting *
 setting_of (const char *line, const struct wy_setting *table, size_t n)
 {
