An entry that is not ready refuses requests as not run

Cause: an entry that had just started served callers as soon as it knew some targets, before its configuration was in force and before it told that it was ready. Names were refused for good (404) in the same span.

Change: such an entry answers 503 with a time to come back, and tells that it is ready before the first request that it takes. The new test was seen red on the code before.

--- a/src/entry/callers.c
+++ b/src/entry/callers.c
@@ -7,6 +7,7 @@
 
 #include "entry/problem.h"
 #include "entry/request.h"
+#include "entry/status.h"
 
 enum
 {
@@ -81,6 +82,22 @@
   return true;
 }
 
+/* Whether E may serve the caller of EX; else the caller is answered: an entry
+   that has just started knows neither names nor targets for certain.  */
+bool
+wy_caller_admitted (struct wy_entry *e, struct wy_http_exchange *ex)
+{
+  struct wy_problem p = { .reason = WY_REASON_NO_CONFIG, .ran = WY_RAN_NO };
+
+  if (e->stopping || wy_entry_ready (e))
+    {
+      wy_entry_tell_ready (e);
+      return true;
+    }
+  wy_problem_send (ex, &p);
+  return false;
+}
+
 /* Take from the headers of EX what says how R is to be treated.  Answers EX
    and returns false when they make no sense; R is then still the
    caller's.  */
--- a/src/entry/callers.h
+++ b/src/entry/callers.h
@@ -12,6 +12,7 @@
   struct wy_request *request;
 };
 
+bool wy_caller_admitted (struct wy_entry *e, struct wy_http_exchange *ex);
 bool wy_caller_head (struct wy_request *r, struct wy_http_exchange *ex);
 void wy_caller_open (struct wy_request *r, struct wy_http_exchange *ex,
                      const struct wy_sink *sink);
--- a/src/entry/completions.c
+++ b/src/entry/completions.c
@@ -108,6 +108,8 @@
   struct wy_problem unknown = { .reason = WY_REASON_UNKNOWN_NAME };
   struct wy_request *r;
 
+  if (!wy_caller_admitted (e, ex))
+    return NULL;
   if (!l || !l->is_model)
     {
       wy_problem_send (ex, &unknown);
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -117,8 +117,9 @@
     wy_peer_sweep (value, now_ms);
 }
 
-static void
-tell_ready (struct wy_entry *e)
+/* Tell once that E is ready, if it is.  */
+void
+wy_entry_tell_ready (struct wy_entry *e)
 {
   if (e->ready_told || !wy_entry_ready (e))
     return;
@@ -161,7 +162,7 @@
     wy_suspect_rows_sweep (e->suspect_rows, now_ms);
   if (e->issue_rows)
     wy_issue_rows_sweep (e->issue_rows);
-  tell_ready (e);
+  wy_entry_tell_ready (e);
   if (e->stopping && (now_ms >= e->stop_limit_ms || is_done (e)))
     finish_stop (e);
 }
--- a/src/entry/services.c
+++ b/src/entry/services.c
@@ -138,6 +138,11 @@
   const char *body;
   size_t n;
 
+  if (!wy_caller_admitted (e, ex))
+    {
+      g_free (name);
+      return;
+    }
   if (!l || l->is_model)
     {
       wy_problem_send (ex, &unknown);
--- a/tests/test_entry_path.c
+++ b/tests/test_entry_path.c
@@ -4,6 +4,7 @@
 
 #include <jansson.h>
 
+#include "entry/state.h"
 #include "support/entry_world.h"
 
 #define PROMPT "{\"model\":\"m\",\"prompt\":\"hello\",\"max_tokens\":2}"
@@ -39,6 +40,28 @@
   world_end (&w);
 }
 
+/* An entry has just started and does not know its targets or configuration
+   yet. Guards against requests that are served, or refused for good, on what
+   it happens to know.  */
+Test (entry_path, not_ready_is_told)
+{
+  struct world w;
+  struct caller c;
+
+  world_start (&w, 1, false);
+  w.list_down = true;
+  w.entry->list_known = false;
+  call_start (&c, &w, "POST", "/v1/completions", NULL, 0, PROMPT);
+  call_wait (&c);
+  cr_expect_eq (c.status, 503, "%s", c.body->str);
+  cr_expect_not_null (c.retry_after);
+  cr_expect (call_says (&c, "no_config"));
+  cr_expect_eq (world_events (&w, "request.received"), 0);
+  call_free (&c);
+  w.list_down = false;
+  world_end (&w);
+}
+
 Test (entry_path, streamed_completion)
 {
   struct world w;
