Test entries keep the address that their calls name

The test's entries named the platform in a buffer of a function that had returned; under the sanitizers the bytes were others by the time of a call, the stand-in answered 400 and no window was reported.

--- a/tests/support/duty_world.c
+++ b/tests/support/duty_world.c
@@ -108,10 +108,9 @@
                                       .on_acquired = on_acquired,
                                       .on_lost = on_lost,
                                       .ctx = e };
-  char address[32];
   struct wy_duty_calls_options c = { .loop = &duty_world.loop,
                                      .clock = &e->clock,
-                                     .address = address,
+                                     .address = e->platform,
                                      .node = node };
   struct wy_usage_options u = { .loop = &duty_world.loop,
                                 .clock = &e->clock,
@@ -129,7 +128,7 @@
   e->clock.boottime = own_boottime;
   e->alive = true;
   snprintf (e->holder, sizeof e->holder, "%s/%03d", node, starts++);
-  snprintf (address, sizeof address, "127.0.0.1:%u",
+  snprintf (e->platform, sizeof e->platform, "127.0.0.1:%u",
             wy_platform_duties_port (duty_platform));
   e->http = wy_h1_client_new (&h);
   r.http = e->http;
--- a/tests/support/duty_world.h
+++ b/tests/support/duty_world.h
@@ -19,6 +19,7 @@
   struct wy_clock clock; /* must stay first */
   int64_t slept_ms;      /* that the monotonic time has not counted */
   char holder[32];
+  char platform[32]; /* address */
   struct wy_duty_holder *duties;
   struct wy_duty_calls *calls;
   struct wy_usage *usage;
