--- a/src/h1/client.c
+++ b/src/h1/client.c
@@ -103,7 +103,7 @@
   k->framed = false;
   k->headed = false;
   k->keep_ms = 0;
-  k->since_ms = uv_now (c->loop);
+  k->sweeps = 0;
   k->link.data = k;
   g_queue_push_tail_link (&c->connecting, &k->link);
   wy_h1_head_reset (&k->head);
@@ -152,17 +152,24 @@
     }
 }
 
+/* Fail the calls whose connections have not opened in time.  The time is
+   counted in sweeps, between which the loop polls the sockets, and not by the
+   clock: after a stall of this process the clock has advanced, but the loop
+   has not yet seen which connections opened meanwhile.  */
 static void
-sweep_connecting (struct wy_h1_client *c, uint64_t now_ms)
+sweep_connecting (struct wy_h1_client *c)
 {
-  GList *l = c->connecting.head;
+  GList *l;
 
+  for (l = c->connecting.head; l; l = l->next)
+    ((struct wy_h1_call *)l->data)->sweeps++;
+  l = c->connecting.head;
   while (l)
     {
       struct wy_h1_call *k = l->data;
 
       l = l->next;
-      if (k->connected || now_ms - k->since_ms < c->connect_timeout_ms)
+      if (k->connected || k->sweeps * SWEEP_MS <= c->connect_timeout_ms)
         continue;
       wy_h1_call_fail (k, WY_H1_ECONNECT);
       /* Its owner may have ended other calls.  */
@@ -178,7 +185,7 @@
   GHashTableIter it;
   gpointer p;
 
-  sweep_connecting (c, now_ms);
+  sweep_connecting (c);
   if (++c->sweeps % IDLE_SWEEPS)
     return;
   g_hash_table_iter_init (&it, c->peers);
@@ -235,6 +242,16 @@
   *out = c->stats;
 }
 
+/* Close the idle connections to A.  */
+void
+wy_h1_client_close_idle (struct wy_h1_client *c, const struct sockaddr_in *a)
+{
+  struct wy_h1_peer *p = peer_of (c, a);
+
+  if (p)
+    sweep_idle (p, UINT64_MAX);
+}
+
 /* Connections to A that are open and carry no call.  */
 uint32_t
 wy_h1_client_idle_to (const struct wy_h1_client *c,
--- a/src/h1/client.h
+++ b/src/h1/client.h
@@ -68,6 +68,8 @@
                          struct wy_h1_client_stats *out);
 uint32_t wy_h1_client_idle_to (const struct wy_h1_client *c,
                                const struct sockaddr_in *a);
+void wy_h1_client_close_idle (struct wy_h1_client *c,
+                              const struct sockaddr_in *a);
 
 struct wy_h1_call *wy_h1_call_start (struct wy_h1_client *c,
                                      const struct wy_h1_call_options *o);
--- a/src/h1/client_state.h
+++ b/src/h1/client_state.h
@@ -34,8 +34,8 @@
   bool complete; /* its answer is in */
   bool dirty;    /* not to be used again */
   bool closing;
-  uint64_t since_ms;
-  GList link; /* in the peer's idle list */
+  uint32_t sweeps; /* since the call started */
+  GList link;      /* in the peer's idle list */
 };
 
 struct wy_h1_peer
--- a/tests/test_h1.c
+++ b/tests/test_h1.c
@@ -105,12 +105,24 @@
       uv_close ((uv_handle_t *)&raw.conns[i], NULL);
 }
 
+enum
+{
+  STALL_MS = 700, /* longer than the time to connect */
+  US_PER_MS = 1000
+};
+
 static struct platform_answer *
-ask (uint16_t port)
+start_call (uint16_t port)
 {
   static const struct wy_h1_pair host = { "Host", "h" };
-  struct platform_answer *a
-      = platform_world_call (&w, port, "GET", "/", &host, 1, NULL);
+
+  return platform_world_call (&w, port, "GET", "/", &host, 1, NULL);
+}
+
+static struct platform_answer *
+ask (uint16_t port)
+{
+  struct platform_answer *a = start_call (port);
 
   cr_assert (platform_world_until (&w, platform_answer_done, a));
   return a;
@@ -198,6 +210,26 @@
   platform_world_free (&w);
 }
 
+/* The process stalls for longer than the time to connect while a connection
+   opens.  The call must use the connection and not fail.  */
+Test (h1, stall_while_connecting)
+{
+  struct platform_answer *a;
+  uint16_t port;
+
+  platform_world_init (&w);
+  port = raw_start ("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  platform_world_run_ms (&w, 5);
+  a = start_call (port);
+  usleep (STALL_MS * US_PER_MS);
+  cr_assert (platform_world_until (&w, platform_answer_done, a));
+  cr_expect_eq (a->err, 0, "%d", a->err);
+  cr_expect_eq (a->status, 200);
+  platform_answer_free (a);
+  raw_stop ();
+  platform_world_free (&w);
+}
+
 /* A replica closes an idle connection.  The next request must not be sent
    into it.  */
 Test (h1, closed_idle_connection_is_not_used)
