Treat a replica that restarts under its id as a new one

Cause: of what is observed of a replica, a restart reset only the failures and the pause after them. Refusals, reported load, pace and unanswered requests of the former process still counted, and idle connections led to it. An orderer detected a restart only by a lower count of orders: if both processes had accepted none, it waited 1.5 s (ORDER_RETRY_MS) for the order under way.

Change: a restart resets everything observed of the replica and closes the idle connections to its address; a replica that was draining does not count as crashed. The orderer compares start times and clears the order under way.

--- a/src/gate/follow.c
+++ b/src/gate/follow.c
@@ -103,6 +103,21 @@
     wy_note ("request.held_back", "target=%s requests=%u", id, n);
 }
 
+/* The target T has restarted under the same id, as its entry INFO shows.
+   Idle connections lead to the former process: a request on one would fail, or
+   wait for its time limit if the former host lost power.  */
+static void
+target_restarted (struct wy_gate *g, const struct wy_target *t,
+                  const struct wy_replica *info)
+{
+  wy_note ("target.restarted", "id=%s started_ms=%lld started_before_ms=%lld",
+           info->id, (long long)info->started_ms,
+           (long long)t->info.started_ms);
+  if (!t->info.draining)
+    target_crashed (g, info->id);
+  wy_h1_client_close_idle (g->env.http, &t->info.address);
+}
+
 static void
 on_replica_row (void *ctx, const struct wy_row *row)
 {
@@ -135,7 +150,7 @@
              info.service, info.availability_zone, info.draining,
              (long long)row->version);
   if (t && t->info.started_ms != info.started_ms)
-    target_crashed (g, row->key);
+    target_restarted (g, t, &info);
   wy_targets_set (g->env.targets, &info);
   if (g->jobs)
     wy_jobs_targets_changed (g->jobs);
--- a/src/gate/targets.c
+++ b/src/gate/targets.c
@@ -104,6 +104,21 @@
   g_free (g);
 }
 
+/* Discard what was observed of G's process before it restarted.  Requests to
+   the former process stay in the in-flight count until they end.  */
+static void
+reset_observations (struct wy_target *g)
+{
+  g->failures = 0;
+  g->refusals = 0;
+  g->unanswered = 0;
+  g->avoid_until_ms = 0;
+  g->reported_load = 0;
+  g->in_flight_then = 0;
+  g->reported_ms = 0;
+  memset (g->pace, 0, sizeof g->pace);
+}
+
 /* Take in the entry INFO of a replica.  */
 struct wy_target *
 wy_targets_set (struct wy_targets *t, const struct wy_replica *info)
@@ -126,10 +141,7 @@
       n_known = g->info.n_models;
     }
   if (g->info.started_ms != info->started_ms)
-    {
-      g->failures = 0;
-      g->avoid_until_ms = 0;
-    }
+    reset_observations (g);
   g->info = *info;
   g->listed = true;
   /* Entries lag behind what answers have told: versions only rise.  */
--- a/src/orders/orderer.c
+++ b/src/orders/orderer.c
@@ -127,6 +127,16 @@
                        (gssize)n);
 }
 
+/* Whether the replica restarted between the reports BEFORE and NOW.  The count
+   of orders alone is not enough: both processes may have accepted none.  */
+static bool
+is_restart (const struct wy_replica_report *before,
+            const struct wy_replica_report *now)
+{
+  return now->started_ms != before->started_ms
+         || now->orders_accepted < before->orders_accepted;
+}
+
 static void
 learn_report (struct wy_orderer_daemon *d)
 {
@@ -141,10 +151,15 @@
                d->answer->len);
       return;
     }
-  if (d->reported_ms && r.orders_accepted < d->report.orders_accepted)
-    wy_note ("target.restarted", "id=%s orders=%lld before=%lld", d->id,
-             (long long)r.orders_accepted,
-             (long long)d->report.orders_accepted);
+  if (d->reported_ms && is_restart (&d->report, &r))
+    {
+      wy_note ("target.restarted",
+               "id=%s orders=%lld before=%lld started_ms=%lld", d->id,
+               (long long)r.orders_accepted,
+               (long long)d->report.orders_accepted, (long long)r.started_ms);
+      /* The order was lost with the process that accepted it.  */
+      d->ordered = NULL;
+    }
   d->report = r;
   d->reported_ms = now_ms;
   if (!d->ordered)
--- a/src/standin/platform_replica.c
+++ b/src/standin/platform_replica.c
@@ -1,13 +1,11 @@
 /* Stand-in of a replica on the platform.  An event's data depends on its
    number alone, so a text put together from several runs can be checked.  */
-#include "standin/platform_replica.h"
+#include "standin/platform_replica_state.h"
 
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include <jansson.h>
-
 enum
 {
   HEADER_LIMIT_BYTES = 65536,
@@ -31,30 +29,6 @@
   bool stall;
 };
 
-struct wy_platform_replica
-{
-  struct wy_platform_replica_options o;
-  struct wy_h1_server *server;
-  uv_timer_t load;
-  int64_t version;
-  int64_t loading; /* version; 0: none */
-  int64_t orders;
-  int64_t last_resume;
-  uint32_t runs;
-  uint32_t running;
-  uint32_t answers; /* of plain requests */
-  struct wy_platform_replica_faults faults;
-};
-
-static bool
-take (uint32_t *count)
-{
-  if (*count == 0)
-    return false;
-  (*count)--;
-  return true;
-}
-
 /* Data of the event number EVENT.  */
 const char *
 wy_platform_replica_text (uint32_t event, char *out, size_t size)
@@ -141,7 +115,8 @@
   char load[48];
   struct wy_h1_pair fields[]
       = { { "Content-Type", "text/event-stream" },
-          { "Attempt-Id", take (&r->faults.foreign) ? "another" : id },
+          { "Attempt-Id",
+            wy_platform_take_fault (&r->faults.foreign) ? "another" : id },
           { "Response-Stamp", "stamp" },
           { "Server-Load", load },
           { "Weight-Versions", version } };
@@ -154,8 +129,8 @@
   u->request = q;
   u->version = r->version;
   u->next = r->last_resume + 1;
-  u->cut = take (&r->faults.cuts);
-  u->stall = take (&r->faults.stalls);
+  u->cut = wy_platform_take_fault (&r->faults.cuts);
+  u->stall = wy_platform_take_fault (&r->faults.stalls);
   snprintf (version, sizeof version, "%lld", (long long)r->version);
   snprintf (load, sizeof load, "%u,0,%u", r->running, r->o.slots);
   wy_h1_begin (q, 200, fields, G_N_ELEMENTS (fields));
@@ -165,65 +140,6 @@
   wy_h1_on_hangup (q, on_gone, u);
 }
 
-static void
-report (struct wy_platform_replica *r, struct wy_h1_request *q)
-{
-  json_t *doc = json_pack ("{s:[{s:s, s:I}], s:b, s:I}", "models", "name",
-                           r->o.model ? r->o.model : "", "version",
-                           (json_int_t)r->version, "busy", r->loading != 0,
-                           "sequence", (json_int_t)r->orders);
-  char *text = json_dumps (doc, JSON_COMPACT);
-
-  wy_h1_respond (q, 200, NULL, 0, text, strlen (text));
-  free (text);
-  json_decref (doc);
-}
-
-static void
-on_loaded (uv_timer_t *t)
-{
-  struct wy_platform_replica *r = t->data;
-
-  r->version = r->loading;
-  r->loading = 0;
-}
-
-static int
-take_order (struct wy_platform_replica *r, json_t *doc)
-{
-  int64_t version = json_integer_value (json_object_get (doc, "version"));
-  json_t *expected = json_object_get (doc, "expectedRevision");
-
-  if (!json_is_string (json_object_get (doc, "holder"))
-      || !json_is_integer (json_object_get (doc, "fencingToken")))
-    return 400;
-  if (r->loading
-      || (json_is_integer (expected)
-          && json_integer_value (expected) != r->orders))
-    return 409;
-  if (r->version == version)
-    return 200;
-  r->orders++;
-  r->loading = version;
-  uv_timer_start (&r->load, on_loaded, r->faults.order_load_ms, 0);
-  return 202;
-}
-
-static void
-order (struct wy_platform_replica *r, struct wy_h1_request *q)
-{
-  size_t n;
-  const char *body = wy_h1_body (q, &n);
-  json_t *doc = json_loadb (body, n, 0, NULL);
-  int status = take_order (r, doc);
-
-  json_decref (doc);
-  if (take (&r->faults.lose_orders))
-    wy_h1_break (q);
-  else
-    wy_h1_respond (q, status, NULL, 0, "", 0);
-}
-
 /* A plain request that is being worked on.  */
 struct plain_run
 {
@@ -265,7 +181,8 @@
   char load[48];
   char mark[160];
   struct wy_h1_pair fields[3]
-      = { { "Attempt-Id", take (&r->faults.foreign) ? "another" : u->id },
+      = { { "Attempt-Id",
+            wy_platform_take_fault (&r->faults.foreign) ? "another" : u->id },
           { "Server-Load", load },
           { "Response-Stamp", mark } };
 
@@ -276,7 +193,8 @@
   wy_h1_on_hangup (u->request, NULL, NULL);
   /* The body comes back, so that a caller can tell its own answer.  */
   wy_h1_respond (u->request, u->status, fields,
-                 take (&r->faults.unstamped) ? 2 : 3, body, n);
+                 wy_platform_take_fault (&r->faults.unstamped) ? 2 : 3, body,
+                 n);
   end_plain (u);
 }
 
@@ -300,7 +218,7 @@
   uv_timer_init (r->o.loop, &u->timer);
   u->timer.data = u;
   wy_h1_on_hangup (q, on_plain_gone, u);
-  if (take (&r->faults.hang))
+  if (wy_platform_take_fault (&r->faults.hang))
     return;
   if (r->faults.answer_ms)
     uv_timer_start (&u->timer, on_plain_timer, r->faults.answer_ms, 0);
@@ -329,22 +247,27 @@
 
   if (target && strcmp (target, r->o.id) != 0)
     wy_h1_respond (q, 421, NULL, 0, "", 0);
-  else if (!id || take (&r->faults.refuse)
+  else if (!id || wy_platform_take_fault (&r->faults.refuse)
            || (r->o.model && r->running >= r->o.slots))
     wy_h1_respond (q, id ? 503 : 400, &not_run, 1, "", 0);
-  else if (take (&r->faults.lose))
+  else if (wy_platform_take_fault (&r->faults.lose))
     {
       r->runs++;
       tell_run (r, head, id, "", 0);
       wy_h1_break (q);
     }
-  else if (take (&r->faults.never))
+  else if (wy_platform_take_fault (&r->faults.never))
     plain (r, q, 422, id);
-  else if (take (&r->faults.fail))
+  else if (wy_platform_take_fault (&r->faults.fail))
     {
       r->runs++;
       plain (r, q, 500, id);
     }
+  else if (wy_platform_take_fault (&r->faults.ran_503))
+    {
+      r->runs++;
+      plain (r, q, 503, id);
+    }
   else if (r->o.model)
     {
       tell_run (r, head, id, "", 0);
@@ -375,9 +298,9 @@
   if (r->faults.silent)
     return;
   if (!strcmp (t, "/api/report"))
-    report (r, q);
+    wy_platform_replica_report (r, q);
   else if (!strcmp (t, "/api/order"))
-    order (r, q);
+    wy_platform_replica_order (r, q);
   else
     run (r, q);
 }
@@ -400,6 +323,7 @@
 
   r->o = *o;
   r->version = 1;
+  r->started_ms = 1;
   if (wy_h1_server_new (&r->server, &h))
     {
       g_free (r);
@@ -432,24 +356,6 @@
   return &r->faults;
 }
 
-/* R's entry in the list of replicas, in STATE; the caller frees it.  */
-char *
-wy_platform_replica_entry (const struct wy_platform_replica *r,
-                           const char *service, const char *state,
-                           const char *address)
-{
-  char *own = g_strdup_printf ("127.0.0.1:%u", wy_platform_replica_port (r));
-  char *entry = g_strdup_printf (
-      "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z1\","
-      "\"version\":\"v1\",\"slots\":%u,\"state\":\"%s\","
-      "\"models\":[{\"name\":\"%s\",\"version\":%lld}],\"sequence\":1}",
-      service, address ? address : own, r->o.slots, state,
-      r->o.model ? r->o.model : "", (long long)r->version);
-
-  g_free (own);
-  return entry;
-}
-
 /* Requests and items that have begun to run.  */
 uint32_t
 wy_platform_replica_runs (const struct wy_platform_replica *r)
@@ -471,28 +377,6 @@
   return wy_h1_server_connections (r->server);
 }
 
-/* Orders accepted.  */
-uint32_t
-wy_platform_replica_orders (const struct wy_platform_replica *r)
-{
-  return (uint32_t)r->orders;
-}
-
-/* Version of the weights in force.  */
-int64_t
-wy_platform_replica_version (const struct wy_platform_replica *r)
-{
-  return r->version;
-}
-
-/* Put other weights in force.  */
-void
-wy_platform_replica_set_version (struct wy_platform_replica *r,
-                                 int64_t version)
-{
-  r->version = version;
-}
-
 /* The event behind which the last stream was asked to go on.  */
 int64_t
 wy_platform_replica_last_resume (const struct wy_platform_replica *r)
--- a/src/standin/platform_replica.h
+++ b/src/standin/platform_replica.h
@@ -14,6 +14,7 @@
   uint32_t stalls;      /* streams that stand still after one event */
   uint32_t refuse;      /* turned away as not run */
   uint32_t fail;        /* answered 500 */
+  uint32_t ran_503;     /* run, and answered 503, not marked as not run */
   uint32_t never;       /* answered 422 */
   uint32_t foreign;     /* answered as if to another request */
   uint32_t unstamped;   /* without the mark of a replica's answer */
@@ -67,6 +68,7 @@
 int64_t wy_platform_replica_version (const struct wy_platform_replica *r);
 void wy_platform_replica_set_version (struct wy_platform_replica *r,
                                       int64_t version);
+void wy_platform_replica_restart (struct wy_platform_replica *r);
 int64_t wy_platform_replica_last_resume (const struct wy_platform_replica *r);
 const char *wy_platform_replica_text (uint32_t event, char *out, size_t size);
 
--- /dev/null
+++ b/src/standin/platform_replica_orders.c
@@ -0,0 +1,133 @@
+/* Stand-in of a replica: its report, its entry and the orders it takes.  */
+#include "standin/platform_replica_state.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+/* Whether a fault is due; if so, decrement its remaining COUNT.  */
+bool
+wy_platform_take_fault (uint32_t *count)
+{
+  if (*count == 0)
+    return false;
+  (*count)--;
+  return true;
+}
+
+/* Answer Q with R's report on itself.  */
+void
+wy_platform_replica_report (struct wy_platform_replica *r,
+                            struct wy_h1_request *q)
+{
+  json_t *doc
+      = json_pack ("{s:[{s:s, s:I}], s:b, s:I, s:I}", "models", "name",
+                   r->o.model ? r->o.model : "", "version",
+                   (json_int_t)r->version, "busy", r->loading != 0, "sequence",
+                   (json_int_t)r->orders, "born", (json_int_t)r->started_ms);
+  char *text = json_dumps (doc, JSON_COMPACT);
+
+  wy_h1_respond (q, 200, NULL, 0, text, strlen (text));
+  free (text);
+  json_decref (doc);
+}
+
+static void
+on_loaded (uv_timer_t *t)
+{
+  struct wy_platform_replica *r = t->data;
+
+  r->version = r->loading;
+  r->loading = 0;
+}
+
+static int
+take_order (struct wy_platform_replica *r, json_t *doc)
+{
+  int64_t version = json_integer_value (json_object_get (doc, "version"));
+  json_t *expected = json_object_get (doc, "expectedRevision");
+
+  if (!json_is_string (json_object_get (doc, "holder"))
+      || !json_is_integer (json_object_get (doc, "fencingToken")))
+    return 400;
+  if (r->loading
+      || (json_is_integer (expected)
+          && json_integer_value (expected) != r->orders))
+    return 409;
+  if (r->version == version)
+    return 200;
+  r->orders++;
+  r->loading = version;
+  uv_timer_start (&r->load, on_loaded, r->faults.order_load_ms, 0);
+  return 202;
+}
+
+/* Take the order Q and answer it.  */
+void
+wy_platform_replica_order (struct wy_platform_replica *r,
+                           struct wy_h1_request *q)
+{
+  size_t n;
+  const char *body = wy_h1_body (q, &n);
+  json_t *doc = json_loadb (body, n, 0, NULL);
+  int status = take_order (r, doc);
+
+  json_decref (doc);
+  if (wy_platform_take_fault (&r->faults.lose_orders))
+    wy_h1_break (q);
+  else
+    wy_h1_respond (q, status, NULL, 0, "", 0);
+}
+
+/* R's entry in the list of replicas, in STATE; the caller frees it.  */
+char *
+wy_platform_replica_entry (const struct wy_platform_replica *r,
+                           const char *service, const char *state,
+                           const char *address)
+{
+  char *own = g_strdup_printf ("127.0.0.1:%u", wy_platform_replica_port (r));
+  char *entry = g_strdup_printf (
+      "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z1\","
+      "\"version\":\"v1\",\"slots\":%u,\"state\":\"%s\","
+      "\"models\":[{\"name\":\"%s\",\"version\":%lld}],\"sequence\":1,"
+      "\"born\":%lld}",
+      service, address ? address : own, r->o.slots, state,
+      r->o.model ? r->o.model : "", (long long)r->version,
+      (long long)r->started_ms);
+
+  g_free (own);
+  return entry;
+}
+
+/* Orders accepted.  */
+uint32_t
+wy_platform_replica_orders (const struct wy_platform_replica *r)
+{
+  return (uint32_t)r->orders;
+}
+
+/* Version of the weights in force.  */
+int64_t
+wy_platform_replica_version (const struct wy_platform_replica *r)
+{
+  return r->version;
+}
+
+/* Put other weights in force.  */
+void
+wy_platform_replica_set_version (struct wy_platform_replica *r,
+                                 int64_t version)
+{
+  r->version = version;
+}
+
+/* Restart R under its id: it loses its orders and keeps its weights.  */
+void
+wy_platform_replica_restart (struct wy_platform_replica *r)
+{
+  uv_timer_stop (&r->load);
+  r->loading = 0;
+  r->orders = 0;
+  r->started_ms++;
+}
--- /dev/null
+++ b/src/standin/platform_replica_state.h
@@ -0,0 +1,29 @@
+/* Internal state of the stand-in of a replica, platform_replica*.c.  */
+#ifndef WY_STANDIN_PLATFORM_REPLICA_STATE_H
+#define WY_STANDIN_PLATFORM_REPLICA_STATE_H
+
+#include "standin/platform_replica.h"
+
+struct wy_platform_replica
+{
+  struct wy_platform_replica_options o;
+  struct wy_h1_server *server;
+  uv_timer_t load;
+  int64_t version;
+  int64_t loading; /* version; 0: none */
+  int64_t orders;
+  int64_t started_ms;
+  int64_t last_resume;
+  uint32_t runs;
+  uint32_t running;
+  uint32_t answers; /* of plain requests */
+  struct wy_platform_replica_faults faults;
+};
+
+bool wy_platform_take_fault (uint32_t *count);
+void wy_platform_replica_report (struct wy_platform_replica *r,
+                                 struct wy_h1_request *q);
+void wy_platform_replica_order (struct wy_platform_replica *r,
+                                struct wy_h1_request *q);
+
+#endif
--- a/tests/test_gate_decide.c
+++ b/tests/test_gate_decide.c
@@ -93,6 +93,44 @@
   wy_targets_free (t);
 }
 
+/* A replica that failed, was slow and was full restarts under its id.  What
+   was observed of the former process must not keep work from the new one, and
+   the former's weights must not count as loaded.  */
+Test (targets, restart_resets_observations)
+{
+  struct wy_targets *t = wy_targets_new (1);
+  struct wy_target *g = add (t, "a");
+  struct wy_replica restarted = g->info;
+  static const struct wy_pick text = {
+    .service = "svc", .model = "m", .min_version = 2, .work = WY_WORK_EVENT
+  };
+
+  wy_target_saw_version (g, "m", 2);
+  wy_target_paced (g, WY_WORK_EVENT, 900, 10);
+  wy_target_loaded (g, SLOTS, 10);
+  wy_target_started (g);
+  wy_target_started (g);
+  wy_target_ended (t, g, WY_TARGET_BROKEN, 10);
+  wy_target_started (g);
+  wy_target_ended (t, g, WY_TARGET_FULL, 10);
+  cr_assert_null (wy_targets_pick (t, &any, 20));
+  restarted.started_ms = 5;
+  cr_assert_eq (wy_targets_set (t, &restarted), g);
+  cr_expect_eq (wy_targets_pick (t, &any, 20), g);
+  cr_expect_null (wy_targets_pick (t, &text, 20));
+  cr_expect_eq (g->failures, 0);
+  cr_expect_eq (g->refusals, 0);
+  cr_expect_eq (g->unanswered, 0);
+  cr_expect_eq (g->reported_ms, 0);
+  for (int k = 0; k < WY_WORKS; k++)
+    cr_expect_eq (g->pace[k].ms, 0);
+  /* The former process's request still counts until it ends.  */
+  cr_expect_eq (g->in_flight, 1);
+  wy_target_ended (t, g, WY_TARGET_BROKEN, 30);
+  cr_expect_eq (g->in_flight, 0);
+  wy_targets_free (t);
+}
+
 /* A service answers people and scores texts, which takes eight times as long.
    A replica that has scored lately must not look slow to people, nor one that
    is slow at it good to the next text.  */
--- a/tests/test_orders.c
+++ b/tests/test_orders.c
@@ -68,6 +68,21 @@
   return wy_platform_replica_version (w.replicas[0]) == *(int64_t *)ctx;
 }
 
+static int64_t ordered_ms;
+
+static bool
+has_ordered (void *ctx)
+{
+  ordered_ms = d->ordered_ms;
+  return d->ordered && wy_platform_replica_orders (w.replicas[0]) == 1;
+}
+
+static bool
+has_cleared_order (void *ctx)
+{
+  return !d->ordered || d->ordered_ms != ordered_ms;
+}
+
 static bool
 loads (int64_t version)
 {
@@ -137,6 +152,23 @@
   stop ();
 }
 
+/* The replica accepts an order and restarts before it has loaded, under the
+   same id and with the count of orders that the orderer last saw.  The version
+   must be ordered again at once and not after the order's retry interval.  */
+Test (orders, restart_clears_order_under_way)
+{
+  start ();
+  wy_platform_replica_faults (w.replicas[0])->order_load_ms = 60000;
+  name_version (2);
+  cr_assert (platform_world_until (&w, has_ordered, NULL));
+  wy_platform_replica_faults (w.replicas[0])->order_load_ms = 0;
+  wy_platform_replica_restart (w.replicas[0]);
+  cr_assert (platform_world_until (&w, has_cleared_order, NULL));
+  cr_expect_lt (wy_orderer_now_ms (d) - ordered_ms, 1500);
+  cr_expect (loads (2));
+  stop ();
+}
+
 /* The store is away when the process starts.  Without a generation it must
    not order; when the store is back, it does.  */
 Test (orders, no_order_without_a_generation)
--- a/tests/test_platform_wire.c
+++ b/tests/test_platform_wire.c
@@ -13,6 +13,10 @@
   "{\"service\":" service ",\"address\":" address ",\"zone\":\"z\","          \
   "\"state\":" state ",\"slots\":" slots "}"
 
+#define ENTRY_BORN(born)                                                      \
+  "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","            \
+  "\"state\":\"ready\",\"slots\":4,\"born\":" born "}"
+
 /* Entries come from other writers too.  One that can't be read must name no
    replica, and say which field is wrong.  */
 Test (wire, replica_entries)
@@ -33,6 +37,10 @@
     { ENTRY ("\"s\"", "\"host:80\"", "\"ready\"", "4"), "address" },
     { ENTRY ("{}", "\"10.0.0.1:80\"", "\"ready\"", "4"), "service" },
     { ENTRY ("\"\"", "\"10.0.0.1:80\"", "\"ready\"", "4"), "service" },
+    { ENTRY_BORN ("17"), NULL },
+    { ENTRY_BORN ("\"17\""), "born" },
+    { ENTRY_BORN ("17.5"), "born" },
+    { ENTRY_BORN ("null"), "born" },
     { "{", "json" },
     { "[]", "json" },
     { "\xff\xfe", "json" },
