Refuse a request as not run only if the attempt proves it

Cause: several branches of the proxy decided whether a request may have run, and one was wrong: a replica's 503, 429 or 408 that did not say that the request had not run was passed on, or kept as the best answer, although callers take these statuses to mean that it has not run.

An unclear refusal counts as run: idempotent requests go to another replica, others end with 502.

--- a/src/gate/proxy.c
+++ b/src/gate/proxy.c
@@ -10,6 +10,7 @@
 
 #include <string.h>
 
+#include "decide/attempt.h"
 #include "platform/request_wire.h"
 #include "trace/note.h"
 
@@ -165,25 +166,32 @@
 {
   struct wy_try *t = ctx;
   struct wy_proxied *p = t->p;
-  bool sent = wy_h1_call_sent (t->call);
   int status = t->answer ? t->answer->status : 0;
+  struct wy_attempt a = { .sent = wy_h1_call_sent (t->call),
+                          .complete = !err,
+                          .spoilt = t->bad,
+                          .not_run = t->not_run,
+                          .status = status };
+  bool ran = wy_attempt_may_have_run (&a);
 
   t->call = NULL;
-  if (err == WY_H1_ECONNECT && !sent)
-    try_failed (t, WY_TARGET_BROKEN, false, "no_connection");
+  if (!a.sent)
+    try_failed (t, WY_TARGET_BROKEN, ran, "no_connection");
   else if (err)
     {
       if (!t->answer)
         wy_crash_watch_broken (&p->env->crashes, wy_proxy_fingerprint (p),
                                t->target->info.id, wy_proxy_now_ms (p));
-      try_failed (t, WY_TARGET_BROKEN, true,
+      try_failed (t, WY_TARGET_BROKEN, ran,
                   err == WY_H1_EPARTIAL ? "cut_short" : "broken_off");
     }
   else if (t->bad)
-    try_failed (t, WY_TARGET_BROKEN, true, "spoilt_answer");
+    try_failed (t, WY_TARGET_BROKEN, ran, "spoilt_answer");
   else if (t->not_run)
-    try_failed (t, status == 421 ? WY_TARGET_ELSEWHERE : WY_TARGET_FULL, false,
+    try_failed (t, status == 421 ? WY_TARGET_ELSEWHERE : WY_TARGET_FULL, ran,
                 status == 421 ? "not_there" : "full");
+  else if (wy_attempt_is_unclear_refusal (&a) && !p->streaming)
+    try_failed (t, WY_TARGET_ANSWERED, ran, "unclear_refusal");
   else if (p->streaming && wy_events_in_midst (&p->events))
     try_failed (t, WY_TARGET_BROKEN, true, "cut_short");
   else if (status >= 500 && !p->streaming && is_repeatable (p)
--- a/src/gate/proxy_end.c
+++ b/src/gate/proxy_end.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "base/id.h"
+#include "decide/attempt.h"
 #include "trace/note.h"
 
 enum
@@ -186,7 +187,7 @@
 wy_proxy_give_up (struct wy_proxied *p, bool late, const char *reason)
 {
   struct wy_h1_request *r = p->request;
-  int status = !p->may_have_run ? 503 : late ? 504 : 502;
+  int status = wy_status_of_failure (p->may_have_run, late);
   uint32_t after_ms = retry_after_ms (reason);
 
   p->request = NULL;
--- a/tests/test_proxy.c
+++ b/tests/test_proxy.c
@@ -77,7 +77,8 @@
   FAIL,
   LOSE,
   FOREIGN,
-  UNSTAMPED
+  UNSTAMPED,
+  RAN_503
 };
 
 static const struct
@@ -99,6 +100,8 @@
   { FOREIGN, WY_ROUTE_NON_IDEMPOTENT, 502, 1 },
   { UNSTAMPED, WY_ROUTE_IDEMPOTENT, 200, 2 },
   { UNSTAMPED, WY_ROUTE_NON_IDEMPOTENT, 502, 1 },
+  { RAN_503, WY_ROUTE_IDEMPOTENT, 200, 2 },
+  { RAN_503, WY_ROUTE_NON_IDEMPOTENT, 502, 1 },
 };
 
 static void
@@ -123,6 +126,9 @@
     case UNSTAMPED:
       f->unstamped = 1;
       break;
+    case RAN_503:
+      f->ran_503 = 1;
+      break;
     }
 }
 
