Count traffic with the store by table

Cause: the traffic of an entry with the store was counted in calls only, so the metrics did not show which table's traffic grows with the square of the fleet.

Change: the store client counts calls, rows and bytes by table, and an entry exports them as metrics (wy_gate_store_table_calls_total, wy_gate_store_rows_read_total, wy_gate_store_read_bytes_total, wy_gate_store_written_bytes_total).

--- a/src/gate/gate_state.h
+++ b/src/gate/gate_state.h
@@ -58,6 +58,10 @@
   int64_t *usage_forced;
   int64_t *scale_orders;
   struct wy_family *store_ended; /* by verb and outcome */
+  struct wy_family *table_calls; /* by table */
+  struct wy_family *table_rows_read;
+  struct wy_family *table_read_bytes;
+  struct wy_family *table_written_bytes;
 };
 
 struct wy_gate
--- a/src/gate/gauges.c
+++ b/src/gate/gauges.c
@@ -109,6 +109,18 @@
   v->store_ended = wy_metrics_counters (m, "wy_gate_store_calls_ended_total",
                                         "Calls to the store by how they ended",
                                         WY_GATE_LABEL_SETS);
+  v->table_calls = wy_metrics_counters (m, "wy_gate_store_table_calls_total",
+                                        "Calls to the store by table",
+                                        WY_GATE_LABEL_SETS);
+  v->table_rows_read
+      = wy_metrics_counters (m, "wy_gate_store_rows_read_total",
+                             "Rows read by table", WY_GATE_LABEL_SETS);
+  v->table_read_bytes = wy_metrics_counters (
+      m, "wy_gate_store_read_bytes_total",
+      "Bytes of the store's answers by table", WY_GATE_LABEL_SETS);
+  v->table_written_bytes = wy_metrics_counters (
+      m, "wy_gate_store_written_bytes_total",
+      "Bytes sent to the store by table", WY_GATE_LABEL_SETS);
   v->organisations
       = wy_metrics_gauge (m, "wy_gate_organisations",
                           "Organisations of the configuration in force");
@@ -152,6 +164,22 @@
       }
 }
 
+static void
+read_traffic (struct wy_gate_gauges *v, const struct wy_traffic *t)
+{
+  for (uint32_t i = 0; i < t->n_tables; i++)
+    {
+      const struct wy_table_traffic *c = &t->tables[i];
+      char *table = wy_label ("table", c->table);
+
+      *wy_family_counter (v->table_calls, table) = c->calls;
+      *wy_family_counter (v->table_rows_read, table) = c->rows_read;
+      *wy_family_counter (v->table_read_bytes, table) = c->read_bytes;
+      *wy_family_counter (v->table_written_bytes, table) = c->written_bytes;
+      g_free (table);
+    }
+}
+
 static void
 read_duties (const struct wy_gate *g)
 {
@@ -195,6 +223,7 @@
   *v->items_scoring = work.scoring;
   *v->items_unlisted = work.unlisted;
   read_store_calls (v, &rows);
+  read_traffic (v, &rows.traffic);
   *v->jobs_known = wy_jobs_is_synced (g->jobs);
   *v->entries = g->env.entries;
   *v->entries_age_ms = wy_members_age_ms (g->members);
--- a/src/rows/call.c
+++ b/src/rows/call.c
@@ -87,12 +87,25 @@
   s->now_offset_ms = MAX (s->now_offset_ms, s->offset_max_ms);
 }
 
+static void
+count_traffic (struct wy_rows_call *k, const struct wy_rows_result *r)
+{
+  struct wy_table_traffic *t
+      = wy_traffic_of (&k->store->stats.traffic, k->table);
+
+  t->calls++;
+  t->rows_read += r->n;
+  t->read_bytes += k->answer->len;
+  t->written_bytes += k->body_size_bytes;
+}
+
 static void
 deliver (struct wy_rows_call *k, const struct wy_rows_result *r)
 {
   wy_rows_cb *cb = k->cb;
   void *ctx = k->ctx;
 
+  count_traffic (k, r);
   if (r->now_ms)
     learn_time (k->store, r->now_ms);
   if (k->forward_cb)
@@ -322,13 +335,14 @@
 
 /* A call that is still to be started; takes TARGET over.  */
 struct wy_rows_call *
-wy_rows_call_new (struct wy_rows *s, enum wy_store_verb verb, char *target,
-                  wy_rows_cb *cb, void *ctx)
+wy_rows_call_new (struct wy_rows *s, enum wy_store_verb verb,
+                  const char *table, char *target, wy_rows_cb *cb, void *ctx)
 {
   struct wy_rows_call *k = g_new0 (struct wy_rows_call, 1);
 
   k->store = s;
   k->verb = verb;
+  k->table = g_intern_string (table);
   k->method = wy_store_method (verb);
   k->target = target;
   k->answer = g_string_new (NULL);
--- a/src/rows/rows.h
+++ b/src/rows/rows.h
@@ -16,6 +16,7 @@
 #include <uv.h>
 
 #include "base/clock.h"
+#include "rows/traffic.h"
 
 enum wy_rows_error
 {
@@ -108,6 +109,7 @@
   uint64_t relay_failed;
   bool direct_ok;
   uint64_t ended[WY_ROWS_VERBS][WY_ROWS_ENDS];
+  struct wy_traffic traffic;
 };
 
 struct wy_rows;
--- a/src/rows/store.c
+++ b/src/rows/store.c
@@ -4,6 +4,10 @@
 
 #include <string.h>
 
+/* Names under which calls without a table are counted.  */
+#define OBJECTS "(objects)"
+#define FORWARDED "(forwarded)"
+
 enum
 {
   /* The store is away when the direct path fails and no answer has come on any
@@ -19,9 +23,9 @@
 wy_rows_get (struct wy_rows *s, const struct wy_rows_range *range,
              wy_rows_cb *cb, void *ctx)
 {
-  wy_rows_call_start (
-      wy_rows_call_new (s, WY_STORE_GET, wy_store_get_target (range), cb, ctx),
-      NULL, 0);
+  wy_rows_call_start (wy_rows_call_new (s, WY_STORE_GET, range->table,
+                                        wy_store_get_target (range), cb, ctx),
+                      NULL, 0);
 }
 
 /* List the parts of TABLE that follow AFTER (NULL: from the first).  */
@@ -29,7 +33,7 @@
 wy_rows_parts (struct wy_rows *s, const char *table, const char *after,
                wy_rows_cb *cb, void *ctx)
 {
-  wy_rows_call_start (wy_rows_call_new (s, WY_STORE_PARTS,
+  wy_rows_call_start (wy_rows_call_new (s, WY_STORE_PARTS, table,
                                         wy_store_parts_target (table, after),
                                         cb, ctx),
                       NULL, 0);
@@ -41,20 +45,29 @@
               uint32_t wait_ms, wy_rows_cb *cb, void *ctx)
 {
   struct wy_rows_call *k = wy_rows_call_new (
-      s, WY_STORE_FEED, wy_store_feed_target (table, after, wait_ms), cb, ctx);
+      s, WY_STORE_FEED, table, wy_store_feed_target (table, after, wait_ms),
+      cb, ctx);
 
   k->deadline_ms = wy_clock_mono_ms (s->clock) + wait_ms + FEED_SLACK_MS;
   wy_rows_call_start (k, NULL, 0);
 }
 
+static const char *
+table_of (const struct wy_rows_tx *tx)
+{
+  if (tx->n_writes)
+    return tx->writes->table;
+  return tx->n_removals ? tx->removals->table : "";
+}
+
 /* Perform TX.  After WY_ROWS_ECONFLICT the result holds the rows of the
    conditions as they are.  */
 void
 wy_rows_tx (struct wy_rows *s, const struct wy_rows_tx *tx, wy_rows_cb *cb,
             void *ctx)
 {
-  struct wy_rows_call *k
-      = wy_rows_call_new (s, WY_STORE_TX, wy_store_tx_target (), cb, ctx);
+  struct wy_rows_call *k = wy_rows_call_new (s, WY_STORE_TX, table_of (tx),
+                                             wy_store_tx_target (), cb, ctx);
   char *body = wy_store_tx_body (tx);
 
   wy_rows_call_start (k, body, strlen (body));
@@ -67,7 +80,7 @@
                     size_t n, wy_rows_cb *cb, void *ctx)
 {
   wy_rows_call_start (
-      wy_rows_call_new (s, WY_STORE_PUT_OBJECT,
+      wy_rows_call_new (s, WY_STORE_PUT_OBJECT, OBJECTS,
                         wy_store_object_target (WY_STORE_PUT_OBJECT, name), cb,
                         ctx),
       p, n);
@@ -79,7 +92,7 @@
                     void *ctx)
 {
   wy_rows_call_start (
-      wy_rows_call_new (s, WY_STORE_GET_OBJECT,
+      wy_rows_call_new (s, WY_STORE_GET_OBJECT, OBJECTS,
                         wy_store_object_target (WY_STORE_GET_OBJECT, name), cb,
                         ctx),
       NULL, 0);
@@ -91,7 +104,7 @@
                      void *ctx)
 {
   wy_rows_call_start (
-      wy_rows_call_new (s, WY_STORE_DROP_OBJECT,
+      wy_rows_call_new (s, WY_STORE_DROP_OBJECT, OBJECTS,
                         wy_store_object_target (WY_STORE_DROP_OBJECT, name),
                         cb, ctx),
       NULL, 0);
@@ -114,7 +127,7 @@
       on_done (ctx, 404, "", 0);
       return;
     }
-  k = wy_rows_call_new (s, verb, g_strdup (target), NULL, ctx);
+  k = wy_rows_call_new (s, verb, FORWARDED, g_strdup (target), NULL, ctx);
   k->forward_cb = on_done;
   if (verb == WY_STORE_FEED)
     k->deadline_ms += (int64_t)wy_store_feed_wait_ms (target) + FEED_SLACK_MS;
--- a/src/rows/store_state.h
+++ b/src/rows/store_state.h
@@ -15,6 +15,7 @@
   struct wy_rows *store;
   struct wy_h1_call *http;
   enum wy_store_verb verb;
+  const char *table; /* interned; the call is counted under it */
   char *target;
   const char *method;
   char *body; /* NULL: none */
@@ -50,7 +51,8 @@
 };
 
 struct wy_rows_call *wy_rows_call_new (struct wy_rows *s,
-                                       enum wy_store_verb verb, char *target,
+                                       enum wy_store_verb verb,
+                                       const char *table, char *target,
                                        wy_rows_cb *cb, void *ctx);
 void wy_rows_call_start (struct wy_rows_call *k, const void *body, size_t n);
 void wy_rows_call_free (struct wy_rows_call *k);
