Key lag rows by lag and read all pages of watched parts

Cause: each entry kept its own row for the observed lag of a model's jobs, and each orderer reads all rows of a model for each version: the cost grew with the product of entries and orderers, and the list was cut off at 500 rows. A watch on all parts of a table read only the first page of each part.

Change: lag rows are keyed by the lag, so a model has as many rows as distinct lags were observed; a watch reads all pages of a part.

Result: tests lag::rows_do_not_grow_with_entries, watch::parts_of_several_pages (500 of 1,200 rows before).

--- a/src/jobs/lag.c
+++ b/src/jobs/lag.c
@@ -1,8 +1,9 @@
 /* How far behind the newest weights the jobs of a model may lie.
 
    The bound is not configured anywhere: it shows in what trainers ask for.
-   Each entry keeps a row of its own for each model, so that none overwrites
-   what another has seen; the least of the fresh rows holds.  */
+   A model has a row for each observed lag, with the time at which an entry
+   last observed it; the least of the fresh rows applies.  Each orderer reads
+   all rows of a model, so their number must not grow with the entries.  */
 #include "jobs/lag.h"
 
 #include <stdio.h>
@@ -103,11 +104,13 @@
 static void
 tell (struct wy_lags *l, struct lag *g, const char *model, int64_t now_ms)
 {
+  char key[24];
   char value[96];
   struct wy_row_write w
-      = { .table = WY_LAG_TABLE, .key = l->env->node, .value = value };
+      = { .table = WY_LAG_TABLE, .key = key, .value = value };
   struct wy_rows_tx tx = { .part = model, .writes = &w, .n_writes = 1 };
 
+  snprintf (key, sizeof key, "%lld", (long long)g->least);
   snprintf (value, sizeof value, "{\"lag\":%lld,\"at_ms\":%lld}",
             (long long)g->least,
             (long long)wy_rows_store_now_ms (l->env->rows));
--- a/src/rows/watch.c
+++ b/src/rows/watch.c
@@ -41,13 +41,49 @@
   bool reading_parts; /* some are to be read again */
   bool synced;
   bool calling;
+  uint32_t pending_calls; /* unanswered calls to the store */
+  bool timer_closed;
   bool closing;
 };
 
+static void
+free_if_idle (struct wy_watch *w)
+{
+  if (w->pending_calls || !w->timer_closed)
+    return;
+  g_hash_table_destroy (w->known);
+  g_ptr_array_set_free_func (w->parts, g_free);
+  g_ptr_array_free (w->parts, TRUE);
+  g_free (w->from);
+  g_free (w);
+}
+
+static void
+on_timer_closed (uv_handle_t *h)
+{
+  struct wy_watch *w = h->data;
+
+  w->timer_closed = true;
+  free_if_idle (w);
+}
+
+/* Account for the end of a call of W.  Returns false if W is closing; it may
+   have been freed then.  */
+static bool
+finish_call (struct wy_watch *w)
+{
+  w->pending_calls--;
+  if (!w->closing)
+    return true;
+  free_if_idle (w);
+  return false;
+}
+
 struct part_read
 {
   struct wy_watch *watch;
   char *part;
+  char *from; /* start of the page; NULL: first page */
   uint64_t generation;
 };
 
@@ -86,6 +122,13 @@
   schedule (w, due_ms > now_ms ? (uint32_t)(due_ms - now_ms) : 0);
 }
 
+/* The least key after that of ROW; the caller frees it.  */
+static char *
+next_key (const struct wy_row *row)
+{
+  return g_strconcat (row->key, "\x01", NULL);
+}
+
 static char *
 key_of (const struct wy_row *row)
 {
@@ -167,7 +210,7 @@
 {
   struct wy_watch *w = ctx;
 
-  if (w->closing)
+  if (!finish_call (w))
     return;
   if (r->err)
     {
@@ -188,12 +231,24 @@
       return;
     }
   g_free (w->from);
-  /* The least key behind the last one.  */
-  w->from = g_strconcat (r->rows[r->n - 1].key, "\x01", NULL);
+  w->from = next_key (&r->rows[r->n - 1]);
   schedule (w, 0);
 }
 
 static void read_parts (struct wy_watch *w);
+static void on_part (void *ctx, const struct wy_rows_result *r);
+
+static void
+read_part_page (struct part_read *p)
+{
+  struct wy_watch *w = p->watch;
+  struct wy_rows_range range
+      = { .table = w->o.table, .part = p->part, .from = p->from };
+
+  w->reading++;
+  w->pending_calls++;
+  wy_rows_get (w->o.rows, &range, on_part, p);
+}
 
 static void
 on_part (void *ctx, const struct wy_rows_result *r)
@@ -202,7 +257,7 @@
   struct wy_watch *w = p->watch;
 
   w->reading--;
-  if (!w->closing && p->generation == w->generation)
+  if (finish_call (w) && p->generation == w->generation)
     {
       if (r->err)
         {
@@ -211,8 +266,16 @@
         }
       for (size_t i = 0; i < r->n; i++)
         tell (w, &r->rows[i]);
+      if (!r->err && r->more && r->n)
+        {
+          g_free (p->from);
+          p->from = next_key (&r->rows[r->n - 1]);
+          read_part_page (p);
+          return;
+        }
       read_parts (w);
     }
+  g_free (p->from);
   g_free (p->part);
   g_free (p);
 }
@@ -227,14 +290,11 @@
   while (!w->read_failed && w->parts->len && w->reading < PART_READS_AT_ONCE)
     {
       struct part_read *p = g_new0 (struct part_read, 1);
-      struct wy_rows_range range = { .table = w->o.table };
 
       p->watch = w;
       p->generation = w->generation;
       p->part = g_ptr_array_steal_index_fast (w->parts, w->parts->len - 1);
-      range.part = p->part;
-      w->reading++;
-      wy_rows_get (w->o.rows, &range, on_part, p);
+      read_part_page (p);
     }
   if (w->reading)
     return;
@@ -253,7 +313,7 @@
 {
   struct wy_watch *w = ctx;
 
-  if (w->closing)
+  if (!finish_call (w))
     return;
   if (r->err)
     {
@@ -281,7 +341,7 @@
 {
   struct wy_watch *w = ctx;
 
-  if (w->closing)
+  if (!finish_call (w))
     return;
   if (r->err == WY_ROWS_EHISTORY)
     {
@@ -317,8 +377,10 @@
     {
       w->reading_parts = false;
       read_parts (w);
+      return;
     }
-  else if (w->synced)
+  w->pending_calls++;
+  if (w->synced)
     wy_rows_feed (w->o.rows, w->o.table, w->version, FEED_WAIT_MS, on_feed, w);
   else if (w->o.all_parts)
     wy_rows_parts (w->o.rows, w->o.table, w->from, on_parts, w);
@@ -344,13 +406,13 @@
   return w;
 }
 
-/* Stop following.  The memory of W stays until the store's client is freed,
-   since a call of it may be under way.  */
+/* Stop following.  The memory of W is released when pending calls have ended.
+ */
 void
 wy_watch_free (struct wy_watch *w)
 {
   w->closing = true;
-  uv_close ((uv_handle_t *)&w->timer, NULL);
+  uv_close ((uv_handle_t *)&w->timer, on_timer_closed);
 }
 
 /* Whether all rows have been told.  */
--- a/tests/test_results.c
+++ b/tests/test_results.c
@@ -1,14 +1,17 @@
 /* Results as rows: cut, read page by page, joined again; lags as told.  */
 #include <criterion/criterion.h>
+#include <stdio.h>
 #include <string.h>
 
 #include "jobs/lag.h"
 #include "jobs/result_rows.h"
+#include "support/platform_world.h"
 
 enum
 {
   ROW_BYTES = 40,
-  RESULTS = 5
+  RESULTS = 5,
+  ENTRIES = 40
 };
 
 static void
@@ -147,3 +150,28 @@
   r.n = 0;
   cr_expect_eq (wy_lag_of (&r), 0);
 }
+
+/* Guards against a row for each entry, all of which every orderer would read
+   for each version.  */
+Test (lag, rows_do_not_grow_with_entries)
+{
+  static struct platform_world w;
+  char node[16];
+  struct wy_lags *lags[ENTRIES];
+
+  platform_world_init (&w);
+  platform_world_add_env (&w, node);
+  for (int i = 0; i < ENTRIES; i++)
+    {
+      snprintf (node, sizeof node, "e%d", i);
+      lags[i] = wy_lags_new (&w.env);
+      wy_lags_named (lags[i], "m", 5);
+      wy_lags_accepted (lags[i], "m", 4);
+      platform_world_run_ms (&w, 5);
+    }
+  platform_world_run_ms (&w, 100);
+  cr_expect_eq (wy_platform_store_count (w.store, WY_LAG_TABLE, "m"), 1);
+  for (int i = 0; i < ENTRIES; i++)
+    wy_lags_free (lags[i]);
+  platform_world_free (&w);
+}
--- a/tests/test_watch.c
+++ b/tests/test_watch.c
@@ -1,5 +1,6 @@
 /* Following a table of the store: lost history, silence, refusals.  */
 #include <criterion/criterion.h>
+#include <stdio.h>
 #include <string.h>
 
 #include "rows/watch.h"
@@ -161,6 +162,31 @@
   return ((struct followed *)ctx)->synced > 0;
 }
 
+/* Guards against a part being cut off after its first page.  */
+Test (watch, parts_of_several_pages)
+{
+  enum
+  {
+    ROWS = 1200
+  };
+  struct followed f;
+  struct wy_watch *t;
+  char key[16];
+
+  start ();
+  for (int i = 0; i < ROWS; i++)
+    {
+      snprintf (key, sizeof key, "k%04d", i);
+      wy_platform_store_put (w.store, "t", "p", key, "v");
+    }
+  t = follow (&f, true);
+  cr_expect (comes (&f, "p/k1199", "v"));
+  cr_expect_eq (g_hash_table_size (f.rows), ROWS);
+  wy_watch_free (t);
+  g_hash_table_destroy (f.rows);
+  platform_world_free (&w);
+}
+
 /* All processes start at once and read a table of many parts; the store
    refuses a third of the reads for the rate.  If each of them then read all
    parts again, the load would grow with every refusal, and for seconds none
