Monitor entries on a ring instead of all by all

Cause: each entry wrote a heartbeat twice a second into one table and followed all of them: n x n rows, 1,062 rows a second for each of 531 entries, however small. The entries that relay calls to the store were the first 32 of a hash table, the same ones for all.

Change: the directory (wy-members, 8 parts) has a row for each entry, which changes when the entry starts, drains, leaves, fails or returns; writes are conditional on the row's version. Heartbeats move to a table of their own (wy-beats, 64 parts by hash). Each entry reads those of 4 successors on a ring of hashes, extends the range past late ones up to 16, and marks the row of one that is silent for 1.6 s. An entry that was marked while alive rewrites its row. Rows of entries that failed a minute ago are removed. Only the holder of the duties follows all heartbeats, for usage and load. The successors also serve as relays. A stopped watch is freed.

Entries of the versions before and after this change do not see each other's heartbeats: during a rolling upgrade across it, jobs may be taken over more than once.

--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -20,6 +20,7 @@
   a=$!
   "$dir/steps" ours >"$run/steps.tsv" &
   b=$!
+  "$dir/membership" ours >"$run/membership.tsv"
   : >"$run/micro.tsv"
   : >"$run/entry_path.tsv"
 else
@@ -27,6 +28,7 @@
   a=$!
   "$dir/steps" >"$run/steps.tsv" &
   b=$!
+  "$dir/membership" >"$run/membership.tsv"
   "$dir/micro" >"$run/micro.tsv"
   "$dir/entry_path" >"$run/entry_path.tsv"
 fi
@@ -35,7 +37,7 @@
 {
   printf 'case\tsize\tpolicy\tfigure\tvalue\n'
   cat "$run/callers.tsv" "$run/steps.tsv" "$run/micro.tsv" \
-    "$run/entry_path.tsv"
+    "$run/entry_path.tsv" "$run/membership.tsv"
 } >"$out"
 awk -F '\t' -v mode="$mode" '
   FNR == 1 { file++; next }
--- a/src/gate/duties.c
+++ b/src/gate/duties.c
@@ -33,6 +33,7 @@
 {
   const struct wy_gate *g = ctx;
 
+  wy_members_follow_load (g->members, true);
   if (g->env.usage)
     wy_usage_acquired (g->env.usage);
   if (g->scaler)
@@ -44,6 +45,7 @@
 {
   const struct wy_gate *g = ctx;
 
+  wy_members_follow_load (g->members, false);
   wy_duty_calls_stop (g->duty_calls);
 }
 
@@ -152,7 +154,8 @@
 
       s->load.busy
           = wy_members_busy (g->members, s->service, s->availability_zone);
-      s->load.complete = age_ms >= 0 && age_ms <= MEMBERS_FRESH_MS;
+      s->load.complete = age_ms >= 0 && age_ms <= MEMBERS_FRESH_MS
+                         && wy_members_load_is_known (g->members);
       fn (arg, s);
     }
   g_hash_table_destroy (z.replicas);
--- a/src/gate/members.c
+++ b/src/gate/members.c
@@ -1,10 +1,10 @@
-/* The entries that are alive.
+/* The directory of entries in the store: writes the row of this entry and
+   follows the rows of the others.
 
-   Each entry writes a row of its own some times a second, and the others see
-   it change.  There is no lease: a job's writes carry its row's version as a
-   condition, so an entry wrongly taken for gone can do no harm, it only
-   loses its jobs.  Silence is counted from answer to answer of the store, else
-   an outage would make everybody gone at once.  */
+   There is no lease: a job's writes are conditional on the version of its row,
+   so an entry wrongly marked as failed can do no harm; it only loses its jobs
+   and rewrites its row.  Writes to the directory are conditional on the row's
+   version too, so a delayed one has no effect.  */
 #include "gate/members_state.h"
 
 #include <stdio.h>
@@ -16,24 +16,14 @@
 #include "base/id.h"
 #include "gate/crash_rows.h"
 #include "platform/replica_wire.h"
-#include "rows/watch.h"
 #include "trace/note.h"
 
 enum
 {
-  /* Parts of the table that heartbeats are spread over.  A part takes some
-     hundred writes a second; and whoever starts reads each part, so with one
-     for each entry all reads of a start of all would grow with the square of
-     their number.  */
-  PARTS = 16,
-  PART_SIZE_BYTES = 8,
-  BEAT_MS = 500,
-  TICK_MS = 200,
-  /* Answers of the store come some times a second.  Where one comes so long
-     after the one before it, the store was away, or this process stood
-     still.  */
-  AWAY_MS = 1100,
-  WATCH_GAP_MS = 250
+  /* Short, since changes are rare and failures must be known quickly.  */
+  WATCH_GAP_MS = 100,
+  /* The row is rewritten when its epoch is off by more.  */
+  EPOCH_TOLERANCE_MS = 50
 };
 
 static void
@@ -44,14 +34,43 @@
   g_strlcpy (out, v ? v : "", WY_MEMBERS_NAME_SIZE_BYTES);
 }
 
+/* The part of the directory and of the addresses that holds POSITION.  */
+void
+wy_members_part (uint64_t position, char out[WY_MEMBERS_PART_SIZE_BYTES])
+{
+  snprintf (out, WY_MEMBERS_PART_SIZE_BYTES, "%u",
+            (unsigned)(position % WY_MEMBERS_PARTS));
+}
+
+/* The key of addresses and heartbeats for POSITION.  Keys sort like positions.
+ */
+void
+wy_members_key (uint64_t position, char out[WY_MEMBERS_KEY_SIZE_BYTES])
+{
+  snprintf (out, WY_MEMBERS_KEY_SIZE_BYTES, "%016llx",
+            (unsigned long long)position);
+}
+
+/* Update the state derived from the directory, once per batch of rows.  */
 static void
-changed (struct wy_members *m)
+on_changed (uv_timer_t *t)
 {
+  struct wy_members *m = t->data;
+
+  m->ring_is_stale = true;
+  wy_members_learn_epoch (m);
   m->o.env->entries = wy_members_alive (m);
   if (m->o.on_change)
     m->o.on_change (m->o.ctx);
 }
 
+static void
+schedule_change (struct wy_members *m)
+{
+  if (!uv_is_active ((uv_handle_t *)&m->change))
+    uv_timer_start (&m->change, on_changed, 0, 0);
+}
+
 static void
 learn_crashes (struct wy_members *m, const struct member *e,
                const json_t *list)
@@ -66,207 +85,225 @@
     wy_note ("request.held_back", "node=%s requests=%u", e->node, n);
 }
 
-static void
-free_member (gpointer p)
+static struct member *
+member_for (struct wy_members *m, const char *node)
 {
-  struct member *e = p;
+  struct member *e = g_hash_table_lookup (m->by_node, node);
 
-  json_decref (e->busy);
-  g_free (e);
-}
-
-static int64_t
-window_of (json_t *v)
-{
-  return json_is_integer (v) ? json_integer_value (v) : -1;
+  if (e)
+    return e;
+  e = g_new0 (struct member, 1);
+  g_strlcpy (e->node, node, sizeof e->node);
+  e->position = wy_hash64 (e->node, strlen (e->node), 0);
+  g_hash_table_insert (m->by_node, e->node, e);
+  return e;
 }
 
 static void
-on_row (void *ctx, const struct wy_row *row)
+decode (struct member *e, json_t *doc)
 {
-  struct wy_members *m = ctx;
-  struct member *e;
-  struct member was = { 0 };
-  json_t *doc;
-  const char *address;
+  const char *address = json_string_value (json_object_get (doc, "address"));
 
-  if (row->deleted)
-    {
-      g_hash_table_remove (m->by_node, row->key);
-      changed (m);
-      return;
-    }
-  doc = json_loadb (row->value, row->size_bytes, 0, NULL);
-  e = g_hash_table_lookup (m->by_node, row->key);
-  if (e)
-    was = *e;
-  else
-    {
-      e = g_new0 (struct member, 1);
-      g_strlcpy (e->node, row->key, sizeof e->node);
-      g_hash_table_insert (m->by_node, e->node, e);
-    }
   copy (doc, "holder", e->holder);
-  address = json_string_value (json_object_get (doc, "address"));
   e->has_address = address && wy_address_parse (address, &e->address);
   e->cpu_share = json_number_value (json_object_get (doc, "cpu_share"));
   e->draining = json_is_true (json_object_get (doc, "draining"));
   e->leaving = json_is_true (json_object_get (doc, "leaving"));
   e->relayed = json_is_true (json_object_get (doc, "relayed"));
-  e->silent_ms = 0;
-  e->usage_complete = window_of (json_object_get (doc, "usage_complete"));
-  json_decref (e->busy);
-  e->busy = json_incref (json_object_get (doc, "busy"));
+  e->failed = json_is_true (json_object_get (doc, "failed"));
   e->epoch_ms = json_integer_value (json_object_get (doc, "epoch_ms"));
-  learn_crashes (m, e, json_object_get (doc, "crashed"));
-  json_decref (doc);
-  if (strcmp (was.holder, e->holder) != 0 || was.leaving != e->leaving
-      || was.silent_ms >= WY_MEMBERS_GONE_AFTER_MS)
-    {
-      /* Those of the first reading are told of together.  */
-      if (wy_watch_is_synced (m->watch))
-        wy_note ("entry.seen", "node=%s holder=%s leaving=%d silent_ms=%lld",
-                 e->node, e->holder, e->leaving, (long long)was.silent_ms);
-      changed (m);
-    }
 }
 
-/* The store, or this process, was away, and the others' beats with it: they
-   have their whole time to be heard of again.  Counted on from before, all of
-   them would be gone some beats after an outage, and their jobs be taken over
-   all at once.  */
 static void
-count_anew (struct wy_members *m)
+log_change (const struct wy_members *m, const struct member *was,
+            const struct member *e)
 {
-  GHashTableIter it;
-  gpointer p;
+  /* Rows of the initial read are not logged one by one.  */
+  if (!wy_watch_is_synced (m->watch))
+    return;
+  if (e->failed && !was->failed)
+    wy_note ("entry.gone", "node=%s holder=%s version=%lld", e->node,
+             e->holder, (long long)e->row_version);
+  else if (strcmp (was->holder, e->holder) != 0 || was->leaving != e->leaving
+           || was->failed != e->failed)
+    wy_note ("entry.seen", "node=%s holder=%s leaving=%d version=%lld",
+             e->node, e->holder, e->leaving, (long long)e->row_version);
+}
 
-  g_hash_table_iter_init (&it, m->by_node);
-  while (g_hash_table_iter_next (&it, NULL, &p))
-    if (((struct member *)p)->silent_ms < WY_MEMBERS_GONE_AFTER_MS)
-      ((struct member *)p)->silent_ms = 0;
+/* Replace the row of this entry, which another process has written or removed;
+   VERSION is its current version, 0 if removed.  A pending write fails on its
+   condition and is retried.  */
+static void
+rewrite_row (struct wy_members *m, int64_t version)
+{
+  if (m->pending_row)
+    return;
+  m->own_version = version;
+  g_clear_pointer (&m->stored_row, g_free);
+  wy_members_write_row (m);
 }
 
 static void
-on_tick (uv_timer_t *t)
+remove_row (struct wy_members *m, const struct wy_row *row)
 {
-  struct wy_members *m = t->data;
-  int64_t age_ms = wy_watch_age_ms (m->watch);
-  int64_t answered_ms = wy_clock_mono_ms (m->o.env->clock) - age_ms;
-  int64_t passed_ms = answered_ms - m->counted_ms;
-  bool any = false;
-  GHashTableIter it;
-  gpointer p;
-
-  wy_busy_sample (m->busy, m->o.env);
-  if (age_ms < 0 || passed_ms <= 0)
+  const struct member *e = g_hash_table_lookup (m->by_node, row->key);
+
+  if (!e || strcmp (e->part, row->part) != 0)
     return;
-  wy_members_learn_epoch (m);
-  m->counted_ms = answered_ms;
-  if (passed_ms > AWAY_MS)
+  g_hash_table_remove (m->by_node, row->key);
+  schedule_change (m);
+  if (strcmp (row->key, m->o.env->node) != 0)
+    return;
+  m->address_written = false;
+  rewrite_row (m, 0);
+}
+
+static void
+on_row (void *ctx, const struct wy_row *row)
+{
+  struct wy_members *m = ctx;
+  struct member *e;
+  struct member was;
+  json_t *doc;
+
+  if (row->deleted)
     {
-      count_anew (m);
+      remove_row (m, row);
       return;
     }
-  g_hash_table_iter_init (&it, m->by_node);
-  while (g_hash_table_iter_next (&it, NULL, &p))
-    {
-      struct member *e = p;
-      bool was_gone = e->silent_ms >= WY_MEMBERS_GONE_AFTER_MS;
-
-      e->silent_ms += passed_ms;
-      if (was_gone || e->silent_ms < WY_MEMBERS_GONE_AFTER_MS)
-        continue;
-      any = true;
-      wy_note ("entry.gone",
-               "node=%s holder=%s silent_ms=%lld list_age_ms=%lld", e->node,
-               e->holder, (long long)e->silent_ms, (long long)age_ms);
-    }
-  if (any)
-    changed (m);
+  e = member_for (m, row->key);
+  if (row->version < e->row_version)
+    return;
+  was = *e;
+  doc = json_loadb (row->value, row->size_bytes, 0, NULL);
+  e->row_version = row->version;
+  g_strlcpy (e->part, row->part, sizeof e->part);
+  decode (e, doc);
+  if (e->failed && !was.failed)
+    e->failed_since_ms = wy_clock_mono_ms (m->o.env->clock);
+  learn_crashes (m, e, json_object_get (doc, "crashed"));
+  json_decref (doc);
+  log_change (m, &was, e);
+  schedule_change (m);
+  /* Another entry has marked this one as failed, or the row is that of a
+     previous process.  */
+  if (!strcmp (e->node, m->o.env->node) && row->version > m->own_version
+      && (e->failed || strcmp (e->holder, m->o.env->holder) != 0))
+    rewrite_row (m, row->version);
 }
 
-static void
-on_beat_written (void *ctx, const struct wy_rows_result *r)
+static int64_t
+update_published_epoch (struct wy_members *m)
 {
-  ((struct wy_members *)ctx)->writing = false;
+  int64_t store_ms = wy_rows_store_now_ms (m->o.env->rows);
+  int64_t epoch_ms;
+
+  if (!store_ms)
+    return m->published_epoch_ms;
+  epoch_ms = wy_clock_wall_ms (m->o.env->clock) - store_ms;
+  if (llabs (epoch_ms - m->published_epoch_ms) > EPOCH_TOLERANCE_MS)
+    m->published_epoch_ms = epoch_ms;
+  return m->published_epoch_ms;
 }
 
-static void
-write_beat (struct wy_members *m)
+/* The row of this entry, without values that change with each heartbeat.  */
+static char *
+row_text (struct wy_members *m)
 {
-  struct wy_row_write w = { .table = WY_MEMBERS_TABLE, .key = m->o.env->node };
-  char part[PART_SIZE_BYTES];
-  struct wy_rows_tx tx = { .part = part, .writes = &w, .n_writes = 1 };
+  struct wy_gate_env *env = m->o.env;
   json_t *doc = json_pack (
-      "{s:s, s:s, s:b, s:b, s:b, s:f, s:I}", "holder", m->o.env->holder,
-      "address", m->o.address, "draining", m->draining, "leaving", m->leaving,
-      "relayed", !wy_rows_is_direct (m->o.env->rows), "cpu_share",
-      m->o.cpu_share, "beat", (json_int_t)++m->beats);
-  int64_t store_ms = wy_rows_store_now_ms (m->o.env->rows);
-  json_t *busy = wy_busy_encode (m->busy);
-  char *value;
-
-  snprintf (part, sizeof part, "%u",
-            (unsigned)(wy_hash64 (w.key, strlen (w.key), 0) % PARTS));
-  if (wy_crash_watch_any (&m->o.env->crashes))
+      "{s:s, s:s, s:b, s:b, s:b, s:f}", "holder", env->holder, "address",
+      m->o.address, "draining", m->draining, "leaving", m->leaving, "relayed",
+      !wy_rows_is_direct (env->rows), "cpu_share", m->o.cpu_share);
+  int64_t epoch_ms = update_published_epoch (m);
+  char *text;
+
+  if (epoch_ms)
+    json_object_set_new (doc, "epoch_ms", json_integer (epoch_ms));
+  if (wy_crash_watch_any (&env->crashes))
     json_object_set_new (
         doc, "crashed",
-        wy_crash_rows_encode (&m->o.env->crashes,
-                              wy_clock_mono_ms (m->o.env->clock)));
-  if (busy)
-    json_object_set_new (doc, "busy", busy);
-  if (store_ms)
-    json_object_set_new (
-        doc, "epoch_ms",
-        json_integer (wy_clock_wall_ms (m->o.env->clock) - store_ms));
-  if (m->usage_complete >= 0)
-    json_object_set_new (doc, "usage_complete",
-                         json_integer (m->usage_complete));
-  value = json_dumps (doc, JSON_COMPACT);
+        wy_crash_rows_encode (&env->crashes, wy_clock_mono_ms (env->clock)));
+  text = json_dumps (doc, JSON_COMPACT);
   json_decref (doc);
-  w.value = value;
-  w.size_bytes = strlen (value);
-  m->writing = true;
-  wy_rows_tx (m->o.env->rows, &tx, on_beat_written, m);
-  free (value);
+  return text;
 }
 
 static void
-on_address_written (void *ctx, const struct wy_rows_result *r)
+set_stored_row (struct wy_members *m, int64_t version)
 {
-  struct wy_members *m = ctx;
-
-  m->writing_address = false;
-  m->address_written = r->err == 0;
+  m->own_version = version;
+  m->address_written = true;
+  g_free (m->stored_row);
+  m->stored_row = g_steal_pointer (&m->pending_row);
+  wy_members_write_row (m);
 }
 
-/* Tell the processes that follow no heartbeats where calls are passed on.  */
 static void
-write_address (struct wy_members *m)
+on_row_written (void *ctx, const struct wy_rows_result *r)
 {
-  struct wy_row_write w = { .table = WY_ADDRESSES_TABLE,
-                            .key = m->o.env->node,
-                            .value = m->o.address,
-                            .size_bytes = strlen (m->o.address) };
-  struct wy_rows_tx tx = { .part = "", .writes = &w, .n_writes = 1 };
-
-  m->writing_address = true;
-  wy_rows_tx (m->o.env->rows, &tx, on_address_written, m);
+  struct wy_members *m = ctx;
+  const struct wy_row *now
+      = r->err == WY_ROWS_ECONFLICT && r->n ? r->rows : NULL;
+
+  if (!r->err)
+    set_stored_row (m, r->version);
+  else if (now && now->size_bytes == strlen (m->pending_row)
+           && !memcmp (now->value, m->pending_row, now->size_bytes))
+    /* An earlier attempt was applied although its answer was lost.  */
+    set_stored_row (m, now->version);
+  else
+    {
+      g_clear_pointer (&m->pending_row, g_free);
+      if (r->err != WY_ROWS_ECONFLICT)
+        return;
+      m->own_version = now ? now->version : 0;
+      wy_members_write_row (m);
+    }
 }
 
-static void
-on_beat (uv_timer_t *t)
+/* Write the row of this entry if it differs from the stored one.  The first
+   write includes the address, for processes that do not follow the directory.
+ */
+void
+wy_members_write_row (struct wy_members *m)
 {
-  struct wy_members *m = t->data;
-
-  if (!m->writing)
-    write_beat (m);
-  if (!m->address_written && !m->writing_address)
-    write_address (m);
+  char part[WY_MEMBERS_PART_SIZE_BYTES];
+  char key[WY_MEMBERS_KEY_SIZE_BYTES];
+  char *text;
+  struct wy_row_ref condition = { .table = WY_MEMBERS_TABLE,
+                                  .key = m->o.env->node,
+                                  .version = m->own_version };
+  struct wy_row_write writes[2]
+      = { { .table = WY_MEMBERS_TABLE, .key = m->o.env->node },
+          { .table = WY_ADDRESSES_TABLE,
+            .key = key,
+            .value = m->o.address,
+            .size_bytes = strlen (m->o.address) } };
+  struct wy_rows_tx tx = { .part = part,
+                           .conditions = &condition,
+                           .n_conditions = 1,
+                           .writes = writes,
+                           .n_writes = m->address_written ? 1 : 2 };
+
+  if (m->pending_row)
+    return;
+  text = row_text (m);
+  if (m->stored_row && !strcmp (m->stored_row, text))
+    {
+      free (text);
+      return;
+    }
+  wy_members_part (m->position, part);
+  wy_members_key (m->position, key);
+  m->pending_row = g_strdup (text);
+  free (text);
+  writes[0].value = m->pending_row;
+  writes[0].size_bytes = strlen (m->pending_row);
+  wy_rows_tx (m->o.env->rows, &tx, on_row_written, m);
 }
 
-/* Start telling and following heartbeats as O says.  */
+/* Start writing to and following the directory as configured by O.  */
 struct wy_members *
 wy_members_new (const struct wy_members_options *o)
 {
@@ -282,18 +319,15 @@
                                 .ctx = m };
 
   m->o = *o;
+  m->position = wy_hash64 (o->env->node, strlen (o->env->node), 0);
   m->usage_complete = -1;
-  m->by_node
-      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_member);
+  m->by_node = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
   m->busy = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   m->unseen = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  uv_timer_init (o->env->loop, &m->change);
+  m->change.data = m;
   m->watch = wy_watch_new (&w);
-  uv_timer_init (o->env->loop, &m->beat);
-  m->beat.data = m;
-  uv_timer_start (&m->beat, on_beat, 0, BEAT_MS);
-  uv_timer_init (o->env->loop, &m->tick);
-  m->tick.data = m;
-  uv_timer_start (&m->tick, on_tick, TICK_MS, TICK_MS);
+  wy_members_start_beats (m);
   return m;
 }
 
@@ -301,17 +335,10 @@
 void
 wy_members_free (struct wy_members *m)
 {
+  wy_members_follow_load (m, false);
   wy_watch_free (m->watch);
-  uv_close ((uv_handle_t *)&m->beat, NULL);
-  uv_close ((uv_handle_t *)&m->tick, NULL);
-}
-
-/* Tell the others, with the next heartbeat, that the usage counted here is in
-   the store for all windows up to WINDOW.  */
-void
-wy_members_tell_usage (struct wy_members *m, int64_t window)
-{
-  m->usage_complete = window;
+  uv_close ((uv_handle_t *)&m->change, NULL);
+  wy_members_stop_beats (m);
 }
 
 /* Tell the others that this entry takes no new jobs.  */
@@ -319,7 +346,7 @@
 wy_members_drain (struct wy_members *m)
 {
   m->draining = true;
-  write_beat (m);
+  wy_members_write_row (m);
 }
 
 /* Tell the others that this entry is about to stop.  */
@@ -327,5 +354,5 @@
 wy_members_leave (struct wy_members *m)
 {
   m->leaving = true;
-  write_beat (m);
+  wy_members_write_row (m);
 }
--- a/src/gate/members.h
+++ b/src/gate/members.h
@@ -1,4 +1,9 @@
-/* The entries that are alive, as their heartbeats in the store tell.  */
+/* The entries that are alive.
+
+   The directory in the store has a row for each entry, which changes when the
+   entry starts, drains, leaves, fails or returns; every entry follows it.
+   Heartbeats are kept in a separate table.  Only a few other entries read each
+   of them, and mark the directory row of an entry that has failed.  */
 #ifndef WY_GATE_MEMBERS_H
 #define WY_GATE_MEMBERS_H
 
@@ -9,12 +14,21 @@
 
 #include "gate/env.h"
 
-/* Heartbeats lie in a part of their own for each entry: a part performs its
-   transactions one after another, and the empty part is the operator's and
-   the replicas'.  Addresses lie there too, but are written once a start.  */
 #define WY_MEMBERS_TABLE "wy-members"
+#define WY_BEATS_TABLE "wy-beats"
 #define WY_ADDRESSES_TABLE "wy-addresses"
 
+enum
+{
+  /* Parts of the directory and of the addresses.  A part serializes its
+     transactions, some hundred a second; a starting entry reads every part of
+     the directory.  */
+  WY_MEMBERS_PARTS = 8,
+  WY_MEMBERS_PART_SIZE_BYTES = 8,
+  /* Keys of addresses and heartbeats.  */
+  WY_MEMBERS_KEY_SIZE_BYTES = 17
+};
+
 struct wy_members;
 
 struct wy_members_options
@@ -33,15 +47,17 @@
   const char *node;
   const char *holder;
   const char *state; /* alive, draining, leaving, gone */
-  int64_t silent_ms;
+  int64_t silent_ms; /* -1: not monitored by this entry */
 };
 
 struct wy_members *wy_members_new (const struct wy_members_options *o);
 void wy_members_free (struct wy_members *m);
 void wy_members_leave (struct wy_members *m);
 void wy_members_tell_usage (struct wy_members *m, int64_t window);
+void wy_members_follow_load (struct wy_members *m, bool follow);
 double wy_members_busy (const struct wy_members *m, const char *service,
                         const char *availability_zone);
+bool wy_members_load_is_known (const struct wy_members *m);
 int64_t wy_members_epoch_ms (const struct wy_members *m);
 int64_t wy_members_usage_complete (const struct wy_members *m);
 uint32_t wy_members_alive (const struct wy_members *m);
@@ -52,6 +68,8 @@
 uint32_t wy_members_rank (const struct wy_members *m, const char *key);
 size_t wy_members_addresses (const struct wy_members *m,
                              struct sockaddr_in *out, size_t max);
+void wy_members_part (uint64_t position, char out[WY_MEMBERS_PART_SIZE_BYTES]);
+void wy_members_key (uint64_t position, char out[WY_MEMBERS_KEY_SIZE_BYTES]);
 bool wy_member_address (const struct wy_row *row, struct sockaddr_in *out);
 void wy_members_each (const struct wy_members *m,
                       void (*fn) (void *ctx, const struct wy_member_view *v),
--- /dev/null
+++ b/src/gate/members_beats.c
@@ -0,0 +1,383 @@
+/* Heartbeats: writes that of this entry, reads those of its successors on the
+   ring and marks the directory rows of entries that have failed.
+
+   Reading the heartbeats of all entries would grow with the square of the
+   fleet.  Rows are keyed by position on the ring, so that one range read
+   returns neighbours.  */
+#include "gate/members_state.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "decide/ring.h"
+#include "trace/note.h"
+
+enum
+{
+  BEAT_MS = 500,
+  POLL_MS = 250,
+  /* The top bits of a position select one of 64 parts, each of which takes
+     some hundred writes a second: enough for several thousand entries.  */
+  PART_SHIFT = 58,
+  PART_SIZE_BYTES = 4,
+  /* Polls between scans for expired rows.  */
+  EXPIRY_POLLS = 20,
+  /* How long the row of a failed entry is kept.  */
+  FAILED_RETENTION_MS = 60000
+};
+
+static unsigned
+part_of (uint64_t position)
+{
+  return (unsigned)(position >> PART_SHIFT);
+}
+
+static void
+on_beat_written (void *ctx, const struct wy_rows_result *r)
+{
+  ((struct wy_members *)ctx)->writing_beat = false;
+}
+
+static void
+write_beat (struct wy_members *m)
+{
+  char part[PART_SIZE_BYTES];
+  char key[WY_MEMBERS_KEY_SIZE_BYTES];
+  struct wy_row_write w = { .table = WY_BEATS_TABLE, .key = key };
+  struct wy_rows_tx tx = { .part = part, .writes = &w, .n_writes = 1 };
+  json_t *doc = json_pack ("{s:s, s:I}", "holder", m->o.env->holder, "beat",
+                           (json_int_t)++m->beats);
+  json_t *busy = wy_busy_encode (m->busy);
+  char *value;
+
+  if (busy)
+    json_object_set_new (doc, "busy", busy);
+  if (m->usage_complete >= 0)
+    json_object_set_new (doc, "usage_complete",
+                         json_integer (m->usage_complete));
+  g_snprintf (part, sizeof part, "%u", part_of (m->position));
+  wy_members_key (m->position, key);
+  value = json_dumps (doc, JSON_COMPACT);
+  json_decref (doc);
+  w.value = value;
+  w.size_bytes = strlen (value);
+  m->writing_beat = true;
+  wy_rows_tx (m->o.env->rows, &tx, on_beat_written, m);
+  free (value);
+}
+
+static void
+on_beat (uv_timer_t *t)
+{
+  struct wy_members *m = t->data;
+
+  if (!m->writing_beat)
+    write_beat (m);
+  wy_members_write_row (m);
+}
+
+struct mark_request
+{
+  struct wy_members *members;
+  char node[WY_MEMBERS_NAME_SIZE_BYTES];
+};
+
+static struct successor *
+find_successor (struct wy_members *m, const char *node)
+{
+  for (uint32_t i = 0; i < m->n_successors; i++)
+    if (!strcmp (m->successors[i].node, node))
+      return &m->successors[i];
+  return NULL;
+}
+
+static void
+on_marked (void *ctx, const struct wy_rows_result *r)
+{
+  struct mark_request *k = ctx;
+  struct successor *w = find_successor (k->members, k->node);
+
+  if (w)
+    w->marking = false;
+  g_free (k);
+}
+
+/* Mark the row of W, silent for SILENT_MS, as failed unless the row has
+   changed meanwhile.  */
+static void
+mark_failed (struct wy_members *m, struct successor *w, int64_t silent_ms)
+{
+  const struct member *e = g_hash_table_lookup (m->by_node, w->node);
+  struct wy_row_ref condition = { .table = WY_MEMBERS_TABLE, .key = w->node };
+  struct wy_row_write write = { .table = WY_MEMBERS_TABLE, .key = w->node };
+  struct wy_rows_tx tx = { .conditions = &condition,
+                           .n_conditions = 1,
+                           .writes = &write,
+                           .n_writes = 1 };
+  struct mark_request *k;
+  json_t *doc;
+  char *value;
+
+  if (!e || e->failed || w->marking)
+    return;
+  wy_note ("entry.silent", "node=%s holder=%s silent_ms=%lld version=%lld",
+           e->node, e->holder, (long long)silent_ms,
+           (long long)e->row_version);
+  doc = json_pack ("{s:s, s:b}", "holder", e->holder, "failed", 1);
+  value = json_dumps (doc, JSON_COMPACT);
+  json_decref (doc);
+  k = g_new0 (struct mark_request, 1);
+  k->members = m;
+  g_strlcpy (k->node, e->node, sizeof k->node);
+  tx.part = e->part;
+  condition.version = e->row_version;
+  write.value = value;
+  write.size_bytes = strlen (value);
+  w->marking = true;
+  wy_rows_tx (m->o.env->rows, &tx, on_marked, k);
+  free (value);
+}
+
+/* A read of the heartbeats from position FIRST to LAST, both inclusive, of one
+   part.  */
+struct beat_read
+{
+  struct wy_members *members;
+  uint64_t first;
+  uint64_t last;
+};
+
+static int64_t
+version_at (const struct wy_rows_result *r, uint64_t position)
+{
+  char key[WY_MEMBERS_KEY_SIZE_BYTES];
+
+  wy_members_key (position, key);
+  for (size_t i = 0; i < r->n; i++)
+    if (!strcmp (r->rows[i].key, key))
+      return r->rows[i].version;
+  return 0;
+}
+
+static void
+on_beats (void *ctx, const struct wy_rows_result *r)
+{
+  struct beat_read *b = ctx;
+  struct wy_members *m = b->members;
+  int64_t now_ms = wy_clock_mono_ms (m->o.env->clock);
+
+  m->pending_reads--;
+  for (uint32_t i = 0; !r->err && i < m->n_monitored; i++)
+    {
+      struct successor *w = &m->successors[i];
+      struct wy_liveness *l = &m->liveness[i];
+
+      if (w->position < b->first || w->position > b->last)
+        continue;
+      wy_liveness_observe (l, now_ms, version_at (r, w->position));
+      if (wy_liveness_has_failed (l))
+        mark_failed (m, w, l->silent_ms);
+    }
+  if (!r->err)
+    m->last_read_ms = now_ms;
+  g_free (b);
+}
+
+static void
+read_beats (struct wy_members *m, uint64_t first, uint64_t last)
+{
+  struct beat_read *b = g_new0 (struct beat_read, 1);
+  char part[PART_SIZE_BYTES];
+  char from[WY_MEMBERS_KEY_SIZE_BYTES];
+  char to[WY_MEMBERS_KEY_SIZE_BYTES + 1];
+  struct wy_rows_range range
+      = { .table = WY_BEATS_TABLE, .part = part, .from = from, .to = to };
+
+  b->members = m;
+  b->first = first;
+  b->last = last;
+  g_snprintf (part, sizeof part, "%u", part_of (first));
+  wy_members_key (first, from);
+  wy_members_key (last, to);
+  g_strlcat (to, "0", sizeof to);
+  m->pending_reads++;
+  wy_rows_get (m->o.env->rows, &range, on_beats, b);
+}
+
+/* Read the heartbeats of the monitored entries, one range per part.  */
+static void
+read_monitored (struct wy_members *m)
+{
+  bool done[WY_MEMBERS_SUCCESSORS_MAX] = { false };
+
+  m->n_monitored = (uint32_t)wy_ring_monitored (m->liveness, m->n_successors,
+                                                WY_MEMBERS_MONITORED);
+  for (uint32_t i = 0; i < m->n_monitored; i++)
+    {
+      uint64_t first = m->successors[i].position;
+      uint64_t last = first;
+
+      if (done[i])
+        continue;
+      for (uint32_t k = i; k < m->n_monitored; k++)
+        if (part_of (m->successors[k].position) == part_of (first))
+          {
+            done[k] = true;
+            first = MIN (first, m->successors[k].position);
+            last = MAX (last, m->successors[k].position);
+          }
+      read_beats (m, first, last);
+    }
+}
+
+static gint
+by_position (gconstpointer a, gconstpointer b)
+{
+  uint64_t x = (*(struct member *const *)a)->position;
+  uint64_t y = (*(struct member *const *)b)->position;
+
+  return x < y ? -1 : x > y;
+}
+
+/* The entries alive, ordered by position; their number is stored in N.  The
+   caller frees the list.  */
+struct member **
+wy_members_ring (const struct wy_members *m, size_t *n)
+{
+  GPtrArray *all = g_ptr_array_new ();
+  GHashTableIter it;
+  gpointer p;
+
+  g_hash_table_iter_init (&it, m->by_node);
+  while (g_hash_table_iter_next (&it, NULL, &p))
+    if (wy_member_is_alive (p))
+      g_ptr_array_add (all, p);
+  g_ptr_array_sort (all, by_position);
+  *n = all->len;
+  return (struct member **)g_ptr_array_free (all, FALSE);
+}
+
+/* Recompute the successors of this entry, keeping the state of those that
+   remain.  */
+static void
+choose_successors (struct wy_members *m)
+{
+  struct successor previous[WY_MEMBERS_SUCCESSORS_MAX];
+  struct wy_liveness previous_liveness[WY_MEMBERS_SUCCESSORS_MAX];
+  uint32_t n_previous = m->n_successors;
+  size_t at[WY_MEMBERS_SUCCESSORS_MAX];
+  size_t n;
+  struct member **ring = wy_members_ring (m, &n);
+  uint64_t *positions = g_new (uint64_t, n + 1);
+
+  for (size_t i = 0; i < n; i++)
+    positions[i] = ring[i]->position;
+  memcpy (previous, m->successors, sizeof previous);
+  memcpy (previous_liveness, m->liveness, sizeof previous_liveness);
+  memset (m->successors, 0, sizeof m->successors);
+  memset (m->liveness, 0, sizeof m->liveness);
+  m->n_successors = (uint32_t)wy_ring_successors (
+      positions, n, m->position, WY_MEMBERS_SUCCESSORS_MAX, at);
+  for (uint32_t i = 0; i < m->n_successors; i++)
+    {
+      struct successor *w = &m->successors[i];
+
+      g_strlcpy (w->node, ring[at[i]]->node, sizeof w->node);
+      w->position = ring[at[i]]->position;
+      for (uint32_t k = 0; k < n_previous; k++)
+        if (previous[k].position == w->position)
+          {
+            *w = previous[k];
+            m->liveness[i] = previous_liveness[k];
+          }
+    }
+  m->ring_is_stale = false;
+  g_free (positions);
+  g_free (ring);
+}
+
+static void
+on_removed (void *ctx, const struct wy_rows_result *r)
+{
+}
+
+/* Remove the directory and address rows of E.  */
+static void
+remove_failed (struct wy_members *m, const struct member *e)
+{
+  char key[WY_MEMBERS_KEY_SIZE_BYTES];
+  struct wy_row_ref condition = { .table = WY_MEMBERS_TABLE,
+                                  .key = e->node,
+                                  .version = e->row_version };
+  struct wy_row_ref removals[2]
+      = { condition, { .table = WY_ADDRESSES_TABLE, .key = key } };
+  struct wy_rows_tx tx = { .part = e->part,
+                           .conditions = &condition,
+                           .n_conditions = 1,
+                           .removals = removals,
+                           .n_removals = 2 };
+
+  wy_members_key (e->position, key);
+  wy_note ("entry.removed", "node=%s holder=%s", e->node, e->holder);
+  wy_rows_tx (m->o.env->rows, &tx, on_removed, m);
+}
+
+/* Remove expired rows of failed entries.  Each row is removed by the one entry
+   that ranks first for it.  */
+static void
+remove_expired (struct wy_members *m)
+{
+  int64_t now_ms = wy_clock_mono_ms (m->o.env->clock);
+  GHashTableIter it;
+  gpointer p;
+
+  g_hash_table_iter_init (&it, m->by_node);
+  while (g_hash_table_iter_next (&it, NULL, &p))
+    {
+      const struct member *e = p;
+
+      if (e->failed && now_ms - e->failed_since_ms >= FAILED_RETENTION_MS
+          && wy_members_rank (m, e->node) == 0)
+        remove_failed (m, e);
+    }
+}
+
+static void
+on_poll (uv_timer_t *t)
+{
+  struct wy_members *m = t->data;
+
+  wy_busy_sample (m->busy, m->o.env);
+  if (!wy_watch_is_synced (m->watch) || m->pending_reads)
+    return;
+  if (m->ring_is_stale)
+    choose_successors (m);
+  read_monitored (m);
+  if (++m->polls % EXPIRY_POLLS == 0)
+    remove_expired (m);
+}
+
+/* Start writing and reading heartbeats.  */
+void
+wy_members_start_beats (struct wy_members *m)
+{
+  uv_loop_t *loop = m->o.env->loop;
+
+  m->ring_is_stale = true;
+  uv_timer_init (loop, &m->beat);
+  m->beat.data = m;
+  uv_timer_start (&m->beat, on_beat, 0, BEAT_MS);
+  uv_timer_init (loop, &m->poll);
+  m->poll.data = m;
+  uv_timer_start (&m->poll, on_poll, POLL_MS, POLL_MS);
+}
+
+/* Stop writing and reading heartbeats.  */
+void
+wy_members_stop_beats (struct wy_members *m)
+{
+  uv_close ((uv_handle_t *)&m->beat, NULL);
+  uv_close ((uv_handle_t *)&m->poll, NULL);
+}
--- a/src/gate/members_choice.c
+++ b/src/gate/members_choice.c
@@ -10,8 +10,8 @@
 
 enum
 {
-  /* An entry whose beat is so late gets no new work.  */
-  DOUBTED_AFTER_MS = 1100,
+  /* Time after which a holder without a row is considered gone.  */
+  UNSEEN_GONE_MS = 1600,
   /* Places in the order of tries that one takes which is not to run jobs.  */
   WEAK_RANKS = 16
 };
@@ -20,10 +20,11 @@
    jobs.  */
 static const double strong_share = 0.5;
 
-static bool
-is_alive (const struct member *e)
+/* Whether E is neither leaving nor failed.  */
+bool
+wy_member_is_alive (const struct member *e)
 {
-  return !e->leaving && e->silent_ms < WY_MEMBERS_GONE_AFTER_MS;
+  return !e->leaving && !e->failed;
 }
 
 /* Number of entries alive; at least 1, this one.  */
@@ -36,30 +37,10 @@
 
   g_hash_table_iter_init (&it, m->by_node);
   while (g_hash_table_iter_next (&it, NULL, &p))
-    n += is_alive (p);
+    n += wy_member_is_alive (p);
   return n ? n : 1;
 }
 
-/* Slots of SERVICE in AVAILABILITY_ZONE that all entries alive keep busy.  */
-double
-wy_members_busy (const struct wy_members *m, const char *service,
-                 const char *availability_zone)
-{
-  double sum = wy_busy_here (m->busy, service, availability_zone);
-  GHashTableIter it;
-  gpointer p;
-
-  g_hash_table_iter_init (&it, m->by_node);
-  while (g_hash_table_iter_next (&it, NULL, &p))
-    {
-      const struct member *e = p;
-
-      if (is_alive (e) && strcmp (e->node, m->o.env->node) != 0)
-        sum += wy_busy_of (e->busy, service, availability_zone);
-    }
-  return sum;
-}
-
 static gint
 by_value (gconstpointer a, gconstpointer b)
 {
@@ -83,7 +64,7 @@
     {
       const struct member *e = p;
 
-      if (is_alive (e) && e->epoch_ms)
+      if (wy_member_is_alive (e) && e->epoch_ms)
         g_array_append_val (told, e->epoch_ms);
     }
   g_array_sort (told, by_value);
@@ -100,27 +81,6 @@
   return m->epoch_ms;
 }
 
-/* The newest window for which all entries alive have stored the usage that
-   they counted.  */
-int64_t
-wy_members_usage_complete (const struct wy_members *m)
-{
-  int64_t complete = m->usage_complete;
-  GHashTableIter it;
-  gpointer p;
-
-  g_hash_table_iter_init (&it, m->by_node);
-  while (g_hash_table_iter_next (&it, NULL, &p))
-    {
-      const struct member *e = p;
-
-      if (e->silent_ms < WY_MEMBERS_GONE_AFTER_MS && e->usage_complete >= 0
-          && strcmp (e->node, m->o.env->node) != 0)
-        complete = MIN (complete, e->usage_complete);
-    }
-  return complete;
-}
-
 /* A holder that no row tells of may just have started, its job's row being
    seen before its own: it is gone when that stays so.  */
 static bool
@@ -130,7 +90,7 @@
   int64_t *since_ms = g_hash_table_lookup (m->unseen, holder);
 
   if (since_ms)
-    return now_ms - *since_ms >= WY_MEMBERS_GONE_AFTER_MS;
+    return now_ms - *since_ms >= UNSEEN_GONE_MS;
   since_ms = g_new (int64_t, 1);
   *since_ms = now_ms;
   g_hash_table_insert (m->unseen, g_strdup (holder), since_ms);
@@ -156,7 +116,7 @@
   /* Incarnations are in the order of their starts.  */
   if (!e || strcmp (holder, e->holder) > 0)
     return is_gone_unseen (m, holder);
-  return !is_alive (e) || strcmp (e->holder, holder) != 0;
+  return !wy_member_is_alive (e) || strcmp (e->holder, holder) != 0;
 }
 
 static uint64_t
@@ -185,8 +145,8 @@
 static bool
 takes_work (const struct member *e)
 {
-  return is_alive (e) && !e->draining && !e->relayed && e->has_address
-         && e->silent_ms <= DOUBTED_AFTER_MS;
+  return wy_member_is_alive (e) && !e->draining && !e->relayed
+         && e->has_address;
 }
 
 static bool
@@ -272,7 +232,7 @@
       const struct member *e = p;
       bool other = takes_work (e) && share_of (e->cpu_share) >= least;
 
-      if (!is_alive (e) || !strcmp (e->node, node))
+      if (!wy_member_is_alive (e) || !strcmp (e->node, node))
         continue;
       if (other != strong)
         rank += other;
@@ -282,24 +242,28 @@
   return strong ? rank : rank * WEAK_RANKS;
 }
 
-/* Write the addresses of the other entries alive to OUT, MAX at most.  */
+/* Write the addresses of other entries alive to OUT, MAX at most, starting
+   with the successor of this entry so that load spreads over the fleet.
+   Returns their number.  */
 size_t
 wy_members_addresses (const struct wy_members *m, struct sockaddr_in *out,
                       size_t max)
 {
-  GHashTableIter it;
-  gpointer p;
+  size_t n_ring;
+  struct member **ring = wy_members_ring (m, &n_ring);
+  size_t at = 0;
   size_t n = 0;
 
-  g_hash_table_iter_init (&it, m->by_node);
-  while (g_hash_table_iter_next (&it, NULL, &p) && n < max)
+  while (at < n_ring && ring[at]->position <= m->position)
+    at++;
+  for (size_t i = 0; i < n_ring && n < max; i++)
     {
-      const struct member *e = p;
+      const struct member *e = ring[(at + i) % n_ring];
 
-      if (is_alive (e) && e->has_address
-          && strcmp (e->node, m->o.env->node) != 0)
+      if (e->has_address && e->position != m->position)
         out[n++] = e->address;
     }
+  g_free (ring);
   return n;
 }
 
@@ -320,13 +284,22 @@
 static const char *
 state_of (const struct member *e)
 {
-  if (e->silent_ms >= WY_MEMBERS_GONE_AFTER_MS)
+  if (e->failed)
     return "gone";
   if (e->leaving)
     return "leaving";
   return e->draining ? "draining" : "alive";
 }
 
+static int64_t
+silent_ms_of (const struct wy_members *m, const struct member *e)
+{
+  for (uint32_t i = 0; i < m->n_monitored; i++)
+    if (m->successors[i].position == e->position)
+      return m->liveness[i].silent_ms;
+  return -1;
+}
+
 /* Tell FN of each entry that is known.  */
 void
 wy_members_each (const struct wy_members *m,
@@ -343,7 +316,7 @@
       struct wy_member_view v = { .node = e->node,
                                   .holder = e->holder,
                                   .state = state_of (e),
-                                  .silent_ms = e->silent_ms };
+                                  .silent_ms = silent_ms_of (m, e) };
 
       fn (ctx, &v);
     }
@@ -353,5 +326,9 @@
 int64_t
 wy_members_age_ms (const struct wy_members *m)
 {
-  return wy_watch_age_ms (m->watch);
+  int64_t age_ms = wy_watch_age_ms (m->watch);
+
+  if (age_ms < 0 || m->last_read_ms == 0)
+    return age_ms;
+  return MIN (age_ms, wy_clock_mono_ms (m->o.env->clock) - m->last_read_ms);
 }
--- a/src/gate/members_state.h
+++ b/src/gate/members_state.h
@@ -2,56 +2,87 @@
 #ifndef WY_GATE_MEMBERS_STATE_H
 #define WY_GATE_MEMBERS_STATE_H
 
+#include "decide/liveness.h"
 #include "gate/busy.h"
 #include "gate/members.h"
 #include "rows/watch.h"
 
 enum
 {
-  /* An entry whose beat did not change for so long, while the store answered,
-     is gone: three beats, so that one slow or lost write does not count.  */
-  WY_MEMBERS_GONE_AFTER_MS = 1600,
-  WY_MEMBERS_NAME_SIZE_BYTES = 128
+  WY_MEMBERS_NAME_SIZE_BYTES = 128,
+  WY_MEMBERS_SUCCESSORS_MAX = 16,
+  /* Successors to monitor while none of them is late.  */
+  WY_MEMBERS_MONITORED = 4
 };
 
+/* An entry as described by its row in the directory.  */
 struct member
 {
   char node[WY_MEMBERS_NAME_SIZE_BYTES];
   char holder[WY_MEMBERS_NAME_SIZE_BYTES];
+  char part[WY_MEMBERS_PART_SIZE_BYTES]; /* of its row */
+  int64_t row_version;
+  uint64_t position; /* on the ring */
   struct sockaddr_in address;
   bool has_address;
   double cpu_share;
   bool draining; /* takes no new jobs */
   bool relayed;  /* reaches the store through others alone */
   bool leaving;  /* its jobs are free */
-  int64_t silent_ms;
-  json_t *busy;           /* slots that it keeps busy, or NULL */
-  int64_t epoch_ms;       /* its time of day at zero of the store's clock; 0:
-                             not told */
-  int64_t usage_complete; /* window to which its counts are stored; -1: it
-                             does not count */
+  bool failed;
+  int64_t failed_since_ms; /* local time at which the mark was read */
+  int64_t epoch_ms;        /* its time of day at zero of the store's clock; 0:
+                              not told */
+};
+
+/* An entry that this one may monitor.  */
+struct successor
+{
+  char node[WY_MEMBERS_NAME_SIZE_BYTES];
+  uint64_t position;
+  bool marking; /* a write of the mark is pending */
 };
 
 struct wy_members
 {
   struct wy_members_options o;
   struct wy_watch *watch;
+  uv_timer_t change; /* runs on_changed */
   uv_timer_t beat;
-  uv_timer_t tick;
+  uv_timer_t poll;
+  uint64_t position;   /* of this entry */
   GHashTable *by_node; /* struct member */
   GHashTable *unseen;  /* holder -> time at which it was first asked for */
-  int64_t counted_ms;  /* silence is counted to here: an answer of the store */
+  bool ring_is_stale;
+  struct successor successors[WY_MEMBERS_SUCCESSORS_MAX]; /* nearest first */
+  struct wy_liveness liveness[WY_MEMBERS_SUCCESSORS_MAX]; /* likewise */
+  uint32_t n_successors;
+  uint32_t n_monitored;   /* the first successors */
+  uint32_t pending_reads; /* of heartbeats */
+  int64_t last_read_ms;   /* time of the last successful one; 0: none */
+  uint32_t polls;
   uint64_t beats;
-  GHashTable *busy;       /* double * by name, of this entry */
-  int64_t epoch_ms;       /* median of the entries' */
-  int64_t usage_complete; /* of this entry; -1: it does not count */
-  bool writing;
-  bool writing_address;
+  bool writing_beat;
+  GHashTable *busy;            /* double * by name, of this entry */
+  struct wy_watch *load_watch; /* on all heartbeats, or NULL */
+  GHashTable *load_by_key;     /* struct load; NULL without load_watch */
+  int64_t epoch_ms;            /* median of the entries' */
+  int64_t published_epoch_ms;  /* in the row of this entry; 0: none */
+  int64_t usage_complete;      /* of this entry; -1: it does not count */
+  int64_t own_version;         /* of the row of this entry; 0: no row */
+  char *stored_row;            /* text of that row; NULL: unknown */
+  char *pending_row;           /* text being written; NULL: none */
   bool address_written;
   bool draining;
   bool leaving;
 };
 
+bool wy_member_is_alive (const struct member *e);
 void wy_members_learn_epoch (struct wy_members *m);
+void wy_members_write_row (struct wy_members *m);
+struct member **wy_members_ring (const struct wy_members *m, size_t *n);
+
+void wy_members_start_beats (struct wy_members *m);
+void wy_members_stop_beats (struct wy_members *m);
 
 #endif
--- a/tests/test_members_time.c
+++ b/tests/test_members_time.c
@@ -1,7 +1,9 @@
 /* What entries tell each other of the time, of usage and of load.  */
 #include <criterion/criterion.h>
 #include <stdio.h>
+#include <string.h>
 
+#include "base/id.h"
 #include "gate/members.h"
 #include "support/platform_world.h"
 
@@ -20,14 +22,20 @@
 {
   char node[16];
   char value[256];
+  char key[WY_MEMBERS_KEY_SIZE_BYTES];
 
   snprintf (node, sizeof node, "e%d", entry);
   snprintf (value, sizeof value,
             "{\"holder\":\"%s/1\",\"address\":\"127.0.0.1:1\","
-            "\"epoch_ms\":%lld,\"usage_complete\":%lld,"
-            "\"busy\":{\"svc/z1\":%.2f}}",
-            node, (long long)epoch_ms, (long long)window, busy);
+            "\"epoch_ms\":%lld}",
+            node, (long long)epoch_ms);
   wy_platform_store_put (w.store, WY_MEMBERS_TABLE, "0", node, value);
+  snprintf (value, sizeof value,
+            "{\"holder\":\"%s/1\",\"beat\":1,\"usage_complete\":%lld,"
+            "\"busy\":{\"svc/z1\":%.2f}}",
+            node, (long long)window, busy);
+  wy_members_key (wy_hash64 (node, strlen (node), 0), key);
+  wy_platform_store_put (w.store, WY_BEATS_TABLE, "0", key, value);
 }
 
 static bool
@@ -37,6 +45,12 @@
          && wy_members_epoch_ms (members) != 0;
 }
 
+static bool
+knows_load (void *ctx)
+{
+  return wy_members_load_is_known (members);
+}
+
 static void
 start (void)
 {
@@ -74,9 +88,12 @@
 {
   start ();
   wy_members_tell_usage (members, 9);
+  cr_expect_eq (wy_members_usage_complete (members), -1);
+  wy_members_follow_load (members, true);
   for (int i = 0; i < ENTRIES; i++)
     tell (i, EPOCH_MS, i == 3 ? 6 : i == 4 ? -1 : 8, 0.5);
   cr_assert (platform_world_until (&w, knows_all, NULL));
+  cr_assert (platform_world_until (&w, knows_load, NULL));
   cr_expect_eq (wy_members_usage_complete (members), 6);
   cr_expect_float_eq (wy_members_busy (members, "svc", "z1"), 3.5, 0.001);
   cr_expect_eq (wy_members_busy (members, "svc", "z2"), 0);
