Cache the replica list and limit address reads in orderers

Cause: for each version that a trainer names, each orderer read the list of all replicas to determine its rank, and every 5 s the addresses of all entries. The cost grew with the product of orderers and replicas, and of orderers and entries. Only the first page of the list (500 rows) was read, so with more replicas the last ones were never ordered. An orderer whose replica is not listed read the list every 300 ms.

Change: the list is read page by page, and its result is reused for 10 s; while the replica is not listed, the delay between reads grows to 2.4 s.

Result: tests orders::long_list_of_replicas, list_is_not_read_for_each_version, few_addresses_are_read. With 1,101 replicas listed and ours last: never found before; rank and number right after.

--- a/src/orders/orderer.c
+++ b/src/orders/orderer.c
@@ -9,7 +9,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "gate/members.h"
 #include "platform/config_wire.h"
 #include "platform/replica_wire.h"
 #include "platform/request_wire.h"
@@ -37,8 +36,6 @@
   REPORT_BUSY_MS = 150,
   /* An order rests on a report no older than this.  */
   REPORT_FRESH_MS = 300,
-  RELAYS_EVERY_MS = 5000,
-  RELAYS_MAX = 16,
   FIRST_LOAD_MS = 950,
   LOAD_MS_MAX = 5000
 };
@@ -46,19 +43,6 @@
 /* Share of a new measurement in the smoothed time of a load.  */
 static const double load_weight = 0.3;
 
-static void
-on_members (void *ctx, const struct wy_rows_result *r)
-{
-  struct wy_orderer_daemon *d = ctx;
-  struct sockaddr_in a[RELAYS_MAX];
-  size_t n = 0;
-
-  for (size_t i = 0; !r->err && i < r->n && n < RELAYS_MAX; i++)
-    n += wy_member_address (&r->rows[i], &a[n]);
-  if (n)
-    wy_rows_set_relays (d->rows, a, n);
-}
-
 static void on_generation_drawn (void *ctx, const struct wy_rows_result *r);
 
 static void
@@ -159,6 +143,8 @@
                (long long)d->report.orders_accepted, (long long)r.started_ms);
       /* The order was lost with the process that accepted it.  */
       d->ordered = NULL;
+      /* The new process may have another id.  */
+      d->rank_read_ms = 0;
     }
   d->report = r;
   d->reported_ms = now_ms;
@@ -355,17 +341,12 @@
 {
   struct wy_orderer_daemon *d = t->data;
   int64_t now_ms = wy_orderer_now_ms (d);
-  struct wy_rows_range members = { .table = WY_ADDRESSES_TABLE, .part = "" };
 
   if (d->generation == 0 && !d->drawing)
     draw_generation (d);
   if (!d->listing && now_ms >= d->list_due_ms && needs_list (d))
     wy_orderer_read_list (d);
-  if (now_ms >= d->relays_due_ms)
-    {
-      d->relays_due_ms = now_ms + RELAYS_EVERY_MS;
-      wy_rows_get (d->rows, &members, on_members, d);
-    }
+  wy_orderer_read_relays (d, now_ms);
   if (d->call && now_ms >= d->call_deadline_ms)
     {
       wy_h1_call_cancel (d->call);
@@ -376,17 +357,6 @@
     work (d, now_ms);
 }
 
-static void
-read_seeds (struct wy_orderer_daemon *d)
-{
-  struct sockaddr_in a[RELAYS_MAX];
-  size_t n = 0;
-
-  for (guint i = 0; i < d->o.settings->seeds->len && n < RELAYS_MAX; i++)
-    n += wy_address_parse (g_ptr_array_index (d->o.settings->seeds, i), &a[n]);
-  wy_rows_set_relays (d->rows, a, n);
-}
-
 /* Start ordering as O says and store the orderer in OUT.  Returns 0 or
    WY_H1_EBIND for an address that can't be read or taken.  */
 int
@@ -423,7 +393,7 @@
   rows.http = d->http;
   rows.seed = wy_hash64 (d->incarnation, WY_ID_LEN, 0);
   d->rows = wy_rows_new (&rows);
-  read_seeds (d);
+  wy_orderer_init_relays (d);
   w.rows = d->rows;
   w.seed = rows.seed + 1;
   d->operator_rows = wy_watch_new (&w);
--- a/src/orders/orderer_state.h
+++ b/src/orders/orderer_state.h
@@ -14,8 +14,7 @@
 enum
 {
   WY_ORDERER_NAME_SIZE_BYTES = 128,
-  /* Between two tries to read the list of replicas.  */
-  WY_ORDERER_LIST_RETRY_MS = 300
+  WY_ORDERER_RELAYS_MAX = 16
 };
 
 struct wy_named
@@ -27,6 +26,16 @@
   bool single;
 };
 
+/* State of a paged read of the list of replicas.  */
+struct wy_replica_list
+{
+  char *next_key; /* start of the next page; NULL: first page */
+  uint32_t rank;
+  uint32_t replicas;
+  bool found;      /* own replica is listed */
+  uint32_t misses; /* consecutive reads without it */
+};
+
 struct wy_orderer_daemon
 {
   struct wy_orderer_daemon_options o;
@@ -48,11 +57,18 @@
   int64_t generation; /* 0: not drawn yet */
   bool drawing;
   bool listing;
-  uint32_t rank; /* of the replica among those of its service */
+  struct wy_replica_list list;
+  int64_t rank_read_ms; /* when rank and replicas were read; 0: never */
+  uint32_t rank;        /* of the replica among those of its service */
   uint32_t replicas;
   int64_t list_due_ms;
   char lag_model[WY_ORDERER_NAME_SIZE_BYTES]; /* whose lag is being read */
   int64_t lag_version;
+  struct sockaddr_in relays[WY_ORDERER_RELAYS_MAX]; /* read so far */
+  size_t n_relays;
+  uint64_t relay_position; /* where reads of addresses start */
+  uint32_t relay_parts;    /* parts completed by the current read */
+  bool reading_relays;
   int64_t relays_due_ms;
   struct wy_h1_call *call; /* to the replica, one at a time */
   bool call_is_order;
@@ -69,6 +85,8 @@
 int64_t wy_orderer_now_ms (const struct wy_orderer_daemon *d);
 int64_t wy_orderer_held_version (const struct wy_orderer_daemon *d,
                                  const char *model);
+void wy_orderer_init_relays (struct wy_orderer_daemon *d);
+void wy_orderer_read_relays (struct wy_orderer_daemon *d, int64_t now_ms);
 void wy_orderer_on_operator_row (void *ctx, const struct wy_row *row);
 void wy_orderer_read_list (struct wy_orderer_daemon *d);
 bool wy_orderer_wants_single_version (const struct wy_orderer_daemon *d);
--- a/src/orders/turns.c
+++ b/src/orders/turns.c
@@ -9,6 +9,14 @@
 #include "platform/replica_wire.h"
 #include "trace/note.h"
 
+enum
+{
+  RANK_FRESH_MS = 10000,
+  LIST_RETRY_MS = 300,
+  /* Caps the growth of the delay while the replica is not listed.  */
+  LIST_MISSES_MAX = 7
+};
+
 /* Monotonic time in ms.  */
 int64_t
 wy_orderer_now_ms (const struct wy_orderer_daemon *d)
@@ -194,47 +202,84 @@
   wy_rows_get (d->rows, &range, on_lag, d);
 }
 
+static void read_page (struct wy_orderer_daemon *d);
+
+static void
+count_replica (struct wy_orderer_daemon *d, const struct wy_row *row)
+{
+  struct wy_replica_list *l = &d->list;
+  struct wy_replica info;
+
+  if (wy_replica_decode (row->key, row->value, row->size_bytes, &info)
+      || strcmp (info.service, d->o.settings->service) != 0)
+    return;
+  if (order_of (&info.address) == order_of (&d->target))
+    {
+      g_strlcpy (d->id, info.id, sizeof d->id);
+      l->found = true;
+    }
+  else if (!info.draining)
+    l->rank += order_of (&info.address) < order_of (&d->target);
+  l->replicas += !info.draining;
+}
+
 static void
-on_list (void *ctx, const struct wy_rows_result *r)
+on_page (void *ctx, const struct wy_rows_result *r)
 {
   struct wy_orderer_daemon *d = ctx;
-  uint32_t rank = 0;
-  uint32_t n = 0;
-  bool found = false;
+  struct wy_replica_list *l = &d->list;
 
   d->listing = false;
-  d->list_due_ms = wy_orderer_now_ms (d) + WY_ORDERER_LIST_RETRY_MS;
-  for (size_t i = 0; !r->err && i < r->n; i++)
+  d->list_due_ms = wy_orderer_now_ms (d) + LIST_RETRY_MS;
+  if (r->err)
+    return;
+  for (size_t i = 0; i < r->n; i++)
+    count_replica (d, &r->rows[i]);
+  if (r->more && r->n)
     {
-      struct wy_replica info;
-
-      if (wy_replica_decode (r->rows[i].key, r->rows[i].value,
-                             r->rows[i].size_bytes, &info)
-          || strcmp (info.service, d->o.settings->service) != 0)
-        continue;
-      if (order_of (&info.address) == order_of (&d->target))
-        {
-          g_strlcpy (d->id, info.id, sizeof d->id);
-          found = true;
-        }
-      else if (!info.draining)
-        rank += order_of (&info.address) < order_of (&d->target);
-      n += !info.draining;
+      g_free (l->next_key);
+      /* The least key after that of the last row.  */
+      l->next_key = g_strconcat (r->rows[r->n - 1].key, "\x01", NULL);
+      read_page (d);
+      return;
     }
-  if (!found)
-    return;
-  d->rank = rank;
-  d->replicas = n;
+  if (!l->found)
+    {
+      d->list_due_ms += (int64_t)LIST_RETRY_MS * l->misses;
+      l->misses = MIN (l->misses + 1, LIST_MISSES_MAX);
+      return;
+    }
+  d->rank = l->rank;
+  d->replicas = l->replicas;
+  d->rank_read_ms = wy_orderer_now_ms (d);
+  l->misses = 0;
   read_lag (d);
 }
 
-/* Find out the place of this replica among those of its service, and from it
-   the turns of versions that have none yet.  */
-void
-wy_orderer_read_list (struct wy_orderer_daemon *d)
+static void
+read_page (struct wy_orderer_daemon *d)
 {
-  struct wy_rows_range range = { .table = WY_REPLICA_TABLE, .part = "" };
+  struct wy_rows_range range
+      = { .table = WY_REPLICA_TABLE, .part = "", .from = d->list.next_key };
 
   d->listing = true;
-  wy_rows_get (d->rows, &range, on_list, d);
+  wy_rows_get (d->rows, &range, on_page, d);
+}
+
+/* Determine the turns of versions that have none yet from the rank of this
+   replica among those of its service.  The rank is cached for RANK_FRESH_MS,
+   since every orderer reads the whole list and replicas change much less often
+   than versions.  */
+void
+wy_orderer_read_list (struct wy_orderer_daemon *d)
+{
+  if (*d->id && d->rank_read_ms
+      && wy_orderer_now_ms (d) - d->rank_read_ms < RANK_FRESH_MS)
+    {
+      read_lag (d);
+      return;
+    }
+  g_clear_pointer (&d->list.next_key, g_free);
+  d->list = (struct wy_replica_list){ .misses = d->list.misses };
+  read_page (d);
 }
--- a/tests/test_orders.c
+++ b/tests/test_orders.c
@@ -2,6 +2,7 @@
 #include <criterion/criterion.h>
 #include <string.h>
 
+#include "gate/members.h"
 #include "orders/orderer_state.h"
 #include "platform/config_wire.h"
 #include "platform/replica_wire.h"
@@ -234,3 +235,109 @@
   g_free (entry);
   stop ();
 }
+
+enum
+{
+  OTHERS = 1100
+};
+
+/* List OTHERS replicas at the address IP.  */
+static void
+list_others (const char *ip)
+{
+  for (int i = 0; i < OTHERS; i++)
+    {
+      char id[16];
+      char value[192];
+
+      snprintf (id, sizeof id, "a-%04d", i);
+      snprintf (value, sizeof value,
+                "{\"service\":\"svc\",\"address\":\"%s:%d\","
+                "\"zone\":\"z1\",\"slots\":4,\"state\":\"ready\"}",
+                ip, 1 + i);
+      wy_platform_store_put (w.store, WY_REPLICA_TABLE, "", id, value);
+    }
+}
+
+/* Guards against a replica beyond the first page of the list never being
+   ordered.  */
+Test (orders, long_list_of_replicas)
+{
+  start ();
+  wy_orderer_daemon_free (d);
+  platform_world_run_ms (&w, 50);
+  list_others ("127.0.0.1");
+  start_daemon ();
+  platform_world_run_ms (&w, 500);
+  cr_assert_not_null (d);
+  cr_expect_str_eq (d->id, "i-1");
+  cr_expect_eq (d->replicas, OTHERS + 1);
+  cr_expect_eq (d->rank, OTHERS);
+  stop ();
+}
+
+static uint64_t
+list_rows_read (void)
+{
+  struct wy_rows_stats s;
+
+  wy_rows_stats (d->rows, &s);
+  return wy_traffic_of (&s.traffic, WY_REPLICA_TABLE)->rows_read;
+}
+
+/* Guards against reading the list of replicas for each version.  */
+Test (orders, list_is_not_read_for_each_version)
+{
+  uint64_t rows;
+
+  start ();
+  list_others ("127.0.0.2");
+  name_version (2);
+  cr_expect (loads (2));
+  rows = list_rows_read ();
+  for (int64_t version = 3; version < 6; version++)
+    {
+      name_version (version);
+      cr_expect (loads (version));
+    }
+  cr_expect_eq (list_rows_read (), rows);
+  stop ();
+}
+
+static bool
+has_relays (void *ctx)
+{
+  return d->relays_due_ms && !d->reading_relays;
+}
+
+/* Guards against orderers that read the addresses of all entries.  */
+Test (orders, few_addresses_are_read)
+{
+  enum
+  {
+    ENTRIES = 400
+  };
+  struct wy_rows_stats s;
+
+  start ();
+  wy_orderer_daemon_free (d);
+  platform_world_run_ms (&w, 50);
+  for (uint64_t i = 0; i < ENTRIES; i++)
+    {
+      uint64_t position = wy_hash64 (&i, sizeof i, 0);
+      char part[WY_MEMBERS_PART_SIZE_BYTES];
+      char key[WY_MEMBERS_KEY_SIZE_BYTES];
+
+      wy_members_part (position, part);
+      wy_members_key (position, key);
+      wy_platform_store_put (w.store, WY_ADDRESSES_TABLE, part, key,
+                             "127.0.0.1:9");
+    }
+  start_daemon ();
+  cr_assert (platform_world_until (&w, has_relays, NULL));
+  wy_rows_stats (d->rows, &s);
+  cr_expect_geq (d->n_relays, 4);
+  cr_expect_leq (wy_traffic_of (&s.traffic, WY_ADDRESSES_TABLE)->rows_read,
+                 2 * (uint64_t)WY_ORDERER_RELAYS_MAX);
+  stop ();
+}
