Revert "At startup, read only the jobs that the entry may take over"

Cause: the reads of all jobs by all entries after a loss of all power were taken for what makes trainers late at 986 machines.

The product of entries and jobs at a start of all stays and is noted.

--- a/src/gate/follow.c
+++ b/src/gate/follow.c
@@ -175,8 +175,6 @@
 
   if (g->members)
     wy_gate_set_relays (g);
-  if (g->jobs)
-    wy_jobs_members_changed (g->jobs);
 }
 
 /* Take the peers that the settings S name.  */
--- a/src/gate/members.h
+++ b/src/gate/members.h
@@ -57,7 +57,6 @@
 void wy_members_follow_load (struct wy_members *m, bool follow);
 double wy_members_busy (const struct wy_members *m, const char *service,
                         const char *availability_zone);
-bool wy_members_is_synced (const struct wy_members *m);
 bool wy_members_load_is_known (const struct wy_members *m);
 int64_t wy_members_epoch_ms (const struct wy_members *m);
 int64_t wy_members_usage_complete (const struct wy_members *m);
--- a/src/gate/members_choice.c
+++ b/src/gate/members_choice.c
@@ -322,13 +322,6 @@
     }
 }
 
-/* Whether the directory has been read in full.  */
-bool
-wy_members_is_synced (const struct wy_members *m)
-{
-  return wy_watch_is_synced (m->watch);
-}
-
 /* Age in ms of what is known; -1: nothing is.  */
 int64_t
 wy_members_age_ms (const struct wy_members *m)
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -57,7 +57,6 @@
 uint32_t wy_jobs_running (const struct wy_jobs *j);
 void wy_jobs_version_named (struct wy_jobs *j, const char *model,
                             int64_t version);
-void wy_jobs_members_changed (struct wy_jobs *j);
 void wy_jobs_targets_changed (struct wy_jobs *j);
 
 void wy_jobs_accept (struct wy_jobs *j, struct wy_h1_request *r,
--- a/src/jobs/read.c
+++ b/src/jobs/read.c
@@ -307,8 +307,6 @@
     }
 }
 
-static void read_record (struct read *d);
-
 static void
 on_record (void *ctx, const struct wy_rows_result *r)
 {
@@ -324,14 +322,6 @@
       refuse (d, 503, "store_unread", r->err);
       return;
     }
-  if (!rec && strcmp (d->call.job, d->call.name) != 0)
-    {
-      /* Jobs accepted without an organisation, or before organisations were
-         introduced, are stored under the plain name.  */
-      g_strlcpy (d->call.job, d->call.name, sizeof d->call.job);
-      read_record (d);
-      return;
-    }
   if (!rec)
     {
       refuse (d, 404, "no_job", 0);
--- a/src/rows/watch.h
+++ b/src/rows/watch.h
@@ -15,11 +15,6 @@
   bool all_parts;    /* false: rows of the empty part alone */
   uint32_t gap_ms;   /* least time between two calls */
   uint64_t seed;
-  /* With all_parts: whether a full read of the table includes PART; NULL: it
-     includes all.  Changes to skipped parts are still reported.  */
-  bool (*should_read_part) (void *ctx, const char *part);
-  /* Whether a full read of the table may proceed; NULL: always.  */
-  bool (*may_read) (void *ctx);
   /* A row is new, changed or deleted; it may be told more than once.  */
   void (*on_row) (void *ctx, const struct wy_row *row);
   /* All rows are known; comes again when they had to be read anew.  */
@@ -29,7 +24,6 @@
 
 struct wy_watch *wy_watch_new (const struct wy_watch_options *o);
 void wy_watch_free (struct wy_watch *w);
-void wy_watch_check_skipped (struct wy_watch *w);
 bool wy_watch_is_synced (const struct wy_watch *w);
 int64_t wy_watch_age_ms (const struct wy_watch *w);
 
