Comments on suspects name the directory, not the heartbeats

Cause: the list of requests that crash replicas moved from the heartbeats to the entry's row in the directory; two comments still told of heartbeats.

Change: comments alone.

--- a/src/gate/crash_rows.c
+++ b/src/gate/crash_rows.c
@@ -1,8 +1,8 @@
 /* Requests that crash replicas, as entries tell them to each other.
 
-   Whoever sends such a request sends it to any entry.  The heartbeats reach
-   all of them within about half a second and are written anyway, so this
-   costs no calls to the store.  */
+   Whoever sends such a request sends it to any entry.  The list is part of the
+   entry's row in the directory, which all of them follow, and is written when
+   it changes.  */
 #include "gate/crash_rows.h"
 
 #include <inttypes.h>
@@ -12,7 +12,7 @@
 enum
 {
   /* Suspects told at a time, those proven by most crashes first: about 60
-     bytes each in a row that is written twice a second.  */
+     bytes each in a row that every entry reads.  */
   TOLD_MAX = 8,
   HEX_SIZE_BYTES = 17,
   HEX_BASE = 16
