Divide the replicas of a service among its models by need

Cause: each model of a service gets an equal range of replicas, whatever its jobs need. On a deployment of four trainers at 2.6 times the usual groups, the one with 130 slot-seconds per step is always on time with half of its slots idle, and those with 290 to 300 finish after 8 to 9 s.

With them the version that a replica loads depends on its rank, so that a boundary that moves by one leaves the versions of the other replicas as they are.

Result: no caller passes counts yet, so nothing changes in operation.

--- a/src/decide/weight_loading.c
+++ b/src/decide/weight_loading.c
@@ -40,16 +40,38 @@
   uint32_t share = (o->replicas + models - 1) / models;
   uint32_t n = (o->replicas * period / SPREAD_DIVISOR + models - 1) / models;
 
+  if (o->counts)
+    {
+      share = o->counts[o->model];
+      n = share * period / SPREAD_DIVISOR;
+    }
   return MIN (MAX (n, share), o->replicas);
 }
 
+/* The rank of the first replica of MODEL's range if the replicas are divided
+   by COUNTS.  */
+uint32_t
+wy_weight_loading_first (const uint32_t *counts, uint32_t model)
+{
+  uint32_t first = 0;
+
+  for (uint32_t i = 0; i < model; i++)
+    first += counts[i];
+  return first;
+}
+
 /* Whether and when one replica loads a version.  If there are several models,
    the replicas are divided among them, since a load is wasted on a replica
    that gets no samples of the model.  If jobs accept weights that are LAG
    versions old, a replica is always of use if it loads one version in LAG + 1.
    With a lag of one, half of the replicas load the even versions and half the
    odd ones, and the half that doesn't load can run a step as soon as it is
-   submitted.  */
+   submitted.
+
+   If the shares are unequal, boundaries move when demands change.  The version
+   that a replica loads then depends on its rank instead of its place in the
+   range; otherwise all replicas behind a boundary that moves by one would
+   change to the other versions and none would have the one in use.  */
 struct wy_weight_loading
 wy_weight_loading (const struct wy_weight_loading_options *o)
 {
@@ -57,7 +79,8 @@
   uint32_t models = o->models ? o->models : 1;
   uint32_t period = o->lag + 1;
   uint32_t group = group_size (o, models, period);
-  uint32_t first = o->model * o->replicas / models;
+  uint32_t first = o->counts ? wy_weight_loading_first (o->counts, o->model)
+                             : o->model * o->replicas / models;
   uint32_t index;
 
   if (o->replicas == 0)
@@ -65,10 +88,9 @@
   index = (o->rank + o->replicas - first) % o->replicas;
   if (index >= group)
     return t;
-  /* With fewer replicas than PERIOD, each loads one version in GROUP.  */
-  if (period > group)
-    period = group;
-  if (index % period != (uint64_t)o->version % period)
+  /* With fewer replicas than PERIOD, each loads one version in that many.  */
+  period = MIN (period, o->counts ? MAX (o->counts[o->model], 1) : group);
+  if ((o->counts ? o->rank : index) % period != (uint64_t)o->version % period)
     return t;
   t.loads = true;
   t.delay_ms = index / period / concurrent_loads (o->replicas) * o->load_ms;
