Models' demands decide the replicas that load their versions

Cause: no process knows how many slots the jobs of a model need, so orderers can only give each model of a service an equal range of replicas.

Change: the entry that runs a model's jobs measures its need: expected tokens of a job, times slot time per token of completed items, over the least time between submissions, which may rise by 5 % per job. Orderers read their service's rows, at most every 5 s, before they schedule a load, and divide the replicas by them. Entries that run jobs watch the table. Log lines demand.published and shares.changed, range and counts in version.turn, and gauges of need and share by model.

--- a/src/decide/job_priority.c
+++ b/src/decide/job_priority.c
@@ -11,8 +11,8 @@
 }
 
 /* The organisation's priority, or the route's if it has none.  */
-static uint32_t
-effective_priority (const struct wy_job_priority *t)
+uint32_t
+wy_job_priority_effective (const struct wy_job_priority *t)
 {
   return t->organisation_priority != UINT32_MAX ? t->organisation_priority
                                                 : t->route_priority;
@@ -24,7 +24,8 @@
 wy_job_priority_compare (const struct wy_job_priority *a,
                          const struct wy_job_priority *b)
 {
-  int order = compare_numbers (effective_priority (a), effective_priority (b));
+  int order = compare_numbers (wy_job_priority_effective (a),
+                               wy_job_priority_effective (b));
 
   if (order)
     return order;
--- a/src/decide/job_priority.h
+++ b/src/decide/job_priority.h
@@ -11,6 +11,7 @@
   int64_t accepted_ms;
 };
 
+uint32_t wy_job_priority_effective (const struct wy_job_priority *t);
 int wy_job_priority_compare (const struct wy_job_priority *a,
                              const struct wy_job_priority *b);
 
--- /dev/null
+++ b/src/decide/model_demand.c
@@ -0,0 +1,124 @@
+/* Number of slots that the jobs of a model need: the expected tokens of a job,
+   times the slot time that a token takes, over the time between two jobs.
+
+   Jobs that are late say little about the need, since their trainer waits for
+   them and submits less often.  So the interval is the minimum between
+   submissions, which rises only slowly.  */
+#include "decide/model_demand.h"
+
+enum
+{
+  /* Jobs submitted within this time count as one: a trainer may split a step,
+     and the short time between the halves is not its interval.  */
+  SAME_SUBMISSION_MS = 500,
+  /* Items completed before a demand is known: the times of single items differ
+     by a factor of two.  */
+  ITEMS_MIN = 16
+};
+
+/* Weight of a new job in the moving average of tokens.  */
+static const double job_weight = 0.3;
+/* Largest rise of the interval per job: a trainer that becomes slower for good
+   is followed within a minute or two.  */
+static const double interval_rise_max = 1.05;
+/* Weight that the completed items so far keep with each further one, which so
+   covers about the last 200, roughly one job.  */
+static const double item_decay = 0.995;
+/* Smaller changes of the demand are not published, so that boundaries between
+   models don't move with each job.  */
+static const double change_min = 0.15;
+
+/* Record a job with TOKENS expected tokens, submitted at SUBMITTED_MS, whose
+   results are due after DUE_MS (0: not configured).  */
+void
+wy_demand_job_submitted (struct wy_demand_estimate *e, double tokens,
+                         int64_t submitted_ms, uint32_t due_ms)
+{
+  int64_t since_ms = submitted_ms - e->submitted_ms;
+  double rise_ms = e->interval_ms * interval_rise_max;
+
+  /* A takeover may start an older job, or the same again.  */
+  if (e->last_tokens > 0 && since_ms <= 0)
+    return;
+  if (e->last_tokens > 0 && since_ms < SAME_SUBMISSION_MS)
+    {
+      e->last_tokens += tokens;
+      return;
+    }
+  e->tokens_before = wy_demand_tokens (e);
+  if (e->last_tokens == 0)
+    e->interval_ms = due_ms;
+  else
+    {
+      e->interval_ms = e->interval_ms == 0 || since_ms < rise_ms
+                           ? (double)since_ms
+                           : rise_ms;
+      e->has_interval = true;
+    }
+  e->last_tokens = tokens;
+  e->submitted_ms = submitted_ms;
+}
+
+/* Record a completed item with TOKENS expected tokens, whose runs took SLOT_MS
+   together.  */
+void
+wy_demand_item_completed (struct wy_demand_estimate *e, double tokens,
+                          double slot_ms)
+{
+  e->item_tokens = e->item_tokens * item_decay + tokens;
+  e->item_slot_ms = e->item_slot_ms * item_decay + slot_ms;
+  if (e->items < ITEMS_MIN)
+    e->items++;
+}
+
+/* Average of expected tokens of a job; 0: unknown.  */
+double
+wy_demand_tokens (const struct wy_demand_estimate *e)
+{
+  if (e->tokens_before == 0)
+    return e->last_tokens;
+  return e->tokens_before + job_weight * (e->last_tokens - e->tokens_before);
+}
+
+/* Slot time per expected token in ms; 0: unknown.  */
+double
+wy_demand_ms_per_token (const struct wy_demand_estimate *e)
+{
+  return e->items < ITEMS_MIN || e->item_tokens <= 0
+             ? 0
+             : e->item_slot_ms / e->item_tokens;
+}
+
+/* Average number of slots that the jobs need; 0: unknown.  */
+double
+wy_demand_slots (const struct wy_demand_estimate *e)
+{
+  if (e->interval_ms <= 0)
+    return 0;
+  return wy_demand_tokens (e) * wy_demand_ms_per_token (e) / e->interval_ms;
+}
+
+/* Whether to publish the demand now, and which: a new one in SLOTS if it
+   differs from the one that is PUBLISHED, or the same again before it becomes
+   invalid.  A demand based on a guessed interval doesn't replace a higher one,
+   which the former holder of the model's jobs measured.  */
+bool
+wy_demand_is_due (const struct wy_demand_estimate *e,
+                  const struct wy_published_demand *published, double *slots)
+{
+  bool valid
+      = published->age_ms >= 0 && published->age_ms <= WY_DEMAND_VALID_MS;
+  double change;
+
+  *slots = wy_demand_slots (e);
+  if (*slots <= 0)
+    return false;
+  if (!valid)
+    return true;
+  change = *slots - published->slots;
+  if (change > published->slots * change_min
+      || (e->has_interval && -change > published->slots * change_min))
+    return true;
+  *slots = published->slots;
+  return published->age_ms >= WY_DEMAND_RENEW_MS;
+}
--- a/src/decide/weight_loading.c
+++ b/src/decide/weight_loading.c
@@ -48,15 +48,16 @@
   return MIN (MAX (n, share), o->replicas);
 }
 
-/* The rank of the first replica of MODEL's range if the replicas are divided
-   by COUNTS.  */
+/* The rank of the first replica of O->model's range.  */
 uint32_t
-wy_weight_loading_first (const uint32_t *counts, uint32_t model)
+wy_weight_loading_first (const struct wy_weight_loading_options *o)
 {
   uint32_t first = 0;
 
-  for (uint32_t i = 0; i < model; i++)
-    first += counts[i];
+  if (!o->counts)
+    return o->model * o->replicas / (o->models ? o->models : 1);
+  for (uint32_t i = 0; i < o->model; i++)
+    first += o->counts[i];
   return first;
 }
 
@@ -79,8 +80,8 @@
   uint32_t models = o->models ? o->models : 1;
   uint32_t period = o->lag + 1;
   uint32_t group = group_size (o, models, period);
-  uint32_t first = o->counts ? wy_weight_loading_first (o->counts, o->model)
-                             : o->model * o->replicas / models;
+  uint32_t own = o->counts ? o->counts[o->model] : group;
+  uint32_t first = wy_weight_loading_first (o);
   uint32_t index;
 
   if (o->replicas == 0)
@@ -89,7 +90,10 @@
   if (index >= group)
     return t;
   /* With fewer replicas than PERIOD, each loads one version in that many.  */
-  period = MIN (period, o->counts ? MAX (o->counts[o->model], 1) : group);
+  if (period > own)
+    period = own;
+  if (period == 0)
+    return t;
   if ((o->counts ? o->rank : index) % period != (uint64_t)o->version % period)
     return t;
   t.loads = true;
--- a/src/decide/weight_loading.h
+++ b/src/decide/weight_loading.h
@@ -24,7 +24,7 @@
   uint32_t delay_ms; /* after the version was announced */
 };
 
-uint32_t wy_weight_loading_first (const uint32_t *counts, uint32_t model);
+uint32_t wy_weight_loading_first (const struct wy_weight_loading_options *o);
 struct wy_weight_loading
 wy_weight_loading (const struct wy_weight_loading_options *o);
 
--- a/src/gate/env.h
+++ b/src/gate/env.h
@@ -41,6 +41,8 @@
   struct wy_metrics_family *latency_by_route;
 };
 
+struct wy_demand;
+
 struct wy_gate_env
 {
   uv_loop_t *loop;
@@ -57,6 +59,8 @@
   struct wy_rng rng;
   struct wy_crash_tracker crashes;
   struct wy_usage *usage; /* NULL: usage is not reported */
+  /* Of models, by which replicas are divided; NULL: they are not.  */
+  struct wy_demand *demand;
   struct wy_gate_counters count;
 };
 
--- a/src/gate/gate_metrics.c
+++ b/src/gate/gate_metrics.c
@@ -3,6 +3,7 @@
 
 #include <stdio.h>
 
+#include "jobs/demand.h"
 #include "platform/store_wire.h"
 #include "trace/json_log.h"
 
@@ -106,6 +107,13 @@
       m, "wy_gate_items_scoring", "Job items whose text waits for a score");
   v->items_unlisted = wy_metrics_gauge (
       m, "wy_gate_items_unlisted", "Job items whose results are not listed");
+  v->need = wy_metrics_gauge_family (
+      m, "wy_gate_model_need_slots",
+      "Average number of slots that the model's jobs need, as published",
+      WY_GATE_LABEL_SETS_MAX);
+  v->share = wy_metrics_gauge_family (
+      m, "wy_gate_model_share_replicas",
+      "Replicas of the service that the model has", WY_GATE_LABEL_SETS_MAX);
   v->store_calls_ended = wy_metrics_counter_family (
       m, "wy_gate_store_calls_ended_total",
       "Calls to the store by how they ended", WY_GATE_LABEL_SETS_MAX);
@@ -182,6 +190,21 @@
     }
 }
 
+static void
+update_model (void *ctx, const struct wy_demand_view *view)
+{
+  struct wy_gate_gauges *v = ctx;
+  char *service = wy_metrics_label ("service", view->service);
+  char *model = wy_metrics_label ("model", view->model);
+  char *labels = g_strjoin (",", service, model, NULL);
+
+  *wy_metrics_family_gauge (v->need, labels) = (int64_t)(view->need + .5);
+  *wy_metrics_family_gauge (v->share, labels) = view->replicas;
+  g_free (labels);
+  g_free (model);
+  g_free (service);
+}
+
 static void
 update_duties (const struct wy_gate *g)
 {
@@ -224,6 +247,7 @@
   *v->items_waiting = work.waiting;
   *v->items_scoring = work.scoring;
   *v->items_unlisted = work.unlisted;
+  wy_demand_each (g->env.demand, update_model, v);
   update_store_calls (v, &rows);
   update_traffic (v, &rows.traffic);
   *v->jobs_known = wy_jobs_is_synced (g->jobs);
--- a/src/gate/gate_state.h
+++ b/src/gate/gate_state.h
@@ -59,7 +59,9 @@
   int64_t *usage_forced;
   int64_t *scale_orders;
   struct wy_metrics_family *store_calls_ended; /* by verb and outcome */
-  struct wy_metrics_family *table_calls;       /* by table */
+  struct wy_metrics_family *need;              /* by service and model */
+  struct wy_metrics_family *share;
+  struct wy_metrics_family *table_calls; /* by table */
   struct wy_metrics_family *table_rows_read;
   struct wy_metrics_family *table_read_bytes;
   struct wy_metrics_family *table_written_bytes;
--- a/src/gate/replica.h
+++ b/src/gate/replica.h
@@ -74,4 +74,6 @@
   WY_ORDER_UNKNOWN
 };
 
+uint64_t wy_replica_address_key (const struct sockaddr_in *a);
+
 #endif
--- a/src/gate/settings.c
+++ b/src/gate/settings.c
@@ -1,6 +1,8 @@
 /* Settings of wygated.  */
 #include "gate/settings.h"
 
+#include "jobs/model_shares.h"
+
 #define FIELD(f) offsetof (struct wy_gate_settings, f)
 
 const struct wy_setting wy_gate_settings_table[] = {
@@ -126,7 +128,15 @@
     .max = 600000,
     .unit = "ms",
     .help = "Lease of the entry that makes these calls; a dead one is waited"
-            " for so long" }
+            " for so long" },
+  { .key = "replica_shares",
+    .kind = WY_SETTING_CHOICE,
+    .offset = FIELD (replica_shares),
+    .default_value = "equal",
+    .choices = wy_replica_shares_choices,
+    .help = "Replicas of each model of a service: equal ranges, or by what the"
+            " models' jobs need if one lacks them; the same at entries and"
+            " orderers" }
 };
 
 const size_t wy_gate_settings_count = G_N_ELEMENTS (wy_gate_settings_table);
--- a/src/gate/settings.h
+++ b/src/gate/settings.h
@@ -25,6 +25,7 @@
   double usage_window_s;
   double usage_late_s;
   int64_t lease_ms;
+  int64_t replica_shares; /* enum wy_replica_shares_mode */
 };
 
 extern const struct wy_setting wy_gate_settings_table[];
--- a/src/gate/store_watch.c
+++ b/src/gate/store_watch.c
@@ -4,6 +4,7 @@
 
 #include <string.h>
 
+#include "jobs/model_shares.h"
 #include "platform/config_wire.h"
 #include "platform/replica_wire.h"
 #include "trace/json_log.h"
@@ -225,7 +226,9 @@
           .result_retention_ms
           = (int64_t)(g->o.settings->keep_s * WY_MS_PER_S),
           .memory_limit_bytes = (uint64_t)g->o.settings->memory_mb * WY_GATE_MB
-                                / WY_GATE_JOBS_MEMORY_DIVISOR };
+                                / WY_GATE_JOBS_MEMORY_DIVISOR,
+          .shares_by_demand
+          = g->o.settings->replica_shares == WY_REPLICA_SHARES_DEMAND };
 
   g->operator_watch = wy_watch_new (&w);
   w.table = WY_REPLICA_TABLE;
--- a/src/jobs/active_job.h
+++ b/src/jobs/active_job.h
@@ -47,6 +47,7 @@
   uint32_t runs;
   uint32_t runs_without_event; /* in a row, failed before any event */
   int64_t not_before_ms;       /* earliest start of the next run */
+  int64_t slot_ms;             /* duration of its runs with events */
   struct wy_target *avoid; /* referenced; where the last run failed; or NULL */
   struct wy_run *run;      /* in state RUNNING */
   struct wy_score *score;  /* in state SCORING */
--- a/src/jobs/jobs.c
+++ b/src/jobs/jobs.c
@@ -10,6 +10,7 @@
 #include <string.h>
 
 #include "decide/job_priority.h"
+#include "jobs/demand.h"
 #include "trace/json_log.h"
 
 enum
@@ -19,6 +20,9 @@
   LINGER_TICKS = 3,
   /* Ticks between two attempts to mark jobs as done in the store.  */
   MARK_DONE_TICKS = 10,
+  /* Ticks between two updates of the models' shares, which change with demands
+     and replicas.  */
+  SHARES_TICKS = 5,
   /* A tick that is this late shows that the process was suspended.  */
   STALL_MS = 60,
   WATCH_INTERVAL_MS = 150,
@@ -149,6 +153,32 @@
   drop_active_job (j, o);
 }
 
+/* An organisation that was removed from the configuration has the lowest
+   priority.  */
+static struct wy_job_priority
+priority_of (const struct wy_active_job *o)
+{
+  const struct wy_routing *r = o->env->routing;
+  const struct wy_route *route = r ? wy_active_job_route (o) : NULL;
+  const struct wy_org *org
+      = r && r->orgs ? wy_orgs_find (r->orgs, o->record->organisation) : NULL;
+
+  return (struct wy_job_priority){ .organisation_priority
+                                   = org ? org->priority : UINT32_MAX,
+                                   .route_priority
+                                   = route ? route->priority : 0,
+                                   .accepted_ms = o->record->accepted_ms };
+}
+
+/* Record that the job O has started here, as a part of its model's demand.  */
+void
+wy_jobs_count_demand (struct wy_jobs *j, const struct wy_active_job *o)
+{
+  struct wy_job_priority p = priority_of (o);
+
+  wy_demand_job_started (j->env->demand, o, wy_job_priority_effective (&p));
+}
+
 /* Run the job of R here.  Take ownership of SPEC.  */
 struct wy_active_job *
 wy_jobs_activate (struct wy_jobs *j, const struct wy_job_record *r,
@@ -165,6 +195,7 @@
 
   w->newest_version = wy_staleness_newest_version (j->staleness, spec->model);
   g_hash_table_insert (j->active, w->record->id, w);
+  wy_jobs_count_demand (j, w);
   return w;
 }
 
@@ -228,23 +259,6 @@
   struct wy_active_job *job;
 };
 
-/* An organisation that was removed from the configuration has the lowest
-   priority.  */
-static struct wy_job_priority
-priority_of (const struct wy_active_job *o)
-{
-  const struct wy_routing *r = o->env->routing;
-  const struct wy_route *route = r ? wy_active_job_route (o) : NULL;
-  const struct wy_org *org
-      = r && r->orgs ? wy_orgs_find (r->orgs, o->record->organisation) : NULL;
-
-  return (struct wy_job_priority){ .organisation_priority
-                                   = org ? org->priority : UINT32_MAX,
-                                   .route_priority
-                                   = route ? route->priority : 0,
-                                   .accepted_ms = o->record->accepted_ms };
-}
-
 static gint
 by_priority (gconstpointer a, gconstpointer b)
 {
@@ -316,6 +330,8 @@
     tick_lingering (j);
   if (j->ticks % MARK_DONE_TICKS == 0)
     wy_jobs_retry_mark_done (j);
+  if (j->ticks % SHARES_TICKS == 0)
+    wy_demand_update_shares (j->env->demand);
   if (!j->env->stopping)
     {
       take_over_jobs (j);
@@ -372,6 +388,8 @@
   g_queue_init (&j->waiting_calls);
   j->watch = wy_watch_new (&w);
   j->staleness = wy_staleness_new (o->env);
+  if (o->shares_by_demand)
+    o->env->demand = wy_demand_new (o->env, o->seed + 1);
   uv_timer_init (o->env->loop, &j->tick);
   j->tick.data = j;
   uv_timer_start (&j->tick, on_tick, TICK_MS, TICK_MS);
@@ -392,6 +410,8 @@
     wy_active_job_close (g_ptr_array_index (j->lingering, i));
   g_ptr_array_set_size (j->lingering, 0);
   wy_staleness_free (j->staleness);
+  wy_demand_free (j->env->demand);
+  j->env->demand = NULL;
   wy_watch_free (j->watch);
   uv_close ((uv_handle_t *)&j->tick, NULL);
 }
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -22,6 +22,7 @@
   uint32_t max_row_bytes;      /* that the store accepts */
   int64_t result_retention_ms; /* from the job's submission */
   uint64_t memory_limit_bytes; /* for all jobs together; 0: no limit */
+  bool shares_by_demand; /* divide replicas among models by their demands */
 };
 
 struct wy_jobs *wy_jobs_new (const struct wy_jobs_options *o);
--- a/src/jobs/run.c
+++ b/src/jobs/run.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #include "gate/response.h"
+#include "jobs/demand.h"
 #include "platform/request_wire.h"
 #include "trace/json_log.h"
 
@@ -57,6 +58,10 @@
 {
   struct wy_gate_env *env = r->item->job->env;
 
+  /* A run without an event may have waited at the replica or been rejected. */
+  if (r->n_events)
+    r->item->slot_ms += wy_run_now_ms (r) - r->started_ms;
+
   r->item->run = NULL;
   wy_sse_clear (&r->events);
   wy_target_request_ended (env->targets, r->target, outcome,
@@ -265,8 +270,13 @@
 complete (struct wy_run *r)
 {
   struct wy_item *i = r->item;
+  char service[WY_REPLICA_NAME_SIZE_BYTES];
+
   log_run (r, "completed");
+  /* The target may be freed when its last run ends.  */
+  g_strlcpy (service, r->target->info.service, sizeof service);
   end_run (r, WY_TARGET_ANSWERED);
+  wy_demand_item_ended (i->job->env->demand, service, i);
   wy_item_text_complete (i);
 }
 
--- a/src/jobs/state.h
+++ b/src/jobs/state.h
@@ -37,6 +37,7 @@
 struct wy_active_job *wy_jobs_activate (struct wy_jobs *j,
                                         const struct wy_job_record *r,
                                         struct wy_job_spec *spec);
+void wy_jobs_count_demand (struct wy_jobs *j, const struct wy_active_job *o);
 void wy_jobs_on_listed (void *ctx, struct wy_active_job *o);
 void wy_jobs_on_job_end (void *ctx, struct wy_active_job *o,
                          enum wy_active_job_end why);
--- a/src/jobs/takeover.c
+++ b/src/jobs/takeover.c
@@ -59,6 +59,7 @@
   wy_json_log ("job.running", "id=%s listed=%u of=%u text_taken=%u",
                t->record->id, t->active->n_listed, t->active->n_items,
                t->n_resumed_items);
+  wy_jobs_count_demand (j, t->active);
   if (wy_active_job_is_done (t->active))
     wy_jobs_on_job_end (j, t->active, WY_ACTIVE_JOB_DONE);
   else
--- a/src/orders/order_metrics.c
+++ b/src/orders/order_metrics.c
@@ -24,6 +24,13 @@
   m->orders = wy_metrics_counter_family (a, "wy_orderer_orders_total",
                                          "Orders by how they were answered",
                                          OUTCOMES_MAX);
+  m->need = wy_metrics_gauge_family (
+      a, "wy_orderer_model_need_slots",
+      "Average number of slots that the model's jobs need, as read",
+      WY_REPLICA_MODELS_MAX);
+  m->share = wy_metrics_gauge_family (
+      a, "wy_orderer_model_share_replicas",
+      "Replicas of the service that the model has", WY_REPLICA_MODELS_MAX);
   m->load_us = wy_metrics_histogram (a, "wy_orderer_load_us",
                                      "Time from an order to its effect");
   m->requested = wy_metrics_gauge (a, "wy_orderer_version_named",
@@ -69,6 +76,26 @@
     }
 }
 
+static void
+update_share_gauges (const struct wy_orderer_daemon *d,
+                     const struct wy_order_metrics *m)
+{
+  const struct wy_service *s
+      = d->routing ? wy_routing_service (d->routing, d->o.settings->service)
+                   : NULL;
+
+  for (uint32_t i = 0; s && i < MIN (d->shares.models, s->models->len); i++)
+    {
+      char *model
+          = wy_metrics_label ("model", g_ptr_array_index (s->models, i));
+
+      *wy_metrics_family_gauge (m->need, model)
+          = (int64_t)(d->shares.demand[i].slots + .5);
+      *wy_metrics_family_gauge (m->share, model) = d->shares.counts[i];
+      g_free (model);
+    }
+}
+
 static void
 on_request (void *ctx, struct wy_h1_request *r)
 {
@@ -81,6 +108,7 @@
 
   wy_rows_stats (d->rows, &rows);
   update_version_gauges (d, m);
+  update_share_gauges (d, m);
   *m->report_age_ms
       = d->reported_ms ? wy_orderer_now_ms (d) - d->reported_ms : -1;
   *m->generation = MAX (d->generation, 0);
--- a/src/orders/orderer_state.h
+++ b/src/orders/orderer_state.h
@@ -6,6 +6,7 @@
 #include "gate/replica.h"
 #include "gate/routing.h"
 #include "h1/client.h"
+#include "jobs/model_shares.h"
 #include "orders/order_metrics.h"
 #include "orders/orderer.h"
 #include "platform/config_wire.h"
@@ -62,6 +63,12 @@
   uint32_t rank;        /* of the replica in its service, by address */
   uint32_t replicas;
   int64_t list_due_ms;
+  /* Demands of the service's models as last read; unused if the setting
+     replica_shares is "equal".  */
+  struct wy_demand_rows demands;
+  int64_t demands_read_ms;  /* 0: never */
+  int64_t demands_store_ms; /* the store's clock at that read */
+  struct wy_model_shares shares;
   /* Whose allowed staleness is being read.  */
   char staleness_model[WY_ORDERER_NAME_SIZE_BYTES];
   int64_t staleness_version;
--- a/src/orders/settings.h
+++ b/src/orders/settings.h
@@ -12,6 +12,7 @@
   char *store;
   char *metrics;
   GPtrArray *seeds;
+  int64_t replica_shares; /* enum wy_replica_shares_mode */
 };
 
 extern const struct wy_setting wy_orders_settings_table[];
--- a/src/orders/versions.c
+++ b/src/orders/versions.c
@@ -13,6 +13,9 @@
 {
   RANK_FRESH_MS = 10000,
   LIST_RETRY_MS = 300,
+  /* Demands change little from one version to the next, which are announced
+     every few seconds by each trainer.  */
+  DEMANDS_FRESH_MS = 5000,
   /* Caps the growth of the retry delay while the replica is not listed.  */
   LIST_MISSES_MAX = 7
 };
@@ -99,24 +102,48 @@
     }
 }
 
+static const struct wy_service *
+own_service (const struct wy_orderer_daemon *d)
+{
+  return d->routing ? wy_routing_service (d->routing, d->o.settings->service)
+                    : NULL;
+}
+
 /* Store the position of MODEL among the models of this replica's service in
    INDEX and their number in N.  */
 static void
 model_index (const struct wy_orderer_daemon *d, const char *model,
              uint32_t *index, uint32_t *n)
 {
-  const struct wy_service *s
-      = d->routing ? wy_routing_service (d->routing, d->o.settings->service)
-                   : NULL;
-
-  *index = 0;
-  *n = 1;
-  for (guint i = 0; s && i < s->models->len; i++)
-    if (!strcmp (g_ptr_array_index (s->models, i), model))
-      {
-        *index = i;
-        *n = s->models->len;
-      }
+  const struct wy_service *s = own_service (d);
+  uint32_t i = s ? wy_model_index (s, model) : 0;
+  bool listed = s && i < s->models->len;
+
+  *index = listed ? i : 0;
+  *n = listed ? s->models->len : 1;
+}
+
+/* Whether the shares of this service's models depend on their demands.  */
+static bool
+shares_by_demand (const struct wy_orderer_daemon *d)
+{
+  const struct wy_service *s = own_service (d);
+
+  return d->o.settings->replica_shares == WY_REPLICA_SHARES_DEMAND && s
+         && s->models->len > 1;
+}
+
+static void
+update_shares (struct wy_orderer_daemon *d)
+{
+  struct wy_model_shares shares = { 0 };
+
+  if (shares_by_demand (d) && d->demands_read_ms)
+    wy_model_shares_compute (&d->demands, own_service (d), d->replicas,
+                             d->demands_store_ms, &shares);
+  if (wy_model_shares_differ (&shares, &d->shares))
+    wy_model_shares_log (&shares, d->o.settings->service, d->replicas);
+  d->shares = shares;
 }
 
 /* Whether a route to this replica's service requires that each text comes from
@@ -137,6 +164,27 @@
   return false;
 }
 
+/* Report the schedule of N.  The field range has the ranks of the first
+   replica of the model's share and of the one after the last.  */
+static void
+log_turn (const struct wy_orderer_daemon *d,
+          const struct wy_orderer_version *n,
+          const struct wy_weight_loading_options *o, uint32_t delay_ms)
+{
+  uint32_t first = wy_weight_loading_first (o);
+  uint32_t end = o->counts ? first + o->counts[o->model]
+                           : (o->model + 1) * o->replicas / o->models;
+  char *counts
+      = o->counts ? wy_model_shares_counts (&d->shares) : g_strdup ("equal");
+
+  wy_json_log ("version.turn",
+               "model=%s version=%lld loads=%d delay_ms=%u rank=%u of=%u "
+               "lag=%u range=%u-%u counts=%s",
+               n->v.model, (long long)n->v.version, n->selected, delay_ms,
+               o->rank, o->replicas, o->lag, first, end, counts);
+  g_free (counts);
+}
+
 static void
 schedule_load (struct wy_orderer_daemon *d, struct wy_orderer_version *n,
                uint32_t lag)
@@ -149,14 +197,13 @@
   struct wy_weight_loading t;
 
   model_index (d, n->v.model, &o.model, &o.models);
+  update_shares (d);
+  if (d->shares.by_need && d->shares.models == o.models)
+    o.counts = d->shares.counts;
   t = wy_weight_loading (&o);
   n->selected = t.loads;
   n->due_ms = n->seen_ms + t.delay_ms;
-  wy_json_log (
-      "version.turn",
-      "model=%s version=%lld loads=%d delay_ms=%u rank=%u of=%u lag=%u",
-      n->v.model, (long long)n->v.version, n->selected, t.delay_ms, d->rank,
-      d->replicas, lag);
+  log_turn (d, n, &o, t.delay_ms);
 }
 
 /* The first version whose load is not scheduled yet; NULL: none.  */
@@ -171,12 +218,6 @@
 
 static void read_staleness (struct wy_orderer_daemon *d);
 
-static uint64_t
-address_key (const struct sockaddr_in *a)
-{
-  return (uint64_t)ntohl (a->sin_addr.s_addr) << 16 | ntohs (a->sin_port);
-}
-
 static void
 on_staleness (void *ctx, const struct wy_rows_result *r)
 {
@@ -209,6 +250,43 @@
   wy_rows_get (d->rows, &range, on_staleness, d);
 }
 
+static void
+on_demands (void *ctx, const struct wy_rows_result *r)
+{
+  struct wy_orderer_daemon *d = ctx;
+
+  d->list_pending = false;
+  /* If the read failed, the rows read before stay in use.  */
+  if (!r->err)
+    {
+      memset (&d->demands, 0, sizeof d->demands);
+      for (size_t i = 0; i < r->n; i++)
+        wy_demand_rows_set (&d->demands, &r->rows[i]);
+      d->demands_read_ms = wy_orderer_now_ms (d);
+      d->demands_store_ms = r->store_now_ms;
+    }
+  read_staleness (d);
+}
+
+/* Read what the next schedule depends on: the demands of the service's models,
+   unless they were read in the last seconds, and the staleness.  */
+static void
+read_demands (struct wy_orderer_daemon *d)
+{
+  struct wy_rows_range range
+      = { .table = WY_DEMAND_TABLE, .partition = d->o.settings->service };
+
+  if (!shares_by_demand (d)
+      || (d->demands_read_ms
+          && wy_orderer_now_ms (d) - d->demands_read_ms < DEMANDS_FRESH_MS))
+    {
+      read_staleness (d);
+      return;
+    }
+  d->list_pending = true;
+  wy_rows_get (d->rows, &range, on_demands, d);
+}
+
 static void read_page (struct wy_orderer_daemon *d);
 
 static void
@@ -220,13 +298,15 @@
   if (wy_replica_decode (row->key, row->value, row->size_bytes, &info)
       || strcmp (info.service, d->o.settings->service) != 0)
     return;
-  if (address_key (&info.address) == address_key (&d->target))
+  if (wy_replica_address_key (&info.address)
+      == wy_replica_address_key (&d->target))
     {
       g_strlcpy (d->id, info.id, sizeof d->id);
       l->found = true;
     }
   else if (!info.draining)
-    l->rank += address_key (&info.address) < address_key (&d->target);
+    l->rank += wy_replica_address_key (&info.address)
+               < wy_replica_address_key (&d->target);
   l->replicas += !info.draining;
 }
 
@@ -260,7 +340,7 @@
   d->replicas = l->replicas;
   d->rank_read_ms = wy_orderer_now_ms (d);
   l->misses = 0;
-  read_staleness (d);
+  read_demands (d);
 }
 
 static void
@@ -284,7 +364,7 @@
   if (*d->id && d->rank_read_ms
       && wy_orderer_now_ms (d) - d->rank_read_ms < RANK_FRESH_MS)
     {
-      read_staleness (d);
+      read_demands (d);
       return;
     }
   g_clear_pointer (&d->list.next_key, g_free);
--- a/src/trace/metrics.c
+++ b/src/trace/metrics.c
@@ -11,6 +11,7 @@
   METRIC_GAUGE,
   METRIC_HISTOGRAM,
   METRIC_COUNTERS,
+  METRIC_GAUGES,
   METRIC_HISTOGRAMS
 };
 
@@ -19,6 +20,7 @@
 {
   char *labels;
   uint64_t counter;
+  int64_t gauge;
   struct wy_hist *histogram;
 };
 
@@ -80,6 +82,7 @@
       g_free (x->u.histogram);
       break;
     case METRIC_COUNTERS:
+    case METRIC_GAUGES:
     case METRIC_HISTOGRAMS:
       family_free (x->u.family);
       break;
@@ -168,6 +171,14 @@
   return family (m, METRIC_COUNTERS, name, help, series_max);
 }
 
+/* Like wy_metrics_counter_family, with gauges.  */
+struct wy_metrics_family *
+wy_metrics_gauge_family (struct wy_metrics *m, const char *name,
+                         const char *help, uint32_t series_max)
+{
+  return family (m, METRIC_GAUGES, name, help, series_max);
+}
+
 /* Like wy_metrics_counter_family, with histograms.  */
 struct wy_metrics_family *
 wy_metrics_histogram_family (struct wy_metrics *m, const char *name,
@@ -203,6 +214,13 @@
   return &find_series (f, labels)->counter;
 }
 
+/* The gauge of F with LABELS.  */
+int64_t *
+wy_metrics_family_gauge (struct wy_metrics_family *f, const char *labels)
+{
+  return &find_series (f, labels)->gauge;
+}
+
 /* The histogram of F with LABELS.  */
 struct wy_hist *
 wy_metrics_family_histogram (struct wy_metrics_family *f, const char *labels)
@@ -272,7 +290,10 @@
           continue;
         }
       print_name (out, x->name, "", l->labels);
-      g_string_append_printf (out, " %" PRIu64 "\n", l->counter);
+      if (x->kind == METRIC_GAUGES)
+        g_string_append_printf (out, " %" PRId64 "\n", l->gauge);
+      else
+        g_string_append_printf (out, " %" PRIu64 "\n", l->counter);
     }
 }
 
@@ -281,7 +302,7 @@
 wy_metrics_print (const struct wy_metrics *m, GString *out)
 {
   static const char *const type[]
-      = { "counter", "gauge", "summary", "counter", "summary" };
+      = { "counter", "gauge", "summary", "counter", "gauge", "summary" };
 
   for (guint i = 0; i < m->all->len; i++)
     {
@@ -304,6 +325,7 @@
           print_histogram (x->name, "", x->u.histogram, out);
           break;
         case METRIC_COUNTERS:
+        case METRIC_GAUGES:
         case METRIC_HISTOGRAMS:
           print_family (x, out);
           break;
--- a/src/trace/metrics.h
+++ b/src/trace/metrics.h
@@ -26,12 +26,18 @@
                                                      const char *name,
                                                      const char *help,
                                                      uint32_t series_max);
+struct wy_metrics_family *wy_metrics_gauge_family (struct wy_metrics *m,
+                                                   const char *name,
+                                                   const char *help,
+                                                   uint32_t series_max);
 struct wy_metrics_family *wy_metrics_histogram_family (struct wy_metrics *m,
                                                        const char *name,
                                                        const char *help,
                                                        uint32_t series_max);
 uint64_t *wy_metrics_family_counter (struct wy_metrics_family *f,
                                      const char *labels);
+int64_t *wy_metrics_family_gauge (struct wy_metrics_family *f,
+                                  const char *labels);
 struct wy_hist *wy_metrics_family_histogram (struct wy_metrics_family *f,
                                              const char *labels);
 char *wy_metrics_label (const char *name, const char *value);
--- a/tests/support/job_fixture.c
+++ b/tests/support/job_fixture.c
@@ -7,6 +7,7 @@
 struct platform_fixture job_fixture;
 struct job_entry job_entry;
 uint64_t job_memory_limit_bytes;
+bool job_shares_by_demand;
 const char *job_organisation = "";
 
 static void
@@ -38,7 +39,8 @@
   struct wy_jobs_options j = { .env = &job_fixture.env,
                                .max_object_bytes = 512,
                                .max_row_bytes = 65536,
-                               .memory_limit_bytes = job_memory_limit_bytes };
+                               .memory_limit_bytes = job_memory_limit_bytes,
+                               .shares_by_demand = job_shares_by_demand };
   struct wy_h1_server_options o
       = { .loop = &job_fixture.loop,
           .host = "127.0.0.1",
--- a/tests/support/job_fixture.h
+++ b/tests/support/job_fixture.h
@@ -24,6 +24,7 @@
 extern struct job_entry job_entry;
 /* Limit for the next entry that is started; 0: none.  */
 extern uint64_t job_memory_limit_bytes;
+extern bool job_shares_by_demand;    /* set before the entry starts */
 extern const char *job_organisation; /* of the callers; "": none */
 
 void job_fixture_start_entry (void);
--- a/tests/test_decide_replica_shares.c
+++ b/tests/test_decide_replica_shares.c
@@ -121,6 +121,15 @@
     }
 }
 
+static uint32_t
+first_rank (const uint32_t *by_need, uint32_t model)
+{
+  struct wy_weight_loading_options o
+      = { .counts = by_need, .model = model, .models = MODELS };
+
+  return wy_weight_loading_first (&o);
+}
+
 /* An orderer has read the rows before a demand grew by a fifth and another
    after it.  Their boundaries may differ by two replicas at most; a larger
    difference would leave replicas that load for no model.  */
@@ -137,9 +146,9 @@
       demand[k].slots *= 1.2;
       divide (demand, REPLICAS);
       for (uint32_t m = 0; m < MODELS; m++)
-        cr_expect_leq (abs ((int)wy_weight_loading_first (before, m)
-                            - (int)wy_weight_loading_first (counts, m)),
-                       2);
+        cr_expect_leq (
+            abs ((int)first_rank (before, m) - (int)first_rank (counts, m)),
+            2);
     }
 }
 
--- /dev/null
+++ b/tests/test_jobs_demand.c
@@ -0,0 +1,110 @@
+/* Demands of models, measured and published by the entry that runs their
+   jobs.  */
+#include <criterion/criterion.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "jobs/demand.h"
+#include "support/job_fixture.h"
+
+/* Submissions this close together count as one.  */
+#define NEXT_JOB_MS 520
+
+static void
+start (void)
+{
+  const struct wy_service *s;
+  struct wy_route *route;
+
+  job_shares_by_demand = true;
+  job_fixture_start (2);
+  s = wy_routing_service (job_fixture.env.routing, "svc");
+  g_ptr_array_add (s->models, g_strdup ("m"));
+  g_ptr_array_add (s->models, g_strdup ("n"));
+  ((struct wy_service *)s)->slots = 4;
+  route = g_ptr_array_index (job_fixture.env.routing->routes, 0);
+  route->result_deadline_ms = 100;
+}
+
+static char *
+published (void)
+{
+  return wy_platform_store_value (job_fixture.store, WY_DEMAND_TABLE, "svc",
+                                  "m");
+}
+
+static bool
+is_published (void *ctx)
+{
+  char *value = published ();
+  bool is = value != NULL;
+
+  g_free (value);
+  return is;
+}
+
+static void
+run_jobs (int n)
+{
+  for (int k = 0; k < n; k++)
+    {
+      char id[16];
+
+      g_snprintf (id, sizeof id, "j%d", k);
+      cr_expect_eq (job_fixture_submit (id, 1), 202);
+      job_fixture_check_results (id);
+      platform_fixture_run_ms (&job_fixture, NEXT_JOB_MS);
+    }
+}
+
+static uint32_t replicas_of_m;
+static double need_of_m;
+
+static void
+on_model (void *ctx, const struct wy_demand_view *v)
+{
+  if (strcmp (v->model, "m") != 0)
+    return;
+  replicas_of_m = v->replicas;
+  need_of_m = v->need;
+}
+
+static bool
+sees_need (void *ctx)
+{
+  wy_demand_each (job_fixture.env.demand, on_model, NULL);
+  return need_of_m > 0;
+}
+
+/* The need must reach the orderers, and the entry itself.  */
+Test (jobs_demand, need_is_published_and_read)
+{
+  char *value;
+
+  start ();
+  run_jobs (4);
+  cr_assert (platform_fixture_run_until (&job_fixture, is_published, NULL));
+  value = published ();
+  cr_expect_eq (strncmp (value, "{\"slots\":", 9), 0, "%s", value);
+  cr_expect_not_null (strstr (value, "\"at_ms\":"), "%s", value);
+  cr_expect_gt (atof (value + 9), 0);
+  g_free (value);
+  cr_assert (platform_fixture_run_until (&job_fixture, sees_need, NULL));
+  cr_expect_eq (replicas_of_m, 1);
+  job_fixture_stop ();
+}
+
+/* A service with one model has nothing to divide: no row may be written.  */
+Test (jobs_demand, one_model_publishes_nothing)
+{
+  const struct wy_service *s;
+
+  start ();
+  s = wy_routing_service (job_fixture.env.routing, "svc");
+  g_ptr_array_set_size (s->models, 1);
+  run_jobs (3);
+  cr_expect_eq (
+      wy_platform_store_row_count (job_fixture.store, WY_DEMAND_TABLE, "svc"),
+      0);
+  job_fixture_stop ();
+}
--- a/tests/test_orders.c
+++ b/tests/test_orders.c
@@ -342,3 +342,82 @@
       2 * (uint64_t)WY_ORDERER_RELAYS_MAX);
   stop ();
 }
+
+/* Add COUNT replicas at the address IP to the list.  */
+static void
+list_at (const char *ip, int count)
+{
+  for (int i = 0; i < count; i++)
+    {
+      char id[32];
+      char value[192];
+
+      snprintf (id, sizeof id, "%s-%d", ip, i);
+      snprintf (value, sizeof value,
+                "{\"service\":\"svc\",\"address\":\"%s:%d\","
+                "\"zone\":\"z1\",\"slots\":4,\"state\":\"ready\"}",
+                ip, 1 + i);
+      wy_platform_store_put (w.store, WY_REPLICA_TABLE, "", id, value);
+    }
+}
+
+/* Let the service have the models "o" and "m".  */
+static void
+set_models (void)
+{
+  struct wy_service *s;
+
+  d->routing = wy_routing_new ();
+  s = wy_routing_add_service (d->routing);
+  s->name = g_strdup ("svc");
+  s->slots = 4;
+  g_ptr_array_add (s->models, g_strdup ("o"));
+  g_ptr_array_add (s->models, g_strdup ("m"));
+}
+
+static bool
+is_scheduled (void *ctx)
+{
+  return d->n_versions && d->versions[0].due_ms;
+}
+
+/* The replica is the sixth of nine.  By equal shares it belongs to "m"; but
+   the jobs of "o" need 20 slots, and "m" has none.  Guards against loads for a
+   model without jobs while another lacks replicas.  */
+Test (orders, replicas_are_divided_by_demand)
+{
+  start ();
+  wy_platform_store_put (
+      w.store, WY_DEMAND_TABLE, "svc", "o",
+      "{\"slots\":20,\"priority\":0,\"at_ms\":4000000000000}");
+  list_at ("127.0.0.0", 5);
+  list_at ("127.0.0.2", 3);
+  settings.replica_shares = WY_REPLICA_SHARES_DEMAND;
+  set_models ();
+  request_version (2);
+  cr_assert (platform_fixture_run_until (&w, is_scheduled, NULL));
+  cr_expect_eq (d->replicas, 9);
+  cr_expect_eq (d->rank, 5);
+  cr_expect (d->shares.by_need);
+  cr_expect_eq (d->shares.counts[0], 8);
+  cr_expect_eq (d->shares.counts[1], 1);
+  cr_expect_not (d->versions[0].selected);
+  stop ();
+}
+
+/* The same with the setting "equal": the demands change nothing.  */
+Test (orders, equal_shares_ignore_demands)
+{
+  start ();
+  wy_platform_store_put (
+      w.store, WY_DEMAND_TABLE, "svc", "o",
+      "{\"slots\":20,\"priority\":0,\"at_ms\":4000000000000}");
+  list_at ("127.0.0.0", 5);
+  list_at ("127.0.0.2", 3);
+  set_models ();
+  request_version (2);
+  cr_assert (platform_fixture_run_until (&w, is_scheduled, NULL));
+  cr_expect_not (d->shares.by_need);
+  cr_expect (d->versions[0].selected);
+  stop ();
+}
