Items prefer the replicas of their model's share

Cause: with shares by need, an entry still sends the items of a model to any replica with new enough weights. While all replicas have the first version, three entries fill the same 264 slots with 300 to 400 runs.

Change: while replicas are divided by need, an item goes to a replica of its model's range, found by rank of addresses as orderers rank them. If none there is eligible, a replica outside is used if it has reported a free slot in the last 300 ms, or if no run of this entry waits for a response there. With equal shares, without a model, and for requests and scores, the choice is as before.

Result: tests of the choice and of the range of an entry pass, and so do those of jobs, takeovers, gate, proxy and scores.

--- a/src/gate/targets.c
+++ b/src/gate/targets.c
@@ -28,6 +28,9 @@
      otherwise a slow target would never be tried again.  */
   PACE_VALID_MS = 4000,
   AVOID_STALLED_MS = 150,
+  /* The same for a target outside a model's range: the entries that its slots
+     are meant for fill a free one within a few events.  */
+  RANGE_LOAD_VALID_MS = 300,
   /* Targets used for the median pace; more would not make it better.  */
   MEDIAN_SAMPLE_MAX = 64
 };
@@ -282,6 +285,18 @@
   return p->ms;
 }
 
+/* Whether a request may leave its model's range for G.  The other entries that
+   send to G count on its slots, so it must have reported a free one just now;
+   otherwise one request at a time finds out.  */
+static bool
+may_leave_range_for (const struct wy_target *g,
+                     const struct wy_target_criteria *p, int64_t now_ms)
+{
+  return g->unanswered == 0
+         || (g->reported_ms && now_ms - g->reported_ms <= RANGE_LOAD_VALID_MS
+             && estimated_load (g, now_ms) < usable_slots (g, p));
+}
+
 static bool
 is_eligible (const struct wy_target *g, const struct wy_target_criteria *p,
              int64_t now_ms)
@@ -362,13 +377,12 @@
   return pace[(n - 1) / 2];
 }
 
-/* Choose the target for a request that meets P and has the least expected
-   cost; this spreads bursts over the replicas and avoids slow ones.  Ties are
-   broken at random, so that the entries don't all choose the same target.
-   NULL: no target is suitable now.  */
-struct wy_target *
-wy_targets_pick (struct wy_targets *t, const struct wy_target_criteria *p,
-                 int64_t now_ms)
+/* Choose the target that meets P and has the least expected cost, inside or
+   OUTSIDE the range of P.  Ties are broken at random, so that the entries
+   don't all choose the same target.  */
+static struct wy_target *
+pick_in_range (struct wy_targets *t, const struct wy_target_criteria *p,
+               bool outside, int64_t now_ms)
 {
   double median_ms = wy_targets_median_pace_ms (t, p->service, p->work);
   struct wy_target *best = NULL;
@@ -385,6 +399,10 @@
 
       if (!is_eligible (g, p, now_ms))
         continue;
+      if (p->range && wy_target_range_has (p->range, g) == outside)
+        continue;
+      if (outside && !may_leave_range_for (g, p, now_ms))
+        continue;
       cost = cost_of (t, g, p, median_ms, now_ms);
       if (!best || cost < best_cost)
         {
@@ -398,6 +416,19 @@
   return best;
 }
 
+/* Choose the target for a request that meets P and has the least expected
+   cost; this spreads bursts over the replicas and avoids slow ones.  Targets
+   outside the range of P are used if there is none in it.  NULL: no target is
+   suitable now.  */
+struct wy_target *
+wy_targets_pick (struct wy_targets *t, const struct wy_target_criteria *p,
+                 int64_t now_ms)
+{
+  struct wy_target *g = pick_in_range (t, p, false, now_ms);
+
+  return !g && p->range ? pick_in_range (t, p, true, now_ms) : g;
+}
+
 /* Add a reference to G, which keeps it allocated.  */
 void
 wy_target_ref (struct wy_target *g)
--- a/src/gate/targets.h
+++ b/src/gate/targets.h
@@ -9,6 +9,7 @@
 
 #include "base/rng.h"
 #include "gate/replica.h"
+#include "gate/target_range.h"
 
 struct wy_targets;
 
@@ -70,6 +71,7 @@
   double slots_share;       /* fraction of the slots to use; 0: all */
   uint32_t reserved_slots;  /* number of slots to leave free */
   double pace_limit_ms;     /* no target with a slower pace; 0: no limit */
+  const struct wy_target_range *range;  /* of the model; NULL: any target */
   const struct wy_target *const *tried; /* excluded */
   uint32_t n_tried;
 };
--- a/src/jobs/active_job.c
+++ b/src/jobs/active_job.c
@@ -5,6 +5,7 @@
 
 #include "decide/item_slots.h"
 #include "jobs/checkpoint.h"
+#include "jobs/demand.h"
 #include "jobs/score.h"
 #include "trace/json_log.h"
 
@@ -355,6 +356,7 @@
   q.service = wy_route_pick_service (
       route, wy_rng_below (&i->job->env->rng, UINT32_MAX));
   q.in_flight_limit = wy_gate_in_flight_limit (o->env, q.service);
+  q.range = wy_demand_range (o->env->demand, q.service, q.model);
   return wy_targets_pick (o->env->targets, &q, now_of (o));
 }
 
--- a/src/jobs/demand.c
+++ b/src/jobs/demand.c
@@ -42,6 +42,8 @@
   GHashTable *models; /* struct model_demand by name: those that run here */
   struct wy_demand_rows rows;
   struct wy_model_shares shares;
+  struct wy_target_range ranges[WY_REPLICA_MODELS_MAX];
+  bool has_range[WY_REPLICA_MODELS_MAX]; /* none if shares are equal */
 };
 
 struct wy_demand
@@ -104,24 +106,43 @@
   return m;
 }
 
+static void
+update_ranges (struct service_demands *s, const struct wy_target_ranks *ranks)
+{
+  uint32_t first = 0;
+
+  for (uint32_t i = 0; i < WY_REPLICA_MODELS_MAX; i++)
+    {
+      s->has_range[i] = s->shares.by_need && i < s->shares.models
+                        && wy_target_ranks_range (
+                            ranks, first, s->shares.counts[i], &s->ranges[i]);
+      first += s->shares.counts[i];
+    }
+}
+
 static void
 update_service (struct wy_demand *d, struct service_demands *s)
 {
   const struct wy_service *service
       = d->env->routing ? wy_routing_service (d->env->routing, s->name) : NULL;
-  uint32_t replicas = wy_targets_count_ready (d->env->targets, s->name);
   /* The time of the last read: rows don't become old while the store is
      unreachable.  */
   int64_t read_ms = wy_rows_store_now_ms (d->env->rows)
                     - MAX (wy_watch_age_ms (d->watch), 0);
+  struct wy_target_ranks *ranks;
   struct wy_model_shares shares;
+  uint32_t replicas;
 
   if (!service)
     return;
+  ranks = wy_target_ranks_new (d->env->targets, s->name);
+  replicas = wy_target_ranks_count (ranks);
   wy_model_shares_compute (&s->rows, service, replicas, read_ms, &shares);
   if (wy_model_shares_differ (&shares, &s->shares))
     wy_model_shares_log (&shares, s->name, replicas);
   s->shares = shares;
+  update_ranges (s, ranks);
+  wy_target_ranks_free (ranks);
 }
 
 /* Compute the shares of all services from the rows, replicas and configuration
@@ -139,6 +160,28 @@
     update_service (d, s);
 }
 
+/* Return the replicas of SERVICE that load the versions of MODEL (may be
+   NULL), or NULL if shares are equal or not known.  D may be NULL.  */
+const struct wy_target_range *
+wy_demand_range (const struct wy_demand *d, const char *service,
+                 const char *model)
+{
+  const struct service_demands *s
+      = d && model ? g_hash_table_lookup (d->services, service) : NULL;
+  const struct wy_service *config
+      = s && d->env->routing ? wy_routing_service (d->env->routing, service)
+                             : NULL;
+  uint32_t i;
+
+  if (!config || !s->shares.by_need)
+    return NULL;
+  i = wy_model_index (config, model);
+  return i < config->models->len && i < WY_REPLICA_MODELS_MAX
+                 && s->has_range[i]
+             ? &s->ranges[i]
+             : NULL;
+}
+
 static void
 on_row (void *ctx, const struct wy_row *row)
 {
--- a/src/jobs/demand.h
+++ b/src/jobs/demand.h
@@ -24,6 +24,9 @@
                             uint32_t priority);
 void wy_demand_item_ended (struct wy_demand *d, const char *service,
                            const struct wy_item *i);
+const struct wy_target_range *wy_demand_range (const struct wy_demand *d,
+                                               const char *service,
+                                               const char *model);
 void wy_demand_update_shares (struct wy_demand *d);
 void wy_demand_each (const struct wy_demand *d,
                      void (*fn) (void *ctx, const struct wy_demand_view *v),
--- a/tests/test_gate_targets.c
+++ b/tests/test_gate_targets.c
@@ -313,3 +313,47 @@
   cr_expect_eq (wy_targets_pick (t, &p, 5000), a);
   wy_targets_free (t);
 }
+
+/* The replicas are divided among two models.  Items of one must leave those of
+   the other alone while it has free slots itself, and may then use them only
+   as far as they have reported free slots, or one at a time; otherwise several
+   entries send to the same slots.  */
+Test (targets, range_of_the_model_is_preferred)
+{
+  struct wy_targets *t = wy_targets_new (1);
+  struct wy_target *g[3] = { add (t, "a"), add (t, "b"), add (t, "c") };
+  struct wy_target_ranks *ranks;
+  struct wy_target_range range;
+  struct wy_target_criteria p
+      = { .service = "svc", .require_free_slot = true, .range = &range };
+
+  for (int i = 0; i < 3; i++)
+    g[i]->info.address.sin_port = htons (300 - i * 100);
+  ranks = wy_target_ranks_new (t, "svc");
+  cr_assert (wy_target_ranks_range (ranks, 0, 1, &range));
+  cr_expect_not (wy_target_ranks_range (ranks, 2, 2, &range));
+  wy_target_ranks_free (ranks);
+  wy_target_record_load (g[0], 0, 10);
+  wy_target_record_pace (g[2], WY_WORK_REQUEST, 100, 10);
+  for (int k = 0; k < SLOTS; k++)
+    {
+      cr_expect_eq (wy_targets_pick (t, &p, 10), g[2]);
+      wy_target_request_started (g[2]);
+    }
+  for (int k = 0; k < SLOTS + 1; k++)
+    {
+      struct wy_target *next = wy_targets_pick (t, &p, 20);
+
+      cr_assert (next == g[0] || next == g[1]);
+      wy_target_request_started (next);
+    }
+  cr_expect_eq (g[0]->in_flight, SLOTS);
+  cr_expect_eq (g[1]->in_flight, 1);
+  cr_expect_null (wy_targets_pick (t, &p, 20));
+  wy_target_response_started (g[1]);
+  wy_target_record_load (g[1], 3, 30);
+  cr_expect_eq (wy_targets_pick (t, &p, 30), g[1]);
+  wy_target_request_started (g[1]);
+  cr_expect_null (wy_targets_pick (t, &p, 30));
+  wy_targets_free (t);
+}
--- a/tests/test_jobs_demand.c
+++ b/tests/test_jobs_demand.c
@@ -94,6 +94,38 @@
   job_fixture_stop ();
 }
 
+static bool
+has_range (void *ctx)
+{
+  return wy_demand_range (job_fixture.env.demand, "svc", "m") != NULL;
+}
+
+/* The jobs of "n", which run elsewhere, need all slots.  Guards against items
+   of "m" on other replicas than those that orderers choose for it by the
+   order of addresses.  */
+Test (jobs_demand, range_of_the_entry_is_that_of_the_orderers)
+{
+  uint16_t ports[2];
+
+  start ();
+  wy_platform_store_put (
+      job_fixture.store, WY_DEMAND_TABLE, "svc", "n",
+      "{\"slots\":8,\"priority\":0,\"at_ms\":4000000000000}");
+  cr_expect_null (wy_demand_range (job_fixture.env.demand, "svc", "m"));
+  run_jobs (1);
+  cr_assert (platform_fixture_run_until (&job_fixture, has_range, NULL));
+  for (int i = 0; i < 2; i++)
+    ports[i] = wy_platform_replica_port (job_fixture.replicas[i]);
+  cr_expect_eq (wy_demand_range (job_fixture.env.demand, "svc", "m")->last
+                    & UINT16_MAX,
+                MIN (ports[0], ports[1]));
+  cr_expect_eq (wy_demand_range (job_fixture.env.demand, "svc", "n")->first
+                    & UINT16_MAX,
+                MAX (ports[0], ports[1]));
+  cr_expect_null (wy_demand_range (job_fixture.env.demand, "svc", NULL));
+  job_fixture_stop ();
+}
+
 /* A service with one model has nothing to divide: no row may be written.  */
 Test (jobs_demand, one_model_publishes_nothing)
 {
