Short successive intervals don't multiply a model's need

Cause: the interval between jobs was the minimum of single intervals. A trainer that was late by 3 s submits its next job 1 s after, and one with two open steps submits whenever one of them ends; both would multiply the need by up to four and take the replicas of other models for about 28 jobs.

Change: the minimum is that of the mean of up to four successive intervals.

Result: in the test of a trainer that is late once and then submits after 6.5 and 1.5 s alternately, the need stays within a third above the actual one.

--- a/src/decide/model_demand.c
+++ b/src/decide/model_demand.c
@@ -3,7 +3,10 @@
 
    Jobs that are late say little about the need, since their trainer waits for
    them and submits less often.  So the interval is the minimum between
-   submissions, which rises only slowly.  */
+   submissions, which rises only slowly.  A trainer that was late catches up
+   with submissions in short succession, and one with two open steps submits
+   whenever one of them ends.  So the minimum is that of the mean of some
+   successive intervals: a single short one would multiply the need.  */
 #include "decide/model_demand.h"
 
 enum
@@ -28,35 +31,55 @@
    models don't move with each job.  */
 static const double change_min = 0.15;
 
+/* Mean of the last intervals between submissions.  */
+static double
+mean_interval_ms (const struct wy_demand_estimate *e)
+{
+  uint32_t n = e->submissions - 1;
+
+  return (double)(e->submitted_ms[0] - e->submitted_ms[n]) / n;
+}
+
+static void
+add_submission (struct wy_demand_estimate *e, int64_t submitted_ms)
+{
+  for (uint32_t i = WY_DEMAND_INTERVALS; i > 0; i--)
+    e->submitted_ms[i] = e->submitted_ms[i - 1];
+  e->submitted_ms[0] = submitted_ms;
+  if (e->submissions <= WY_DEMAND_INTERVALS)
+    e->submissions++;
+}
+
 /* Record a job with TOKENS expected tokens, submitted at SUBMITTED_MS, whose
    results are due after DUE_MS (0: not configured).  */
 void
 wy_demand_job_submitted (struct wy_demand_estimate *e, double tokens,
                          int64_t submitted_ms, uint32_t due_ms)
 {
-  int64_t since_ms = submitted_ms - e->submitted_ms;
+  int64_t since_ms = submitted_ms - e->submitted_ms[0];
   double rise_ms = e->interval_ms * interval_rise_max;
+  double mean_ms;
 
   /* A takeover may start an older job, or the same again.  */
-  if (e->last_tokens > 0 && since_ms <= 0)
+  if (e->submissions > 0 && since_ms <= 0)
     return;
-  if (e->last_tokens > 0 && since_ms < SAME_SUBMISSION_MS)
+  if (e->submissions > 0 && since_ms < SAME_SUBMISSION_MS)
     {
       e->last_tokens += tokens;
       return;
     }
   e->tokens_before = wy_demand_tokens (e);
-  if (e->last_tokens == 0)
-    e->interval_ms = due_ms;
-  else
+  e->last_tokens = tokens;
+  add_submission (e, submitted_ms);
+  if (e->submissions == 1)
     {
-      e->interval_ms = e->interval_ms == 0 || since_ms < rise_ms
-                           ? (double)since_ms
-                           : rise_ms;
-      e->has_interval = true;
+      e->interval_ms = due_ms;
+      return;
     }
-  e->last_tokens = tokens;
-  e->submitted_ms = submitted_ms;
+  mean_ms = mean_interval_ms (e);
+  e->interval_ms
+      = e->interval_ms == 0 || mean_ms < rise_ms ? mean_ms : rise_ms;
+  e->has_interval = true;
 }
 
 /* Record a completed item with TOKENS expected tokens, whose runs took SLOT_MS
--- a/src/decide/model_demand.h
+++ b/src/decide/model_demand.h
@@ -13,7 +13,9 @@
      abandon a step after 12 s.  */
   WY_DEMAND_VALID_MS = 30000,
   /* A third of that, so that two failed writes don't end it.  */
-  WY_DEMAND_RENEW_MS = 10000
+  WY_DEMAND_RENEW_MS = 10000,
+  /* Successive intervals whose mean counts.  */
+  WY_DEMAND_INTERVALS = 4
 };
 
 /* Zero-initialized: nothing is known.  */
@@ -21,7 +23,8 @@
 {
   double tokens_before; /* average of the submissions before the last */
   double last_tokens;   /* of the last submission; 0: none yet */
-  int64_t submitted_ms;
+  int64_t submitted_ms[WY_DEMAND_INTERVALS + 1]; /* the newest first */
+  uint32_t submissions;                          /* number of them */
   double interval_ms; /* minimum between submissions; 0: unknown */
   bool has_interval;  /* it was measured */
   /* Sums over completed items, of which older ones weigh less.  */
--- a/tests/test_decide_model_demand.c
+++ b/tests/test_decide_model_demand.c
@@ -58,6 +58,26 @@
   cr_expect_lt (wy_demand_slots (&e), 60);
 }
 
+/* A trainer is late by 3 s once, and later submits alternately after 6.5 and
+   1.5 s, whenever one of two open steps ends.  A single short interval must
+   not multiply the need and take the replicas of other models.  */
+Test (model_demand, trainer_that_catches_up)
+{
+  struct wy_demand_estimate e = { 0 };
+  int64_t at_ms = 1000;
+
+  for (int k = 0; k < 40; k++)
+    {
+      int64_t late_ms = k == 10 ? 3000 : k > 20 && k % 2 ? 2500 : 0;
+
+      run_jobs (&e, 1, at_ms + late_ms, 1, TOKENS);
+      at_ms += INTERVAL_MS;
+      if (k > 0)
+        cr_expect_lt (wy_demand_slots (&e), 72.5 * 4 / 3);
+    }
+  cr_expect_gt (wy_demand_slots (&e), 70);
+}
+
 /* A trainer submits a step in two jobs at once, and a takeover starts a job a
    second time.  Neither may be taken for an interval of a few ms.  */
 Test (model_demand, jobs_submitted_together)
