--- a/src/decide/model_demand.c
+++ b/src/decide/model_demand.c
@@ -25,8 +25,9 @@
    is followed within a minute or two.  */
 static const double interval_rise_max = 1.05;
 /* Weight that the completed items so far keep with each further one, which so
-   covers about the last 200, roughly one job.  */
-static const double item_decay = 0.995;
+   covers about the last 1000: some jobs, since within a job the short items
+   are completed first and the time per token would rise and fall with each. */
+static const double item_decay = 0.999;
 /* Smaller changes of the demand are not published, so that boundaries between
    models don't move with each job.  */
 static const double change_min = 0.15;
