Items of jobs start in the order of their plan

Cause: the plan of a job that can't end in time was not used.

Change: an entry learns per service what items take per expected token, from its completed items, and plans each job with a due time when it is accepted and every 500 ms while items wait. A job that fits keeps the longest-first order and its reservation of slots; one that does not fit follows the plan, and its short items no longer leave half of the slots free.

--- a/src/decide/item_slots.c
+++ b/src/decide/item_slots.c
@@ -26,12 +26,15 @@
 
 /* The share of a target's slots up to which they may be occupied if the item
    is to start there; 0: no limit.  An item that was interrupted has lost time
-   already and may be longer than expected, so it has no limit.  */
+   already and may be longer than expected, so it has no limit.  Neither has
+   one of a job that exceeds the capacity, where each slot that stays free
+   delays a group.  */
 double
 wy_item_slots_occupancy_max (const struct wy_item_slots_options *o)
 {
-  if (o->has_partial_text || o->length_rank < o->items / LONG_DIVISOR
-      || o->due_ms <= 0 || o->waited_ms >= o->due_ms / WAIT_DIVISOR)
+  if (o->has_partial_text || o->exceeds_capacity
+      || o->length_rank < o->items / LONG_DIVISOR || o->due_ms <= 0
+      || o->waited_ms >= o->due_ms / WAIT_DIVISOR)
     return 0;
   return short_occupancy_max;
 }
--- a/src/decide/item_slots.h
+++ b/src/decide/item_slots.h
@@ -10,6 +10,7 @@
   uint32_t length_rank;  /* position by expected length, longest first */
   uint32_t items;        /* of the job */
   bool has_partial_text; /* from an interrupted run */
+  bool exceeds_capacity; /* the job can't end in time */
   int64_t waited_ms;     /* since this entry started the job */
   int64_t due_ms; /* from that start until all results are due; 0: never */
 };
--- a/src/jobs/active_job.c
+++ b/src/jobs/active_job.c
@@ -82,21 +82,11 @@
   if (g)
     return g;
   g = g_new0 (struct wy_group, 1);
+  g->index = g_hash_table_size (o->groups);
   g_hash_table_insert (o->groups, (char *)name, g);
   return g;
 }
 
-static gint
-by_expected_length (gconstpointer a, gconstpointer b)
-{
-  const struct wy_item *x = *(struct wy_item *const *)a;
-  const struct wy_item *y = *(struct wy_item *const *)b;
-
-  if (x->spec->expected_tokens != y->spec->expected_tokens)
-    return x->spec->expected_tokens > y->spec->expected_tokens ? -1 : 1;
-  return x < y ? -1 : 1;
-}
-
 /* Return a job for OPT->record with all its items waiting.  */
 struct wy_active_job *
 wy_active_job_new (const struct wy_active_job_options *opt)
@@ -106,6 +96,7 @@
   o->env = opt->env;
   o->record = opt->record;
   o->spec = opt->spec;
+  o->planner = opt->planner;
   o->row_bytes = opt->row_bytes;
   o->started_ms = now_of (o);
   o->on_listed = opt->on_listed;
@@ -133,10 +124,7 @@
       i->next_job_event = -1;
       i->saved_event = -1;
     }
-  o->start_order = g_ptr_array_new ();
-  for (uint32_t k = 0; k < o->n_items; k++)
-    g_ptr_array_add (o->start_order, &o->items[k]);
-  g_ptr_array_sort (o->start_order, by_expected_length);
+  wy_item_plan_init (o);
   uv_timer_init (o->env->loop, &o->flush);
   o->flush.data = o;
   return o;
@@ -158,7 +146,7 @@
   wy_checkpoint_detach (o);
   g_free (o->items);
   g_hash_table_destroy (o->groups);
-  g_ptr_array_free (o->start_order, TRUE);
+  wy_item_plan_clear (o);
   g_ptr_array_free (o->batch, TRUE);
   g_queue_clear (&o->unlisted);
   wy_job_spec_free (o->spec);
@@ -289,6 +277,7 @@
     }
   leave_state (i);
   i->state = WY_ITEM_SCORING;
+  i->text_complete_ms = now_of (i->job);
   i->score = wy_score_new (i);
   i->job->n_scoring++;
 }
@@ -297,6 +286,7 @@
 void
 wy_item_scored (struct wy_item *i, const char *stamp)
 {
+  wy_item_plan_scored (i);
   set_result (i, false, stamp);
 }
 
@@ -360,7 +350,7 @@
 
 /* Start waiting items, those with the longest expected text first: the step
    ends with the last item of its groups, so a long item that starts late
-   delays it.  */
+   delays it.  If the job can't end in time, its plan says the order.  */
 void
 wy_active_job_start_items (struct wy_active_job *o)
 {
@@ -375,6 +365,7 @@
   route = wy_active_job_route (o);
   if (!route)
     return;
+  wy_item_plan_update (o);
   for (uint32_t k = 0; k < o->n_items && o->n_waiting; k++)
     {
       struct wy_item *i = g_ptr_array_index (o->start_order, k);
@@ -382,6 +373,7 @@
           = { .length_rank = k,
               .items = o->n_items,
               .has_partial_text = i->last_event >= 0,
+              .exceeds_capacity = o->plan.planned,
               .waited_ms = now_ms - o->started_ms,
               .due_ms = route->result_deadline_ms };
       double share = wy_item_slots_occupancy_max (&slots);
--- a/src/jobs/active_job.h
+++ b/src/jobs/active_job.h
@@ -5,6 +5,7 @@
 #include "decide/retry.h"
 #include "gate/env.h"
 #include "gate/sse.h"
+#include "jobs/item_plan.h"
 #include "jobs/record.h"
 #include "jobs/result.h"
 #include "jobs/spec.h"
@@ -25,6 +26,7 @@
 /* Items that the trainer uses together.  */
 struct wy_group
 {
+  uint32_t index; /* among the groups of the job, in the order of its items */
   uint32_t missing; /* items without a result */
 };
 
@@ -45,6 +47,9 @@
   int64_t next_job_event; /* last event stored for a later job; -1: none */
   uint32_t failed_runs;   /* with status 500 */
   uint32_t runs;
+  double slot_ms;              /* duration of its ended runs */
+  uint32_t run_events;         /* events of its ended runs */
+  int64_t text_complete_ms;    /* when its text was complete */
   uint32_t runs_without_event; /* in a row, failed before any event */
   int64_t not_before_ms;       /* earliest start of the next run */
   struct wy_target *avoid; /* referenced; where the last run failed; or NULL */
@@ -67,7 +72,10 @@
   struct wy_job_spec *spec;
   int64_t newest_version; /* of the weights, as announced; 0: unknown */
   struct wy_item *items;
-  GPtrArray *start_order;   /* of items, longest expected text first */
+  GPtrArray *start_order; /* of items; longest expected text first, unless
+                             a plan says otherwise */
+  struct wy_item_planner *planner;
+  struct wy_item_plan plan;
   GHashTable *groups;       /* struct wy_group by name */
   uint32_t complete_groups; /* groups whose items all have results */
   uint32_t n_items;
@@ -100,6 +108,7 @@
   struct wy_gate_env *env;
   struct wy_job_record *record; /* ownership is taken */
   struct wy_job_spec *spec;     /* ownership is taken */
+  struct wy_item_planner *planner;
   size_t row_bytes;
   void (*on_listed) (void *ctx, struct wy_active_job *o);
   void (*on_end) (void *ctx, struct wy_active_job *o,
--- a/src/jobs/jobs.c
+++ b/src/jobs/jobs.c
@@ -9,7 +9,6 @@
 
 #include <string.h>
 
-#include "decide/job_priority.h"
 #include "trace/json_log.h"
 
 enum
@@ -158,6 +157,7 @@
                                      .record = wy_job_record_copy (r),
                                      .spec = spec,
                                      .row_bytes = j->row_bytes,
+                                     .planner = j->planner,
                                      .on_listed = wy_jobs_on_listed,
                                      .on_end = wy_jobs_on_job_end,
                                      .ctx = j };
@@ -228,23 +228,6 @@
   struct wy_active_job *job;
 };
 
-/* An organisation that was removed from the configuration has the lowest
-   priority.  */
-static struct wy_job_priority
-priority_of (const struct wy_active_job *o)
-{
-  const struct wy_routing *r = o->env->routing;
-  const struct wy_route *route = r ? wy_active_job_route (o) : NULL;
-  const struct wy_org *org
-      = r && r->orgs ? wy_orgs_find (r->orgs, o->record->organisation) : NULL;
-
-  return (struct wy_job_priority){ .organisation_priority
-                                   = org ? org->priority : UINT32_MAX,
-                                   .route_priority
-                                   = route ? route->priority : 0,
-                                   .accepted_ms = o->record->accepted_ms };
-}
-
 static gint
 by_priority (gconstpointer a, gconstpointer b)
 {
@@ -262,7 +245,7 @@
   g_hash_table_iter_init (&it, j->active);
   while (g_hash_table_iter_next (&it, NULL, &p))
     {
-      struct ranked_job t = { priority_of (p), p };
+      struct ranked_job t = { wy_item_plan_priority (p), p };
 
       g_array_append_val (all, t);
     }
@@ -364,6 +347,7 @@
   j->records
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_record);
   j->active = g_hash_table_new (g_str_hash, g_str_equal);
+  j->planner = wy_item_planner_new (j->env, j->active);
   j->lingering = g_ptr_array_new ();
   j->submissions = g_ptr_array_new ();
   j->finished
--- a/src/jobs/run.c
+++ b/src/jobs/run.c
@@ -58,6 +58,8 @@
   struct wy_gate_env *env = r->item->job->env;
 
   r->item->run = NULL;
+  r->item->slot_ms += (double)(wy_run_now_ms (r) - r->started_ms);
+  r->item->run_events += r->n_events;
   wy_sse_clear (&r->events);
   wy_target_request_ended (env->targets, r->target, outcome,
                            wy_run_now_ms (r));
@@ -265,8 +267,13 @@
 complete (struct wy_run *r)
 {
   struct wy_item *i = r->item;
+  struct wy_target *g = r->target;
+
   log_run (r, "completed");
+  wy_target_ref (g);
   end_run (r, WY_TARGET_ANSWERED);
+  wy_item_plan_text_complete (i, g->info.service);
+  wy_target_unref (i->job->env->targets, g);
   wy_item_text_complete (i);
 }
 
--- a/src/jobs/state.h
+++ b/src/jobs/state.h
@@ -22,8 +22,9 @@
   int64_t result_retention_ms; /* from the job's submission */
   int64_t expire_due_ms;
   bool expiring;
-  GHashTable *records;    /* struct wy_job_record by id */
-  GHashTable *active;     /* struct wy_active_job by id */
+  GHashTable *records; /* struct wy_job_record by id */
+  GHashTable *active;  /* struct wy_active_job by id */
+  struct wy_item_planner *planner;
   GPtrArray *lingering;   /* struct wy_active_job, ended by their trainers */
   GPtrArray *submissions; /* struct submission */
   GHashTable *finished;   /* struct finished by id */
--- a/src/jobs/takeover.c
+++ b/src/jobs/takeover.c
@@ -139,6 +139,7 @@
   struct takeover *t = ctx;
   struct wy_active_job_options o = { .env = t->jobs->env,
                                      .row_bytes = t->jobs->row_bytes,
+                                     .planner = t->jobs->planner,
                                      .on_listed = wy_jobs_on_listed,
                                      .on_end = wy_jobs_on_job_end,
                                      .ctx = t->jobs };
--- a/tests/test_decide_item_slots.c
+++ b/tests/test_decide_item_slots.c
@@ -168,6 +168,18 @@
   cr_expect_eq (wy_item_slots_occupancy_max (&o), 0);
 }
 
+/* A job with more work than its slots can do in time.  Half of the slots must
+   not stay free while its short items wait.  */
+Test (item_slots, no_reservation_beyond_capacity)
+{
+  struct wy_item_slots_options o = { .length_rank = ITEMS - 1,
+                                     .items = ITEMS,
+                                     .exceeds_capacity = true,
+                                     .due_ms = DUE_MS };
+
+  cr_expect_eq (wy_item_slots_occupancy_max (&o), 0);
+}
+
 /* The replica of an item fails that was expected to be short and has run for
    seconds.  It must be resumed immediately, as the step waits for it.  */
 Test (item_slots, interrupted_item_uses_any_slot)
