--- a/src/jobs/demand.c
+++ b/src/jobs/demand.c
@@ -361,7 +361,7 @@
   if (!m)
     return;
   wy_demand_item_completed (&m->estimate, expected_tokens (i->spec),
-                            (double)i->slot_ms);
+                            i->slot_ms);
   if (wy_clock_mono_ms (d->env->clock) - m->checked_ms >= CHECK_INTERVAL_MS)
     check_row (d, m, model);
 }
--- a/src/jobs/run.c
+++ b/src/jobs/run.c
@@ -60,9 +60,9 @@
 
   /* A run without an event may have waited at the replica or been rejected. */
   if (r->n_events)
-    r->item->slot_ms += wy_run_now_ms (r) - r->started_ms;
-
+    r->item->slot_ms += (double)(wy_run_now_ms (r) - r->started_ms);
   r->item->run = NULL;
+  r->item->run_events += r->n_events;
   wy_sse_clear (&r->events);
   wy_target_request_ended (env->targets, r->target, outcome,
                            wy_run_now_ms (r));
@@ -270,13 +270,14 @@
 complete (struct wy_run *r)
 {
   struct wy_item *i = r->item;
-  char service[WY_REPLICA_NAME_SIZE_BYTES];
+  struct wy_target *g = r->target;
 
   log_run (r, "completed");
-  /* The target may be freed when its last run ends.  */
-  g_strlcpy (service, r->target->info.service, sizeof service);
+  wy_target_ref (g);
   end_run (r, WY_TARGET_ANSWERED);
-  wy_demand_item_ended (i->job->env->demand, service, i);
+  wy_demand_item_ended (i->job->env->demand, g->info.service, i);
+  wy_item_plan_text_complete (i, g->info.service);
+  wy_target_unref (i->job->env->targets, g);
   wy_item_text_complete (i);
 }
 
