Selected groups start one by one, after their longest items

Cause: the items of all selected groups were mixed, longest first. If the work is larger than expected, or another job takes slots, these groups end together again and all of them are late.

Change: items of selected groups that need more than .4 of the time left start first; the others start group by group, the least remaining work first.

--- a/src/decide/item_order.c
+++ b/src/decide/item_order.c
@@ -23,6 +23,13 @@
    order each time its work varies by some percent.  */
 static const double fill_max_after_plan = 0.7;
 
+/* Items of selected groups that need more than this fraction of the time left
+   start before all others, longest first.  The rest starts group by group, so
+   that if the work turns out larger than expected, or another job takes slots,
+   only the last groups are late; if all were mixed, all would end
+   together.  */
+static const double urgent_min = 0.4;
+
 struct group_state
 {
   uint32_t index;
@@ -81,13 +88,11 @@
   return order ? order : compare_numbers (x->index, y->index);
 }
 
-/* Selected groups share their place, since their items are mixed.  */
+/* Groups of one class follow each other in the order of selection.  */
 static uint32_t
 place_of (const struct plan *t, uint32_t rank)
 {
-  enum wy_group_class class = t->o->groups[t->ranked[rank]].class;
-
-  return class == WY_GROUP_SELECTED ? 0 : 1 + class * t->o->n_groups + rank;
+  return 1 + t->o->groups[t->ranked[rank]].class * t->o->n_groups + rank;
 }
 
 /* Assign the classes.  Returns the number of groups that can be on time.  */
@@ -128,16 +133,29 @@
   return on_time;
 }
 
-/* An item that has begun was interrupted and has lost time; it goes first in
-   its group, or among all selected ones.  */
+/* Place of the item K; 0 goes first.  */
+static uint32_t
+place_of_item (const struct plan *t, uint32_t k)
+{
+  const struct wy_item_order_item *i = &t->o->items[k];
+  bool urgent = t->o->groups[i->group].class == WY_GROUP_SELECTED
+                && i->left_ms > t->o->left_ms * urgent_min;
+
+  return urgent ? 0 : t->groups[i->group].place;
+}
+
+/* An item that has begun was interrupted and has lost time, so it goes first
+   among those of its place.  */
 static gint
 by_start (gconstpointer a, gconstpointer b, gpointer p)
 {
   const struct plan *t = p;
-  const struct wy_item_order_item *x = &t->o->items[*(const uint32_t *)a];
-  const struct wy_item_order_item *y = &t->o->items[*(const uint32_t *)b];
-  uint32_t place_x = t->groups[x->group].place;
-  uint32_t place_y = t->groups[y->group].place;
+  uint32_t ka = *(const uint32_t *)a;
+  uint32_t kb = *(const uint32_t *)b;
+  const struct wy_item_order_item *x = &t->o->items[ka];
+  const struct wy_item_order_item *y = &t->o->items[kb];
+  uint32_t place_x = place_of_item (t, ka);
+  uint32_t place_y = place_of_item (t, kb);
   gint order;
 
   if (place_x != place_y)
@@ -145,8 +163,7 @@
   if (x->begun != y->begun)
     return x->begun ? -1 : 1;
   order = compare_numbers (y->left_ms, x->left_ms);
-  return order ? order
-               : compare_numbers (*(const uint32_t *)a, *(const uint32_t *)b);
+  return order ? order : compare_numbers (ka, kb);
 }
 
 /* Whether the work of O ends in time if its items start longest first.  Only
