Results of late jobs and of jobs nearly due are listed at once

Cause: the last results of a job were deferred until enough groups were complete or the results were due. A job that can't have enough groups on time so listed the last ones after they were due, although they were known before.

Change: nothing is deferred for a planned job, nor in the last 300 ms before results are due. The writes stay bounded: one at a time for each job, 15 ms apart, and the results in question are a 24th of the job.

The test of the trainer's idle time passes unchanged.

--- a/src/decide/listing.c
+++ b/src/decide/listing.c
@@ -17,15 +17,21 @@
      being the longest, would not fit into one transaction and the trainer
      would need two polls to read them; and all would be transferred while it
      waits.  */
-  LAST_DIVISOR = 24
+  LAST_DIVISOR = 24,
+  /* Results are not deferred from this time before they are due: a group is on
+     time if it is listed then, and a write of the store takes tens of ms, or
+     some hundred when it is slow.  */
+  WRITE_MARGIN_MS = 300
 };
 
-/* Whether known results are held back until more are known.  They aren't once
-   they are due: from then on each complete group is useful by itself.  */
+/* Whether known results are held back until more are known.  They aren't when
+   they are nearly due, or if the job exceeds the capacity: then each complete
+   group is useful by itself.  */
 bool
 wy_listing_is_deferred (const struct wy_listing_options *o)
 {
-  if (o->stopping || o->due_ms <= 0 || o->age_ms >= o->due_ms
+  if (o->stopping || o->due_ms <= 0 || o->exceeds_capacity
+      || o->age_ms >= o->due_ms - WRITE_MARGIN_MS
       || o->complete_groups >= o->wanted_groups)
     return false;
   return o->items - o->results < (o->items + LAST_DIVISOR - 1) / LAST_DIVISOR;
--- a/src/decide/listing.h
+++ b/src/decide/listing.h
@@ -13,6 +13,7 @@
   uint32_t wanted_groups;   /* that the trainer needs to go on; 0: not given */
   int64_t age_ms;           /* of the job */
   int64_t due_ms;           /* all results are due at this age; 0: never */
+  bool exceeds_capacity;    /* not all of the job's groups can be on time */
   bool stopping;            /* the job is being handed off to another entry */
 };
 
--- a/src/jobs/result_list.c
+++ b/src/jobs/result_list.c
@@ -56,6 +56,7 @@
                                   .complete_groups = o->complete_groups,
                                   .wanted_groups = o->spec->wanted_groups,
                                   .age_ms = wy_active_job_age_ms (o),
+                                  .exceeds_capacity = o->plan.planned,
                                   .stopping = o->env->stopping };
 
   l.due_ms = route ? route->result_deadline_ms : 0;
--- a/tests/test_decide_listing.c
+++ b/tests/test_decide_listing.c
@@ -169,9 +169,9 @@
                 (long long)each_ms);
 }
 
-/* Results are listed immediately when they are due, if the trainer does not
-   say how many groups it wants, and if the job is handed off to another entry.
- */
+/* Results are listed immediately when they are nearly due, if the job can't
+   end in time, if the trainer does not say how many groups it wants, and if
+   the job is handed off to another entry.  */
 Test (listing, not_deferred_without_reason)
 {
   struct wy_listing_options last = { .items = ITEMS,
@@ -188,6 +188,11 @@
   o = last;
   o.age_ms = DUE_MS;
   cr_expect_not (wy_listing_is_deferred (&o), "due");
+  o.age_ms = DUE_MS - 200;
+  cr_expect_not (wy_listing_is_deferred (&o), "a write could end too late");
+  o = last;
+  o.exceeds_capacity = true;
+  cr_expect_not (wy_listing_is_deferred (&o), "planned late");
   o = last;
   o.due_ms = 0;
   cr_expect_not (wy_listing_is_deferred (&o), "never due");
