Jobs of one model share its slots by what can be on time

Cause: the older job took all slots until all its items had started. When it was late, its late groups, and those that its trainer did not need, made the groups of the next job late too, and so on.

Change: among the jobs of a model and priority, each is guaranteed one in four slots while several have items waiting, late ones together one in four. After that start the selected groups of all jobs, then those that the trainers need, then the rest, each by age of the jobs. A slot that becomes free is offered to all jobs of the model, and one that a job can't use to the next, so none stays free for a guarantee. A plan counts on what the older jobs leave: their running and selected items, and a quarter beside a late job.

None measured on a deployment.

--- a/src/jobs/active_job.c
+++ b/src/jobs/active_job.c
@@ -5,6 +5,7 @@
 
 #include "decide/item_slots.h"
 #include "jobs/checkpoint.h"
+#include "jobs/model_jobs.h"
 #include "jobs/score.h"
 #include "trace/json_log.h"
 
@@ -348,17 +349,18 @@
   return wy_targets_pick (o->env->targets, &q, now_of (o));
 }
 
-/* Start waiting items, those with the longest expected text first: the step
-   ends with the last item of its groups, so a long item that starts late
-   delays it.  If the job can't end in time, its plan says the order.  */
+/* Start at most MAX waiting items, those with the longest expected text first:
+   the step ends with the last item of its groups, so a long item that starts
+   late delays it.  If the job can't end in time, its plan says the order, and
+   only items of groups up to the class LAST start.  */
 void
-wy_active_job_start_items (struct wy_active_job *o)
+wy_active_job_start_waiting (struct wy_active_job *o, uint32_t max,
+                             enum wy_group_class last)
 {
   const struct wy_route *route;
   int64_t now_ms = now_of (o);
   bool limited_full = false; /* no slot for items with a limited share */
 
-  wy_scores_start_calls (o);
   if (o->closed || o->lingering || o->n_waiting == 0 || !o->env->routing
       || o->env->stopping)
     return;
@@ -366,7 +368,7 @@
   if (!route)
     return;
   wy_item_plan_update (o);
-  for (uint32_t k = 0; k < o->n_items && o->n_waiting; k++)
+  for (uint32_t k = 0; k < o->n_items && o->n_waiting && max; k++)
     {
       struct wy_item *i = g_ptr_array_index (o->start_order, k);
       struct wy_item_slots_options slots
@@ -380,7 +382,8 @@
       struct wy_target *g;
 
       if (i->state != WY_ITEM_WAITING || i->not_before_ms > now_ms
-          || (share > 0 && limited_full) || wy_run_is_held_back (i))
+          || (share > 0 && limited_full) || wy_item_plan_class (i) > last
+          || wy_run_is_held_back (i))
         continue;
       g = wy_active_job_pick_target (i, i->avoid, 0, share);
       /* The target that failed last is better than none.  */
@@ -391,10 +394,23 @@
       else if (!g)
         return;
       else
-        wy_run_start (i, g, route);
+        {
+          wy_run_start (i, g, route);
+          max--;
+        }
     }
 }
 
+/* Start calls for scores of O, and waiting items of O and of the jobs that
+   share its slots.  */
+void
+wy_active_job_start_items (struct wy_active_job *o)
+{
+  wy_scores_start_calls (o);
+  if (o->env->routing)
+    wy_model_jobs_start_items (o);
+}
+
 static void
 check_time (struct wy_active_job *o)
 {
--- a/src/jobs/active_job.h
+++ b/src/jobs/active_job.h
@@ -122,6 +122,8 @@
 void wy_active_job_restore_listed (struct wy_active_job *o, const char *item);
 bool wy_active_job_store_call_ended (struct wy_active_job *o);
 void wy_active_job_start_items (struct wy_active_job *o);
+void wy_active_job_start_waiting (struct wy_active_job *o, uint32_t max,
+                                  enum wy_group_class last);
 struct wy_target *wy_active_job_pick_target (const struct wy_item *i,
                                              const struct wy_target *except,
                                              double pace_limit_ms,
--- a/src/jobs/item_plan.c
+++ b/src/jobs/item_plan.c
@@ -7,9 +7,10 @@
 
 #include <string.h>
 
-#include "decide/job_priority.h"
+#include "decide/job_slots.h"
 #include "jobs/active_job.h"
 #include "jobs/item_paces.h"
+#include "jobs/model_jobs.h"
 #include "trace/json_log.h"
 
 enum
@@ -20,24 +21,12 @@
   LOG_INTERVAL_MS = 1000
 };
 
-/* A job behind older ones of its model gets at least this fraction of the
-   slots.  */
-static const double slots_share_min = 0.25;
-
-struct wy_item_planner
-{
-  struct wy_gate_env *env;
-  GHashTable *active; /* struct wy_active_job by id, of the caller */
-  struct wy_item_paces *paces;
-};
-
 /* Return a planner for the jobs in ACTIVE.  */
 struct wy_item_planner *
-wy_item_planner_new (struct wy_gate_env *env, GHashTable *active)
+wy_item_planner_new (GHashTable *active)
 {
   struct wy_item_planner *p = g_new0 (struct wy_item_planner, 1);
 
-  p->env = env;
   p->active = active;
   p->paces = wy_item_paces_new ();
   return p;
@@ -95,42 +84,20 @@
   g_free (o->plan.groups);
 }
 
-struct slot_count
+/* The class of I's group; all groups of a job that fits are selected.  */
+enum wy_group_class
+wy_item_plan_class (const struct wy_item *i)
 {
-  const struct wy_active_job *job;
-  const struct wy_route *route;
-  double slots;
-};
+  const struct wy_item_plan *p = &i->job->plan;
 
-static bool
-has_service (const struct wy_route *route, const char *service)
-{
-  for (guint k = 0; k < route->splits->len; k++)
-    if (!strcmp (
-            g_array_index (route->splits, struct wy_traffic_split, k).service,
-            service))
-      return true;
-  return false;
+  return p->planned ? p->groups[i->group->index].class : WY_GROUP_SELECTED;
 }
 
-/* Count the slots of a replica that may run the job's items.  One that is a
-   single version behind counts too: the replicas of a model load its versions
-   in turns, and this one will have the next within a second or two.  Without
-   it, each new job would seem to have half of its slots.  */
-static void
-count_slots (void *ctx, const struct wy_target *g)
+/* Whether no incomplete group of O can be on time.  */
+bool
+wy_item_plan_is_late (const struct wy_active_job *o)
 {
-  struct slot_count *c = ctx;
-  const struct wy_job_spec *spec = c->job->spec;
-  uint32_t limit = wy_gate_in_flight_limit (c->job->env, g->info.service);
-
-  if (!g->listed || g->info.draining
-      || !has_service (c->route, g->info.service))
-    return;
-  if (*spec->model && spec->min_version > 0
-      && wy_target_version (g, spec->model) < MAX (spec->min_version - 1, 1))
-    return;
-  c->slots += limit ? MIN (g->info.slots, limit) : g->info.slots;
+  return o->plan.planned && o->plan.order.on_time == 0;
 }
 
 static double
@@ -179,64 +146,48 @@
                                    .accepted_ms = o->record->accepted_ms };
 }
 
-/* Whether A goes before B, a job of the same model.  */
-static bool
-is_before (const struct wy_active_job *a, const struct wy_active_job *b)
-{
-  struct wy_job_priority x = wy_item_plan_priority (a);
-  struct wy_job_priority y = wy_item_plan_priority (b);
-  int order = wy_job_priority_compare (&x, &y);
-
-  return order ? order < 0 : strcmp (a->record->id, b->record->id) < 0;
-}
-
-/* Slot time that the jobs before O of the same model still take.  Groups that
-   their trainers don't need are not counted unless they run, since a trainer
-   ends its job when it has enough groups.  */
+/* Slot time that O takes before the items of a later job: that of running
+   items and of groups that can be on time.  */
 static double
 work_before_ms (const struct wy_active_job *o, const struct wy_item_pace *pace)
 {
-  GHashTableIter it;
-  gpointer p;
+  double mean_tokens = mean_expected_tokens (o);
   double ms = 0;
 
-  g_hash_table_iter_init (&it, o->planner->active);
-  while (g_hash_table_iter_next (&it, NULL, &p))
-    {
-      const struct wy_active_job *b = p;
-      double mean_tokens;
-
-      if (b == o || strcmp (b->spec->model, o->spec->model) != 0
-          || !is_before (b, o))
-        continue;
-      mean_tokens = mean_expected_tokens (b);
-      for (uint32_t k = 0; k < b->n_items; k++)
-        {
-          const struct wy_item *i = &b->items[k];
-
-          if (i->state == WY_ITEM_RUNNING || !b->plan.planned
-              || b->plan.groups[i->group->index].class != WY_GROUP_UNWANTED)
-            ms += left_ms_of (i, pace, mean_tokens);
-        }
-    }
+  for (uint32_t k = 0; k < o->n_items; k++)
+    if (o->items[k].state == WY_ITEM_RUNNING
+        || wy_item_plan_class (&o->items[k]) == WY_GROUP_SELECTED)
+      ms += left_ms_of (&o->items[k], pace, mean_tokens);
   return ms;
 }
 
-/* Slots that O may use on average until it is due in LEFT_MS; 0: unknown.  */
+/* Slots that O may use on average until it is due in LEFT_MS, beside the older
+   jobs of its model; 0: unknown.  */
 static double
-usable_slots (const struct wy_active_job *o, const struct wy_route *route,
+usable_slots (struct wy_active_job *o, const struct wy_route *route,
               const struct wy_item_pace *pace, double left_ms)
 {
-  struct slot_count c = { .job = o, .route = route };
-  double before_ms;
-
-  wy_targets_each (o->env->targets, count_slots, &c);
-  if (!*o->spec->model)
-    return c.slots;
-  before_ms = work_before_ms (o, pace);
-  return before_ms > 0 ? MAX (c.slots * slots_share_min,
-                              left_ms > 0 ? c.slots - before_ms / left_ms : 0)
-                       : c.slots;
+  double slots = wy_model_jobs_slots (o, route);
+  double guaranteed = wy_job_slots_guaranteed (slots, 2);
+  GPtrArray *jobs = wy_model_jobs_list (o);
+  double before_ms = 0;
+  bool beside_late = false;
+  double remaining = slots;
+
+  for (guint k = 0; k < jobs->len && g_ptr_array_index (jobs, k) != o; k++)
+    {
+      const struct wy_active_job *older = g_ptr_array_index (jobs, k);
+
+      before_ms += work_before_ms (older, pace);
+      beside_late
+          = beside_late || (wy_item_plan_is_late (older) && older->n_waiting);
+    }
+  g_ptr_array_free (jobs, TRUE);
+  if (beside_late)
+    remaining -= guaranteed;
+  if (before_ms > 0)
+    remaining = left_ms > 0 ? remaining - before_ms / left_ms : 0;
+  return MAX (remaining, guaranteed);
 }
 
 static void
--- a/src/jobs/item_plan.h
+++ b/src/jobs/item_plan.h
@@ -6,11 +6,16 @@
 
 #include "decide/item_order.h"
 #include "decide/job_priority.h"
-#include "gate/env.h"
 
 struct wy_active_job;
 struct wy_item;
-struct wy_item_planner;
+
+/* What the plans of all jobs share.  */
+struct wy_item_planner
+{
+  GHashTable *active; /* struct wy_active_job by id, of the caller */
+  struct wy_item_paces *paces;
+};
 
 /* The last plan of a job.  */
 struct wy_item_plan
@@ -24,13 +29,14 @@
   struct wy_item_order_plan logged;
 };
 
-struct wy_item_planner *wy_item_planner_new (struct wy_gate_env *env,
-                                             GHashTable *active);
+struct wy_item_planner *wy_item_planner_new (GHashTable *active);
 
 void wy_item_plan_init (struct wy_active_job *o);
 void wy_item_plan_clear (struct wy_active_job *o);
 void wy_item_plan_update (struct wy_active_job *o);
 void wy_item_plan_text_complete (struct wy_item *i, const char *service);
+enum wy_group_class wy_item_plan_class (const struct wy_item *i);
+bool wy_item_plan_is_late (const struct wy_active_job *o);
 void wy_item_plan_scored (struct wy_item *i);
 struct wy_job_priority wy_item_plan_priority (const struct wy_active_job *o);
 
--- a/src/jobs/jobs.c
+++ b/src/jobs/jobs.c
@@ -347,7 +347,7 @@
   j->records
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_record);
   j->active = g_hash_table_new (g_str_hash, g_str_equal);
-  j->planner = wy_item_planner_new (j->env, j->active);
+  j->planner = wy_item_planner_new (j->active);
   j->lingering = g_ptr_array_new ();
   j->submissions = g_ptr_array_new ();
   j->finished
--- a/tests/test_jobs_order.c
+++ b/tests/test_jobs_order.c
@@ -7,6 +7,8 @@
 enum
 {
   DUE_MS = 1,
+  SLOTS = 4,
+  MANY_ITEMS = 24,
   LEARNING_JOBS = 3 /* with enough items to learn what they take */
 };
 
@@ -14,27 +16,28 @@
    item and a short one.  */
 static const int expected_tokens[JOB_ITEMS] = { 40, 10, 30, 8, 20, 6 };
 
+/* A job of N items, of which each two form a group.  */
 static char *
-job_body (const char *job)
+job_body (const char *job, int n)
 {
   GString *s = g_string_new ("{\"step\":1,\"model\":\"m\","
                              "\"minimumVersion\":1,\"desiredCount\":2,"
                              "\"items\":[");
 
-  for (int i = 0; i < JOB_ITEMS; i++)
+  for (int i = 0; i < n; i++)
     g_string_append_printf (
         s,
         "%s{\"id\":\"%s-%d\",\"path\":\"/p/%d\",\"headers\":{\"Model\":\"m\","
         "\"Length-Hint\":\"%d\"},\"body\":\"aGVsbG8=\",\"group\":\"g%d\"}",
-        i ? "," : "", job, i, i, expected_tokens[i], i / 2);
+        i ? "," : "", job, i, i, expected_tokens[i % JOB_ITEMS], i / 2);
   g_string_append (s, "]}");
   return g_string_free (s, FALSE);
 }
 
-/* Start an entry with one replica that runs one item at a time, so that the
-   results are listed in the order in which their items start.  */
+/* Start an entry with one replica that runs SLOTS items at a time; with one,
+   the results are listed in the order in which their items start.  */
 static void
-start (void)
+start (uint32_t slots)
 {
   struct wy_replica info;
 
@@ -43,14 +46,14 @@
       ->result_deadline_ms
       = DUE_MS;
   info = wy_targets_find (job_fixture.env.targets, "i-1")->info;
-  info.slots = 1;
+  info.slots = slots;
   wy_targets_set (job_fixture.env.targets, &info);
 }
 
 static void
-submit (const char *job)
+submit (const char *job, int n)
 {
-  char *body = job_body (job);
+  char *body = job_body (job, n);
 
   cr_expect_eq (job_fixture_submit_body (job, body), 202);
   g_free (body);
@@ -83,19 +86,39 @@
   char id[16];
   char *order;
 
-  start ();
+  start (1);
   for (int j = 0; j < LEARNING_JOBS; j++)
     {
       g_snprintf (id, sizeof id, "j%d", j);
-      submit (id);
+      submit (id, JOB_ITEMS);
       order = await_order (id);
       if (j == 0)
         cr_expect_str_eq (order, "024135", "%s", order);
       g_free (order);
     }
-  submit ("late");
+  submit ("late", JOB_ITEMS);
   order = await_order ("late");
   cr_expect_str_eq (order, "452301", "%s", order);
   g_free (order);
   job_fixture_stop ();
 }
+
+static bool
+old_job_is_listed (void *ctx)
+{
+  return job_fixture_count_results ("old") == MANY_ITEMS;
+}
+
+/* A late job with many waiting items beside a new one of the same model.
+   Guards against all slots going to the late job until it has no more to
+   start.  */
+Test (jobs_order, new_job_beside_a_late_one)
+{
+  start (SLOTS);
+  submit ("old", MANY_ITEMS);
+  submit ("new", JOB_ITEMS);
+  cr_assert (
+      platform_fixture_run_until (&job_fixture, old_job_is_listed, NULL));
+  cr_expect_geq (job_fixture_count_results ("new"), 3);
+  job_fixture_stop ();
+}
