A new holder continues with the measured interval of a model's jobs

Cause: the entry that takes over a model's jobs measures the interval between them anew, and the first that it sees contains the failure.

Change: the row of a demand also has the interval. A new holder starts with it, unless it measured a shorter one itself.

Result: the test of a takeover, which fails without this, passes.

--- a/src/decide/model_demand.c
+++ b/src/decide/model_demand.c
@@ -82,6 +82,18 @@
   e->has_interval = true;
 }
 
+/* Continue with INTERVAL_MS, which the former holder of the model's jobs has
+   measured, unless a shorter one was measured here.  The first interval that a
+   new holder sees contains the failure of the former one and is too long.  */
+void
+wy_demand_adopt_interval (struct wy_demand_estimate *e, double interval_ms)
+{
+  if (interval_ms <= 0 || (e->has_interval && e->interval_ms <= interval_ms))
+    return;
+  e->interval_ms = interval_ms;
+  e->has_interval = true;
+}
+
 /* Record a completed item with TOKENS expected tokens, whose runs took SLOT_MS
    together.  */
 void
--- a/src/decide/model_demand.h
+++ b/src/decide/model_demand.h
@@ -42,6 +42,8 @@
 
 void wy_demand_job_submitted (struct wy_demand_estimate *e, double tokens,
                               int64_t submitted_ms, uint32_t due_ms);
+void wy_demand_adopt_interval (struct wy_demand_estimate *e,
+                               double interval_ms);
 void wy_demand_item_completed (struct wy_demand_estimate *e, double tokens,
                                double slot_ms);
 double wy_demand_tokens (const struct wy_demand_estimate *e);
--- a/src/jobs/demand.c
+++ b/src/jobs/demand.c
@@ -31,6 +31,7 @@
   uint32_t lag;
   int64_t lag_ms; /* when it was last observed; 0: never */
   int64_t checked_ms;
+  bool has_read_row; /* that there was when jobs started to run here */
   bool writing;
   struct wy_demand_row written; /* by the write in progress */
   struct service_demands *service;
@@ -236,11 +237,12 @@
       = { .partition = m->service->name, .writes = &w, .n_writes = 1 };
   char *value;
 
-  m->written
-      = (struct wy_demand_row){ .demand
-                                = { .slots = slots, .priority = m->priority },
-                                .lag = m->lag,
-                                .at_ms = wy_rows_store_now_ms (d->env->rows) };
+  m->written = (struct wy_demand_row){
+    .demand = { .slots = slots, .priority = m->priority },
+    .lag = m->lag,
+    .interval_ms = e->has_interval ? e->interval_ms : 0,
+    .at_ms = wy_rows_store_now_ms (d->env->rows)
+  };
   g_strlcpy (m->written.model, model, sizeof m->written.model);
   value = wy_demand_row_encode (&m->written);
   w.value = value;
@@ -256,6 +258,19 @@
   g_free (value);
 }
 
+/* Continue with what the former holder of the model's jobs has measured, as
+   the row says.  */
+static void
+read_first_row (struct wy_demand *d, struct model_demand *m,
+                const struct wy_demand_row *row)
+{
+  if (m->has_read_row || !wy_watch_is_synced (d->watch))
+    return;
+  m->has_read_row = true;
+  if (row)
+    wy_demand_adopt_interval (&m->estimate, row->interval_ms);
+}
+
 /* Publish the demand of MODEL unless the row says the same.  */
 static void
 check_row (struct wy_demand *d, struct model_demand *m, const char *model)
@@ -269,6 +284,7 @@
   double slots;
 
   m->checked_ms = wy_clock_mono_ms (d->env->clock);
+  read_first_row (d, m, row);
   if (!m->writing && store_now_ms && wy_watch_is_synced (d->watch)
       && wy_demand_is_due (&m->estimate, &published, &slots))
     publish (d, m, model, slots);
--- a/src/jobs/model_shares.c
+++ b/src/jobs/model_shares.c
@@ -97,6 +97,8 @@
       new.demand.slots = json_number_value (slots);
       new.demand.priority = (uint32_t)CLAMP (priority, 0, UINT32_MAX);
       new.lag = (uint32_t)CLAMP (lag, 0, LAG_MAX);
+      new.interval_ms
+          = json_number_value (json_object_get (doc, "interval_ms"));
       new.at_ms = json_integer_value (json_object_get (doc, "at_ms"));
       *place_for (d, new.model) = new;
     }
@@ -111,8 +113,10 @@
 
   g_ascii_formatd (slots, sizeof slots, "%.2f", row->demand.slots);
   return g_strdup_printf (
-      "{\"slots\":%s,\"priority\":%u,\"lag\":%u,\"at_ms\":%lld}", slots,
-      row->demand.priority, row->lag, (long long)row->at_ms);
+      "{\"slots\":%s,\"priority\":%u,\"lag\":%u,\"interval_ms\":%lld,"
+      "\"at_ms\":%lld}",
+      slots, row->demand.priority, row->lag, (long long)row->interval_ms,
+      (long long)row->at_ms);
 }
 
 /* The position of MODEL among the models of S; their number if it is not one
--- a/src/jobs/model_shares.h
+++ b/src/jobs/model_shares.h
@@ -24,8 +24,9 @@
 {
   char model[WY_REPLICA_NAME_SIZE_BYTES];
   struct wy_model_demand demand;
-  uint32_t lag;  /* that its jobs allow */
-  int64_t at_ms; /* time of the write by the store's clock */
+  uint32_t lag;       /* that its jobs allow */
+  double interval_ms; /* measured between its jobs; 0: unknown */
+  int64_t at_ms;      /* time of the write by the store's clock */
 };
 
 /* The known rows of a service.  */
--- a/tests/test_decide_model_demand.c
+++ b/tests/test_decide_model_demand.c
@@ -78,6 +78,21 @@
   cr_expect_gt (wy_demand_slots (&e), 70);
 }
 
+/* The holder of a model's jobs fails, and the next job comes 11 s later, since
+   its trainer waited for the one that was late.  If the new holder took that
+   for the interval, the model would lose half of its replicas.  */
+Test (model_demand, takeover_keeps_the_interval)
+{
+  struct wy_demand_estimate e = { 0 };
+
+  run_jobs (&e, 1, 1000, 1, TOKENS);
+  wy_demand_adopt_interval (&e, INTERVAL_MS);
+  run_jobs (&e, 1, 12000, 1, TOKENS);
+  cr_expect_gt (wy_demand_slots (&e), 69);
+  wy_demand_adopt_interval (&e, 2 * INTERVAL_MS);
+  cr_expect_gt (wy_demand_slots (&e), 69);
+}
+
 /* A trainer submits a step in two jobs at once, and a takeover starts a job a
    second time.  Neither may be taken for an interval of a few ms.  */
 Test (model_demand, jobs_submitted_together)
