--- a/tests/test_jobs_demand.c
+++ b/tests/test_jobs_demand.c
@@ -126,6 +126,49 @@
   job_fixture_stop ();
 }
 
+static void
+set_row (struct wy_demand_rows *rows, const char *model, const char *value)
+{
+  struct wy_row row = { .key = model,
+                        .value = value,
+                        .size_bytes = value ? strlen (value) : 0,
+                        .deleted = !value };
+
+  wy_demand_rows_set (rows, &row);
+}
+
+/* The entry that ran the jobs of "m" failed and nobody runs them any more. Its
+   row must not keep replicas from "n" for ever, and a row that can't be parsed
+   must not keep those of all models.  */
+Test (jobs_demand, old_and_unreadable_rows)
+{
+  struct wy_routing *routing = wy_routing_new ();
+  struct wy_service *s = wy_routing_add_service (routing);
+  struct wy_demand_rows rows = { 0 };
+  struct wy_model_shares shares;
+
+  s->slots = 4;
+  g_ptr_array_add (s->models, g_strdup ("n"));
+  g_ptr_array_add (s->models, g_strdup ("m"));
+  set_row (&rows, "m",
+           "{\"slots\":30,\"priority\":2,\"lag\":1,\"at_ms\":5000}");
+  set_row (&rows, "n", "{\"slots\":\"many\"}");
+  wy_model_shares_compute (&rows, s, 10, 35000, &shares);
+  cr_expect (shares.by_need);
+  cr_expect_eq (shares.counts[0], 2);
+  cr_expect_eq (shares.counts[1], 8);
+  cr_expect_eq (shares.demand[1].priority, 2);
+  cr_expect_eq (shares.age_ms, 30000);
+  wy_model_shares_compute (&rows, s, 10, 35001, &shares);
+  cr_expect_not (shares.by_need);
+  cr_expect_eq (shares.counts[1], 5);
+  set_row (&rows, "m", NULL);
+  wy_model_shares_compute (&rows, s, 10, 5000, &shares);
+  cr_expect_not (shares.by_need);
+  cr_expect_eq (shares.age_ms, -1);
+  wy_routing_free (routing);
+}
+
 /* A service with one model has nothing to divide: no row may be written.  */
 Test (jobs_demand, one_model_publishes_nothing)
 {
