No hedge for a request that no replica runs

Cause: while a request waits for a replica that accepts it, the time of the hedge for an earlier attempt that was rejected stays set. When it is due, the request counts as one that may have run, so its caller gets 502 instead of 503.

Change: the time of the hedge is cleared when the wait begins.

--- a/src/gate/proxy.c
+++ b/src/gate/proxy.c
@@ -324,6 +324,8 @@
       wy_proxy_fail (p, false, "full");
       return;
     }
+  /* Nothing runs that could be hedged.  */
+  p->hedge_due_ms = 0;
   p->retry_due_ms = wy_proxy_now_ms (p) + CAPACITY_RETRY_MS;
   arm_timer (p);
 }
--- a/tests/test_proxy.c
+++ b/tests/test_proxy.c
@@ -308,3 +308,22 @@
   cr_expect (platform_fixture_run_until (&w, nothing_runs, r));
   stop ();
 }
+
+/* Load: the only replica is full for longer than the time until a request
+   would be hedged.  The request has not run anywhere, so its caller must get
+   503, after which it can send it again, and not 502.  */
+Test (proxy, full_service_is_reported_as_not_run)
+{
+  struct platform_response *a;
+
+  start (WY_ROUTE_IDEMPOTENT, 2);
+  wy_platform_replica_faults (platform_fixture_add_replica (&w, NULL, 0))
+      ->respond_not_run
+      = 1000000;
+  a = send_request ("60000");
+  cr_expect_eq (a->status, 503);
+  cr_expect_not_null (a->retry_after);
+  cr_expect_eq (*w.env.count.hedges, 0);
+  platform_response_free (a);
+  stop ();
+}
