Rejected callers are told when capacity is expected

Cause: every 503 of an entry names one of five constants, so callers that are rejected together return together.

All responses 503 that an entry makes itself ask it: the proxy (full, no target and the other reasons by the rate at which requests of the service end; held back after crashes: the constant), admission without a current configuration, jobs and requests on them while the store is away (time to its next probe), jobs and bodies without memory (rate at which jobs end). The caller's time left bounds the time where it is known. 408 is for callers that send too slowly and still names no time. Log lines have retry_after_ms, ahead and rate; new metrics are wy_gate_retry_after_total, wy_gate_retry_after_us and wy_gate_returned_total. Without observations the constants apply as before.

Effect under load: none measured.

--- a/src/decide/retry_after.c
+++ b/src/decide/retry_after.c
@@ -116,16 +116,15 @@
 }
 
 /* Limit MS to the time within which the caller of Q returns at all.  Callers
-   beyond that are spread below the limit.  */
+   beyond a limit are spread beside it.  */
 static double
 limit_ms (const struct wy_retry_after_query *q, double ms)
 {
   double max_ms = (double)q->time_left_ms / TIME_LEFT_DIVISOR;
 
-  ms = fmax (ms, TOLD_MIN_MS);
   if (q->time_left_ms >= 0 && ms > max_ms)
     ms = max_ms * (1 - jitter * q->random);
-  return fmax (ms, 1);
+  return fmax (ms, TOLD_MIN_MS * (1 + jitter * q->random));
 }
 
 static void
@@ -152,14 +151,19 @@
   t.ahead = count_away (s, now_ms, &latest_ms);
   t.rate_hz = wy_retry_after_rate_hz (s, now_ms);
   if (q->known_end_ms >= 0)
-    ms = (double)q->known_end_ms * (1 + jitter * q->random);
+    {
+      t.basis = WY_RETRY_AFTER_KNOWN_END;
+      ms = (double)q->known_end_ms * (1 + jitter * q->random);
+    }
   else if (q->by_rate && t.rate_hz > 0)
-    ms = delay_by_rate_ms (q, t.ahead, latest_ms - now_ms, t.rate_hz);
-  else
-    t.is_default = true;
-  if (!t.is_default)
+    {
+      t.basis = WY_RETRY_AFTER_RATE;
+      ms = delay_by_rate_ms (q, t.ahead, latest_ms - now_ms, t.rate_hz);
+    }
+  if (t.basis != WY_RETRY_AFTER_CONSTANT)
     t.ms = (uint32_t)ceil (limit_ms (q, ms));
-  add_caller (s, q->fingerprint, now_ms + t.ms);
+  if (q->fingerprint)
+    add_caller (s, q->fingerprint, now_ms + t.ms);
   return t;
 }
 
--- a/src/decide/retry_after.h
+++ b/src/decide/retry_after.h
@@ -27,6 +27,14 @@
   WY_RETURN_LATE
 };
 
+/* What a time is based on.  */
+enum wy_retry_after_basis
+{
+  WY_RETRY_AFTER_CONSTANT, /* nothing was observed */
+  WY_RETRY_AFTER_RATE,
+  WY_RETRY_AFTER_KNOWN_END
+};
+
 struct wy_retry_after_options
 {
   uint32_t period_ms; /* over which the rate is averaged; 0: the default */
@@ -49,11 +57,11 @@
 
 struct wy_retry_after_query
 {
-  uint64_t fingerprint;
+  uint64_t fingerprint; /* 0: the caller is not expected to return */
   uint32_t default_ms;  /* without an observation */
   int64_t known_end_ms; /* until the reason ends; -1: not known */
   bool by_rate;         /* capacity is free again as work ends */
-  uint32_t not_before_ms;
+  uint32_t not_before_ms; /* with BY_RATE: the first may return then */
   int64_t time_left_ms; /* of the caller; -1: not known */
   double random;        /* in [0, 1) */
 };
@@ -61,9 +69,9 @@
 struct wy_retry_after_time
 {
   uint32_t ms;
-  uint32_t ahead;  /* rejected callers that return before this one */
-  double rate_hz;  /* 0: not known */
-  bool is_default; /* nothing was observed */
+  uint32_t ahead; /* rejected callers that return before this one */
+  double rate_hz; /* 0: not known */
+  enum wy_retry_after_basis basis;
 };
 
 void wy_retry_after_init (struct wy_retry_after *s,
--- a/src/gate/admission.c
+++ b/src/gate/admission.c
@@ -12,6 +12,7 @@
 enum
 {
   RETRY_AFTER_MS = 500,
+  RETRY_AFTER_NO_MEMORY_MS = 1000,
   /* The configuration counts as current if the store has confirmed it within
      this time: twice the interval between its responses while nothing
      changes.  */
@@ -34,18 +35,45 @@
   return names[c];
 }
 
+/* Reject R, described by INFO, with status 503 for REASON, a configuration
+   that is unknown or may be old.  It is current again when the store is
+   reachable.  */
+static void
+reject_for_config (struct wy_gate *g, struct wy_h1_request *r,
+                   const struct wy_request_info *info, const char *reason)
+{
+  struct wy_rejection o = { .reason = reason,
+                            .ends = WY_REJECTION_ENDS_BY_STORE,
+                            .default_ms = RETRY_AFTER_MS,
+                            .time_left_ms = info->time_left_ms };
+  struct wy_retry_after_time t = wy_rejections_tell (g->env.rejections, &o);
+  char fields[WY_REJECTION_FIELDS_SIZE_BYTES];
+
+  wy_json_log ("request.ended",
+               "id=%s outcome=refused status=503 reason=%s credential=%s "
+               "config=%lld config_age_ms=%lld %s",
+               info->id ? info->id : "", reason,
+               credential_name (info->credential),
+               g->env.routing ? (long long)g->env.routing->version : 0LL,
+               (long long)wy_watch_age_ms (g->operator_watch),
+               wy_rejection_fields (&t, fields));
+  wy_respond_status (r, 503, reason, t.ms);
+}
+
 /* Respond to R, described by INFO, with the status for ACCESS and log it.  */
 static void
 reject_access (struct wy_gate *g, struct wy_h1_request *r,
                const struct wy_request_info *info, enum wy_access access)
 {
-  int status = access == WY_ACCESS_UNAUTHORIZED ? 401
-               : access == WY_ACCESS_NO_ROUTE   ? 404
-                                                : 503;
-  const char *reason = access == WY_ACCESS_UNAUTHORIZED ? "no_valid_key"
-                       : access == WY_ACCESS_NO_ROUTE   ? "no_route"
-                                                        : "config_may_be_old";
+  int status = access == WY_ACCESS_UNAUTHORIZED ? 401 : 404;
+  const char *reason
+      = access == WY_ACCESS_UNAUTHORIZED ? "no_valid_key" : "no_route";
 
+  if (access == WY_ACCESS_CONFIG_STALE)
+    {
+      reject_for_config (g, r, info, "config_may_be_old");
+      return;
+    }
   wy_json_log ("request.ended",
                "id=%s outcome=refused status=%d reason=%s credential=%s "
                "config=%lld config_age_ms=%lld",
@@ -56,8 +84,7 @@
   if (access == WY_ACCESS_UNAUTHORIZED)
     wy_respond_unauthorized (r, reason);
   else
-    wy_respond_status (r, status, reason,
-                       access == WY_ACCESS_CONFIG_STALE ? RETRY_AFTER_MS : 0);
+    wy_respond_status (r, status, reason, 0);
 }
 
 static enum wy_access
@@ -106,11 +133,7 @@
   wy_request_parse_head (wy_h1_head (r), &info);
   if (!g->env.routing)
     {
-      wy_json_log ("request.ended",
-                   "id=%s outcome=refused status=503 "
-                   "reason=no_config",
-                   info.id ? info.id : "");
-      wy_respond_status (r, 503, "no_config", RETRY_AFTER_MS);
+      reject_for_config (g, r, &info, "no_config");
       return;
     }
   wy_job_call_parse (wy_h1_method (r), wy_h1_target (r), wy_h1_head (r),
@@ -135,3 +158,25 @@
   else
     wy_proxy_start (&g->env, r, route, org);
 }
+
+/* R is rejected since there is no memory for its body.  Most bodies are those
+   of jobs, so memory is free again as jobs end.  */
+uint32_t
+wy_gate_on_no_memory (void *ctx, const struct wy_h1_request *r)
+{
+  struct wy_gate *g = ctx;
+  struct wy_request_info info;
+  struct wy_rejection o = { .reason = "upload_memory",
+                            .ends = WY_REJECTION_ENDS_BY_RATE,
+                            .default_ms = RETRY_AFTER_NO_MEMORY_MS };
+  struct wy_retry_after_time t;
+  char fields[WY_REJECTION_FIELDS_SIZE_BYTES];
+
+  wy_request_parse_head (wy_h1_head (r), &info);
+  o.time_left_ms = info.time_left_ms;
+  t = wy_rejections_tell (g->env.rejections, &o);
+  wy_json_log (
+      "request.ended", "id=%s outcome=refused status=503 reason=%s %s",
+      info.id ? info.id : "", o.reason, wy_rejection_fields (&t, fields));
+  return t.ms;
+}
--- a/src/gate/env.h
+++ b/src/gate/env.h
@@ -9,6 +9,7 @@
 #include "base/rng.h"
 #include "decide/crash_tracker.h"
 #include "duties/usage.h"
+#include "gate/rejections.h"
 #include "gate/routing.h"
 #include "gate/targets.h"
 #include "h1/client.h"
@@ -39,6 +40,9 @@
   struct wy_metrics_family *requests_ended; /* by route, outcome and reason */
   /* By route, target's service and outcome.  */
   struct wy_metrics_family *latency_by_route;
+  struct wy_metrics_family *told;     /* by reason and basis */
+  struct wy_metrics_family *told_us;  /* by reason */
+  struct wy_metrics_family *returned; /* by work, time and outcome */
 };
 
 struct wy_gate_env
@@ -57,6 +61,7 @@
   struct wy_rng rng;
   struct wy_crash_tracker crashes;
   struct wy_usage *usage; /* NULL: usage is not reported */
+  struct wy_rejections *rejections;
   struct wy_gate_counters count;
 };
 
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -160,6 +160,8 @@
               .buffered_bytes = (uint64_t)g->o.settings->memory_mb * WY_GATE_MB
                                 / WY_GATE_BODY_MEMORY_DIVISOR },
           .on_request = on_request,
+          .on_no_memory
+          = on_request == wy_gate_on_request ? wy_gate_on_no_memory : NULL,
           .ctx = g };
 
   if (!wy_address_parse (address, &a))
@@ -258,12 +260,20 @@
       = { .loop = g->o.loop,
           .clock = g->o.clock,
           .seed = wy_hash64 (g->incarnation, WY_ID_LEN, 1) };
+  struct wy_rejections_options rejections
+      = { .clock = g->o.clock,
+          .seed = wy_hash64 (g->incarnation, WY_ID_LEN, 5),
+          .told = g->env.count.told,
+          .told_us = g->env.count.told_us,
+          .returned = g->env.count.returned };
 
   if (!wy_address_parse (g->o.settings->store, &rows.address))
     return WY_H1_EBIND;
   g->env.http = wy_h1_client_new (&http);
   rows.http = g->env.http;
   g->env.rows = wy_rows_new (&rows);
+  rejections.rows = g->env.rows;
+  g->env.rejections = wy_rejections_new (&rejections);
   wy_targets_set_idle_count (g->env.targets, idle_connections, g->env.http);
   return 0;
 }
--- a/src/gate/gate_metrics.c
+++ b/src/gate/gate_metrics.c
@@ -57,6 +57,18 @@
   c->latency_by_route = wy_metrics_histogram_family (
       m, "wy_gate_request_us", "Time to the end of a request",
       WY_GATE_HISTOGRAM_SETS_MAX);
+  c->told = wy_metrics_counter_family (
+      m, "wy_gate_retry_after_total",
+      "Rejected callers told when to return, by reason and basis",
+      WY_GATE_LABEL_SETS_MAX);
+  c->told_us = wy_metrics_histogram_family (m, "wy_gate_retry_after_us",
+                                            "Times told to rejected callers",
+                                            WY_GATE_HISTOGRAM_SETS_MAX);
+  c->returned = wy_metrics_counter_family (
+      m, "wy_gate_returned_total",
+      "Requests and jobs of callers that were rejected before, by time of"
+      " return and how they ended",
+      WY_GATE_LABEL_SETS_MAX);
   c->latency_us = wy_metrics_histogram (m, "wy_gate_answer_us",
                                         "Time to a replica's whole answer");
   c->score_us = wy_metrics_histogram (m, "wy_gate_score_us",
--- a/src/gate/gate_state.h
+++ b/src/gate/gate_state.h
@@ -93,6 +93,7 @@
 };
 
 void wy_gate_on_request (void *ctx, struct wy_h1_request *r);
+uint32_t wy_gate_on_no_memory (void *ctx, const struct wy_h1_request *r);
 int wy_gate_start_duties (struct wy_gate *g);
 void wy_gate_stop_duties (struct wy_gate *g);
 void wy_gate_free_duties (struct wy_gate *g);
--- a/src/gate/proxy.c
+++ b/src/gate/proxy.c
@@ -390,6 +390,8 @@
   p->started_ms = received_ms;
   p->deadline_ms
       = received_ms + (p->has_deadline ? limit_ms : DEFAULT_TIMEOUT_MS);
+  p->caller_until_ms
+      = info->time_left_ms >= 0 ? received_ms + info->time_left_ms : 0;
   p->hedge_delay_ms
       = route->target_latency_ms
             ? route->target_latency_ms / 2
@@ -441,6 +443,9 @@
   uv_timer_init (env->loop, &p->timer);
   p->timer.data = p;
   wy_h1_on_hangup (r, wy_proxy_on_hangup, p);
+  if (wy_rejections_expects_any (env->rejections, p->service))
+    p->returned = wy_rejections_returned (env->rejections, p->service,
+                                          wy_proxy_fingerprint (p));
   if (is_blocked (p))
     wy_proxy_fail (p, false, WY_PROXY_REASON_CRASHES_TARGETS);
   else
--- a/src/gate/proxy_end.c
+++ b/src/gate/proxy_end.c
@@ -14,7 +14,8 @@
   RETRY_AFTER_FULL_MS = 200,
   RETRY_AFTER_NO_TARGET_MS = 500,
   /* A retry is of no use before an operator has looked at the request.  */
-  RETRY_AFTER_CRASHES_MS = 30000
+  RETRY_AFTER_CRASHES_MS = 30000,
+  STATUS_UNAVAILABLE = 503
 };
 
 /* The organisation of P's caller, "" for none.  */
@@ -122,6 +123,8 @@
   char *latency = g_strjoin (",", route, service, outcome_label, NULL);
   int64_t ms = wy_proxy_now_ms (p) - p->started_ms;
 
+  wy_rejections_return_ended (p->env->rejections, p->service, p->returned,
+                              outcome);
   ++*wy_metrics_family_counter (p->env->count.requests_ended, ended);
   wy_hist_add (
       wy_metrics_family_histogram (p->env->count.latency_by_route, latency),
@@ -178,14 +181,58 @@
                g->reported_ms ? (long long)(now_ms - g->reported_ms) : -1LL);
 }
 
-static uint32_t
-retry_after_ms (const char *reason)
+/* When the caller of P, which is rejected for REASON, should return.  */
+static struct wy_retry_after_time
+tell_return (struct wy_proxy_request *p, const char *reason)
 {
-  if (!strcmp (reason, "full"))
-    return RETRY_AFTER_FULL_MS;
+  struct wy_rejection o
+      = { .service = p->service,
+          .reason = reason,
+          .ends = WY_REJECTION_ENDS_BY_RATE,
+          .default_ms = RETRY_AFTER_NO_TARGET_MS,
+          .time_left_ms = p->caller_until_ms ? MAX (
+                              p->caller_until_ms - wy_proxy_now_ms (p), 0)
+                                             : -1 };
+
   if (!strcmp (reason, WY_PROXY_REASON_CRASHES_TARGETS))
-    return RETRY_AFTER_CRASHES_MS;
-  return RETRY_AFTER_NO_TARGET_MS;
+    {
+      o.ends = WY_REJECTION_ENDS_NEVER;
+      o.default_ms = RETRY_AFTER_CRASHES_MS;
+      return wy_rejections_tell (p->env->rejections, &o);
+    }
+  o.fingerprint = wy_proxy_fingerprint (p);
+  if (!strcmp (reason, "full"))
+    o.default_ms = RETRY_AFTER_FULL_MS;
+  else if (!strcmp (reason, "no_target"))
+    o.not_before_ms = RETRY_AFTER_NO_TARGET_MS;
+  return wy_rejections_tell (p->env->rejections, &o);
+}
+
+static void
+log_rejection (const struct wy_proxy_request *p, const char *reason,
+               const struct wy_retry_after_time *t)
+{
+  char fields[WY_REJECTION_FIELDS_SIZE_BYTES];
+
+  count_end (p, "refused", reason);
+  wy_json_log (
+      "request.ended",
+      "id=%s route=%s service=%s organisation=%s config=%lld outcome=refused "
+      "status=503 reason=%s sends=%u ms=%lld %s",
+      p->id, p->route, p->service, wy_proxy_organisation (p),
+      (long long)p->config_version, reason, p->sends,
+      (long long)(wy_proxy_now_ms (p) - p->started_ms),
+      wy_rejection_fields (t, fields));
+}
+
+/* Reject the request, which has not run and never will, for REASON.  */
+static void
+reject (struct wy_proxy_request *p, struct wy_h1_request *r,
+        const char *reason, const struct wy_retry_after_time *t)
+{
+  (*p->env->count.refused)++;
+  log_rejection (p, reason, t);
+  wy_respond_status (r, STATUS_UNAVAILABLE, reason, t->ms);
 }
 
 /* Fail the request for REASON; TIMED_OUT if its deadline has passed.  Status
@@ -195,8 +242,10 @@
 {
   struct wy_h1_request *r = p->request;
   int status = wy_attempt_failure_status (p->may_have_run, timed_out);
-  uint32_t after_ms = retry_after_ms (reason);
+  struct wy_retry_after_time told = { 0 };
 
+  if (status == STATUS_UNAVAILABLE && !p->streaming && !p->error_response)
+    told = tell_return (p, reason);
   p->request = NULL;
   for (size_t i = 0; i < WY_PROXY_ATTEMPTS_MAX; i++)
     if (p->running[i].target)
@@ -213,11 +262,13 @@
       log_end (p, "answered", p->error_response->status, "replica_failed");
       wy_response_send (p->error_response, r);
     }
+  else if (status == STATUS_UNAVAILABLE)
+    reject (p, r, reason, &told);
   else
     {
-      (*(status == 503 ? p->env->count.refused : p->env->count.failed))++;
-      log_end (p, status == 503 ? "refused" : "failed", status, reason);
-      wy_respond_status (r, status, reason, status == 503 ? after_ms : 0);
+      (*p->env->count.failed)++;
+      log_end (p, "failed", status, reason);
+      wy_respond_status (r, status, reason, 0);
     }
   wy_proxy_free (p);
 }
@@ -247,6 +298,7 @@
                (long long)(now_ms - p->started_ms),
                (long long)(now_ms - t->started_ms));
   count_end (p, "answered", "replica");
+  wy_rejections_ended (p->env->rejections, p->service);
   if (p->streaming)
     wy_h1_end_response (r);
   else
--- a/src/gate/proxy_state.h
+++ b/src/gate/proxy_state.h
@@ -45,8 +45,10 @@
   int64_t usage_window; /* in which it is counted; 0: not counted */
   int64_t config_version;
   int64_t started_ms;
-  int64_t deadline_ms; /* of the response */
-  bool has_deadline;   /* the caller or the route has set it */
+  int64_t deadline_ms;     /* of the response */
+  bool has_deadline;       /* the caller or the route has set it */
+  int64_t caller_until_ms; /* when the caller times out; 0: not known */
+  enum wy_return returned; /* whether the caller was rejected before */
   uint32_t hedge_delay_ms;
   uint32_t attempts;
   uint32_t attempts_left; /* an attempt that has not run isn't counted */
--- a/src/h1/server.c
+++ b/src/h1/server.c
@@ -99,6 +99,7 @@
     }
   s->limits = o->limits;
   s->on_request = o->on_request;
+  s->on_no_memory = o->on_no_memory;
   s->ctx = o->ctx;
   g_queue_init (&s->connections);
   uv_timer_init (o->loop, &s->sweep);
--- a/src/h1/server.h
+++ b/src/h1/server.h
@@ -42,6 +42,10 @@
   uint16_t port;    /* 0: any free port */
   struct wy_h1_limits limits;
   void (*on_request) (void *ctx, struct wy_h1_request *r);
+  /* Called when R, of which only the head is known, is rejected since there is
+     no memory for its body.  Returns the time after which its caller may
+     return.  NULL: a constant.  */
+  uint32_t (*on_no_memory) (void *ctx, const struct wy_h1_request *r);
   void *ctx;
 };
 
--- a/src/h1/server_response.c
+++ b/src/h1/server_response.c
@@ -3,6 +3,14 @@
 
 #include <string.h>
 
+enum
+{
+  STATUS_UNAVAILABLE = 503,
+  RETRY_AFTER_MS = 1000,
+  RETRY_AFTER_SIZE_BYTES = 16,
+  MS_PER_S = 1000
+};
+
 /* A pending write and its bytes.  */
 struct write
 {
@@ -156,14 +164,20 @@
 void
 wy_h1_conn_reject (struct wy_h1_request *c, int status)
 {
-  static const struct wy_h1_header retry_after = { "Retry-After", "1" };
+  char after[RETRY_AFTER_SIZE_BYTES];
+  struct wy_h1_header retry_after = { "Retry-After", after };
+  uint32_t after_ms = RETRY_AFTER_MS;
 
+  if (status == STATUS_UNAVAILABLE && c->server->on_no_memory)
+    after_ms = c->server->on_no_memory (c->server->ctx, c);
+  g_snprintf (after, sizeof after, "%u.%03u", after_ms / MS_PER_S,
+              after_ms % MS_PER_S);
   c->keep_alive = false;
   if (c->state != CONN_BUSY)
     wy_h1_conn_set_state (c, CONN_BUSY);
   {
-    GString *out
-        = response_head (c, status, &retry_after, status == 503 ? 1 : 0);
+    GString *out = response_head (c, status, &retry_after,
+                                  status == STATUS_UNAVAILABLE ? 1 : 0);
 
     g_string_append (out, "Content-Length: 0\r\n\r\n");
     wy_h1_conn_send (c, out, NULL, 0, false);
--- a/src/h1/server_state.h
+++ b/src/h1/server_state.h
@@ -54,6 +54,7 @@
   uint32_t active;
   GQueue connections;
   void (*on_request) (void *ctx, struct wy_h1_request *r);
+  uint32_t (*on_no_memory) (void *ctx, const struct wy_h1_request *r);
   void *ctx;
   char read_buffer[WY_H1_READ_SIZE_BYTES];
 };
--- a/src/jobs/accept.c
+++ b/src/jobs/accept.c
@@ -19,6 +19,9 @@
 #include "platform/job_wire.h"
 #include "trace/json_log.h"
 
+/* Reason for rejecting a job for which there is no memory.  */
+#define REASON_MEMORY "memory"
+
 enum
 {
   /* Attempts to determine the outcome of a write that got no response, each
@@ -48,9 +51,53 @@
   bool writing; /* the row is being written */
   bool ended;   /* the submitter has its response */
   int64_t started_ms;
+  int64_t time_left_ms; /* of the submitter at the start; -1: not known */
+  enum wy_return returned;
   uv_timer_t timer;
 };
 
+/* A submission that has just arrived.  */
+struct arrival
+{
+  struct wy_h1_request *request;
+  const char *key; /* of the job */
+  size_t body_bytes;
+  int64_t time_left_ms;
+  enum wy_return returned; /* whether the submitter was rejected before */
+};
+
+static uint64_t
+fingerprint_of (const char *key)
+{
+  return wy_fingerprint (key, NULL, 0);
+}
+
+/* When the submitter of the job KEY, which is rejected for REASON, should
+   return.  */
+static struct wy_retry_after_time
+tell_return (struct wy_jobs *j, const char *key, const char *reason,
+             int64_t time_left_ms)
+{
+  struct wy_rejection o
+      = { .reason = reason,
+          .ends = !strcmp (reason, REASON_MEMORY) ? WY_REJECTION_ENDS_BY_RATE
+                                                  : WY_REJECTION_ENDS_BY_STORE,
+          .default_ms = RETRY_AFTER_MS,
+          .time_left_ms = time_left_ms,
+          .fingerprint = fingerprint_of (key) };
+
+  return wy_rejections_tell (j->env->rejections, &o);
+}
+
+static void
+count_return (struct wy_jobs *j, enum wy_return returned, int status)
+{
+  wy_rejections_return_ended (j->env->rejections, NULL, returned,
+                              status == STATUS_ACCEPTED ? "answered"
+                              : status == 503           ? "refused"
+                                                        : "failed");
+}
+
 static void
 on_timer_closed (uv_handle_t *h)
 {
@@ -69,6 +116,9 @@
 end (struct submission *a, int status, const char *reason)
 {
   struct wy_h1_request *r = a->request;
+  int64_t ms = wy_clock_mono_ms (a->jobs->env->clock) - a->started_ms;
+  struct wy_retry_after_time t = { 0 };
+  char fields[WY_REJECTION_FIELDS_SIZE_BYTES];
 
   /* Another entry may have accepted a later attempt of the same submission
      while this one waited for the store; "not accepted" would be wrong.  */
@@ -78,19 +128,23 @@
       reason = "kept_elsewhere";
     }
 
-  wy_json_log (
-      "job.submitted",
-      "id=%s status=%d reason=%s items=%llu bytes=%zu ms=%lld", a->record->id,
-      status, reason, (unsigned long long)a->record->total, a->body->len,
-      (long long)(wy_clock_mono_ms (a->jobs->env->clock) - a->started_ms));
+  count_return (a->jobs, a->returned, status);
+  if (status == 503)
+    t = tell_return (a->jobs, a->record->id, reason,
+                     a->time_left_ms < 0 ? -1 : MAX (a->time_left_ms - ms, 0));
+  wy_json_log ("job.submitted",
+               "id=%s status=%d reason=%s items=%llu bytes=%zu ms=%lld %s",
+               a->record->id, status, reason,
+               (unsigned long long)a->record->total, a->body->len,
+               (long long)ms,
+               status == 503 ? wy_rejection_fields (&t, fields) : "");
   if (r)
     {
       wy_h1_on_hangup (r, NULL, NULL);
       if (status == STATUS_ACCEPTED)
         wy_h1_respond (r, status, NULL, 0, "", 0);
       else
-        wy_respond_status (r, status, reason,
-                           status == 503 ? RETRY_AFTER_MS : 0);
+        wy_respond_status (r, status, reason, t.ms);
     }
   a->jobs->submissions_bytes -= a->body->len;
   g_ptr_array_remove_fast (a->jobs->submissions, a);
@@ -326,12 +380,19 @@
 }
 
 static void
-reject_job (struct wy_h1_request *r, const char *id, int status,
-            const char *why, size_t body_bytes)
+reject_job (struct wy_jobs *j, const struct arrival *v, int status,
+            const char *why)
 {
-  wy_json_log ("job.submitted", "id=%s status=%d reason=%s bytes=%zu", id,
-               status, why, body_bytes);
-  wy_respond_status (r, status, why, status == 503 ? RETRY_AFTER_MS : 0);
+  struct wy_retry_after_time t = { 0 };
+  char fields[WY_REJECTION_FIELDS_SIZE_BYTES];
+
+  count_return (j, v->returned, status);
+  if (status == 503)
+    t = tell_return (j, v->key, why, v->time_left_ms);
+  wy_json_log ("job.submitted", "id=%s status=%d reason=%s bytes=%zu %s",
+               v->key, status, why, v->body_bytes,
+               status == 503 ? wy_rejection_fields (&t, fields) : "");
+  wy_respond_status (v->request, status, why, t.ms);
 }
 
 static bool
@@ -353,6 +414,7 @@
   struct wy_request_info info;
   struct wy_job_spec *spec;
   struct submission *a;
+  struct arrival v;
   const char *why;
   const char *body;
   size_t n;
@@ -365,32 +427,40 @@
       return;
     }
   wy_job_key (organisation, info.id, key, sizeof key);
+  v = (struct arrival){ .request = r,
+                        .key = key,
+                        .body_bytes = n,
+                        .time_left_ms = info.time_left_ms };
+  if (wy_rejections_expects_any (j->env->rejections, NULL))
+    v.returned = wy_rejections_returned (j->env->rejections, NULL,
+                                         fingerprint_of (key));
   if (wy_jobs_find (j, key))
     {
       wy_json_log ("job.submitted", "id=%s status=202 reason=known", key);
+      count_return (j, v.returned, STATUS_ACCEPTED);
       wy_h1_respond (r, STATUS_ACCEPTED, NULL, 0, "", 0);
       return;
     }
   if (!wy_jobs_has_memory_for (j, n))
     {
-      reject_job (r, key, 503, "memory", n);
+      reject_job (j, &v, 503, REASON_MEMORY);
       return;
     }
   spec = wy_job_decode (body, n, &why);
   if (!spec)
     {
-      reject_job (r, key, 400, why, n);
+      reject_job (j, &v, 400, why);
       return;
     }
   if (!has_scorer_routes (j, spec))
     {
-      reject_job (r, key, config_is_fresh ? 400 : 503, "no_scorer_route", n);
+      reject_job (j, &v, config_is_fresh ? 400 : 503, "no_scorer_route");
       wy_job_spec_free (spec);
       return;
     }
   if (wy_rows_is_unreachable (j->env->rows))
     {
-      reject_job (r, key, 503, "store_away", n);
+      reject_job (j, &v, 503, "store_away");
       wy_job_spec_free (spec);
       return;
     }
@@ -404,6 +474,8 @@
                           spec->items->len, n);
   choose_holder (a);
   a->started_ms = wy_clock_mono_ms (j->env->clock);
+  a->time_left_ms = info.time_left_ms;
+  a->returned = v.returned;
   j->submissions_bytes += n;
   uv_timer_init (j->env->loop, &a->timer);
   a->timer.data = a;
--- a/src/jobs/calls.c
+++ b/src/jobs/calls.c
@@ -76,14 +76,38 @@
   return false;
 }
 
+/* When the caller of D, which is rejected since the store can't be read,
+   should return.  */
+static struct wy_retry_after_time
+tell_return (const struct call_state *d, const char *reason)
+{
+  struct wy_request_info info;
+  struct wy_rejection o = { .reason = reason,
+                            .ends = WY_REJECTION_ENDS_BY_STORE,
+                            .default_ms = RETRY_AFTER_MS,
+                            .time_left_ms = -1 };
+
+  wy_request_parse_head (wy_h1_head (d->request), &info);
+  if (info.time_left_ms >= 0)
+    o.time_left_ms = MAX (info.time_left_ms + d->received_ms
+                              - wy_clock_mono_ms (d->jobs->env->clock),
+                          0);
+  return wy_rejections_tell (d->jobs->env->rejections, &o);
+}
+
 static void
 reject (struct call_state *d, int status, const char *reason, int err)
 {
-  wy_json_log ("job.call_refused", "id=%s call=%s status=%d reason=%s err=%d",
-               d->call.job, wy_job_call_name (d->call.kind), status, reason,
-               err);
-  wy_respond_status (d->request, status, reason,
-                     status == 503 ? RETRY_AFTER_MS : 0);
+  struct wy_retry_after_time t = { 0 };
+  char fields[WY_REJECTION_FIELDS_SIZE_BYTES];
+
+  if (status == 503)
+    t = tell_return (d, reason);
+  wy_json_log ("job.call_refused",
+               "id=%s call=%s status=%d reason=%s err=%d %s", d->call.job,
+               wy_job_call_name (d->call.kind), status, reason, err,
+               status == 503 ? wy_rejection_fields (&t, fields) : "");
+  wy_respond_status (d->request, status, reason, t.ms);
   free_call (d);
 }
 
--- a/src/jobs/jobs.c
+++ b/src/jobs/jobs.c
@@ -48,7 +48,10 @@
 drop_active_job (struct wy_jobs *j, struct wy_active_job *o)
 {
   if (g_hash_table_lookup (j->active, o->record->id) == o)
-    g_hash_table_remove (j->active, o->record->id);
+    {
+      g_hash_table_remove (j->active, o->record->id);
+      wy_rejections_ended (j->env->rejections, NULL);
+    }
   wy_active_job_close (o);
 }
 
@@ -56,6 +59,7 @@
 start_lingering (struct wy_jobs *j, struct wy_active_job *o)
 {
   g_hash_table_remove (j->active, o->record->id);
+  wy_rejections_ended (j->env->rejections, NULL);
   wy_active_job_linger (o);
   g_ptr_array_add (j->lingering, o);
 }
--- a/src/rows/client.c
+++ b/src/rows/client.c
@@ -195,6 +195,16 @@
   return s->paths.direct_ok;
 }
 
+/* Time until the direct path, which fails, is probed again; -1 if not known,
+   as when the probe is due and goes with the next call.  */
+int64_t
+wy_rows_next_probe_ms (const struct wy_rows *s)
+{
+  int64_t ms = s->paths.next_probe_ms - wy_clock_mono_ms (s->clock);
+
+  return s->paths.direct_ok || ms <= 0 ? -1 : ms;
+}
+
 /* Copy the statistics of S to OUT.  */
 void
 wy_rows_stats (const struct wy_rows *s, struct wy_rows_stats *out)
--- a/src/rows/rows.h
+++ b/src/rows/rows.h
@@ -135,6 +135,7 @@
 int64_t wy_rows_store_now_ms (const struct wy_rows *s);
 bool wy_rows_is_unreachable (const struct wy_rows *s);
 bool wy_rows_is_direct (const struct wy_rows *s);
+int64_t wy_rows_next_probe_ms (const struct wy_rows *s);
 
 void wy_rows_get (struct wy_rows *s, const struct wy_rows_range *range,
                   wy_rows_cb *cb, void *ctx);
--- a/tests/support/platform_fixture.c
+++ b/tests/support/platform_fixture.c
@@ -129,6 +129,9 @@
   c->requests_ended = wy_metrics_counter_family (w->metrics, "ended", "", 64);
   c->latency_by_route
       = wy_metrics_histogram_family (w->metrics, "latency_by", "", 16);
+  c->told = wy_metrics_counter_family (w->metrics, "told", "", 64);
+  c->told_us = wy_metrics_histogram_family (w->metrics, "told_us", "", 16);
+  c->returned = wy_metrics_counter_family (w->metrics, "returned", "", 64);
 }
 
 /* Create the modules that all parts of the entry NODE share.  */
@@ -140,6 +143,7 @@
                                     .idle_timeout_ms = 5000 };
   struct wy_rows_options r
       = { .loop = &w->loop, .clock = wy_clock_system (), .seed = 7 };
+  struct wy_rejections_options rejections;
 
   w->has_env = true;
   w->env.loop = &w->loop;
@@ -155,6 +159,14 @@
   w->env.targets = wy_targets_new (7);
   wy_rng_seed (&w->env.rng, 7);
   make_counters (w);
+  rejections
+      = (struct wy_rejections_options){ .clock = w->env.clock,
+                                        .rows = w->env.rows,
+                                        .seed = 7,
+                                        .told = w->env.count.told,
+                                        .told_us = w->env.count.told_us,
+                                        .returned = w->env.count.returned };
+  w->env.rejections = wy_rejections_new (&rejections);
 }
 
 static struct wy_platform_replica *
--- a/tests/test_proxy.c
+++ b/tests/test_proxy.c
@@ -327,3 +327,59 @@
   platform_response_free (a);
   stop ();
 }
+
+static uint64_t
+told_by_rate (void)
+{
+  return *wy_metrics_family_counter (w.env.count.told,
+                                     "reason=\"full\",basis=\"rate\"");
+}
+
+/* Load: a burst of callers on a full service whose rate is known.  If all
+   are told the same time, they return together and are rejected again.  Each
+   must be told another time, and the metrics must say that those who
+   returned were served.  */
+Test (proxy, rejected_callers_are_told_different_times)
+{
+  enum
+  {
+    BURST = 8
+  };
+  struct platform_response *a[BURST];
+  struct wy_platform_replica_faults *f;
+  GHashTable *times = g_hash_table_new (g_str_hash, g_str_equal);
+  GString *text = g_string_new (NULL);
+
+  start (WY_ROUTE_IDEMPOTENT, 2);
+  f = wy_platform_replica_faults (platform_fixture_add_replica (&w, NULL, 0));
+  for (int i = 0; i < BURST; i++)
+    {
+      platform_response_free (send_request ("1900"));
+      platform_fixture_run_ms (&w, 80);
+    }
+  f->respond_not_run = 1000000;
+  for (int i = 0; i < BURST; i++)
+    a[i] = start_request ("60000");
+  for (int i = 0; i < BURST; i++)
+    {
+      cr_assert (
+          platform_fixture_run_until (&w, platform_response_done, a[i]));
+      cr_expect_eq (a[i]->status, 503, "%d %s", a[i]->status, a[i]->body->str);
+      cr_assert_not_null (a[i]->retry_after);
+      g_hash_table_add (times, a[i]->retry_after);
+    }
+  cr_expect_eq (told_by_rate (), BURST);
+  cr_expect_gt (g_hash_table_size (times), BURST / 2);
+  f->respond_not_run = 0;
+  platform_fixture_run_ms (&w, 300);
+  platform_response_free (send_request ("1900"));
+  wy_metrics_print (w.metrics, text);
+  cr_expect (g_regex_match_simple ("returned\\{work=\"request\",time=\"[a-z_]+"
+                                   "\",outcome=\"answered\"\\} 1\n",
+                                   text->str, 0, 0));
+  for (int i = 0; i < BURST; i++)
+    platform_response_free (a[i]);
+  g_hash_table_destroy (times);
+  g_string_free (text, TRUE);
+  stop ();
+}
