Requests that can't be served in their time are rejected at once

Cause: a request with less time left than its service ever takes is sent to a replica, occupies a slot for nothing and ends with 504 at its deadline.

A request without a listed replica is rejected at once, as before.

Result: test_proxy: with 20 observed service times of 100 ms, requests with 40 ms left get 503 without a run, except for the probe. Effect under load: none measured.

--- a/src/decide/retry_after.h
+++ b/src/decide/retry_after.h
@@ -57,13 +57,13 @@
 
 struct wy_retry_after_query
 {
-  uint64_t fingerprint; /* 0: the caller is not expected to return */
-  uint32_t default_ms;  /* without an observation */
-  int64_t known_end_ms; /* until the reason ends; -1: not known */
-  bool by_rate;         /* capacity is free again as work ends */
+  uint64_t fingerprint;   /* 0: the caller is not expected to return */
+  uint32_t default_ms;    /* without an observation */
+  int64_t known_end_ms;   /* until the reason ends; -1: not known */
+  bool by_rate;           /* capacity is free again as work ends */
   uint32_t not_before_ms; /* with BY_RATE: the first may return then */
-  int64_t time_left_ms; /* of the caller; -1: not known */
-  double random;        /* in [0, 1) */
+  int64_t time_left_ms;   /* of the caller; -1: not known */
+  double random;          /* in [0, 1) */
 };
 
 struct wy_retry_after_time
--- a/src/gate/proxy.c
+++ b/src/gate/proxy.c
@@ -11,6 +11,7 @@
 #include <string.h>
 
 #include "decide/attempt.h"
+#include "gate/servable.h"
 #include "platform/request_wire.h"
 #include "trace/json_log.h"
 
@@ -288,9 +289,21 @@
                   due_ms > now_ms ? (uint64_t)(due_ms - now_ms) : 0, 0);
 }
 
+/* Whether P, of which nothing has been sent, can't be served in its time.
+   Doesn't apply to streams, whose callers use what arrives in time.  */
+static bool
+is_too_late (const struct wy_proxy_request *p)
+{
+  return p->sends == 0 && p->has_deadline && p->kind != WY_ROUTE_STREAM
+         && wy_gate_is_too_late (
+             p->env, p->service,
+             MAX (p->deadline_ms - RESPONSE_MARGIN_MS - wy_proxy_now_ms (p),
+                  0));
+}
+
 /* Send the request to one more target, one that has not been tried if
    possible.  If no target can accept it now, retry shortly; if the service has
-   no target, fail at once.  */
+   no target or the time is too short for any, fail at once.  */
 static void
 start_attempt (struct wy_proxy_request *p)
 {
@@ -300,6 +313,11 @@
   p->retry_due_ms = 0;
   if (!t)
     return;
+  if (is_too_late (p))
+    {
+      wy_proxy_fail (p, false, WY_PROXY_REASON_NO_TIME);
+      return;
+    }
   if (!g && !has_running_attempt (p)
       && (is_repeatable (p) || !p->may_have_run))
     g = pick_target (p, true);
--- a/src/gate/proxy_end.c
+++ b/src/gate/proxy_end.c
@@ -201,7 +201,7 @@
       return wy_rejections_tell (p->env->rejections, &o);
     }
   o.fingerprint = wy_proxy_fingerprint (p);
-  if (!strcmp (reason, "full"))
+  if (!strcmp (reason, "full") || !strcmp (reason, WY_PROXY_REASON_NO_TIME))
     o.default_ms = RETRY_AFTER_FULL_MS;
   else if (!strcmp (reason, "no_target"))
     o.not_before_ms = RETRY_AFTER_NO_TARGET_MS;
@@ -305,8 +305,14 @@
     wy_response_send (response, r);
   wy_response_free (response);
   if (p->kind != WY_ROUTE_STREAM)
-    wy_target_record_pace (t->target, WY_WORK_REQUEST,
-                           (double)(now_ms - t->started_ms), now_ms);
+    {
+      double ms = (double)(now_ms - t->started_ms);
+
+      wy_target_record_pace (t->target, WY_WORK_REQUEST, ms, now_ms);
+      wy_service_time_record (
+          wy_rejections_service_time (p->env->rejections, p->service), ms,
+          now_ms);
+    }
   wy_proxy_end_attempt (t, WY_TARGET_ANSWERED);
   wy_proxy_free (p);
 }
--- a/src/gate/proxy_state.h
+++ b/src/gate/proxy_state.h
@@ -9,6 +9,8 @@
 
 /* Reason for rejecting a request that is suspected of crashing targets.  */
 #define WY_PROXY_REASON_CRASHES_TARGETS "crashes_targets"
+/* Reason for rejecting a request that can't be served in its time.  */
+#define WY_PROXY_REASON_NO_TIME "no_time"
 
 enum
 {
--- a/src/gate/rejections.c
+++ b/src/gate/rejections.c
@@ -19,11 +19,17 @@
   S_PER_MIN = 60
 };
 
+struct service_state
+{
+  struct wy_retry_after retry_after;
+  struct wy_service_time time;
+};
+
 struct wy_rejections
 {
   struct wy_rejections_options o;
   struct wy_rng rng;
-  GHashTable *services; /* struct wy_retry_after by name */
+  GHashTable *services; /* struct service_state by name */
   struct wy_retry_after jobs;
 };
 
@@ -43,23 +49,34 @@
   return r;
 }
 
-/* The state of SERVICE, or of the jobs if it is NULL; created on first use. */
-static struct wy_retry_after *
-state_of (struct wy_rejections *r, const char *service)
+/* The state of SERVICE, created on first use.  */
+static struct service_state *
+find_or_add (struct wy_rejections *r, const char *service)
 {
-  struct wy_retry_after *s;
+  struct service_state *s = g_hash_table_lookup (r->services, service);
 
-  if (!service)
-    return &r->jobs;
-  s = g_hash_table_lookup (r->services, service);
   if (s)
     return s;
-  s = g_new (struct wy_retry_after, 1);
-  wy_retry_after_init (s, &(struct wy_retry_after_options){ 0 });
+  s = g_new0 (struct service_state, 1);
+  wy_retry_after_init (&s->retry_after, &(struct wy_retry_after_options){ 0 });
   g_hash_table_insert (r->services, g_strdup (service), s);
   return s;
 }
 
+/* The state of SERVICE, or of the jobs if it is NULL.  */
+static struct wy_retry_after *
+state_of (struct wy_rejections *r, const char *service)
+{
+  return service ? &find_or_add (r, service)->retry_after : &r->jobs;
+}
+
+/* The service times of SERVICE.  */
+struct wy_service_time *
+wy_rejections_service_time (struct wy_rejections *r, const char *service)
+{
+  return &find_or_add (r, service)->time;
+}
+
 static void
 count_told (const struct wy_rejections *r, const char *reason,
             const struct wy_retry_after_time *t)
@@ -132,10 +149,13 @@
 bool
 wy_rejections_expects_any (const struct wy_rejections *r, const char *service)
 {
-  const struct wy_retry_after *s
-      = service ? g_hash_table_lookup (r->services, service) : &r->jobs;
+  const struct service_state *s
+      = service ? g_hash_table_lookup (r->services, service) : NULL;
+  int64_t now_ms = wy_clock_mono_ms (r->o.clock);
 
-  return s && wy_retry_after_expects_any (s, wy_clock_mono_ms (r->o.clock));
+  if (!service)
+    return wy_retry_after_expects_any (&r->jobs, now_ms);
+  return s && wy_retry_after_expects_any (&s->retry_after, now_ms);
 }
 
 /* A request or job with FINGERPRINT has arrived.  Returns whether its caller
--- a/src/gate/rejections.h
+++ b/src/gate/rejections.h
@@ -6,6 +6,7 @@
 #include "base/clock.h"
 #include "base/rng.h"
 #include "decide/retry_after.h"
+#include "decide/service_time.h"
 #include "rows/rows.h"
 #include "trace/metrics.h"
 
@@ -53,6 +54,8 @@
 const char *wy_rejection_fields (const struct wy_retry_after_time *t,
                                  char *out);
 void wy_rejections_ended (struct wy_rejections *r, const char *service);
+struct wy_service_time *wy_rejections_service_time (struct wy_rejections *r,
+                                                    const char *service);
 bool wy_rejections_expects_any (const struct wy_rejections *r,
                                 const char *service);
 enum wy_return wy_rejections_returned (struct wy_rejections *r,
--- /dev/null
+++ b/src/gate/servable.h
@@ -0,0 +1,10 @@
+/* Whether a caller's request can still be served in its time.  */
+#ifndef WY_GATE_SERVABLE_H
+#define WY_GATE_SERVABLE_H
+
+#include "gate/env.h"
+
+bool wy_gate_is_too_late (struct wy_gate_env *env, const char *service,
+                          int64_t time_left_ms);
+
+#endif
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -277,3 +277,17 @@
   g_free (body);
   job_fixture_stop ();
 }
+
+/* Load: a job is submitted while all replicas of its service are gone.  Its
+   outcome is not certain, so it must be accepted, and run when one is
+   listed.  */
+Test (jobs, waits_for_a_replica)
+{
+  job_fixture_start (0);
+  cr_expect_eq (job_fixture_submit ("j1", 1), 202);
+  platform_fixture_run_ms (&job_fixture, 200);
+  cr_expect_eq (job_fixture_count_results ("j1"), 0);
+  platform_fixture_add_replica (&job_fixture, "m", JOB_EVENTS);
+  job_fixture_check_results ("j1");
+  job_fixture_stop ();
+}
--- a/tests/test_proxy.c
+++ b/tests/test_proxy.c
@@ -383,3 +383,46 @@
   g_string_free (text, TRUE);
   stop ();
 }
+
+/* Load: callers with less time left than a service takes.  One that runs
+   occupies a slot for nothing and its caller waits until its deadline.  Once
+   the service time is known, they must be rejected at once as not run, except
+   for a probe; callers with enough time must be served.  */
+Test (proxy, too_little_time_is_rejected_at_once)
+{
+  enum
+  {
+    SAMPLES = 20,
+    SERVICE_MS = 100
+  };
+  struct platform_response *a[SAMPLES];
+  uint32_t runs;
+
+  start (WY_ROUTE_NON_IDEMPOTENT, 1);
+  wy_platform_replica_faults (platform_fixture_add_replica (&w, NULL, 0))
+      ->response_ms
+      = SERVICE_MS;
+  platform_response_free (send_request ("40"));
+  cr_expect_eq (total_runs (), 1, "rejected without observations");
+  for (int i = 0; i < SAMPLES; i++)
+    a[i] = start_request ("1900");
+  for (int i = 0; i < SAMPLES; i++)
+    {
+      cr_assert (
+          platform_fixture_run_until (&w, platform_response_done, a[i]));
+      cr_expect_eq (a[i]->status, 200);
+      platform_response_free (a[i]);
+    }
+  runs = total_runs ();
+  for (int i = 0; i < 3; i++)
+    {
+      a[i] = send_request ("40");
+      cr_expect_eq (a[i]->status, i ? 503 : 504);
+      platform_response_free (a[i]);
+    }
+  cr_expect_eq (total_runs (), runs + 1);
+  a[0] = send_request ("1900");
+  cr_expect_eq (a[0]->status, 200);
+  platform_response_free (a[0]);
+  stop ();
+}
