--- a/src/gate/proxy.c
+++ b/src/gate/proxy.c
@@ -11,6 +11,7 @@
 #include <string.h>
 
 #include "decide/attempt.h"
+#include "gate/servable.h"
 #include "platform/request_wire.h"
 #include "trace/json_log.h"
 
@@ -288,9 +289,21 @@
                   due_ms > now_ms ? (uint64_t)(due_ms - now_ms) : 0, 0);
 }
 
+/* Whether P, of which nothing has been sent, can't be served in its time.
+   Doesn't apply to streams, whose callers use what arrives in time.  */
+static bool
+is_too_late (const struct wy_proxy_request *p)
+{
+  return p->sends == 0 && p->has_deadline && p->kind != WY_ROUTE_STREAM
+         && wy_gate_is_too_late (
+             p->env, p->service,
+             MAX (p->deadline_ms - RESPONSE_MARGIN_MS - wy_proxy_now_ms (p),
+                  0));
+}
+
 /* Send the request to one more target, one that has not been tried if
    possible.  If no target can accept it now, retry shortly; if the service has
-   no target, fail at once.  */
+   no target or the time is too short for any, fail at once.  */
 static void
 start_attempt (struct wy_proxy_request *p)
 {
@@ -300,6 +313,11 @@
   p->retry_due_ms = 0;
   if (!t)
     return;
+  if (is_too_late (p))
+    {
+      wy_proxy_fail (p, false, WY_PROXY_REASON_NO_TIME);
+      return;
+    }
   if (!g && !has_running_attempt (p)
       && (is_repeatable (p) || !p->may_have_run))
     g = pick_target (p, true);
@@ -324,6 +342,8 @@
       wy_proxy_fail (p, false, "full");
       return;
     }
+  /* Nothing runs that could be hedged.  */
+  p->hedge_due_ms = 0;
   p->retry_due_ms = wy_proxy_now_ms (p) + CAPACITY_RETRY_MS;
   arm_timer (p);
 }
@@ -388,6 +408,8 @@
   p->started_ms = received_ms;
   p->deadline_ms
       = received_ms + (p->has_deadline ? limit_ms : DEFAULT_TIMEOUT_MS);
+  p->caller_until_ms
+      = info->time_left_ms >= 0 ? received_ms + info->time_left_ms : 0;
   p->hedge_delay_ms
       = route->target_latency_ms
             ? route->target_latency_ms / 2
@@ -439,6 +461,9 @@
   uv_timer_init (env->loop, &p->timer);
   p->timer.data = p;
   wy_h1_on_hangup (r, wy_proxy_on_hangup, p);
+  if (wy_rejections_expects_any (env->rejections, p->service))
+    p->returned = wy_rejections_returned (env->rejections, p->service,
+                                          wy_proxy_fingerprint (p));
   if (is_blocked (p))
     wy_proxy_fail (p, false, WY_PROXY_REASON_CRASHES_TARGETS);
   else
--- a/tests/test_proxy.c
+++ b/tests/test_proxy.c
@@ -308,3 +308,120 @@
   cr_expect (platform_fixture_run_until (&w, nothing_runs, r));
   stop ();
 }
+
+/* Load: the only replica is full for longer than the time until a request
+   would be hedged.  The request has not run anywhere, so its caller must get
+   503, after which it can send it again, and not 502.  */
+Test (proxy, full_service_is_reported_as_not_run)
+{
+  struct platform_response *a;
+
+  start (WY_ROUTE_IDEMPOTENT, 2);
+  wy_platform_replica_faults (platform_fixture_add_replica (&w, NULL, 0))
+      ->respond_not_run
+      = 1000000;
+  a = send_request ("60000");
+  cr_expect_eq (a->status, 503);
+  cr_expect_not_null (a->retry_after);
+  cr_expect_eq (*w.env.count.hedges, 0);
+  platform_response_free (a);
+  stop ();
+}
+
+static uint64_t
+told_by_rate (void)
+{
+  return *wy_metrics_family_counter (w.env.count.told,
+                                     "reason=\"full\",basis=\"rate\"");
+}
+
+/* Load: a burst of callers on a full service whose rate is known.  If all
+   are told the same time, they return together and are rejected again.  Each
+   must be told another time, and the metrics must say that those who
+   returned were served.  */
+Test (proxy, rejected_callers_are_told_different_times)
+{
+  enum
+  {
+    SAMPLES = 5,
+    BURST = 8
+  };
+  struct platform_response *a[BURST];
+  struct wy_platform_replica_faults *f;
+  GHashTable *times = g_hash_table_new (g_str_hash, g_str_equal);
+  GString *text = g_string_new (NULL);
+
+  start (WY_ROUTE_IDEMPOTENT, 2);
+  f = wy_platform_replica_faults (platform_fixture_add_replica (&w, NULL, 0));
+  f->response_ms = 200;
+  for (int i = 0; i < SAMPLES; i++)
+    platform_response_free (send_request ("1900"));
+  f->respond_not_run = 1000000;
+  for (int i = 0; i < BURST; i++)
+    a[i] = start_request ("60000");
+  for (int i = 0; i < BURST; i++)
+    {
+      cr_assert (
+          platform_fixture_run_until (&w, platform_response_done, a[i]));
+      cr_expect_eq (a[i]->status, 503, "%d %s", a[i]->status, a[i]->body->str);
+      cr_assert_not_null (a[i]->retry_after);
+      g_hash_table_add (times, a[i]->retry_after);
+    }
+  cr_expect_eq (told_by_rate (), BURST);
+  cr_expect_eq (g_hash_table_size (times), BURST);
+  f->respond_not_run = 0;
+  platform_fixture_run_ms (&w, 300);
+  platform_response_free (send_request ("1900"));
+  wy_metrics_print (w.metrics, text);
+  cr_expect (g_regex_match_simple ("returned\\{work=\"request\",time=\"[a-z_]+"
+                                   "\",outcome=\"answered\"\\} 1\n",
+                                   text->str, 0, 0));
+  for (int i = 0; i < BURST; i++)
+    platform_response_free (a[i]);
+  g_hash_table_destroy (times);
+  g_string_free (text, TRUE);
+  stop ();
+}
+
+/* Load: callers with less time left than a service takes.  One that runs
+   occupies a slot for nothing and its caller waits until its deadline.  Once
+   the service time is known, they must be rejected at once as not run, except
+   for a probe; callers with enough time must be served.  */
+Test (proxy, too_little_time_is_rejected_at_once)
+{
+  enum
+  {
+    SAMPLES = 20,
+    SERVICE_MS = 100
+  };
+  struct platform_response *a[SAMPLES];
+  uint32_t runs;
+
+  start (WY_ROUTE_NON_IDEMPOTENT, 1);
+  wy_platform_replica_faults (platform_fixture_add_replica (&w, NULL, 0))
+      ->response_ms
+      = SERVICE_MS;
+  platform_response_free (send_request ("40"));
+  cr_expect_eq (total_runs (), 1, "rejected without observations");
+  for (int i = 0; i < SAMPLES; i++)
+    a[i] = start_request ("1900");
+  for (int i = 0; i < SAMPLES; i++)
+    {
+      cr_assert (
+          platform_fixture_run_until (&w, platform_response_done, a[i]));
+      cr_expect_eq (a[i]->status, 200);
+      platform_response_free (a[i]);
+    }
+  runs = total_runs ();
+  for (int i = 0; i < 3; i++)
+    {
+      a[i] = send_request ("40");
+      cr_expect_eq (a[i]->status, i ? 503 : 504);
+      platform_response_free (a[i]);
+    }
+  cr_expect_eq (total_runs (), runs + 1);
+  a[0] = send_request ("1900");
+  cr_expect_eq (a[0]->status, 200);
+  platform_response_free (a[0]);
+  stop ();
+}
