Account of a process's memory with levels

Cause: an entry bounds single requests (4 MB unsent, 16 MB per response), bodies (an eighth of the memory) and jobs (half of it), but not their sum. 500 callers that stop reading may hold 2 GB in an entry of 120 MB.

Change: a pure account with classes, a budget and the levels pause_reading, reject_new and shed at 60, 75 and 90 % of it, left 5 % lower. From shed on, the amount to free is counted down to the threshold of reject_new. Nothing uses the account yet.

--- /dev/null
+++ b/src/base/memory_account.c
@@ -0,0 +1,130 @@
+/* Account of the memory that requests and jobs of a process occupy.
+
+   Modules add what they allocate and subtract what they free, by class.  The
+   total against the budget gives a level, which says what the process must do
+   to stay within its memory: without it, callers that stop reading, or one job
+   with long texts, would exhaust the memory and end the process with all the
+   work in it.
+
+   All functions accept NULL for an account without a limit.  */
+#include "base/memory_account.h"
+
+#include <string.h>
+
+enum
+{
+  PERCENT = 100,
+  PAUSE_READING_PERCENT = 60,
+  REJECT_NEW_PERCENT = 75,
+  SHED_PERCENT = 90,
+  /* A level is left when the total has fallen this far below its threshold, so
+     that a total near a threshold does not change the level at each write.  */
+  HYSTERESIS_PERCENT = 5
+};
+
+static void
+set_threshold (struct wy_memory_account *a, enum wy_memory_level level,
+               int64_t percent)
+{
+  a->rise_bytes[level] = a->budget_bytes / PERCENT * percent;
+  a->fall_bytes[level]
+      = a->budget_bytes / PERCENT * (percent - HYSTERESIS_PERCENT);
+}
+
+/* Initialize A, empty, with a budget of BUDGET_BYTES; 0: no limit.  */
+void
+wy_memory_account_init (struct wy_memory_account *a, int64_t budget_bytes)
+{
+  memset (a, 0, sizeof *a);
+  a->budget_bytes = budget_bytes;
+  set_threshold (a, WY_MEMORY_PAUSE_READING, PAUSE_READING_PERCENT);
+  set_threshold (a, WY_MEMORY_REJECT_NEW, REJECT_NEW_PERCENT);
+  set_threshold (a, WY_MEMORY_SHED, SHED_PERCENT);
+}
+
+static void
+update_level (struct wy_memory_account *a)
+{
+  while (a->level < WY_MEMORY_SHED
+         && a->total_bytes > a->rise_bytes[a->level + 1])
+    {
+      a->level++;
+      a->levels_raised++;
+    }
+  while (a->level > WY_MEMORY_NORMAL
+         && a->total_bytes <= a->fall_bytes[a->level])
+    a->level--;
+  if (a->level == WY_MEMORY_SHED)
+    a->shedding = true;
+  else if (a->total_bytes <= a->rise_bytes[WY_MEMORY_REJECT_NEW])
+    a->shedding = false;
+}
+
+/* Add DELTA_BYTES, negative for freed memory, to CLASS of A.  */
+void
+wy_memory_account_add (struct wy_memory_account *a, enum wy_memory_class class,
+                       int64_t delta_bytes)
+{
+  if (!a)
+    return;
+  a->bytes[class] += delta_bytes;
+  a->total_bytes += delta_bytes;
+  if (a->total_bytes > a->peak_bytes)
+    a->peak_bytes = a->total_bytes;
+  if (a->budget_bytes)
+    update_level (a);
+}
+
+/* The level of A.  */
+enum wy_memory_level
+wy_memory_account_level (const struct wy_memory_account *a)
+{
+  return a ? a->level : WY_MEMORY_NORMAL;
+}
+
+/* Bytes to free by closing connections whose readers take nothing; 0: none.
+   From level SHED on, the total is brought down to the threshold of REJECT_NEW
+   at once, so that work can be accepted again soon.  */
+int64_t
+wy_memory_account_to_shed_bytes (const struct wy_memory_account *a)
+{
+  int64_t above_bytes;
+
+  if (!a || !a->shedding)
+    return 0;
+  above_bytes = a->total_bytes - a->rise_bytes[WY_MEMORY_REJECT_NEW];
+  return above_bytes > 0 ? above_bytes : 0;
+}
+
+/* Whether a new request must be rejected, and count it if so: from REJECT_NEW
+   on one with a body, under SHED any.  */
+bool
+wy_memory_account_rejects (struct wy_memory_account *a, bool has_body)
+{
+  enum wy_memory_level level = wy_memory_account_level (a);
+
+  if (level < WY_MEMORY_REJECT_NEW || (level < WY_MEMORY_SHED && !has_body))
+    return false;
+  a->rejections++;
+  return true;
+}
+
+/* Name of CLASS in log lines and metrics.  */
+const char *wy_memory_class_name (enum wy_memory_class class)
+{
+  static const char *const names[WY_MEMORY_CLASSES] = {
+    "to_callers", "to_replicas", "bodies", "responses", "jobs", "store"
+  };
+
+  return names[class];
+}
+
+/* Name of LEVEL in log lines.  */
+const char *
+wy_memory_level_name (enum wy_memory_level level)
+{
+  static const char *const names[WY_MEMORY_LEVELS]
+      = { "normal", "pause_reading", "reject_new", "shed" };
+
+  return names[level];
+}
