--- a/src/gate/env.h
+++ b/src/gate/env.h
@@ -6,12 +6,14 @@
 #include <uv.h>
 
 #include "base/clock.h"
+#include "base/memory_account.h"
 #include "base/rng.h"
 #include "decide/crash_tracker.h"
 #include "duties/usage.h"
 #include "gate/routing.h"
 #include "gate/targets.h"
 #include "h1/client.h"
+#include "h1/read_pause.h"
 #include "rows/rows.h"
 #include "trace/metrics.h"
 
@@ -48,6 +50,8 @@
   const char *node;   /* name of this instance */
   const char *holder; /* "NODE/INCARNATION": this start of the instance */
   const char *availability_zone;
+  struct wy_memory_account memory;
+  struct wy_read_pauses *read_pauses; /* NULL: reading is never paused */
   struct wy_h1_client *http;
   struct wy_rows *rows;
   struct wy_targets *targets;
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -159,7 +159,9 @@
               .idle_timeout_ms = WY_GATE_INITIAL_IDLE_TIMEOUT_MS,
               .buffered_bytes = (uint64_t)g->o.settings->memory_mb * WY_GATE_MB
                                 / WY_GATE_BODY_MEMORY_DIVISOR },
+          .memory = &g->env.memory,
           .on_request = on_request,
+          .on_shed = wy_gate_on_shed_caller,
           .ctx = g };
 
   if (!wy_address_parse (address, &a))
@@ -237,6 +239,7 @@
                    g->env.routing ? (long long)g->env.routing->version : 0LL,
                    (long long)wy_watch_age_ms (g->replica_watch));
     }
+  wy_gate_log_memory_level (g);
   if (g->stop_requested_ms)
     check_stop (g);
 }
@@ -253,11 +256,15 @@
   struct wy_h1_client_options http
       = { .loop = g->o.loop,
           .connect_timeout_ms = CONNECT_TIMEOUT_MS,
-          .idle_timeout_ms = TARGET_IDLE_TIMEOUT_MS };
+          .idle_timeout_ms = TARGET_IDLE_TIMEOUT_MS,
+          .memory = &g->env.memory,
+          .on_shed = wy_gate_on_shed_peer,
+          .ctx = g };
   struct wy_rows_options rows
       = { .loop = g->o.loop,
           .clock = g->o.clock,
-          .seed = wy_hash64 (g->incarnation, WY_ID_LEN, 1) };
+          .seed = wy_hash64 (g->incarnation, WY_ID_LEN, 1),
+          .memory = &g->env.memory };
 
   if (!wy_address_parse (g->o.settings->store, &rows.address))
     return WY_H1_EBIND;
@@ -291,6 +298,10 @@
   g->env.holder = g->holder;
   g->env.availability_zone = o->settings->availability_zone;
   g->env.entries = 1;
+  wy_memory_account_init (
+      &g->env.memory,
+      wy_gate_memory_budget_bytes (o->settings->memory_mb * WY_GATE_MB));
+  g->env.read_pauses = wy_read_pauses_new (o->loop, &g->env.memory);
   wy_rng_seed (&g->env.rng, wy_hash64 (g->incarnation, WY_ID_LEN, 0));
   g->env.targets = wy_targets_new (wy_hash64 (g->incarnation, WY_ID_LEN, 4));
   g->seeds = g_array_new (FALSE, FALSE, sizeof (struct sockaddr_in));
@@ -357,5 +368,6 @@
   wy_watch_free (g->replica_watch);
   wy_rows_free (g->env.rows);
   wy_h1_client_free (g->env.http);
+  wy_read_pauses_free (g->env.read_pauses);
   uv_close ((uv_handle_t *)&g->tick, NULL);
 }
--- a/src/gate/gate_metrics.c
+++ b/src/gate/gate_metrics.c
@@ -141,6 +141,7 @@
                           "Windows reported without some entry's counts");
   v->scale_orders = wy_metrics_gauge (m, "wy_gate_scale_orders",
                                       "Orders for numbers of replicas");
+  wy_gate_register_memory_metrics (g);
   v->log_dropped = wy_metrics_gauge (m, "wy_gate_log_lines_dropped",
                                      "Log lines left out since the start");
 }
@@ -232,5 +233,6 @@
   *v->replicas_age_ms = wy_watch_age_ms (g->replica_watch);
   *v->config_version = g->env.routing ? g->env.routing->version : 0;
   update_duties (g);
+  wy_gate_update_memory_gauges (g);
   *v->log_dropped = (int64_t)wy_json_log_dropped ();
 }
--- a/src/gate/gate_state.h
+++ b/src/gate/gate_state.h
@@ -30,6 +30,18 @@
   WY_GATE_INITIAL_IDLE_TIMEOUT_MS = 60000
 };
 
+struct wy_gate_memory_gauges
+{
+  int64_t *bytes[WY_MEMORY_CLASSES];
+  int64_t *budget;
+  int64_t *peak;
+  int64_t *level;
+  int64_t *levels_raised;
+  int64_t *paused;
+  int64_t *rejections;
+  int64_t *sheds;
+};
+
 /* Values updated whenever the metrics are requested.  */
 struct wy_gate_gauges
 {
@@ -58,6 +70,7 @@
   int64_t *usage_missed;
   int64_t *usage_forced;
   int64_t *scale_orders;
+  struct wy_gate_memory_gauges memory;
   struct wy_metrics_family *store_calls_ended; /* by verb and outcome */
   struct wy_metrics_family *table_calls;       /* by table */
   struct wy_metrics_family *table_rows_read;
@@ -86,6 +99,7 @@
   struct wy_h1_server *metrics_server;
   GArray *seeds; /* struct sockaddr_in */
   uv_timer_t tick;
+  enum wy_memory_level logged_memory_level;
   int64_t stop_requested_ms; /* 0: not requested */
   bool was_ready;
   bool has_left; /* marked as leaving; other entries take over its jobs */
@@ -96,6 +110,14 @@
 int wy_gate_start_duties (struct wy_gate *g);
 void wy_gate_stop_duties (struct wy_gate *g);
 void wy_gate_free_duties (struct wy_gate *g);
+int64_t wy_gate_memory_budget_bytes (int64_t memory_bytes);
+void wy_gate_on_shed_caller (void *ctx, const struct wy_h1_request *r,
+                             size_t unsent_bytes, uint32_t silent_ms);
+void wy_gate_on_shed_peer (void *ctx, const struct sockaddr_in *peer,
+                           size_t unsent_bytes, uint32_t silent_ms);
+void wy_gate_log_memory_level (struct wy_gate *g);
+void wy_gate_register_memory_metrics (struct wy_gate *g);
+void wy_gate_update_memory_gauges (const struct wy_gate *g);
 void wy_gate_set_limits (struct wy_gate *g);
 void wy_gate_set_relays (struct wy_gate *g);
 void wy_gate_register_metrics (struct wy_gate *g);
--- /dev/null
+++ b/src/gate/memory.c
@@ -0,0 +1,145 @@
+/* Memory of an entry: its budget, and what is logged and measured of it.  */
+#include "gate/gate_state.h"
+
+#include <stdio.h>
+
+#include "platform/request_wire.h"
+#include "trace/json_log.h"
+
+enum
+{
+  /* Requests and jobs get this part of the memory.  The rest is for what is
+     not counted: copies made while a message is encoded or decoded, and memory
+     that the allocator has not returned.  */
+  BUDGET_DIVISOR = 2,
+  /* Resident size of an entry without work: 8 MB measured, and 2 MB for its
+     tables of replicas, entries and configuration.  */
+  IDLE_BYTES = 10 * WY_GATE_MB,
+  /* An entry with very little memory gets at least the memory divided by this,
+     or it would reject all work.  */
+  BUDGET_MIN_DIVISOR = 8,
+  LABELS_SIZE_BYTES = 64,
+  ADDRESS_SIZE_BYTES = 32
+};
+
+/* The budget of an entry with MEMORY_BYTES.  */
+int64_t
+wy_gate_memory_budget_bytes (int64_t memory_bytes)
+{
+  return MAX (memory_bytes / BUDGET_DIVISOR - IDLE_BYTES,
+              memory_bytes / BUDGET_MIN_DIVISOR);
+}
+
+static void
+log_shed (const char *id, const char *peer, size_t unsent_bytes,
+          uint32_t silent_ms)
+{
+  wy_json_log ("memory.shed", "id=%s peer=%s unsent=%zu silent_ms=%u", id,
+               peer, unsent_bytes, silent_ms);
+}
+
+/* The connection of a caller that reads nothing is about to be closed.  */
+void
+wy_gate_on_shed_caller (void *ctx, const struct wy_h1_request *r,
+                        size_t unsent_bytes, uint32_t silent_ms)
+{
+  struct wy_request_info info;
+
+  wy_request_parse_head (wy_h1_head (r), &info);
+  log_shed (info.id ? info.id : "", "caller", unsent_bytes, silent_ms);
+}
+
+/* A call to PEER, which does not read its request, is about to be ended.  */
+void
+wy_gate_on_shed_peer (void *ctx, const struct sockaddr_in *peer,
+                      size_t unsent_bytes, uint32_t silent_ms)
+{
+  char ip[INET_ADDRSTRLEN];
+  char address[ADDRESS_SIZE_BYTES];
+
+  uv_ip4_name (peer, ip, sizeof ip);
+  snprintf (address, sizeof address, "%s:%u", ip, ntohs (peer->sin_port));
+  log_shed ("", address, unsent_bytes, silent_ms);
+}
+
+/* Log the level of the memory account if it has changed since the last
+   call.  */
+void
+wy_gate_log_memory_level (struct wy_gate *g)
+{
+  const struct wy_memory_account *a = &g->env.memory;
+  enum wy_memory_level level = wy_memory_account_level (a);
+
+  if (level == g->logged_memory_level)
+    return;
+  wy_json_log (
+      "memory.level",
+      "level=%s before=%s total=%lld peak=%lld budget=%lld to_callers=%lld "
+      "to_replicas=%lld bodies=%lld responses=%lld jobs=%lld store=%lld "
+      "paused=%u rejections=%llu sheds=%llu",
+      wy_memory_level_name (level),
+      wy_memory_level_name (g->logged_memory_level), (long long)a->total_bytes,
+      (long long)a->peak_bytes, (long long)a->budget_bytes,
+      (long long)a->bytes[WY_MEMORY_TO_CALLERS],
+      (long long)a->bytes[WY_MEMORY_TO_REPLICAS],
+      (long long)a->bytes[WY_MEMORY_BODIES],
+      (long long)a->bytes[WY_MEMORY_RESPONSES],
+      (long long)a->bytes[WY_MEMORY_JOBS],
+      (long long)a->bytes[WY_MEMORY_STORE],
+      wy_read_pauses_count (g->env.read_pauses),
+      (unsigned long long)a->rejections, (unsigned long long)a->sheds);
+  g->logged_memory_level = level;
+}
+
+/* Register the metrics of the memory account.  */
+void
+wy_gate_register_memory_metrics (struct wy_gate *g)
+{
+  struct wy_gate_memory_gauges *v = &g->gauges.memory;
+  struct wy_metrics *m = g->metrics;
+
+  for (int c = 0; c < WY_MEMORY_CLASSES; c++)
+    {
+      char name[LABELS_SIZE_BYTES];
+
+      snprintf (name, sizeof name, "wy_gate_memory_%s_bytes",
+                wy_memory_class_name ((enum wy_memory_class)c));
+      v->bytes[c] = wy_metrics_gauge (m, name, "Bytes held, by what for");
+    }
+  v->budget = wy_metrics_gauge (m, "wy_gate_memory_budget_bytes",
+                                "What requests and jobs may hold together");
+  v->peak = wy_metrics_gauge (m, "wy_gate_memory_peak_bytes",
+                              "The most they held since the start");
+  v->level = wy_metrics_gauge (m, "wy_gate_memory_level",
+                               "0: normal, 1: pause_reading, 2: reject_new,"
+                               " 3: shed");
+  v->levels_raised
+      = wy_metrics_gauge (m, "wy_gate_memory_levels_raised",
+                          "Times that the level rose since the start");
+  v->paused = wy_metrics_gauge (m, "wy_gate_memory_paused_reads",
+                                "Responses that are not read for now");
+  v->rejections = wy_metrics_gauge (
+      m, "wy_gate_memory_rejections",
+      "Requests and jobs rejected for lack of memory since the start");
+  v->sheds = wy_metrics_gauge (
+      m, "wy_gate_memory_sheds",
+      "Connections closed since their reader took nothing, since the start");
+}
+
+/* Set the gauges of the memory account.  */
+void
+wy_gate_update_memory_gauges (const struct wy_gate *g)
+{
+  const struct wy_gate_memory_gauges *v = &g->gauges.memory;
+  const struct wy_memory_account *a = &g->env.memory;
+
+  for (int c = 0; c < WY_MEMORY_CLASSES; c++)
+    *v->bytes[c] = a->bytes[c];
+  *v->budget = a->budget_bytes;
+  *v->peak = a->peak_bytes;
+  *v->level = wy_memory_account_level (a);
+  *v->levels_raised = (int64_t)a->levels_raised;
+  *v->paused = wy_read_pauses_count (g->env.read_pauses);
+  *v->rejections = (int64_t)a->rejections;
+  *v->sheds = (int64_t)a->sheds;
+}
--- a/src/gate/proxy.c
+++ b/src/gate/proxy.c
@@ -119,7 +119,7 @@
   if (r->status < 300 && (t->info.encoded || !t->info.stamp))
     t->invalid = true;
   t->not_run = t->info.not_run;
-  t->response = wy_response_new (r->status, r->head);
+  t->response = wy_response_new (r->status, r->head, &p->env->memory);
   if (p->kind == WY_ROUTE_STREAM && r->status == 200 && !t->invalid
       && !p->streaming)
     {
@@ -140,6 +140,26 @@
   wy_h1_write_response (p->request, ev->raw, ev->raw_n);
 }
 
+/* T has received data that is stored, or passed on to READER.  */
+static void
+pause_if_behind (struct wy_proxy_attempt *t,
+                 const struct wy_h1_request *reader)
+{
+  t->source.call = t->call;
+  t->source.reader = reader;
+  t->source.stored_bytes = t->response->body->len;
+  wy_read_source_received (t->p->env->read_pauses, &t->source);
+}
+
+/* The time of the pause does not count as silence of the target.  */
+static void
+on_read_resumed (void *ctx)
+{
+  struct wy_proxy_attempt *t = ctx;
+
+  t->last_received_ms = wy_proxy_now_ms (t->p);
+}
+
 static void
 on_data (void *ctx, const char *bytes, size_t n)
 {
@@ -154,12 +174,17 @@
       if (t->response->body->len + n > RESPONSE_LIMIT_BYTES)
         t->invalid = true;
       else
-        g_string_append_len (t->response->body, bytes, (gssize)n);
+        {
+          wy_response_append (t->response, bytes, n);
+          pause_if_behind (t, NULL);
+        }
       return;
     }
   wy_sse_feed (&p->events, bytes, n, on_event, p);
   if (wy_h1_unsent_bytes (p->request) > UNSENT_LIMIT_BYTES)
     wy_proxy_fail (p, false, "slow_caller");
+  else
+    pause_if_behind (t, p->request);
 }
 
 static void
@@ -234,6 +259,8 @@
   t->target = g;
   t->started_ms = now_ms;
   t->last_received_ms = now_ms;
+  t->source.on_resume = on_read_resumed;
+  t->source.ctx = t;
   wy_request_forward_fields (wy_h1_head (p->request), &f, fields);
   o.fields = (const struct wy_h1_header *)fields->data;
   o.n_fields = fields->len;
@@ -335,7 +362,7 @@
     {
       struct wy_proxy_attempt *t = &p->running[i];
 
-      if (t->target
+      if (t->target && !t->source.paused
           && wy_proxy_now_ms (p) - t->last_received_ms
                  >= STREAM_IDLE_TIMEOUT_MS)
         {
@@ -346,6 +373,15 @@
   arm_timer (p);
 }
 
+static bool
+is_reading_paused (const struct wy_proxy_request *p)
+{
+  for (size_t i = 0; i < WY_PROXY_ATTEMPTS_MAX; i++)
+    if (p->running[i].target && p->running[i].source.paused)
+      return true;
+  return false;
+}
+
 static void
 on_timer (uv_timer_t *timer)
 {
@@ -360,6 +396,14 @@
     }
   else if (p->retry_due_ms && now_ms >= p->retry_due_ms)
     start_attempt (p);
+  else if (p->hedge_due_ms && now_ms >= p->hedge_due_ms
+           && is_reading_paused (p))
+    {
+      /* A second response would take more memory, and the first is late
+         because it is not read.  */
+      p->hedge_due_ms = now_ms + p->hedge_delay_ms;
+      arm_timer (p);
+    }
   else if (p->hedge_due_ms && now_ms >= p->hedge_due_ms)
     {
       p->hedge_due_ms = 0;
@@ -409,6 +453,16 @@
   return true;
 }
 
+/* Whether P is rejected for lack of memory.  */
+static bool
+is_over_memory (const struct wy_proxy_request *p)
+{
+  size_t body_size_bytes;
+
+  wy_h1_body (p->request, &body_size_bytes);
+  return wy_memory_account_rejects (&p->env->memory, body_size_bytes > 0);
+}
+
 /* Forward R as configured by ROUTE, for ORG, which may be NULL.  The response
    follows asynchronously.  */
 void
@@ -441,6 +495,8 @@
   wy_h1_on_hangup (r, wy_proxy_on_hangup, p);
   if (is_blocked (p))
     wy_proxy_fail (p, false, WY_PROXY_REASON_CRASHES_TARGETS);
+  else if (is_over_memory (p))
+    wy_proxy_fail (p, false, WY_PROXY_REASON_MEMORY);
   else
     start_attempt (p);
 }
--- a/src/gate/proxy_end.c
+++ b/src/gate/proxy_end.c
@@ -13,6 +13,9 @@
      again after a few requests, targets that are gone take longer.  */
   RETRY_AFTER_FULL_MS = 200,
   RETRY_AFTER_NO_TARGET_MS = 500,
+  /* Silent readers are closed after 2 s; until then the callers that return
+     must not all be here at once.  */
+  RETRY_AFTER_MEMORY_MS = 1000,
   /* A retry is of no use before an operator has looked at the request.  */
   RETRY_AFTER_CRASHES_MS = 30000
 };
@@ -57,6 +60,7 @@
 
   if (!g)
     return;
+  wy_read_source_end (t->p->env->read_pauses, &t->source);
   if (t->call)
     wy_h1_call_cancel (t->call);
   t->call = NULL;
@@ -183,6 +187,8 @@
 {
   if (!strcmp (reason, "full"))
     return RETRY_AFTER_FULL_MS;
+  if (!strcmp (reason, WY_PROXY_REASON_MEMORY))
+    return RETRY_AFTER_MEMORY_MS;
   if (!strcmp (reason, WY_PROXY_REASON_CRASHES_TARGETS))
     return RETRY_AFTER_CRASHES_MS;
   return RETRY_AFTER_NO_TARGET_MS;
--- a/src/gate/proxy_state.h
+++ b/src/gate/proxy_state.h
@@ -5,10 +5,13 @@
 #include "gate/proxy.h"
 #include "gate/response.h"
 #include "gate/sse.h"
+#include "h1/read_pause.h"
 #include "platform/request_wire.h"
 
 /* Reason for rejecting a request that is suspected of crashing targets.  */
 #define WY_PROXY_REASON_CRASHES_TARGETS "crashes_targets"
+/* Reason for rejecting a request for which there is no memory.  */
+#define WY_PROXY_REASON_MEMORY "memory"
 
 enum
 {
@@ -20,6 +23,7 @@
   struct wy_proxy_request *p;
   struct wy_target *target; /* NULL: not in use */
   struct wy_h1_call *call;
+  struct wy_read_source source;
   struct wy_response *response; /* NULL: its head has not arrived */
   struct wy_response_info info;
   int64_t started_ms;
--- a/src/gate/response.c
+++ b/src/gate/response.c
@@ -57,9 +57,11 @@
 }
 
 /* Store STATUS and the header fields of a replica's response that are
-   forwarded to the caller.  The body is empty.  */
+   forwarded to the caller.  The body is empty and will be counted in MEMORY.
+   */
 struct wy_response *
-wy_response_new (int status, const struct wy_h1_head *head)
+wy_response_new (int status, const struct wy_h1_head *head,
+                 struct wy_memory_account *memory)
 {
   struct wy_response *resp = g_new0 (struct wy_response, 1);
   GArray *headers = g_array_new (FALSE, FALSE, sizeof (struct wy_h1_header));
@@ -68,6 +70,7 @@
   resp->strings = g_string_new (NULL);
   resp->offsets = g_array_new (FALSE, FALSE, sizeof (uint32_t));
   resp->body = g_string_new (NULL);
+  resp->memory = memory;
   wy_response_forward_fields (head, headers);
   for (guint i = 0; i < headers->len; i++)
     {
@@ -78,12 +81,22 @@
   return resp;
 }
 
+/* Append N BYTES to the body of RESP.  */
+void
+wy_response_append (struct wy_response *resp, const char *bytes, size_t n)
+{
+  g_string_append_len (resp->body, bytes, (gssize)n);
+  wy_memory_account_add (resp->memory, WY_MEMORY_RESPONSES, (int64_t)n);
+}
+
 /* Free RESP, which may be NULL.  */
 void
 wy_response_free (struct wy_response *resp)
 {
   if (!resp)
     return;
+  wy_memory_account_add (resp->memory, WY_MEMORY_RESPONSES,
+                         -(int64_t)resp->body->len);
   g_string_free (resp->strings, TRUE);
   g_array_free (resp->offsets, TRUE);
   g_string_free (resp->body, TRUE);
--- a/src/gate/response.h
+++ b/src/gate/response.h
@@ -14,13 +14,16 @@
   GString *strings; /* names and values, each with its NUL */
   GArray *offsets;  /* uint32_t, into strings: name, value, name, ... */
   GString *body;
+  struct wy_memory_account *memory; /* in which the body is counted */
 };
 
 void wy_respond_status (struct wy_h1_request *r, int status,
                         const char *reason, uint32_t retry_after_ms);
 void wy_respond_unauthorized (struct wy_h1_request *r, const char *reason);
-struct wy_response *wy_response_new (int status,
-                                     const struct wy_h1_head *head);
+struct wy_response *wy_response_new (int status, const struct wy_h1_head *head,
+                                     struct wy_memory_account *memory);
+void wy_response_append (struct wy_response *resp, const char *bytes,
+                         size_t n);
 void wy_response_free (struct wy_response *resp);
 void wy_response_send (const struct wy_response *resp,
                        struct wy_h1_request *r);
--- a/src/gate/settings.c
+++ b/src/gate/settings.c
@@ -64,8 +64,8 @@
     .min = 16,
     .max = 1 << 20,
     .unit = "MB",
-    .help = "Memory of the process; an eighth of it holds bodies that are"
-            " being read" },
+    .help = "Memory of the process; half of it holds requests and jobs, an"
+            " eighth bodies that are being read" },
   { .key = "cpu_share",
     .kind = WY_SETTING_REAL,
     .offset = FIELD (cpu_share),
--- a/src/h1/client.c
+++ b/src/h1/client.c
@@ -55,6 +55,8 @@
   g_string_append (k->request, "\r\n");
   if (o->body_size_bytes)
     g_string_append_len (k->request, o->body, (gssize)o->body_size_bytes);
+  wy_memory_account_add (k->client->memory, WY_MEMORY_TO_REPLICAS,
+                         (int64_t)k->request->allocated_len);
 }
 
 static struct wy_h1_call *
@@ -106,6 +108,8 @@
   k->head_complete = false;
   k->keep_alive_ms = 0;
   k->sweeps = 0;
+  k->unsent_bytes = 0;
+  k->silent_sweeps = 0;
   k->link.data = k;
   g_queue_push_tail_link (&c->active_calls, &k->link);
   wy_h1_head_reset (&k->head);
@@ -131,6 +135,26 @@
   wy_h1_call_close (call);
 }
 
+/* Read no more of the response for now, unless it is already complete.  */
+void
+wy_h1_call_pause (struct wy_h1_call *call)
+{
+  if (call->closing || call->paused || call->complete || !call->connected)
+    return;
+  call->paused = true;
+  uv_read_stop ((uv_stream_t *)&call->tcp);
+}
+
+/* Read on after a pause.  */
+void
+wy_h1_call_resume (struct wy_h1_call *call)
+{
+  if (call->closing || !call->paused)
+    return;
+  call->paused = false;
+  wy_h1_call_start_reading (call);
+}
+
 /* Whether bytes of the request may have reached the peer.  Valid until on_end
    returns.  */
 bool
@@ -179,6 +203,51 @@
     }
 }
 
+/* Count for how many sweeps the peers have taken nothing of their requests;
+   see the server's check_reader.  Return the call with the most unsent bytes
+   whose peer is silent, or NULL.  */
+static struct wy_h1_call *
+check_readers (struct wy_h1_client *c)
+{
+  struct wy_h1_call *most = NULL;
+
+  for (GList *l = c->active_calls.head; l; l = l->next)
+    {
+      struct wy_h1_call *k = l->data;
+      size_t unsent_bytes;
+
+      if (!k->writing)
+        continue;
+      unsent_bytes
+          = uv_stream_get_write_queue_size ((const uv_stream_t *)&k->tcp);
+      if (unsent_bytes == k->unsent_bytes)
+        k->silent_sweeps++;
+      else
+        k->silent_sweeps = 0;
+      k->unsent_bytes = unsent_bytes;
+      if (k->silent_sweeps * SWEEP_MS >= WY_H1_SILENT_READER_MS
+          && (!most || unsent_bytes > most->unsent_bytes))
+        most = k;
+    }
+  return most;
+}
+
+/* End the call with the most unsent bytes whose peer is silent, if memory has
+   to be freed; at most one a sweep, since the callback may cancel others.  */
+static void
+shed (struct wy_h1_client *c)
+{
+  struct wy_h1_call *k = check_readers (c);
+
+  if (!k || wy_memory_account_to_shed_bytes (c->memory) == 0)
+    return;
+  c->memory->sheds++;
+  if (c->on_shed)
+    c->on_shed (c->ctx, &k->peer->address, k->unsent_bytes,
+                k->silent_sweeps * SWEEP_MS);
+  wy_h1_call_fail (k, WY_H1_ERESET);
+}
+
 static void
 on_sweep (uv_timer_t *t)
 {
@@ -188,6 +257,7 @@
   gpointer p;
 
   sweep_connecting (c);
+  shed (c);
   if (++c->sweeps % IDLE_SWEEPS)
     return;
   g_hash_table_iter_init (&it, c->peers);
@@ -210,6 +280,9 @@
   c->loop = o->loop;
   c->connect_timeout_ms = o->connect_timeout_ms;
   c->idle_timeout_ms = o->idle_timeout_ms;
+  c->memory = o->memory;
+  c->on_shed = o->on_shed;
+  c->ctx = o->ctx;
   c->peers
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   g_queue_init (&c->active_calls);
--- a/src/h1/client.h
+++ b/src/h1/client.h
@@ -50,7 +50,13 @@
 {
   uv_loop_t *loop;
   uint32_t connect_timeout_ms;
-  uint32_t idle_timeout_ms; /* if the peer announces none */
+  uint32_t idle_timeout_ms;         /* if the peer announces none */
+  struct wy_memory_account *memory; /* NULL: none */
+  /* A call to PEER is about to be ended for lack of memory: the peer has read
+     nothing of its request for SILENT_MS.  May be NULL.  */
+  void (*on_shed) (void *ctx, const struct sockaddr_in *peer,
+                   size_t unsent_bytes, uint32_t silent_ms);
+  void *ctx;
 };
 
 struct wy_h1_client_stats
@@ -73,6 +79,8 @@
 struct wy_h1_call *wy_h1_call_start (struct wy_h1_client *c,
                                      const struct wy_h1_call_options *o);
 void wy_h1_call_cancel (struct wy_h1_call *call);
+void wy_h1_call_pause (struct wy_h1_call *call);
+void wy_h1_call_resume (struct wy_h1_call *call);
 bool wy_h1_call_sent (const struct wy_h1_call *call);
 
 #endif
--- a/src/h1/client_call.c
+++ b/src/h1/client_call.c
@@ -17,8 +17,11 @@
 static void
 free_request (struct wy_h1_call *k)
 {
-  if (k->request)
-    g_string_free (k->request, TRUE);
+  if (!k->request)
+    return;
+  wy_memory_account_add (k->client->memory, WY_MEMORY_TO_REPLICAS,
+                         -(int64_t)k->request->allocated_len);
+  g_string_free (k->request, TRUE);
   k->request = NULL;
 }
 
@@ -97,6 +100,7 @@
   void *ctx = k->o.ctx;
 
   k->o.on_end = NULL;
+  wy_h1_call_resume (k);
   /* A peer that responds before it has read the complete request would read
      the rest of it out of the next one.  */
   if (k->writing)
@@ -305,6 +309,13 @@
     wy_h1_call_fail (k, WY_H1_ERESET);
 }
 
+/* Read from K's open connection.  */
+void
+wy_h1_call_start_reading (struct wy_h1_call *k)
+{
+  uv_read_start ((uv_stream_t *)&k->tcp, on_alloc, on_read);
+}
+
 /* Send K's request on its open connection.  */
 void
 wy_h1_call_send (struct wy_h1_call *k)
@@ -335,7 +346,7 @@
       return;
     }
   k->connected = true;
-  uv_read_start ((uv_stream_t *)&k->tcp, on_alloc, on_read);
+  wy_h1_call_start_reading (k);
   wy_h1_call_send (k);
 }
 
--- a/src/h1/client_state.h
+++ b/src/h1/client_state.h
@@ -35,8 +35,11 @@
   bool complete; /* response received */
   bool no_reuse; /* close after this call */
   bool closing;
-  uint32_t sweeps; /* since the call started */
-  GList link;      /* in active_calls or the peer's idle list */
+  bool paused;            /* the response is not read */
+  uint32_t sweeps;        /* since the call started */
+  size_t unsent_bytes;    /* of the request, at the last sweep */
+  uint32_t silent_sweeps; /* in which nothing of them was taken */
+  GList link;             /* in active_calls or the peer's idle list */
 };
 
 struct wy_h1_peer
@@ -56,11 +59,16 @@
   GHashTable *peers;   /* struct wy_h1_peer by address */
   GQueue active_calls; /* struct wy_h1_call in use, oldest first */
   struct wy_h1_client_stats stats;
+  struct wy_memory_account *memory;
+  void (*on_shed) (void *ctx, const struct sockaddr_in *peer,
+                   size_t unsent_bytes, uint32_t silent_ms);
+  void *ctx;
   char read_buffer[WY_H1_CLIENT_READ_SIZE_BYTES];
 };
 
 void wy_h1_call_open (struct wy_h1_call *k);
 void wy_h1_call_send (struct wy_h1_call *k);
+void wy_h1_call_start_reading (struct wy_h1_call *k);
 void wy_h1_call_close (struct wy_h1_call *k);
 void wy_h1_call_fail (struct wy_h1_call *k, int err);
 
--- a/src/h1/server.c
+++ b/src/h1/server.c
@@ -50,6 +50,60 @@
     }
 }
 
+/* Count for how many sweeps the reader of C has taken nothing.  Sweeps and not
+   the clock are counted, since after a stall of this process the clock has
+   advanced, but nothing was offered to the reader meanwhile.  */
+static void
+check_reader (struct wy_h1_request *c)
+{
+  size_t unsent_bytes = wy_h1_unsent_bytes (c);
+  uint64_t taken_bytes = c->queued_bytes - unsent_bytes;
+
+  if (unsent_bytes == 0 || taken_bytes != c->taken_bytes)
+    c->silent_sweeps = 0;
+  else
+    c->silent_sweeps++;
+  c->taken_bytes = taken_bytes;
+}
+
+/* Return the connection with the most unsent bytes whose reader is silent, or
+   NULL.  */
+static struct wy_h1_request *
+find_silent (const struct wy_h1_server *s)
+{
+  struct wy_h1_request *most = NULL;
+
+  for (GList *l = s->connections.head; l; l = l->next)
+    {
+      struct wy_h1_request *c = l->data;
+
+      if (c->silent_sweeps * SWEEP_MS >= WY_H1_SILENT_READER_MS
+          && (!most || c->held_bytes > most->held_bytes))
+        most = c;
+    }
+  return most;
+}
+
+/* Close connections until enough memory is free or no reader is silent.  The
+   account falls only when the pending writes end, on the next turn of the
+   loop.  */
+static void
+shed (struct wy_h1_server *s)
+{
+  int64_t to_free_bytes = wy_memory_account_to_shed_bytes (s->memory);
+  struct wy_h1_request *c;
+
+  while (to_free_bytes > 0 && (c = find_silent (s)))
+    {
+      to_free_bytes -= (int64_t)c->held_bytes;
+      s->memory->sheds++;
+      if (s->on_shed)
+        s->on_shed (s->ctx, c, wy_h1_unsent_bytes (c),
+                    c->silent_sweeps * SWEEP_MS);
+      wy_h1_conn_hang_up (c);
+    }
+}
+
 static void
 on_sweep (uv_timer_t *t)
 {
@@ -59,9 +113,17 @@
 
   for (GList *l = s->connections.head; l; l = next)
     {
+      struct wy_h1_request *c = l->data;
+
       next = l->next;
-      check_timeouts (l->data, now_ms);
+      check_reader (c);
+      /* Uploads are paused under level SHED.  */
+      if (c->state == CONN_BODY
+          && wy_memory_account_level (s->memory) < WY_MEMORY_SHED)
+        wy_h1_conn_start_reading (c);
+      check_timeouts (c, now_ms);
     }
+  shed (s);
 }
 
 static int
@@ -98,7 +160,9 @@
       return err;
     }
   s->limits = o->limits;
+  s->memory = o->memory;
   s->on_request = o->on_request;
+  s->on_shed = o->on_shed;
   s->ctx = o->ctx;
   g_queue_init (&s->connections);
   uv_timer_init (o->loop, &s->sweep);
--- a/src/h1/server.h
+++ b/src/h1/server.h
@@ -12,6 +12,7 @@
 
 #include <uv.h>
 
+#include "base/memory_account.h"
 #include "h1/head.h"
 
 enum wy_h1_error
@@ -23,6 +24,13 @@
   WY_H1_EMALFORMED = -1005 /* not an HTTP/1.1 response */
 };
 
+enum
+{
+  /* When memory is short, a connection is closed if its reader has taken
+     nothing for this long.  A reader that is merely slow takes something.  */
+  WY_H1_SILENT_READER_MS = 2000
+};
+
 struct wy_h1_server;
 struct wy_h1_request;
 
@@ -41,7 +49,12 @@
   const char *host; /* IPv4 address */
   uint16_t port;    /* 0: any free port */
   struct wy_h1_limits limits;
+  struct wy_memory_account *memory; /* NULL: none */
   void (*on_request) (void *ctx, struct wy_h1_request *r);
+  /* The connection of R is about to be closed for lack of memory: its reader
+     has taken nothing for SILENT_MS.  May be NULL.  */
+  void (*on_shed) (void *ctx, const struct wy_h1_request *r,
+                   size_t unsent_bytes, uint32_t silent_ms);
   void *ctx;
 };
 
@@ -71,6 +84,7 @@
                            const struct wy_h1_header *fields, size_t n_fields);
 void wy_h1_write_response (struct wy_h1_request *r, const void *p, size_t n);
 size_t wy_h1_unsent_bytes (const struct wy_h1_request *r);
+size_t wy_h1_held_bytes (const struct wy_h1_request *r);
 void wy_h1_end_response (struct wy_h1_request *r);
 void wy_h1_abort (struct wy_h1_request *r);
 
--- a/src/h1/server_conn.c
+++ b/src/h1/server_conn.c
@@ -7,7 +7,11 @@
 {
   /* Bytes of further requests that a caller may send before it has the
      response to the current one; more stay in the kernel.  */
-  UNPARSED_LIMIT_BYTES = 65536
+  UNPARSED_LIMIT_BYTES = 65536,
+  /* The buffer of unparsed bytes keeps the size of its longest read.  Above
+     this it is freed with the body: 500 connections that have uploaded once
+     would otherwise keep 32 MB.  */
+  LARGE_UNPARSED_BYTES = 8192
 };
 
 /* Set the state of C and count the requests in progress.  */
@@ -22,10 +26,32 @@
   c->state_since_ms = uv_now (c->tcp.loop);
 }
 
+/* Bring the memory account up to date with the unparsed bytes of C, of which
+   usually none remain after a read.  */
+static void
+count_unparsed (struct wy_h1_request *c)
+{
+  if (c->unparsed->len == c->unparsed_counted_bytes)
+    return;
+  wy_memory_account_add (c->server->memory, WY_MEMORY_BODIES,
+                         (int64_t)c->unparsed->len
+                             - (int64_t)c->unparsed_counted_bytes);
+  c->unparsed_counted_bytes = c->unparsed->len;
+}
+
 static void
 discard_body (struct wy_h1_request *c)
 {
   c->server->total_body_bytes -= c->body->len;
+  wy_memory_account_add (c->server->memory, WY_MEMORY_BODIES,
+                         -(int64_t)c->body->len);
+  /* An idle connection keeps no buffer of the size of a read.  */
+  if (c->unparsed_is_large && c->unparsed->len == 0 && !c->parsing)
+    {
+      g_byte_array_free (c->unparsed, TRUE);
+      c->unparsed = g_byte_array_new ();
+      c->unparsed_is_large = false;
+    }
   if (c->body->allocated_len > WY_H1_READ_SIZE_BYTES)
     {
       g_string_free (c->body, TRUE);
@@ -55,6 +81,8 @@
   c->closing = true;
   wy_h1_conn_set_state (c, CONN_LINGER);
   discard_body (c);
+  g_byte_array_set_size (c->unparsed, 0);
+  count_unparsed (c);
   g_queue_unlink (&c->server->connections, &c->link);
   uv_close ((uv_handle_t *)&c->tcp, on_closed);
 }
@@ -74,7 +102,6 @@
 }
 
 static void parse_unparsed (struct wy_h1_request *c);
-static void start_reading (struct wy_h1_request *c);
 
 /* The response is queued: parse the next request, or read until the connection
    can close.  */
@@ -86,14 +113,14 @@
   if (!c->keep_alive)
     {
       wy_h1_conn_set_state (c, CONN_LINGER);
+      wy_h1_conn_start_reading (c);
       return;
     }
-  wy_h1_head_reset (&c->head);
   wy_h1_conn_set_state (c, CONN_IDLE);
   http_parser_pause (&c->parser, 0);
   if (!c->parsing)
     parse_unparsed (c);
-  start_reading (c);
+  wy_h1_conn_start_reading (c);
 }
 
 static int
@@ -101,6 +128,9 @@
 {
   struct wy_h1_request *c = p->data;
 
+  /* Until here the head names the last request, whose response may still be
+     unsent.  */
+  wy_h1_head_reset (&c->head);
   wy_h1_conn_set_state (c, CONN_HEAD);
   return 0;
 }
@@ -184,6 +214,7 @@
     return -1;
   g_string_append_len (c->body, at, (gssize)n);
   c->server->total_body_bytes += n;
+  wy_memory_account_add (c->server->memory, WY_MEMORY_BODIES, (int64_t)n);
   return 0;
 }
 
@@ -254,6 +285,7 @@
         dispatch_request (c);
     }
   c->parsing = false;
+  count_unparsed (c);
 }
 
 static void
@@ -264,6 +296,17 @@
   *buf = uv_buf_init (s->read_buffer, sizeof s->read_buffer);
 }
 
+/* Whether C must not be read now: its caller has sent more requests than may
+   wait for the response to the current one, or it uploads a body under level
+   SHED.  The sweep resumes uploads.  */
+static bool
+must_stop_reading (const struct wy_h1_request *c)
+{
+  if (c->state == CONN_BODY)
+    return wy_memory_account_level (c->server->memory) == WY_MEMORY_SHED;
+  return c->state == CONN_BUSY && c->unparsed->len > UNPARSED_LIMIT_BYTES;
+}
+
 static void
 on_read (uv_stream_t *h, ssize_t n, const uv_buf_t *buf)
 {
@@ -279,18 +322,22 @@
   if (c->state == CONN_LINGER)
     return;
   g_byte_array_append (c->unparsed, (const guint8 *)buf->base, (guint)n);
+  c->unparsed_is_large
+      = c->unparsed_is_large || c->unparsed->len > LARGE_UNPARSED_BYTES;
   if (c->state != CONN_BUSY)
     parse_unparsed (c);
-  if (!c->closing && c->state == CONN_BUSY
-      && c->unparsed->len > UNPARSED_LIMIT_BYTES)
+  else
+    count_unparsed (c);
+  if (!c->closing && c->reading && must_stop_reading (c))
     {
       c->reading = false;
       uv_read_stop (h);
     }
 }
 
-static void
-start_reading (struct wy_h1_request *c)
+/* Read from C, if it is open and not read yet.  */
+void
+wy_h1_conn_start_reading (struct wy_h1_request *c)
 {
   if (c->reading || c->closing)
     return;
@@ -321,5 +368,5 @@
       return;
     }
   uv_tcp_nodelay (&c->tcp, 1);
-  start_reading (c);
+  wy_h1_conn_start_reading (c);
 }
--- a/src/h1/server_response.c
+++ b/src/h1/server_response.c
@@ -19,6 +19,17 @@
   return http_status_str ((enum http_status)status);
 }
 
+/* Add a write of N bytes, or with SIGN -1 subtract it.  Its header counts too:
+   it is longer than a short event.  */
+static void
+count_write (struct wy_h1_request *c, size_t n, int sign)
+{
+  int64_t delta_bytes = (int64_t)(sizeof (struct write) + n) * sign;
+
+  c->held_bytes += (size_t)delta_bytes;
+  wy_memory_account_add (c->server->memory, WY_MEMORY_TO_CALLERS, delta_bytes);
+}
+
 static void
 on_written (uv_write_t *req, int status)
 {
@@ -26,6 +37,7 @@
   struct wy_h1_request *c = w->conn;
   bool last = w->last;
 
+  count_write (c, w->n, -1);
   g_free (w);
   if (status < 0 && !c->closing)
     wy_h1_conn_hang_up (c);
@@ -53,7 +65,12 @@
   buf = uv_buf_init (w->bytes, (unsigned)w->n);
   if (c->closing
       || uv_write (&w->req, (uv_stream_t *)&c->tcp, &buf, 1, on_written))
-    g_free (w);
+    {
+      g_free (w);
+      return;
+    }
+  c->queued_bytes += w->n;
+  count_write (c, w->n, 1);
 }
 
 static GString *
@@ -132,6 +149,13 @@
   return uv_stream_get_write_queue_size ((const uv_stream_t *)&r->tcp);
 }
 
+/* Memory that the queued bytes of responses occupy.  */
+size_t
+wy_h1_held_bytes (const struct wy_h1_request *r)
+{
+  return r->held_bytes;
+}
+
 /* End the response as complete.  R is not valid afterwards.  */
 void
 wy_h1_end_response (struct wy_h1_request *r)
--- a/src/h1/server_state.h
+++ b/src/h1/server_state.h
@@ -28,7 +28,13 @@
   enum wy_h1_conn_state state;
   struct wy_h1_head head;
   GString *body;
-  GByteArray *unparsed;    /* read, not yet parsed */
+  GByteArray *unparsed;          /* read, not yet parsed */
+  size_t unparsed_counted_bytes; /* in the memory account */
+  bool unparsed_is_large;        /* its allocation */
+  uint64_t queued_bytes;   /* of responses, since the connection opened */
+  uint64_t taken_bytes;    /* of these, by the kernel, at the last sweep */
+  size_t held_bytes;       /* memory of responses that are not yet sent */
+  uint32_t silent_sweeps;  /* in which nothing of them was taken */
   uint64_t state_since_ms; /* loop time */
   int64_t received_ms;
   void (*on_hangup) (void *ctx);
@@ -53,13 +59,17 @@
   uint64_t total_body_bytes;
   uint32_t active;
   GQueue connections;
+  struct wy_memory_account *memory;
   void (*on_request) (void *ctx, struct wy_h1_request *r);
+  void (*on_shed) (void *ctx, const struct wy_h1_request *r,
+                   size_t unsent_bytes, uint32_t silent_ms);
   void *ctx;
   char read_buffer[WY_H1_READ_SIZE_BYTES];
 };
 
 void wy_h1_conn_accept (struct wy_h1_server *s);
 void wy_h1_conn_close (struct wy_h1_request *c);
+void wy_h1_conn_start_reading (struct wy_h1_request *c);
 void wy_h1_conn_hang_up (struct wy_h1_request *c);
 void wy_h1_conn_set_state (struct wy_h1_request *c,
                            enum wy_h1_conn_state state);
--- a/src/jobs/accept.c
+++ b/src/jobs/accept.c
@@ -65,6 +65,14 @@
     uv_close ((uv_handle_t *)&a->timer, on_timer_closed);
 }
 
+/* Memory of the body and its decoded form, which the job counts itself once it
+   runs.  */
+static int64_t
+submission_bytes (const struct submission *a)
+{
+  return (int64_t)a->body->len * 2;
+}
+
 static void
 end (struct submission *a, int status, const char *reason)
 {
@@ -93,6 +101,8 @@
                            status == 503 ? RETRY_AFTER_MS : 0);
     }
   a->jobs->submissions_bytes -= a->body->len;
+  wy_memory_account_add (&a->jobs->env->memory, WY_MEMORY_JOBS,
+                         -submission_bytes (a));
   g_ptr_array_remove_fast (a->jobs->submissions, a);
   wy_job_record_free (a->record);
   wy_job_spec_free (a->spec);
@@ -371,7 +381,8 @@
       wy_h1_respond (r, STATUS_ACCEPTED, NULL, 0, "", 0);
       return;
     }
-  if (!wy_jobs_has_memory_for (j, n))
+  if (wy_memory_account_rejects (&j->env->memory, true)
+      || !wy_jobs_has_memory_for (j, n))
     {
       reject_job (r, key, 503, "memory", n);
       return;
@@ -405,6 +416,8 @@
   choose_holder (a);
   a->started_ms = wy_clock_mono_ms (j->env->clock);
   j->submissions_bytes += n;
+  wy_memory_account_add (&j->env->memory, WY_MEMORY_JOBS,
+                         submission_bytes (a));
   uv_timer_init (j->env->loop, &a->timer);
   a->timer.data = a;
   wy_h1_on_hangup (r, on_hangup, a);
--- a/src/jobs/active_job.c
+++ b/src/jobs/active_job.c
@@ -97,6 +97,20 @@
   return x < y ? -1 : 1;
 }
 
+/* Bring the memory account up to date with the text and the result of I, which
+   holds a copy of it.  */
+void
+wy_item_count_memory (struct wy_item *i)
+{
+  size_t bytes = i->text->len;
+
+  if (i->result && !i->result->given_up)
+    bytes *= 2;
+  wy_memory_account_add (&i->job->env->memory, WY_MEMORY_JOBS,
+                         (int64_t)bytes - (int64_t)i->counted_bytes);
+  i->counted_bytes = bytes;
+}
+
 /* Return a job for OPT->record with all its items waiting.  */
 struct wy_active_job *
 wy_active_job_new (const struct wy_active_job_options *opt)
@@ -108,6 +122,8 @@
   o->spec = opt->spec;
   o->row_bytes = opt->row_bytes;
   o->started_ms = now_of (o);
+  wy_memory_account_add (&o->env->memory, WY_MEMORY_JOBS,
+                         (int64_t)o->spec->size_bytes);
   o->on_listed = opt->on_listed;
   o->on_end = opt->on_end;
   o->ctx = opt->ctx;
@@ -145,16 +161,21 @@
 static void
 free_active_job (struct wy_active_job *o)
 {
+  size_t counted_bytes = o->spec->size_bytes;
+
   for (uint32_t k = 0; k < o->n_items; k++)
     {
       struct wy_item *i = &o->items[k];
 
+      counted_bytes += i->counted_bytes;
       if (i->avoid)
         wy_target_unref (o->env->targets, i->avoid);
       g_string_free (i->text, TRUE);
       g_array_free (i->versions, TRUE);
       wy_result_free (i->result);
     }
+  wy_memory_account_add (&o->env->memory, WY_MEMORY_JOBS,
+                         -(int64_t)counted_bytes);
   wy_checkpoint_detach (o);
   g_free (o->items);
   g_hash_table_destroy (o->groups);
@@ -268,6 +289,7 @@
   leave_state (i);
   i->state = WY_ITEM_UNLISTED;
   i->result = r;
+  wy_item_count_memory (i);
   count_result (i);
   (*i->job->env->count.items_done)++;
   wy_hist_add (i->job->env->count.item_us,
@@ -360,7 +382,8 @@
 
 /* Start waiting items, those with the longest expected text first: the step
    ends with the last item of its groups, so a long item that starts late
-   delays it.  */
+   delays it.  Under level SHED none starts: its text could not be read, and
+   would hold a slot.  */
 void
 wy_active_job_start_items (struct wy_active_job *o)
 {
@@ -370,7 +393,8 @@
 
   wy_scores_start_calls (o);
   if (o->closed || o->lingering || o->n_waiting == 0 || !o->env->routing
-      || o->env->stopping)
+      || o->env->stopping
+      || wy_memory_account_level (&o->env->memory) == WY_MEMORY_SHED)
     return;
   route = wy_active_job_route (o);
   if (!route)
--- a/src/jobs/active_job.h
+++ b/src/jobs/active_job.h
@@ -34,7 +34,8 @@
   struct wy_group *group;
   const struct wy_item_spec *spec;
   enum wy_item_state state;
-  GString *text; /* data of the events so far, joined by line feeds */
+  GString *text;        /* data of the events so far, joined by line feeds */
+  size_t counted_bytes; /* of text and result, in the memory account */
   GArray *versions;
   int64_t last_event; /* id of the last event in text; -1: none */
   uint64_t text_id;   /* random; changes when text is discarded; 0: none yet */
@@ -127,6 +128,7 @@
 int64_t wy_active_job_time_left_ms (const struct wy_active_job *o);
 uint32_t wy_item_max_score_failures (const struct wy_item *i);
 
+void wy_item_count_memory (struct wy_item *i);
 void wy_item_text_complete (struct wy_item *i);
 void wy_item_scored (struct wy_item *i, const char *stamp);
 void wy_item_give_up (struct wy_item *i);
--- a/src/jobs/calls.c
+++ b/src/jobs/calls.c
@@ -18,6 +18,17 @@
   PAGE_ROWS = 200,
   /* Of the results in one response, a limit of the platform's clients.  */
   RESPONSE_BYTES_MAX = 900000,
+  /* The same at level PAUSE_READING of the memory account, and a quarter of it
+     at each further level: a reader that does not read holds one response.  */
+  SHORT_RESPONSE_BYTES_MAX = 65536,
+  LEVEL_SHIFT = 2,
+  /* Reads of results for readers at a time.  A page is counted only as it
+     arrives, so 500 readers that come at once would exceed the memory before
+     its level shows it.  A few trainers have at most one read each.  */
+  RESULT_READS_MAX = 16,
+  RESULT_READS_MAX_PAUSE_READING = 4,
+  /* Not 0: a job's memory is freed when its trainer has read enough.  */
+  RESULT_READS_MAX_SHED = 1,
   RETRY_AFTER_MS = 300,
   END_ATTEMPTS = 6,
   END_RETRY_MS = 150
@@ -98,6 +109,37 @@
   free_call (d);
 }
 
+static enum wy_memory_level
+memory_level (const struct call_state *d)
+{
+  return wy_memory_account_level (&d->jobs->env->memory);
+}
+
+static size_t
+max_response_bytes (const struct call_state *d)
+{
+  enum wy_memory_level level = memory_level (d);
+
+  if (level == WY_MEMORY_NORMAL)
+    return RESPONSE_BYTES_MAX;
+  return SHORT_RESPONSE_BYTES_MAX
+         >> (LEVEL_SHIFT * (level - WY_MEMORY_PAUSE_READING));
+}
+
+static uint32_t
+max_result_reads (const struct call_state *d)
+{
+  switch (memory_level (d))
+    {
+    case WY_MEMORY_NORMAL:
+      return RESULT_READS_MAX;
+    case WY_MEMORY_SHED:
+      return RESULT_READS_MAX_SHED;
+    default:
+      return RESULT_READS_MAX_PAUSE_READING;
+    }
+}
+
 static void
 respond_results (struct call_state *d, const struct wy_rows_result *r)
 {
@@ -111,7 +153,7 @@
       const struct wy_result *res = g_ptr_array_index (results, n);
 
       size += res->text ? strlen (res->text) : 0;
-      if (n && size > RESPONSE_BYTES_MAX)
+      if (n && size > max_response_bytes (d))
         break;
       n++;
     }
@@ -152,6 +194,7 @@
   struct call_state *d = ctx;
   int64_t now_ms = wy_clock_mono_ms (d->jobs->env->clock);
 
+  d->jobs->result_reads--;
   if (!resume_call (d))
     return;
   if (r->err)
@@ -169,6 +212,8 @@
     }
 }
 
+/* Read results for D, or if too many reads are in progress, at its next
+   poll.  */
 static void
 read_results (struct call_state *d)
 {
@@ -178,7 +223,13 @@
                                  .from = from,
                                  .limit = PAGE_ROWS };
 
+  if (d->jobs->result_reads >= max_result_reads (d))
+    {
+      uv_timer_start (&d->timer, on_poll, POLL_MS, 0);
+      return;
+    }
   wy_result_key (d->call.after, from);
+  d->jobs->result_reads++;
   d->pending = true;
   wy_rows_get (d->jobs->env->rows, &range, on_results, d);
 }
--- a/src/jobs/checkpoint.c
+++ b/src/jobs/checkpoint.c
@@ -360,6 +360,7 @@
 resume_item (struct wy_item *i, const struct wy_saved_text *t, bool same_job)
 {
   g_string_assign (i->text, t->text->str);
+  wy_item_count_memory (i);
   g_array_set_size (i->versions, 0);
   g_array_append_vals (i->versions, t->versions->data, t->versions->len);
   i->last_event = t->last_event;
--- a/src/jobs/jobs.c
+++ b/src/jobs/jobs.c
@@ -171,7 +171,8 @@
 /* Return whether one more job with a body of BODY_BYTES fits into the memory
    for jobs.  Without this limit, hundreds of large jobs would exhaust the
    memory and end the process with everything it runs; the submitter of a
-   rejected job retries at another entry.  */
+   rejected job retries at another entry.  Texts, and what other requests hold,
+   are in the memory account of the process.  */
 bool
 wy_jobs_has_memory_for (const struct wy_jobs *j, size_t body_bytes)
 {
@@ -179,6 +180,8 @@
   GHashTableIter it;
   gpointer p;
 
+  if (wy_memory_account_level (&j->env->memory) >= WY_MEMORY_REJECT_NEW)
+    return false;
   if (j->memory_limit_bytes == 0)
     return true;
   g_hash_table_iter_init (&it, j->active);
--- a/src/jobs/result_list.c
+++ b/src/jobs/result_list.c
@@ -110,6 +110,7 @@
   g_queue_remove (&o->unlisted, i);
   g_string_free (i->text, TRUE);
   i->text = g_string_new (NULL);
+  wy_item_count_memory (i);
 }
 
 static void
--- a/src/jobs/run.c
+++ b/src/jobs/run.c
@@ -58,6 +58,7 @@
   struct wy_gate_env *env = r->item->job->env;
 
   r->item->run = NULL;
+  wy_read_source_end (env->read_pauses, &r->source);
   wy_sse_clear (&r->events);
   wy_target_request_ended (env->targets, r->target, outcome,
                            wy_run_now_ms (r));
@@ -114,6 +115,7 @@
 discard_text (struct wy_item *i)
 {
   g_string_truncate (i->text, 0);
+  wy_item_count_memory (i);
   g_array_set_size (i->versions, 0);
   i->last_event = -1;
   i->text_id = 0;
@@ -212,6 +214,7 @@
   if (i->last_event >= 0)
     g_string_append_c (i->text, '\n');
   g_string_append_len (i->text, ev->data, (gssize)ev->data_n);
+  wy_item_count_memory (i);
   i->last_event = ev->id;
   i->runs_without_event = 0;
   r->n_events++;
@@ -258,7 +261,22 @@
   if (r->n_events > before)
     r->progress_ms = now_ms;
   if (r->fault)
-    abort_faulty_run (r);
+    {
+      abort_faulty_run (r);
+      return;
+    }
+  r->source.call = r->call;
+  r->source.stored_bytes = r->item->text->len;
+  wy_read_source_received (r->item->job->env->read_pauses, &r->source);
+}
+
+/* The time of the pause does not count as silence of the replica.  */
+static void
+on_read_resumed (void *ctx)
+{
+  struct wy_run *r = ctx;
+
+  r->progress_ms = wy_run_now_ms (r);
 }
 
 static void
@@ -419,6 +437,8 @@
   r->allowed_failures = route->attempts;
   r->started_ms = wy_run_now_ms (r);
   r->progress_ms = r->started_ms;
+  r->source.on_resume = on_read_resumed;
+  r->source.ctx = r;
   wy_sse_init (&r->events);
   i->run = r;
   i->runs++;
--- a/src/jobs/run_progress.c
+++ b/src/jobs/run_progress.c
@@ -28,7 +28,8 @@
 }
 
 /* End R if its replica is silent.  Move it if its progress is too slow and
-   another replica would be faster.  */
+   another replica would be faster.  A run that is not read for lack of memory
+   is neither.  */
 void
 wy_run_check_progress (struct wy_run *r)
 {
@@ -43,6 +44,8 @@
           .typical_event_ms = typical_ms > 1 ? typical_ms : 0 };
   enum wy_run_progress progress = wy_run_progress_assess (&o);
 
+  if (r->source.paused)
+    return;
   if (o.silent_ms >= SILENCE_TIMEOUT_MS)
     {
       stop (r, WY_TARGET_TIMED_OUT, "silent");
--- a/src/jobs/run_state.h
+++ b/src/jobs/run_state.h
@@ -2,6 +2,7 @@
 #ifndef WY_JOBS_RUN_STATE_H
 #define WY_JOBS_RUN_STATE_H
 
+#include "h1/read_pause.h"
 #include "jobs/active_job.h"
 
 /* Why the data of a run can't be used, found while it is read.  */
@@ -19,6 +20,7 @@
   struct wy_item *item;
   struct wy_target *target;
   struct wy_h1_call *call;
+  struct wy_read_source source;
   struct wy_sse_parser events;
   int status;
   bool not_run; /* the replica states that it did not run the request */
--- a/src/jobs/state.h
+++ b/src/jobs/state.h
@@ -28,6 +28,7 @@
   GPtrArray *submissions; /* struct submission */
   GHashTable *finished;   /* struct finished by id */
   GHashTable *starting;   /* ids of jobs being taken over or loaded */
+  uint32_t result_reads;  /* of the store, for readers, in progress */
   GQueue waiting_calls; /* struct call_state: callers that wait for results */
 };
 
--- a/src/rows/call.c
+++ b/src/rows/call.c
@@ -37,6 +37,14 @@
   STATUS_TOO_MANY_REQUESTS = 429
 };
 
+static void
+discard_response (struct wy_rows_call *k)
+{
+  wy_memory_account_add (k->store->memory, WY_MEMORY_STORE,
+                         -(int64_t)k->response_body->len);
+  g_string_truncate (k->response_body, 0);
+}
+
 /* Free K, which must have no HTTP call in progress.  */
 void
 wy_rows_call_free (struct wy_rows_call *k)
@@ -44,8 +52,10 @@
   g_queue_remove (&k->store->calls, k);
   if (k->store->calls.length == 0)
     uv_timer_stop (&k->store->sweep);
-  if (k->response_body)
-    g_string_free (k->response_body, TRUE);
+  wy_memory_account_add (k->store->memory, WY_MEMORY_STORE,
+                         -(int64_t)k->body_size_bytes);
+  discard_response (k);
+  g_string_free (k->response_body, TRUE);
   g_free (k->target);
   g_free (k->body);
   g_free (k);
@@ -157,7 +167,7 @@
       || !wy_paths_has_alternative (&s->paths, now_ms))
     return false;
   k->status = 0;
-  g_string_truncate (k->response_body, 0);
+  discard_response (k);
   send_call (k);
   return true;
 }
@@ -202,7 +212,7 @@
   /* The peer receives the status that the store itself would use.  */
   if (!rate_limited)
     k->status = err == WY_ROWS_EREFUSED ? 503 : 504;
-  g_string_truncate (k->response_body, 0);
+  discard_response (k);
   deliver (k, &r);
 }
 
@@ -275,6 +285,7 @@
   struct wy_rows_call *k = ctx;
 
   g_string_append_len (k->response_body, p, (gssize)n);
+  wy_memory_account_add (k->store->memory, WY_MEMORY_STORE, (int64_t)n);
   /* The size of the object is not known beforehand: each piece extends the
      deadline.  */
   if (k->verb == WY_STORE_GET_OBJECT)
@@ -410,6 +421,7 @@
       k->body = g_malloc (n + 1);
       memcpy (k->body, body, n);
       k->body_size_bytes = n;
+      wy_memory_account_add (k->store->memory, WY_MEMORY_STORE, (int64_t)n);
     }
   if (k->verb == WY_STORE_PUT_OBJECT)
     k->transfer_ms = (int64_t)(n / OBJECT_BYTES_PER_MS);
--- a/src/rows/client.c
+++ b/src/rows/client.c
@@ -147,6 +147,7 @@
   s->loop = o->loop;
   s->clock = o->clock;
   s->http = o->http;
+  s->memory = o->memory;
   wy_rng_seed (&s->rng, o->seed);
   s->last_response_ms = wy_clock_mono_ms (o->clock);
   wy_paths_init (&s->paths, &o->address,
--- a/src/rows/client_state.h
+++ b/src/rows/client_state.h
@@ -38,6 +38,7 @@
   uv_loop_t *loop;
   const struct wy_clock *clock;
   struct wy_h1_client *http;
+  struct wy_memory_account *memory;
   struct wy_paths paths;
   uv_timer_t sweep;
   GQueue calls;
--- a/src/rows/rows.h
+++ b/src/rows/rows.h
@@ -123,6 +123,7 @@
   struct wy_h1_client *http;
   struct sockaddr_in address;
   uint64_t seed;
+  struct wy_memory_account *memory; /* NULL: none */
 };
 
 typedef void wy_rows_cb (void *ctx, const struct wy_rows_result *r);
