Soak with callers that stop reading and gates short of memory

Cause: the soak had only callers that read at once, with bodies of ten bytes, and gates with 128 MB, so no level of the memory account was reached.

Change: while faults last, one call in eight has a body of 900 kB, and its caller stops reading the response for 0.7 to 3.5 s. The driver prints how often each level was logged. The bodies must still come back complete, and a 503 must mean that the request has not run.

--- a/scripts/platform.sh
+++ b/scripts/platform.sh
@@ -71,6 +71,7 @@
 store_address: 127.0.0.1:$5
 seeds: [${seeds%,}]
 grace_s: ${GRACE_S:-6}
+memory_mb: ${MEMORY_MB:-128}
 platform_address: 127.0.0.1:$(port_of duties)
 duties: ["usage_report", "scaling"]
 usage_window_s: 1
--- a/scripts/soak-platform.sh
+++ b/scripts/soak-platform.sh
@@ -3,7 +3,8 @@
 # platform.  All connections go through a proxy that injects faults, and
 # processes are killed, stopped, paused and made to reload, at random from the
 # seed and several at once.  Then a period without faults follows, in which all
-# must work again.  Reports whether every invariant held.
+# must work again.  Some callers stop reading for seconds, and the gates have
+# little memory.  Reports whether every invariant held.
 # Usage: soak-platform.sh BIN OUTDIR SEED SECONDS
 set -u
 BIN=$1
@@ -13,6 +14,8 @@
 GRACE_S=3
 CALM_S=9 # without faults: 4 s to recover, 5 s that are checked
 GATES=3
+# Little enough that callers that stop reading, with 900 kB each, exceed it.
+MEMORY_MB=24
 . "$(dirname "$0")/platform.sh"
 rm -rf "$OUT"
 mkdir -p "$OUT"
@@ -205,4 +208,6 @@
   || die "no step, or under 99 % of the requests answered after the faults, seed $SEED"
 "$BIN/wyctl" check "$OUT/platform.jsonl" "$OUT/proxy.jsonl" \
   || die "an invariant was violated, seed $SEED"
+grep -h '"event":"memory\.' "$OUT"/gate-*.log \
+  | jq -r '.event + " " + (.highest // "")' | sort | uniq -c
 echo "seed $SEED: all invariants hold"
--- a/src/standin/platform.c
+++ b/src/standin/platform.c
@@ -361,6 +361,40 @@
   wy_standin_quit (p->standin);
 }
 
+static void
+on_resume_closed (uv_handle_t *h)
+{
+  g_free (h);
+}
+
+static void
+end_pause (struct wy_platform_call *c)
+{
+  if (c->resume)
+    uv_close ((uv_handle_t *)c->resume, on_resume_closed);
+  c->resume = NULL;
+}
+
+static void
+on_resume (uv_timer_t *t)
+{
+  struct wy_platform_call *c = t->data;
+
+  end_pause (c);
+  wy_h1_call_resume (c->call);
+}
+
+/* Stop reading the response to C for a while.  */
+static void
+pause_call (struct wy_platform_call *c)
+{
+  c->resume = g_new0 (uv_timer_t, 1);
+  uv_timer_init (c->platform->standin->loop, c->resume);
+  c->resume->data = c;
+  uv_timer_start (c->resume, on_resume, c->pause_ms, 0);
+  wy_h1_call_pause (c->call);
+}
+
 static void
 on_head (void *ctx, const struct wy_h1_response *r)
 {
@@ -369,6 +403,8 @@
 
   c->status = r->status;
   c->retry_after_s = after ? g_ascii_strtod (after, NULL) : 0;
+  if (c->pause_ms)
+    pause_call (c);
 }
 
 static void
@@ -383,6 +419,7 @@
 {
   struct wy_platform_call *c = ctx;
 
+  end_pause (c);
   c->on_done (c, err);
   g_string_free (c->body, TRUE);
   g_free (c);
@@ -433,7 +470,7 @@
   g_snprintf (credential, sizeof credential, "Bearer %s", key);
   c->platform = p;
   c->body = g_string_new (NULL);
-  wy_h1_call_start (p->client, &o);
+  c->call = wy_h1_call_start (p->client, &o);
   return c;
 }
 
--- a/src/standin/platform.h
+++ b/src/standin/platform.h
@@ -74,6 +74,9 @@
   int status;
   GString *body;
   double retry_after_s;
+  struct wy_h1_call *call;
+  uint32_t pause_ms;  /* for so long the response is not read; 0: at once */
+  uv_timer_t *resume; /* at the end of the pause; NULL: not paused */
   void (*on_done) (struct wy_platform_call *c, int err);
   void *ctx;
   uint32_t number;
--- a/src/standin/platform_callers.c
+++ b/src/standin/platform_callers.c
@@ -1,5 +1,6 @@
-/* Callers of the platform stand-in: small idempotent requests whose response
-   must equal their body.  */
+/* Callers of the platform stand-in: idempotent requests whose response must
+   equal their body.  Most are small; while faults last, some are large, and
+   their callers stop reading for some seconds.  */
 #include "standin/platform.h"
 
 #include <stdio.h>
@@ -13,7 +14,14 @@
   ATTEMPTS_MAX = 3,
   STATUS_OK = 200,
   STATUS_UNAVAILABLE = 503,
-  ID_SIZE_BYTES = 48
+  ID_SIZE_BYTES = 48,
+  /* One call in this many is large.  */
+  LARGE_CALL_DIVISOR = 8,
+  LARGE_BODY_BYTES = 900000,
+  /* Some readers stop for longer than the 2 s after which an entry that is
+     short of memory closes them.  */
+  PAUSE_STEP_MS = 700,
+  PAUSE_STEPS = 5
 };
 
 static uv_timer_t timer;
@@ -27,6 +35,28 @@
   snprintf (out, ID_SIZE_BYTES, WY_PLATFORM_CALL_ID "%u-%u", number, attempt);
 }
 
+static bool
+is_large (uint32_t number, bool faults_over)
+{
+  return !faults_over && number % LARGE_CALL_DIVISOR == 0;
+}
+
+static char *
+body_of (uint32_t number, bool faults_over)
+{
+  GString *s = g_string_new (NULL);
+
+  g_string_append_printf (s, "call-%u", number);
+  if (is_large (number, faults_over))
+    {
+      gsize at = s->len;
+
+      g_string_set_size (s, LARGE_BODY_BYTES);
+      memset (s->str + at, 'x', s->len - at);
+    }
+  return g_string_free (s, FALSE);
+}
+
 static void
 log_response (const struct wy_platform_call *c, int err)
 {
@@ -43,25 +73,34 @@
                   "digest", digest);
 }
 
+static void
+check_body (const struct wy_platform_call *c)
+{
+  char *body = body_of (c->number, c->faults_over);
+
+  if (strcmp (c->body->str, body) != 0)
+    wy_platform_violation (c->platform,
+                           "call-%u: wrong response body of %zu bytes: %.40s",
+                           c->number, c->body->len, c->body->str);
+  g_free (body);
+}
+
 static void
 on_done (struct wy_platform_call *c, int err)
 {
   struct wy_platform *p = c->platform;
-  char body[32];
 
-  snprintf (body, sizeof body, "call-%u", c->number);
   log_response (c, err);
   if (!err && c->status == STATUS_OK)
     {
       p->stats.answered++;
       p->stats.answered_after_faults += c->faults_over;
-      if (strcmp (c->body->str, body) != 0)
-        wy_platform_violation (p, "%s: wrong response body: %.40s", body,
-                               c->body->str);
+      check_body (c);
       return;
     }
   if (!err && c->status == STATUS_UNAVAILABLE && c->retry_after_s <= 0)
-    wy_platform_violation (p, "%s: rejected without Retry-After", body);
+    wy_platform_violation (p, "call-%u: rejected without Retry-After",
+                           c->number);
   if (c->attempt + 1 < ATTEMPTS_MAX)
     {
       p->stats.retries++;
@@ -78,16 +117,18 @@
            bool faults_over)
 {
   char id[ID_SIZE_BYTES];
-  char body[32];
+  char *body = body_of (number, faults_over);
   struct wy_platform_call *c;
 
   format_id (number, attempt, id);
   wy_trace_event (p->standin->trace, "caller.sent", "{s:s}", "key", id);
-  snprintf (body, sizeof body, "call-%u", number);
   c = wy_platform_call (p, "POST", WY_PLATFORM_CALLS "x", id, body);
   c->number = number;
   c->attempt = attempt;
   c->faults_over = faults_over;
+  if (is_large (number, faults_over))
+    c->pause_ms = PAUSE_STEP_MS * (1 + number % PAUSE_STEPS);
+  g_free (body);
   c->on_done = on_done;
 }
 
