--- a/src/gate/proxy.c
+++ b/src/gate/proxy.c
@@ -120,7 +120,7 @@
   if (r->status < 300 && (t->info.encoded || !t->info.stamp))
     t->invalid = true;
   t->not_run = t->info.not_run;
-  t->response = wy_response_new (r->status, r->head);
+  t->response = wy_response_new (r->status, r->head, &p->env->memory);
   if (p->kind == WY_ROUTE_STREAM && r->status == 200 && !t->invalid
       && !p->streaming)
     {
@@ -155,12 +155,17 @@
       if (t->response->body->len + n > RESPONSE_LIMIT_BYTES)
         t->invalid = true;
       else
-        g_string_append_len (t->response->body, bytes, (gssize)n);
+        {
+          wy_response_append (t->response, bytes, n);
+          wy_proxy_pause_if_behind (t, NULL);
+        }
       return;
     }
   wy_sse_feed (&p->events, bytes, n, on_event, p);
   if (wy_h1_unsent_bytes (p->request) > UNSENT_LIMIT_BYTES)
     wy_proxy_fail (p, false, "slow_caller");
+  else
+    wy_proxy_pause_if_behind (t, p->request);
 }
 
 static void
@@ -235,6 +240,7 @@
   t->target = g;
   t->started_ms = now_ms;
   t->last_received_ms = now_ms;
+  wy_proxy_init_source (t);
   wy_request_forward_fields (wy_h1_head (p->request), &f, fields);
   o.fields = (const struct wy_h1_header *)fields->data;
   o.n_fields = fields->len;
@@ -355,7 +361,7 @@
     {
       struct wy_proxy_attempt *t = &p->running[i];
 
-      if (t->target
+      if (t->target && !t->source.paused
           && wy_proxy_now_ms (p) - t->last_received_ms
                  >= STREAM_IDLE_TIMEOUT_MS)
         {
@@ -380,6 +386,14 @@
     }
   else if (p->retry_due_ms && now_ms >= p->retry_due_ms)
     start_attempt (p);
+  else if (p->hedge_due_ms && now_ms >= p->hedge_due_ms
+           && wy_proxy_is_paused (p))
+    {
+      /* A second response would take more memory, and the first is late
+         because it is not read.  */
+      p->hedge_due_ms = now_ms + p->hedge_delay_ms;
+      arm_timer (p);
+    }
   else if (p->hedge_due_ms && now_ms >= p->hedge_due_ms)
     {
       p->hedge_due_ms = 0;
@@ -466,6 +480,8 @@
                                           wy_proxy_fingerprint (p));
   if (is_blocked (p))
     wy_proxy_fail (p, false, WY_PROXY_REASON_CRASHES_TARGETS);
+  else if (wy_proxy_is_over_memory (p))
+    wy_proxy_fail (p, false, WY_PROXY_REASON_MEMORY);
   else
     start_attempt (p);
 }
--- a/src/gate/proxy_end.c
+++ b/src/gate/proxy_end.c
@@ -14,6 +14,9 @@
      again after a few requests, targets that are gone take longer.  */
   RETRY_AFTER_FULL_MS = 200,
   RETRY_AFTER_NO_TARGET_MS = 500,
+  /* Silent readers are closed after 2 s; until then the callers that return
+     must not all be here at once.  */
+  RETRY_AFTER_MEMORY_MS = 1000,
   /* A retry is of no use before an operator has looked at the request.  */
   RETRY_AFTER_CRASHES_MS = 30000,
   STATUS_UNAVAILABLE = 503
@@ -59,6 +62,7 @@
 
   if (!g)
     return;
+  wy_read_source_end (t->p->env->read_pauses, &t->source);
   if (t->call)
     wy_h1_call_cancel (t->call);
   t->call = NULL;
@@ -205,6 +209,8 @@
   o.least_rate_hz = wy_gate_capacity_hz (p->env, p->service);
   if (!strcmp (reason, "full") || !strcmp (reason, WY_PROXY_REASON_NO_TIME))
     o.default_ms = RETRY_AFTER_FULL_MS;
+  else if (!strcmp (reason, WY_PROXY_REASON_MEMORY))
+    o.not_before_ms = o.default_ms = RETRY_AFTER_MEMORY_MS;
   else if (!strcmp (reason, "no_target"))
     o.not_before_ms = RETRY_AFTER_NO_TARGET_MS;
   return wy_rejections_tell (p->env->rejections, &o);
--- a/src/gate/proxy_state.h
+++ b/src/gate/proxy_state.h
@@ -5,12 +5,15 @@
 #include "gate/proxy.h"
 #include "gate/response.h"
 #include "gate/sse.h"
+#include "h1/read_pause.h"
 #include "platform/request_wire.h"
 
 /* Reason for rejecting a request that is suspected of crashing targets.  */
 #define WY_PROXY_REASON_CRASHES_TARGETS "crashes_targets"
 /* Reason for rejecting a request that can't be served in its time.  */
 #define WY_PROXY_REASON_NO_TIME "no_time"
+/* Reason for rejecting a request for which there is no memory.  */
+#define WY_PROXY_REASON_MEMORY "memory"
 
 enum
 {
@@ -22,6 +25,7 @@
   struct wy_proxy_request *p;
   struct wy_target *target; /* NULL: not in use */
   struct wy_h1_call *call;
+  struct wy_read_source source;
   struct wy_response *response; /* NULL: its head has not arrived */
   struct wy_response_info info;
   int64_t started_ms;
@@ -68,6 +72,11 @@
   struct wy_sse_parser events;
 };
 
+void wy_proxy_init_source (struct wy_proxy_attempt *t);
+void wy_proxy_pause_if_behind (struct wy_proxy_attempt *t,
+                               const struct wy_h1_request *reader);
+bool wy_proxy_is_paused (const struct wy_proxy_request *p);
+bool wy_proxy_is_over_memory (const struct wy_proxy_request *p);
 uint64_t wy_proxy_fingerprint (struct wy_proxy_request *p);
 void wy_proxy_usage_begin (struct wy_proxy_request *p);
 void wy_proxy_usage_end (struct wy_proxy_request *p, bool has_run);
--- a/src/h1/client_call.c
+++ b/src/h1/client_call.c
@@ -11,14 +11,20 @@
   /* An idle connection is closed this long before the peer's announced
      timeout, since a request that crosses the peer's close is lost.  */
   KEEP_MARGIN_MS = 1000,
+  /* With each level of the memory account a read is shortened to a quarter: a
+     response is paused only after the read that takes it over its limit.  */
+  LEVEL_SHIFT = 2,
   MS_PER_S = 1000
 };
 
 static void
 free_request (struct wy_h1_call *k)
 {
-  if (k->request)
-    g_string_free (k->request, TRUE);
+  if (!k->request)
+    return;
+  wy_memory_account_add (k->client->memory, WY_MEMORY_TO_REPLICAS,
+                         -(int64_t)k->request->allocated_len);
+  g_string_free (k->request, TRUE);
   k->request = NULL;
 }
 
@@ -97,6 +103,7 @@
   void *ctx = k->o.ctx;
 
   k->o.on_end = NULL;
+  wy_h1_call_resume (k);
   /* A peer that responds before it has read the complete request would read
      the rest of it out of the next one.  */
   if (k->writing)
@@ -213,8 +220,9 @@
 on_alloc (uv_handle_t *h, size_t suggested, uv_buf_t *buf)
 {
   struct wy_h1_client *c = ((struct wy_h1_call *)h)->client;
+  unsigned shift = LEVEL_SHIFT * wy_memory_account_level (c->memory);
 
-  *buf = uv_buf_init (c->read_buffer, sizeof c->read_buffer);
+  *buf = uv_buf_init (c->read_buffer, sizeof c->read_buffer >> shift);
 }
 
 static void
@@ -305,6 +313,13 @@
     wy_h1_call_fail (k, WY_H1_ERESET);
 }
 
+/* Read from K's open connection.  */
+void
+wy_h1_call_start_reading (struct wy_h1_call *k)
+{
+  uv_read_start ((uv_stream_t *)&k->tcp, on_alloc, on_read);
+}
+
 /* Send K's request on its open connection.  */
 void
 wy_h1_call_send (struct wy_h1_call *k)
@@ -335,7 +350,7 @@
       return;
     }
   k->connected = true;
-  uv_read_start ((uv_stream_t *)&k->tcp, on_alloc, on_read);
+  wy_h1_call_start_reading (k);
   wy_h1_call_send (k);
 }
 
--- a/src/jobs/calls.c
+++ b/src/jobs/calls.c
@@ -16,8 +16,23 @@
      results: a trainer is idle meanwhile, and few callers wait at a time.  */
   POLL_MS = 40,
   PAGE_ROWS = 200,
+  /* Rows of long results are read in smaller pages: 200 of 48 KB would be
+     13 MB in base64, of which a response takes less than a tenth.  */
+  PAGE_BYTES = 1200000,
+  PAGE_ROWS_MIN = 24,
   /* Of the results in one response, a limit of the platform's clients.  */
   RESPONSE_BYTES_MAX = 900000,
+  /* The same at level PAUSE_READING of the memory account, and a quarter of it
+     at each further level: a reader that does not read holds one response.  */
+  SHORT_RESPONSE_BYTES_MAX = 65536,
+  LEVEL_SHIFT = 2,
+  /* Reads of results for readers at a time.  A page is counted only as it
+     arrives, so 500 readers that come at once would exceed the memory before
+     its level shows it.  A few trainers have at most one read each.  */
+  RESULT_READS_MAX = 8,
+  RESULT_READS_MAX_PAUSE_READING = 2,
+  /* Not 0: a job's memory is freed when its trainer has read enough.  */
+  RESULT_READS_MAX_SHED = 1,
   RETRY_AFTER_MS = 300,
   END_ATTEMPTS = 6,
   END_RETRY_MS = 150
@@ -31,6 +46,7 @@
   struct wy_job_record *record; /* a copy made for this request */
   int64_t received_ms;
   int64_t wait_until_ms;
+  bool whole_page;     /* a result exceeds a smaller page */
   bool pending;        /* a store call, or a retry to end the job */
   bool results_listed; /* more of them, during a read */
   uint32_t attempts;
@@ -122,6 +138,60 @@
   free_call (d);
 }
 
+static enum wy_memory_level
+memory_level (const struct call_state *d)
+{
+  return wy_memory_account_level (&d->jobs->env->memory);
+}
+
+static size_t
+max_response_bytes (const struct call_state *d)
+{
+  enum wy_memory_level level = memory_level (d);
+
+  if (level == WY_MEMORY_NORMAL)
+    return RESPONSE_BYTES_MAX;
+  return SHORT_RESPONSE_BYTES_MAX
+         >> (LEVEL_SHIFT * (level - WY_MEMORY_PAUSE_READING));
+}
+
+static uint32_t
+max_result_reads (const struct call_state *d)
+{
+  switch (memory_level (d))
+    {
+    case WY_MEMORY_NORMAL:
+      return RESULT_READS_MAX;
+    case WY_MEMORY_SHED:
+      return RESULT_READS_MAX_SHED;
+    default:
+      return RESULT_READS_MAX_PAUSE_READING;
+    }
+}
+
+static uint32_t
+page_rows (const struct call_state *d)
+{
+  size_t row_bytes = d->jobs->result_row_bytes;
+
+  if (d->whole_page || row_bytes == 0)
+    return PAGE_ROWS;
+  return (uint32_t)CLAMP (PAGE_BYTES / row_bytes, PAGE_ROWS_MIN, PAGE_ROWS);
+}
+
+static void
+record_row_bytes (struct wy_jobs *j, const struct wy_rows_result *r)
+{
+  size_t bytes = 0;
+
+  for (size_t i = 0; i < r->n; i++)
+    bytes += r->rows[i].size_bytes;
+  if (r->n)
+    j->result_row_bytes = bytes / r->n;
+}
+
+static void read_results (struct call_state *d);
+
 static void
 respond_results (struct call_state *d, const struct wy_rows_result *r)
 {
@@ -130,12 +200,19 @@
   guint n = 0;
 
   wy_result_join (r, results);
+  if (results->len == 0 && r->has_more && !d->whole_page)
+    {
+      g_ptr_array_free (results, TRUE);
+      d->whole_page = true;
+      read_results (d);
+      return;
+    }
   while (n < results->len)
     {
       const struct wy_result *res = g_ptr_array_index (results, n);
 
       size += res->text ? strlen (res->text) : 0;
-      if (n && size > RESPONSE_BYTES_MAX)
+      if (n && size > max_response_bytes (d))
         break;
       n++;
     }
@@ -151,8 +228,6 @@
   g_ptr_array_free (results, TRUE);
 }
 
-static void read_results (struct call_state *d);
-
 static bool
 may_have_more (const struct call_state *d)
 {
@@ -176,6 +251,8 @@
   struct call_state *d = ctx;
   int64_t now_ms = wy_clock_mono_ms (d->jobs->env->clock);
 
+  d->jobs->result_reads--;
+  record_row_bytes (d->jobs, r);
   if (!resume_call (d))
     return;
   if (r->err)
@@ -193,6 +270,8 @@
     }
 }
 
+/* Read results for D, or if too many reads are in progress, at its next
+   poll.  */
 static void
 read_results (struct call_state *d)
 {
@@ -200,9 +279,15 @@
   struct wy_rows_range range = { .table = WY_RESULTS_TABLE,
                                  .partition = d->call.job,
                                  .from = from,
-                                 .limit = PAGE_ROWS };
+                                 .limit = page_rows (d) };
 
+  if (d->jobs->result_reads >= max_result_reads (d))
+    {
+      uv_timer_start (&d->timer, on_poll, POLL_MS, 0);
+      return;
+    }
   wy_result_key (d->call.after, from);
+  d->jobs->result_reads++;
   d->pending = true;
   wy_rows_get (d->jobs->env->rows, &range, on_results, d);
 }
