Test of short memory waits for the jobs that it has submitted

Cause: the test ended while the replica of the stand-in still streamed, which then wrote to a connection that the end of the test had freed; the sanitizers found it.

Change: the test also checks the results of both accepted jobs before it ends.

--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -306,5 +306,7 @@
   wy_memory_account_add (&job_fixture.env.memory, WY_MEMORY_TO_CALLERS,
                          -(1 << 20));
   cr_expect_eq (job_fixture_submit ("new", 0), 202);
+  job_fixture_check_results ("before");
+  job_fixture_check_results ("new");
   job_fixture_stop ();
 }
