--- a/src/gate/env.h
+++ b/src/gate/env.h
@@ -6,12 +6,15 @@
 #include <uv.h>
 
 #include "base/clock.h"
+#include "base/memory_account.h"
 #include "base/rng.h"
 #include "decide/crash_tracker.h"
 #include "duties/usage.h"
+#include "gate/rejections.h"
 #include "gate/routing.h"
 #include "gate/targets.h"
 #include "h1/client.h"
+#include "h1/read_pause.h"
 #include "rows/rows.h"
 #include "trace/metrics.h"
 
@@ -39,6 +42,9 @@
   struct wy_metrics_family *requests_ended; /* by route, outcome and reason */
   /* By route, target's service and outcome.  */
   struct wy_metrics_family *latency_by_route;
+  struct wy_metrics_family *told;     /* by reason and basis */
+  struct wy_metrics_family *told_us;  /* by reason */
+  struct wy_metrics_family *returned; /* by work, time and outcome */
 };
 
 struct wy_demand;
@@ -50,6 +56,8 @@
   const char *node;   /* name of this instance */
   const char *holder; /* "NODE/INCARNATION": this start of the instance */
   const char *availability_zone;
+  struct wy_memory_account memory;
+  struct wy_read_pauses *read_pauses; /* NULL: reading is never paused */
   struct wy_h1_client *http;
   struct wy_rows *rows;
   struct wy_targets *targets;
@@ -61,6 +69,7 @@
   struct wy_usage *usage; /* NULL: usage is not reported */
   /* Of models, by which replicas are divided; NULL: they are not.  */
   struct wy_demand *demand;
+  struct wy_rejections *rejections;
   struct wy_gate_counters count;
 };
 
--- a/src/gate/gate_metrics.c
+++ b/src/gate/gate_metrics.c
@@ -58,6 +58,18 @@
   c->latency_by_route = wy_metrics_histogram_family (
       m, "wy_gate_request_us", "Time to the end of a request",
       WY_GATE_HISTOGRAM_SETS_MAX);
+  c->told = wy_metrics_counter_family (
+      m, "wy_gate_retry_after_total",
+      "Rejected callers told when to return, by reason and basis",
+      WY_GATE_LABEL_SETS_MAX);
+  c->told_us = wy_metrics_histogram_family (m, "wy_gate_retry_after_us",
+                                            "Times told to rejected callers",
+                                            WY_GATE_HISTOGRAM_SETS_MAX);
+  c->returned = wy_metrics_counter_family (
+      m, "wy_gate_returned_total",
+      "Requests and jobs of callers that were rejected before, by time of"
+      " return and how they ended",
+      WY_GATE_LABEL_SETS_MAX);
   c->latency_us = wy_metrics_histogram (m, "wy_gate_answer_us",
                                         "Time to a replica's whole answer");
   c->score_us = wy_metrics_histogram (m, "wy_gate_score_us",
@@ -149,6 +161,7 @@
                           "Windows reported without some entry's counts");
   v->scale_orders = wy_metrics_gauge (m, "wy_gate_scale_orders",
                                       "Orders for numbers of replicas");
+  wy_gate_register_memory_metrics (g);
   v->log_dropped = wy_metrics_gauge (m, "wy_gate_log_lines_dropped",
                                      "Log lines left out since the start");
 }
@@ -256,5 +269,6 @@
   *v->replicas_age_ms = wy_watch_age_ms (g->replica_watch);
   *v->config_version = g->env.routing ? g->env.routing->version : 0;
   update_duties (g);
+  wy_gate_update_memory_gauges (g);
   *v->log_dropped = (int64_t)wy_json_log_dropped ();
 }
--- a/src/gate/proxy.c
+++ b/src/gate/proxy.c
@@ -11,6 +11,7 @@
 #include <string.h>
 
 #include "decide/attempt.h"
+#include "gate/servable.h"
 #include "platform/request_wire.h"
 #include "trace/json_log.h"
 
@@ -119,7 +120,7 @@
   if (r->status < 300 && (t->info.encoded || !t->info.stamp))
     t->invalid = true;
   t->not_run = t->info.not_run;
-  t->response = wy_response_new (r->status, r->head);
+  t->response = wy_response_new (r->status, r->head, &p->env->memory);
   if (p->kind == WY_ROUTE_STREAM && r->status == 200 && !t->invalid
       && !p->streaming)
     {
@@ -154,12 +155,17 @@
       if (t->response->body->len + n > RESPONSE_LIMIT_BYTES)
         t->invalid = true;
       else
-        g_string_append_len (t->response->body, bytes, (gssize)n);
+        {
+          wy_response_append (t->response, bytes, n);
+          wy_proxy_pause_if_behind (t, NULL);
+        }
       return;
     }
   wy_sse_feed (&p->events, bytes, n, on_event, p);
   if (wy_h1_unsent_bytes (p->request) > UNSENT_LIMIT_BYTES)
     wy_proxy_fail (p, false, "slow_caller");
+  else
+    wy_proxy_pause_if_behind (t, p->request);
 }
 
 static void
@@ -234,6 +240,7 @@
   t->target = g;
   t->started_ms = now_ms;
   t->last_received_ms = now_ms;
+  wy_proxy_init_source (t);
   wy_request_forward_fields (wy_h1_head (p->request), &f, fields);
   o.fields = (const struct wy_h1_header *)fields->data;
   o.n_fields = fields->len;
@@ -288,9 +295,21 @@
                   due_ms > now_ms ? (uint64_t)(due_ms - now_ms) : 0, 0);
 }
 
+/* Whether P, of which nothing has been sent, can't be served in its time.
+   Doesn't apply to streams, whose callers use what arrives in time.  */
+static bool
+is_too_late (const struct wy_proxy_request *p)
+{
+  return p->sends == 0 && p->has_deadline && p->kind != WY_ROUTE_STREAM
+         && wy_gate_is_too_late (
+             p->env, p->service,
+             MAX (p->deadline_ms - RESPONSE_MARGIN_MS - wy_proxy_now_ms (p),
+                  0));
+}
+
 /* Send the request to one more target, one that has not been tried if
    possible.  If no target can accept it now, retry shortly; if the service has
-   no target, fail at once.  */
+   no target or the time is too short for any, fail at once.  */
 static void
 start_attempt (struct wy_proxy_request *p)
 {
@@ -300,6 +319,11 @@
   p->retry_due_ms = 0;
   if (!t)
     return;
+  if (is_too_late (p))
+    {
+      wy_proxy_fail (p, false, WY_PROXY_REASON_NO_TIME);
+      return;
+    }
   if (!g && !has_running_attempt (p)
       && (is_repeatable (p) || !p->may_have_run))
     g = pick_target (p, true);
@@ -324,6 +348,8 @@
       wy_proxy_fail (p, false, "full");
       return;
     }
+  /* Nothing runs that could be hedged.  */
+  p->hedge_due_ms = 0;
   p->retry_due_ms = wy_proxy_now_ms (p) + CAPACITY_RETRY_MS;
   arm_timer (p);
 }
@@ -335,7 +361,7 @@
     {
       struct wy_proxy_attempt *t = &p->running[i];
 
-      if (t->target
+      if (t->target && !t->source.paused
           && wy_proxy_now_ms (p) - t->last_received_ms
                  >= STREAM_IDLE_TIMEOUT_MS)
         {
@@ -360,6 +386,14 @@
     }
   else if (p->retry_due_ms && now_ms >= p->retry_due_ms)
     start_attempt (p);
+  else if (p->hedge_due_ms && now_ms >= p->hedge_due_ms
+           && wy_proxy_is_paused (p))
+    {
+      /* A second response would take more memory, and the first is late
+         because it is not read.  */
+      p->hedge_due_ms = now_ms + p->hedge_delay_ms;
+      arm_timer (p);
+    }
   else if (p->hedge_due_ms && now_ms >= p->hedge_due_ms)
     {
       p->hedge_due_ms = 0;
@@ -388,6 +422,8 @@
   p->started_ms = received_ms;
   p->deadline_ms
       = received_ms + (p->has_deadline ? limit_ms : DEFAULT_TIMEOUT_MS);
+  p->caller_until_ms
+      = info->time_left_ms >= 0 ? received_ms + info->time_left_ms : 0;
   p->hedge_delay_ms
       = route->target_latency_ms
             ? route->target_latency_ms / 2
@@ -439,8 +475,13 @@
   uv_timer_init (env->loop, &p->timer);
   p->timer.data = p;
   wy_h1_on_hangup (r, wy_proxy_on_hangup, p);
+  if (wy_rejections_expects_any (env->rejections, p->service))
+    p->returned = wy_rejections_returned (env->rejections, p->service,
+                                          wy_proxy_fingerprint (p));
   if (is_blocked (p))
     wy_proxy_fail (p, false, WY_PROXY_REASON_CRASHES_TARGETS);
+  else if (wy_proxy_is_over_memory (p))
+    wy_proxy_fail (p, false, WY_PROXY_REASON_MEMORY);
   else
     start_attempt (p);
 }
--- a/src/h1/server_response.c
+++ b/src/h1/server_response.c
@@ -1,7 +1,17 @@
 /* HTTP/1.1 server: responses, and the handler's view of its request.  */
 #include "h1/server_state.h"
 
+#include <linux/sockios.h>
 #include <string.h>
+#include <sys/ioctl.h>
+
+enum
+{
+  STATUS_UNAVAILABLE = 503,
+  RETRY_AFTER_MS = 1000,
+  RETRY_AFTER_SIZE_BYTES = 16,
+  MS_PER_S = 1000
+};
 
 /* A pending write and its bytes.  */
 struct write
@@ -19,6 +29,17 @@
   return http_status_str ((enum http_status)status);
 }
 
+/* Add a write of N bytes, or with SIGN -1 subtract it.  Its header counts too:
+   it is longer than a short event.  */
+static void
+count_write (struct wy_h1_request *c, size_t n, int sign)
+{
+  int64_t delta_bytes = (int64_t)(sizeof (struct write) + n) * sign;
+
+  c->held_bytes += (size_t)delta_bytes;
+  wy_memory_account_add (c->server->memory, WY_MEMORY_TO_CALLERS, delta_bytes);
+}
+
 static void
 on_written (uv_write_t *req, int status)
 {
@@ -26,6 +47,7 @@
   struct wy_h1_request *c = w->conn;
   bool last = w->last;
 
+  count_write (c, w->n, -1);
   g_free (w);
   if (status < 0 && !c->closing)
     wy_h1_conn_hang_up (c);
@@ -53,7 +75,12 @@
   buf = uv_buf_init (w->bytes, (unsigned)w->n);
   if (c->closing
       || uv_write (&w->req, (uv_stream_t *)&c->tcp, &buf, 1, on_written))
-    g_free (w);
+    {
+      g_free (w);
+      return;
+    }
+  c->queued_bytes += w->n;
+  count_write (c, w->n, 1);
 }
 
 static GString *
@@ -132,6 +159,30 @@
   return uv_stream_get_write_queue_size ((const uv_stream_t *)&r->tcp);
 }
 
+/* Bytes sent on TCP that its peer has not acknowledged: those queued here and
+   those in the kernel, which may hold megabytes and accept more only long
+   after the peer has taken some.  */
+size_t
+wy_h1_untaken_bytes (const uv_tcp_t *tcp)
+{
+  size_t queued_bytes
+      = uv_stream_get_write_queue_size ((const uv_stream_t *)tcp);
+  int kernel_bytes = 0;
+  uv_os_fd_t fd;
+
+  if (uv_fileno ((const uv_handle_t *)tcp, &fd)
+      || ioctl (fd, SIOCOUTQ, &kernel_bytes))
+    return queued_bytes;
+  return queued_bytes + (size_t)kernel_bytes;
+}
+
+/* Memory that the queued bytes of responses occupy.  */
+size_t
+wy_h1_held_bytes (const struct wy_h1_request *r)
+{
+  return r->held_bytes;
+}
+
 /* End the response as complete.  R is not valid afterwards.  */
 void
 wy_h1_end_response (struct wy_h1_request *r)
@@ -156,14 +207,20 @@
 void
 wy_h1_conn_reject (struct wy_h1_request *c, int status)
 {
-  static const struct wy_h1_header retry_after = { "Retry-After", "1" };
+  char after[RETRY_AFTER_SIZE_BYTES];
+  struct wy_h1_header retry_after = { "Retry-After", after };
+  uint32_t after_ms = RETRY_AFTER_MS;
 
+  if (status == STATUS_UNAVAILABLE && c->server->on_no_memory)
+    after_ms = c->server->on_no_memory (c->server->ctx, c);
+  g_snprintf (after, sizeof after, "%u.%03u", after_ms / MS_PER_S,
+              after_ms % MS_PER_S);
   c->keep_alive = false;
   if (c->state != CONN_BUSY)
     wy_h1_conn_set_state (c, CONN_BUSY);
   {
-    GString *out
-        = response_head (c, status, &retry_after, status == 503 ? 1 : 0);
+    GString *out = response_head (c, status, &retry_after,
+                                  status == STATUS_UNAVAILABLE ? 1 : 0);
 
     g_string_append (out, "Content-Length: 0\r\n\r\n");
     wy_h1_conn_send (c, out, NULL, 0, false);
--- a/src/jobs/active_job.c
+++ b/src/jobs/active_job.c
@@ -6,6 +6,7 @@
 #include "decide/item_slots.h"
 #include "jobs/checkpoint.h"
 #include "jobs/demand.h"
+#include "jobs/model_jobs.h"
 #include "jobs/score.h"
 #include "trace/json_log.h"
 
@@ -83,21 +84,11 @@
   if (g)
     return g;
   g = g_new0 (struct wy_group, 1);
+  g->index = g_hash_table_size (o->groups);
   g_hash_table_insert (o->groups, (char *)name, g);
   return g;
 }
 
-static gint
-by_expected_length (gconstpointer a, gconstpointer b)
-{
-  const struct wy_item *x = *(struct wy_item *const *)a;
-  const struct wy_item *y = *(struct wy_item *const *)b;
-
-  if (x->spec->expected_tokens != y->spec->expected_tokens)
-    return x->spec->expected_tokens > y->spec->expected_tokens ? -1 : 1;
-  return x < y ? -1 : 1;
-}
-
 /* Return a job for OPT->record with all its items waiting.  */
 struct wy_active_job *
 wy_active_job_new (const struct wy_active_job_options *opt)
@@ -107,8 +98,11 @@
   o->env = opt->env;
   o->record = opt->record;
   o->spec = opt->spec;
+  o->planner = opt->planner;
   o->row_bytes = opt->row_bytes;
   o->started_ms = now_of (o);
+  wy_memory_account_add (&o->env->memory, WY_MEMORY_JOBS,
+                         (int64_t)o->spec->size_bytes);
   o->on_listed = opt->on_listed;
   o->on_end = opt->on_end;
   o->ctx = opt->ctx;
@@ -134,10 +128,7 @@
       i->next_job_event = -1;
       i->saved_event = -1;
     }
-  o->start_order = g_ptr_array_new ();
-  for (uint32_t k = 0; k < o->n_items; k++)
-    g_ptr_array_add (o->start_order, &o->items[k]);
-  g_ptr_array_sort (o->start_order, by_expected_length);
+  wy_item_plan_init (o);
   uv_timer_init (o->env->loop, &o->flush);
   o->flush.data = o;
   return o;
@@ -146,20 +137,25 @@
 static void
 free_active_job (struct wy_active_job *o)
 {
+  size_t counted_bytes = o->spec->size_bytes;
+
   for (uint32_t k = 0; k < o->n_items; k++)
     {
       struct wy_item *i = &o->items[k];
 
+      counted_bytes += i->counted_bytes;
       if (i->avoid)
         wy_target_unref (o->env->targets, i->avoid);
       g_string_free (i->text, TRUE);
       g_array_free (i->versions, TRUE);
       wy_result_free (i->result);
     }
+  wy_memory_account_add (&o->env->memory, WY_MEMORY_JOBS,
+                         -(int64_t)counted_bytes);
   wy_checkpoint_detach (o);
   g_free (o->items);
   g_hash_table_destroy (o->groups);
-  g_ptr_array_free (o->start_order, TRUE);
+  wy_item_plan_clear (o);
   g_ptr_array_free (o->batch, TRUE);
   g_queue_clear (&o->unlisted);
   wy_job_spec_free (o->spec);
@@ -269,6 +265,7 @@
   leave_state (i);
   i->state = WY_ITEM_UNLISTED;
   i->result = r;
+  wy_item_count_memory (i);
   count_result (i);
   (*i->job->env->count.items_done)++;
   wy_hist_add (i->job->env->count.item_us,
@@ -290,6 +287,7 @@
     }
   leave_state (i);
   i->state = WY_ITEM_SCORING;
+  i->text_complete_ms = now_of (i->job);
   i->score = wy_score_new (i);
   i->job->n_scoring++;
 }
@@ -298,6 +296,7 @@
 void
 wy_item_scored (struct wy_item *i, const char *stamp)
 {
+  wy_item_plan_scored (i);
   set_result (i, false, stamp);
 }
 
@@ -360,37 +359,43 @@
   return wy_targets_pick (o->env->targets, &q, now_of (o));
 }
 
-/* Start waiting items, those with the longest expected text first: the step
-   ends with the last item of its groups, so a long item that starts late
-   delays it.  */
+/* Start at most MAX waiting items, those with the longest expected text first:
+   the step ends with the last item of its groups, so a long item that starts
+   late delays it.  If the job can't end in time, its plan says the order, and
+   only items of groups up to the class LAST start.  Under level SHED none
+   starts: its text could not be read, and would hold a slot.  */
 void
-wy_active_job_start_items (struct wy_active_job *o)
+wy_active_job_start_waiting (struct wy_active_job *o, uint32_t max,
+                             enum wy_group_class last)
 {
   const struct wy_route *route;
   int64_t now_ms = now_of (o);
   bool limited_full = false; /* no slot for items with a limited share */
 
-  wy_scores_start_calls (o);
   if (o->closed || o->lingering || o->n_waiting == 0 || !o->env->routing
-      || o->env->stopping)
+      || o->env->stopping
+      || wy_memory_account_level (&o->env->memory) == WY_MEMORY_SHED)
     return;
   route = wy_active_job_route (o);
   if (!route)
     return;
-  for (uint32_t k = 0; k < o->n_items && o->n_waiting; k++)
+  wy_item_plan_update (o);
+  for (uint32_t k = 0; k < o->n_items && o->n_waiting && max; k++)
     {
       struct wy_item *i = g_ptr_array_index (o->start_order, k);
       struct wy_item_slots_options slots
           = { .length_rank = k,
               .items = o->n_items,
               .has_partial_text = i->last_event >= 0,
+              .exceeds_capacity = o->plan.planned,
               .waited_ms = now_ms - o->started_ms,
               .due_ms = route->result_deadline_ms };
       double share = wy_item_slots_occupancy_max (&slots);
       struct wy_target *g;
 
       if (i->state != WY_ITEM_WAITING || i->not_before_ms > now_ms
-          || (share > 0 && limited_full) || wy_run_is_held_back (i))
+          || (share > 0 && limited_full) || wy_item_plan_class (i) > last
+          || wy_run_is_held_back (i))
         continue;
       g = wy_active_job_pick_target (i, i->avoid, 0, share);
       /* The target that failed last is better than none.  */
@@ -401,10 +406,23 @@
       else if (!g)
         return;
       else
-        wy_run_start (i, g, route);
+        {
+          wy_run_start (i, g, route);
+          max--;
+        }
     }
 }
 
+/* Start calls for scores of O, and waiting items of O and of the jobs that
+   share its slots.  */
+void
+wy_active_job_start_items (struct wy_active_job *o)
+{
+  wy_scores_start_calls (o);
+  if (o->env->routing)
+    wy_model_jobs_start_items (o);
+}
+
 static void
 check_time (struct wy_active_job *o)
 {
--- a/src/jobs/active_job.h
+++ b/src/jobs/active_job.h
@@ -5,6 +5,7 @@
 #include "decide/retry.h"
 #include "gate/env.h"
 #include "gate/sse.h"
+#include "jobs/item_plan.h"
 #include "jobs/record.h"
 #include "jobs/result.h"
 #include "jobs/spec.h"
@@ -25,6 +26,7 @@
 /* Items that the trainer uses together.  */
 struct wy_group
 {
+  uint32_t index; /* among the groups of the job, in the order of its items */
   uint32_t missing; /* items without a result */
 };
 
@@ -34,7 +36,8 @@
   struct wy_group *group;
   const struct wy_item_spec *spec;
   enum wy_item_state state;
-  GString *text; /* data of the events so far, joined by line feeds */
+  GString *text;        /* data of the events so far, joined by line feeds */
+  size_t counted_bytes; /* of text and result, in the memory account */
   GArray *versions;
   int64_t last_event; /* id of the last event in text; -1: none */
   uint64_t text_id;   /* random; changes when text is discarded; 0: none yet */
@@ -45,9 +48,11 @@
   int64_t next_job_event; /* last event stored for a later job; -1: none */
   uint32_t failed_runs;   /* with status 500 */
   uint32_t runs;
+  double slot_ms;              /* duration of its ended runs with events */
+  uint32_t run_events;         /* events of its ended runs */
+  int64_t text_complete_ms;    /* when its text was complete */
   uint32_t runs_without_event; /* in a row, failed before any event */
   int64_t not_before_ms;       /* earliest start of the next run */
-  int64_t slot_ms;             /* duration of its runs with events */
   struct wy_target *avoid; /* referenced; where the last run failed; or NULL */
   struct wy_run *run;      /* in state RUNNING */
   struct wy_score *score;  /* in state SCORING */
@@ -68,7 +73,10 @@
   struct wy_job_spec *spec;
   int64_t newest_version; /* of the weights, as announced; 0: unknown */
   struct wy_item *items;
-  GPtrArray *start_order;   /* of items, longest expected text first */
+  GPtrArray *start_order; /* of items; longest expected text first, unless
+                             a plan says otherwise */
+  struct wy_item_planner *planner;
+  struct wy_item_plan plan;
   GHashTable *groups;       /* struct wy_group by name */
   uint32_t complete_groups; /* groups whose items all have results */
   uint32_t n_items;
@@ -87,7 +95,8 @@
   bool writing;
   bool flush_scheduled;
   struct wy_checkpoint_write *checkpoint_write; /* in progress, or NULL */
-  GPtrArray *batch;                             /* struct wy_item */
+  uint32_t checkpoint_next; /* item at which the next one begins */
+  GPtrArray *batch;         /* struct wy_item */
   uint32_t write_failures;
   uv_timer_t flush; /* starts the next result write */
   void (*on_listed) (void *ctx, struct wy_active_job *o);
@@ -101,6 +110,7 @@
   struct wy_gate_env *env;
   struct wy_job_record *record; /* ownership is taken */
   struct wy_job_spec *spec;     /* ownership is taken */
+  struct wy_item_planner *planner;
   size_t row_bytes;
   void (*on_listed) (void *ctx, struct wy_active_job *o);
   void (*on_end) (void *ctx, struct wy_active_job *o,
@@ -114,6 +124,8 @@
 void wy_active_job_restore_listed (struct wy_active_job *o, const char *item);
 bool wy_active_job_store_call_ended (struct wy_active_job *o);
 void wy_active_job_start_items (struct wy_active_job *o);
+void wy_active_job_start_waiting (struct wy_active_job *o, uint32_t max,
+                                  enum wy_group_class last);
 struct wy_target *wy_active_job_pick_target (const struct wy_item *i,
                                              const struct wy_target *except,
                                              double pace_limit_ms,
@@ -128,6 +140,7 @@
 int64_t wy_active_job_time_left_ms (const struct wy_active_job *o);
 uint32_t wy_item_max_score_failures (const struct wy_item *i);
 
+void wy_item_count_memory (struct wy_item *i);
 void wy_item_text_complete (struct wy_item *i);
 void wy_item_scored (struct wy_item *i, const char *stamp);
 void wy_item_give_up (struct wy_item *i);
--- a/src/jobs/calls.c
+++ b/src/jobs/calls.c
@@ -16,8 +16,23 @@
      results: a trainer is idle meanwhile, and few callers wait at a time.  */
   POLL_MS = 40,
   PAGE_ROWS = 200,
+  /* Rows of long results are read in smaller pages: 200 of 48 KB would be
+     13 MB in base64, of which a response takes less than a tenth.  */
+  PAGE_BYTES = 1200000,
+  PAGE_ROWS_MIN = 24,
   /* Of the results in one response, a limit of the platform's clients.  */
   RESPONSE_BYTES_MAX = 900000,
+  /* The same at level PAUSE_READING of the memory account, and a quarter of it
+     at each further level: a reader that does not read holds one response.  */
+  SHORT_RESPONSE_BYTES_MAX = 65536,
+  LEVEL_SHIFT = 2,
+  /* Reads of results for readers at a time.  A page is counted only as it
+     arrives, so 500 readers that come at once would exceed the memory before
+     its level shows it.  A few trainers have at most one read each.  */
+  RESULT_READS_MAX = 8,
+  RESULT_READS_MAX_PAUSE_READING = 2,
+  /* Not 0: a job's memory is freed when its trainer has read enough.  */
+  RESULT_READS_MAX_SHED = 1,
   RETRY_AFTER_MS = 300,
   END_ATTEMPTS = 6,
   END_RETRY_MS = 150
@@ -31,6 +46,7 @@
   struct wy_job_record *record; /* a copy made for this request */
   int64_t received_ms;
   int64_t wait_until_ms;
+  bool whole_page;     /* a result exceeds a smaller page */
   bool pending;        /* a store call, or a retry to end the job */
   bool results_listed; /* more of them, during a read */
   uint32_t attempts;
@@ -76,14 +92,38 @@
   return false;
 }
 
+/* When the caller of D, which is rejected since the store can't be read,
+   should return.  */
+static struct wy_retry_after_time
+tell_return (const struct call_state *d, const char *reason)
+{
+  struct wy_request_info info;
+  struct wy_rejection o = { .reason = reason,
+                            .ends = WY_REJECTION_ENDS_BY_STORE,
+                            .default_ms = RETRY_AFTER_MS,
+                            .time_left_ms = -1 };
+
+  wy_request_parse_head (wy_h1_head (d->request), &info);
+  if (info.time_left_ms >= 0)
+    o.time_left_ms = MAX (info.time_left_ms + d->received_ms
+                              - wy_clock_mono_ms (d->jobs->env->clock),
+                          0);
+  return wy_rejections_tell (d->jobs->env->rejections, &o);
+}
+
 static void
 reject (struct call_state *d, int status, const char *reason, int err)
 {
-  wy_json_log ("job.call_refused", "id=%s call=%s status=%d reason=%s err=%d",
-               d->call.job, wy_job_call_name (d->call.kind), status, reason,
-               err);
-  wy_respond_status (d->request, status, reason,
-                     status == 503 ? RETRY_AFTER_MS : 0);
+  struct wy_retry_after_time t = { 0 };
+  char fields[WY_REJECTION_FIELDS_SIZE_BYTES];
+
+  if (status == 503)
+    t = tell_return (d, reason);
+  wy_json_log ("job.call_refused",
+               "id=%s call=%s status=%d reason=%s err=%d %s", d->call.job,
+               wy_job_call_name (d->call.kind), status, reason, err,
+               status == 503 ? wy_rejection_fields (&t, fields) : "");
+  wy_respond_status (d->request, status, reason, t.ms);
   free_call (d);
 }
 
@@ -98,6 +138,60 @@
   free_call (d);
 }
 
+static enum wy_memory_level
+memory_level (const struct call_state *d)
+{
+  return wy_memory_account_level (&d->jobs->env->memory);
+}
+
+static size_t
+max_response_bytes (const struct call_state *d)
+{
+  enum wy_memory_level level = memory_level (d);
+
+  if (level == WY_MEMORY_NORMAL)
+    return RESPONSE_BYTES_MAX;
+  return SHORT_RESPONSE_BYTES_MAX
+         >> (LEVEL_SHIFT * (level - WY_MEMORY_PAUSE_READING));
+}
+
+static uint32_t
+max_result_reads (const struct call_state *d)
+{
+  switch (memory_level (d))
+    {
+    case WY_MEMORY_NORMAL:
+      return RESULT_READS_MAX;
+    case WY_MEMORY_SHED:
+      return RESULT_READS_MAX_SHED;
+    default:
+      return RESULT_READS_MAX_PAUSE_READING;
+    }
+}
+
+static uint32_t
+page_rows (const struct call_state *d)
+{
+  size_t row_bytes = d->jobs->result_row_bytes;
+
+  if (d->whole_page || row_bytes == 0)
+    return PAGE_ROWS;
+  return (uint32_t)CLAMP (PAGE_BYTES / row_bytes, PAGE_ROWS_MIN, PAGE_ROWS);
+}
+
+static void
+record_row_bytes (struct wy_jobs *j, const struct wy_rows_result *r)
+{
+  size_t bytes = 0;
+
+  for (size_t i = 0; i < r->n; i++)
+    bytes += r->rows[i].size_bytes;
+  if (r->n)
+    j->result_row_bytes = bytes / r->n;
+}
+
+static void read_results (struct call_state *d);
+
 static void
 respond_results (struct call_state *d, const struct wy_rows_result *r)
 {
@@ -106,12 +200,19 @@
   guint n = 0;
 
   wy_result_join (r, results);
+  if (results->len == 0 && r->has_more && !d->whole_page)
+    {
+      g_ptr_array_free (results, TRUE);
+      d->whole_page = true;
+      read_results (d);
+      return;
+    }
   while (n < results->len)
     {
       const struct wy_result *res = g_ptr_array_index (results, n);
 
       size += res->text ? strlen (res->text) : 0;
-      if (n && size > RESPONSE_BYTES_MAX)
+      if (n && size > max_response_bytes (d))
         break;
       n++;
     }
@@ -127,8 +228,6 @@
   g_ptr_array_free (results, TRUE);
 }
 
-static void read_results (struct call_state *d);
-
 static bool
 may_have_more (const struct call_state *d)
 {
@@ -152,6 +251,8 @@
   struct call_state *d = ctx;
   int64_t now_ms = wy_clock_mono_ms (d->jobs->env->clock);
 
+  d->jobs->result_reads--;
+  record_row_bytes (d->jobs, r);
   if (!resume_call (d))
     return;
   if (r->err)
@@ -169,6 +270,8 @@
     }
 }
 
+/* Read results for D, or if too many reads are in progress, at its next
+   poll.  */
 static void
 read_results (struct call_state *d)
 {
@@ -176,9 +279,15 @@
   struct wy_rows_range range = { .table = WY_RESULTS_TABLE,
                                  .partition = d->call.job,
                                  .from = from,
-                                 .limit = PAGE_ROWS };
+                                 .limit = page_rows (d) };
 
+  if (d->jobs->result_reads >= max_result_reads (d))
+    {
+      uv_timer_start (&d->timer, on_poll, POLL_MS, 0);
+      return;
+    }
   wy_result_key (d->call.after, from);
+  d->jobs->result_reads++;
   d->pending = true;
   wy_rows_get (d->jobs->env->rows, &range, on_results, d);
 }
--- a/src/jobs/jobs.c
+++ b/src/jobs/jobs.c
@@ -9,7 +9,6 @@
 
 #include <string.h>
 
-#include "decide/job_priority.h"
 #include "jobs/demand.h"
 #include "trace/json_log.h"
 
@@ -52,7 +51,10 @@
 drop_active_job (struct wy_jobs *j, struct wy_active_job *o)
 {
   if (g_hash_table_lookup (j->active, o->record->id) == o)
-    g_hash_table_remove (j->active, o->record->id);
+    {
+      g_hash_table_remove (j->active, o->record->id);
+      wy_rejections_ended (j->env->rejections, NULL);
+    }
   wy_active_job_close (o);
 }
 
@@ -60,6 +62,7 @@
 start_lingering (struct wy_jobs *j, struct wy_active_job *o)
 {
   g_hash_table_remove (j->active, o->record->id);
+  wy_rejections_ended (j->env->rejections, NULL);
   wy_active_job_linger (o);
   g_ptr_array_add (j->lingering, o);
 }
@@ -153,28 +156,11 @@
   drop_active_job (j, o);
 }
 
-/* An organisation that was removed from the configuration has the lowest
-   priority.  */
-static struct wy_job_priority
-priority_of (const struct wy_active_job *o)
-{
-  const struct wy_routing *r = o->env->routing;
-  const struct wy_route *route = r ? wy_active_job_route (o) : NULL;
-  const struct wy_org *org
-      = r && r->orgs ? wy_orgs_find (r->orgs, o->record->organisation) : NULL;
-
-  return (struct wy_job_priority){ .organisation_priority
-                                   = org ? org->priority : UINT32_MAX,
-                                   .route_priority
-                                   = route ? route->priority : 0,
-                                   .accepted_ms = o->record->accepted_ms };
-}
-
 /* Record that the job O has started here, as a part of its model's demand.  */
 void
 wy_jobs_count_demand (struct wy_jobs *j, const struct wy_active_job *o)
 {
-  struct wy_job_priority p = priority_of (o);
+  struct wy_job_priority p = wy_item_plan_priority (o);
 
   wy_demand_job_started (j->env->demand, o, wy_job_priority_effective (&p));
 }
@@ -188,6 +174,7 @@
                                      .record = wy_job_record_copy (r),
                                      .spec = spec,
                                      .row_bytes = j->row_bytes,
+                                     .planner = j->planner,
                                      .on_listed = wy_jobs_on_listed,
                                      .on_end = wy_jobs_on_job_end,
                                      .ctx = j };
@@ -202,7 +189,8 @@
 /* Return whether one more job with a body of BODY_BYTES fits into the memory
    for jobs.  Without this limit, hundreds of large jobs would exhaust the
    memory and end the process with everything it runs; the submitter of a
-   rejected job retries at another entry.  */
+   rejected job retries at another entry.  Texts, and what other requests hold,
+   are in the memory account of the process.  */
 bool
 wy_jobs_has_memory_for (const struct wy_jobs *j, size_t body_bytes)
 {
@@ -210,6 +198,8 @@
   GHashTableIter it;
   gpointer p;
 
+  if (wy_memory_account_level (&j->env->memory) >= WY_MEMORY_REJECT_NEW)
+    return false;
   if (j->memory_limit_bytes == 0)
     return true;
   g_hash_table_iter_init (&it, j->active);
@@ -276,7 +266,7 @@
   g_hash_table_iter_init (&it, j->active);
   while (g_hash_table_iter_next (&it, NULL, &p))
     {
-      struct ranked_job t = { priority_of (p), p };
+      struct ranked_job t = { wy_item_plan_priority (p), p };
 
       g_array_append_val (all, t);
     }
@@ -380,6 +370,7 @@
   j->records
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_record);
   j->active = g_hash_table_new (g_str_hash, g_str_equal);
+  j->planner = wy_item_planner_new (j->active);
   j->lingering = g_ptr_array_new ();
   j->submissions = g_ptr_array_new ();
   j->finished
--- a/src/jobs/result_list.c
+++ b/src/jobs/result_list.c
@@ -56,6 +56,7 @@
                                   .complete_groups = o->complete_groups,
                                   .wanted_groups = o->spec->wanted_groups,
                                   .age_ms = wy_active_job_age_ms (o),
+                                  .exceeds_capacity = o->plan.planned,
                                   .stopping = o->env->stopping };
 
   l.due_ms = route ? route->result_deadline_ms : 0;
@@ -110,6 +111,7 @@
   g_queue_remove (&o->unlisted, i);
   g_string_free (i->text, TRUE);
   i->text = g_string_new (NULL);
+  wy_item_count_memory (i);
 }
 
 static void
--- a/src/jobs/run.c
+++ b/src/jobs/run.c
@@ -60,9 +60,10 @@
 
   /* A run without an event may have waited at the replica or been rejected. */
   if (r->n_events)
-    r->item->slot_ms += wy_run_now_ms (r) - r->started_ms;
-
+    r->item->slot_ms += (double)(wy_run_now_ms (r) - r->started_ms);
   r->item->run = NULL;
+  r->item->run_events += r->n_events;
+  wy_read_source_end (env->read_pauses, &r->source);
   wy_sse_clear (&r->events);
   wy_target_request_ended (env->targets, r->target, outcome,
                            wy_run_now_ms (r));
@@ -119,6 +120,7 @@
 discard_text (struct wy_item *i)
 {
   g_string_truncate (i->text, 0);
+  wy_item_count_memory (i);
   g_array_set_size (i->versions, 0);
   i->last_event = -1;
   i->text_id = 0;
@@ -217,6 +219,7 @@
   if (i->last_event >= 0)
     g_string_append_c (i->text, '\n');
   g_string_append_len (i->text, ev->data, (gssize)ev->data_n);
+  wy_item_count_memory (i);
   i->last_event = ev->id;
   i->runs_without_event = 0;
   r->n_events++;
@@ -251,7 +254,7 @@
 
   if (r->status == STATUS_OK && !r->fault)
     wy_sse_feed (&r->events, p, n, on_event, r);
-  if (before && r->n_events > before)
+  if (before && r->n_events > before && !r->was_paused)
     {
       uint32_t n = r->n_events - before;
       double event_duration_ms = (double)(now_ms - r->progress_ms) / n;
@@ -263,20 +266,37 @@
   if (r->n_events > before)
     r->progress_ms = now_ms;
   if (r->fault)
-    abort_faulty_run (r);
+    {
+      abort_faulty_run (r);
+      return;
+    }
+  r->source.call = r->call;
+  r->source.stored_bytes = r->item->text->len;
+  wy_read_source_received (r->item->job->env->read_pauses, &r->source);
+}
+
+/* The time of the pause does not count as silence of the replica.  */
+static void
+on_read_resumed (void *ctx)
+{
+  struct wy_run *r = ctx;
+
+  r->progress_ms = wy_run_now_ms (r);
+  r->was_paused = true;
 }
 
 static void
 complete (struct wy_run *r)
 {
   struct wy_item *i = r->item;
-  char service[WY_REPLICA_NAME_SIZE_BYTES];
+  struct wy_target *g = r->target;
 
   log_run (r, "completed");
-  /* The target may be freed when its last run ends.  */
-  g_strlcpy (service, r->target->info.service, sizeof service);
+  wy_target_ref (g);
   end_run (r, WY_TARGET_ANSWERED);
-  wy_demand_item_ended (i->job->env->demand, service, i);
+  wy_demand_item_ended (i->job->env->demand, g->info.service, i);
+  wy_item_plan_text_complete (i, g->info.service);
+  wy_target_unref (i->job->env->targets, g);
   wy_item_text_complete (i);
 }
 
@@ -429,6 +449,8 @@
   r->allowed_failures = route->attempts;
   r->started_ms = wy_run_now_ms (r);
   r->progress_ms = r->started_ms;
+  r->source.on_resume = on_read_resumed;
+  r->source.ctx = r;
   wy_sse_init (&r->events);
   i->run = r;
   i->runs++;
--- a/src/rows/client.c
+++ b/src/rows/client.c
@@ -147,6 +147,7 @@
   s->loop = o->loop;
   s->clock = o->clock;
   s->http = o->http;
+  s->memory = o->memory;
   wy_rng_seed (&s->rng, o->seed);
   s->last_response_ms = wy_clock_mono_ms (o->clock);
   wy_paths_init (&s->paths, &o->address,
@@ -195,6 +196,16 @@
   return s->paths.direct_ok;
 }
 
+/* Time until the direct path, which fails, is probed again; -1 if not known,
+   as when the probe is due and goes with the next call.  */
+int64_t
+wy_rows_next_probe_ms (const struct wy_rows *s)
+{
+  int64_t ms = s->paths.next_probe_ms - wy_clock_mono_ms (s->clock);
+
+  return s->paths.direct_ok || ms <= 0 ? -1 : ms;
+}
+
 /* Copy the statistics of S to OUT.  */
 void
 wy_rows_stats (const struct wy_rows *s, struct wy_rows_stats *out)
