The status of an entry shows need and share of each model

Cause: an operator could see the division of a service's replicas in metrics and logs alone.

Change: wyctl status lists the models of the services whose jobs run on the entry, with the slots that they need and the replicas of their share.

--- a/src/gate/status.c
+++ b/src/gate/status.c
@@ -6,6 +6,8 @@
 
 #include <jansson.h>
 
+#include "jobs/demand.h"
+
 enum
 {
   /* Jobs in the status, running ones first.  Thousands that have ended would
@@ -166,18 +168,38 @@
   return list;
 }
 
+static void
+add_model (void *ctx, const struct wy_demand_view *v)
+{
+  json_array_append_new (ctx, json_pack ("{s:s, s:s, s:f, s:i}", "service",
+                                         v->service, "model", v->model,
+                                         "need_slots", v->need,
+                                         "share_replicas", (int)v->replicas));
+}
+
+/* Need and share of each model of the services whose jobs run here.  */
+static json_t *
+shares_of (const struct wy_gate *g)
+{
+  json_t *list = json_array ();
+
+  wy_demand_each (g->env.demand, add_model, list);
+  return list;
+}
+
 /* The status of G as JSON; the caller frees it.  */
 char *
 wy_gate_status (const struct wy_gate *g)
 {
   json_t *doc = json_pack (
-      "{s:s, s:s, s:b, s:o, s:o, s:o, s:o, s:o, s:o, s:o, s:o}", "node",
+      "{s:s, s:s, s:b, s:o, s:o, s:o, s:o, s:o, s:o, s:o, s:o, s:o}", "node",
       g->env.node, "holder", g->env.holder, "stopping",
       g->stop_requested_ms != 0, "config", config_of (g), "duties",
       duties_of (g), "store", store_of (g), "entries_age_ms",
       integer (wy_members_age_ms (g->members)), "entries", entries_of (g),
       "replicas_age_ms", integer (wy_watch_age_ms (g->replica_watch)),
-      "replicas", replicas_of (g), "jobs", jobs_of (g));
+      "replicas", replicas_of (g), "models", shares_of (g), "jobs",
+      jobs_of (g));
   char *text = json_dumps (doc, JSON_COMPACT);
   char *out = g_strdup (text);
 
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -179,6 +179,8 @@
       "ready");
   cr_expect_lt (json_integer_value (json_object_get (doc, "replicas_age_ms")),
                 2000);
+  /* No job runs here, so no need is known.  */
+  cr_expect (json_is_array (json_object_get (doc, "models")));
   json_decref (doc);
   platform_response_free (a);
   stop ();
