Estimates of load and pace of targets in a file of their own

Change: src/gate/target_estimate.c has the load, the pace and the median pace of targets; src/gate/targets_state.h what both files share. No change of behaviour.

Result: test_gate_targets passes (12 tests). None measured.

--- /dev/null
+++ b/src/gate/target_estimate.c
@@ -0,0 +1,101 @@
+/* Estimates of the load and pace of targets.  */
+#include <stdlib.h>
+
+#include "gate/targets_state.h"
+
+enum
+{
+  /* The load reported in a response is out of date after this time.  */
+  LOAD_VALID_MS = 1000,
+  /* The pace of a target is unknown after this time without a new sample;
+     otherwise a slow target would never be tried again.  */
+  PACE_VALID_MS = 4000,
+  /* Targets used for the median pace; more would not make it better.  */
+  MEDIAN_SAMPLE_MAX = 64
+};
+
+/* Weight of a new sample in the moving average of the pace, which so covers
+   about the last five samples.  */
+static const double pace_smoothing = 0.2;
+
+/* Estimated number of requests of all entries at G.  */
+uint32_t
+wy_target_load (const struct wy_target *g, int64_t now_ms)
+{
+  int64_t load;
+
+  if (g->reported_ms == 0 || now_ms - g->reported_ms > LOAD_VALID_MS)
+    return g->in_flight;
+  load = (int64_t)g->reported_load + g->in_flight - g->in_flight_at_report;
+  return load > (int64_t)g->in_flight ? (uint32_t)load : g->in_flight;
+}
+
+/* Pace of G at WORK in ms; UNKNOWN_MS if there is no recent sample.  */
+double
+wy_target_pace_ms (const struct wy_target *g, enum wy_work_kind work,
+                   double unknown_ms, int64_t now_ms)
+{
+  const struct wy_work_pace *p = &g->pace[work];
+
+  if (p->ms <= 0 || now_ms - p->seen_ms > PACE_VALID_MS)
+    return unknown_ms;
+  return p->ms;
+}
+
+static int
+compare_values (const void *a, const void *b)
+{
+  double x = *(const double *)a;
+  double y = *(const double *)b;
+
+  return x < y ? -1 : x > y;
+}
+
+/* Median pace at WORK, in ms, of the targets of SERVICE, which a few slow
+   targets don't affect; 1 if none is known, so that costs can be compared.  */
+double
+wy_targets_median_pace_ms (const struct wy_targets *t, const char *service,
+                           enum wy_work_kind work)
+{
+  double pace[MEDIAN_SAMPLE_MAX];
+  GHashTableIter it;
+  gpointer p;
+  uint32_t n = 0;
+
+  g_hash_table_iter_init (&it, t->by_id);
+  while (g_hash_table_iter_next (&it, NULL, &p) && n < MEDIAN_SAMPLE_MAX)
+    {
+      const struct wy_target *g = p;
+
+      if (g->pace[work].ms > 0 && wy_target_is_ready (g, service))
+        pace[n++] = g->pace[work].ms;
+    }
+  if (n == 0)
+    return 1;
+  qsort (pace, n, sizeof *pace, compare_values);
+  return pace[(n - 1) / 2];
+}
+
+/* Record the LOAD that G has reported: the number of requests of all entries,
+   including this one.  */
+void
+wy_target_record_load (struct wy_target *g, uint32_t load, int64_t now_ms)
+{
+  g->reported_load = load;
+  g->in_flight_at_report = g->in_flight;
+  g->reported_ms = now_ms;
+}
+
+/* Record that G took MS for a unit of WORK.  */
+void
+wy_target_record_pace (struct wy_target *g, enum wy_work_kind work, double ms,
+                       int64_t now_ms)
+{
+  struct wy_work_pace *p = &g->pace[work];
+
+  if (p->ms <= 0 || now_ms - p->seen_ms > PACE_VALID_MS)
+    p->ms = ms;
+  else
+    p->ms += pace_smoothing * (ms - p->ms);
+  p->seen_ms = now_ms;
+}
--- a/src/gate/targets.c
+++ b/src/gate/targets.c
@@ -1,10 +1,7 @@
 /* Known state of targets and the choice between them.  */
-#include "gate/targets.h"
-
-#include <stdlib.h>
 #include <string.h>
 
-#include <glib.h>
+#include "gate/targets_state.h"
 
 enum
 {
@@ -22,20 +19,9 @@
   /* The same for a target whose address another replica has; it will soon be
      removed from the list.  */
   AVOID_MISDIRECTED_MS = 3000,
-  /* The load reported in a response is out of date after this time.  */
-  LOAD_VALID_MS = 1000,
-  /* The pace of a target is unknown after this time without a new sample;
-     otherwise a slow target would never be tried again.  */
-  PACE_VALID_MS = 4000,
-  AVOID_STALLED_MS = 150,
-  /* Targets used for the median pace; more would not make it better.  */
-  MEDIAN_SAMPLE_MAX = 64
+  AVOID_STALLED_MS = 150
 };
 
-/* Weight of a new sample in the moving average of the pace, which so covers
-   about the last five samples.  */
-static const double pace_smoothing = 0.2;
-
 /* The costs and bonuses below are in units of the pace.  */
 
 /* Bonus for a target in the same availability zone: only large enough to
@@ -57,15 +43,6 @@
    slot.  */
 static const double queueing_cost = 4.0;
 
-struct wy_targets
-{
-  GHashTable *by_id; /* struct wy_target */
-  struct wy_rng rng;
-  /* Returns the number of idle connections to a target; NULL: not known.  */
-  uint32_t (*idle_count) (const void *ctx, const struct sockaddr_in *a);
-  const void *idle_count_ctx;
-};
-
 /* Create an empty set.  SEED makes choices between equals differ between
    entries.  */
 struct wy_targets *
@@ -179,8 +156,9 @@
   return g_hash_table_lookup (t->by_id, id);
 }
 
-static bool
-is_ready (const struct wy_target *g, const char *service)
+/* Return whether G serves SERVICE and accepts new work.  */
+bool
+wy_target_is_ready (const struct wy_target *g, const char *service)
 {
   return g->listed && !g->info.draining && !strcmp (g->info.service, service);
 }
@@ -208,7 +186,7 @@
 
   g_hash_table_iter_init (&it, t->by_id);
   while (g_hash_table_iter_next (&it, NULL, &g))
-    n += is_ready (g, service);
+    n += wy_target_is_ready (g, service);
   return n;
 }
 
@@ -245,18 +223,6 @@
   return false;
 }
 
-/* Estimated number of requests of all entries at G.  */
-static uint32_t
-estimated_load (const struct wy_target *g, int64_t now_ms)
-{
-  int64_t load;
-
-  if (g->reported_ms == 0 || now_ms - g->reported_ms > LOAD_VALID_MS)
-    return g->in_flight;
-  load = (int64_t)g->reported_load + g->in_flight - g->in_flight_at_report;
-  return load > (int64_t)g->in_flight ? (uint32_t)load : g->in_flight;
-}
-
 /* Number of slots of G that may be used under the criteria P; at least 1.  */
 static uint32_t
 usable_slots (const struct wy_target *g, const struct wy_target_criteria *p)
@@ -270,33 +236,21 @@
   return n ? n : 1;
 }
 
-/* Pace of G at WORK in ms; UNKNOWN_MS if there is no recent sample.  */
-static double
-pace_of (const struct wy_target *g, enum wy_work_kind work, double unknown_ms,
-         int64_t now_ms)
-{
-  const struct wy_work_pace *p = &g->pace[work];
-
-  if (p->ms <= 0 || now_ms - p->seen_ms > PACE_VALID_MS)
-    return unknown_ms;
-  return p->ms;
-}
-
 static bool
 is_eligible (const struct wy_target *g, const struct wy_target_criteria *p,
              int64_t now_ms)
 {
-  if (!is_ready (g, p->service) || was_tried (p, g))
+  if (!wy_target_is_ready (g, p->service) || was_tried (p, g))
     return false;
   if (p->in_flight_limit && g->in_flight >= p->in_flight_limit)
     return false;
   if (p->model && p->min_version > wy_target_version (g, p->model))
     return false;
   if (p->require_free_slot
-      && estimated_load (g, now_ms) >= usable_slots (g, p))
+      && wy_target_load (g, now_ms) >= usable_slots (g, p))
     return false;
   if (p->pace_limit_ms > 0
-      && pace_of (g, p->work, 0, now_ms) > p->pace_limit_ms)
+      && wy_target_pace_ms (g, p->work, 0, now_ms) > p->pace_limit_ms)
     return false;
   /* After a failure or rejection, probe with one request at a time.  */
   if ((g->failures && g->in_flight) || (g->refusals && g->unanswered))
@@ -311,8 +265,8 @@
 cost_of (const struct wy_targets *t, const struct wy_target *g,
          const struct wy_target_criteria *p, double median_ms, int64_t now_ms)
 {
-  double pace = pace_of (g, p->work, median_ms, now_ms);
-  double load = (double)estimated_load (g, now_ms) / g->info.slots;
+  double pace = wy_target_pace_ms (g, p->work, median_ms, now_ms);
+  double load = (double)wy_target_load (g, now_ms) / g->info.slots;
   double cost = pace * (1 + load / 2);
 
   if (load >= 1)
@@ -328,40 +282,6 @@
   return cost;
 }
 
-static int
-compare_values (const void *a, const void *b)
-{
-  double x = *(const double *)a;
-  double y = *(const double *)b;
-
-  return x < y ? -1 : x > y;
-}
-
-/* Median pace at WORK, in ms, of the targets of SERVICE, which a few slow
-   targets don't affect; 1 if none is known, so that costs can be compared.  */
-double
-wy_targets_median_pace_ms (const struct wy_targets *t, const char *service,
-                           enum wy_work_kind work)
-{
-  double pace[MEDIAN_SAMPLE_MAX];
-  GHashTableIter it;
-  gpointer p;
-  uint32_t n = 0;
-
-  g_hash_table_iter_init (&it, t->by_id);
-  while (g_hash_table_iter_next (&it, NULL, &p) && n < MEDIAN_SAMPLE_MAX)
-    {
-      const struct wy_target *g = p;
-
-      if (g->pace[work].ms > 0 && is_ready (g, service))
-        pace[n++] = g->pace[work].ms;
-    }
-  if (n == 0)
-    return 1;
-  qsort (pace, n, sizeof *pace, compare_values);
-  return pace[(n - 1) / 2];
-}
-
 /* Choose the target for a request that meets P and has the least expected
    cost; this spreads bursts over the replicas and avoids slow ones.  Ties are
    broken at random, so that the entries don't all choose the same target.
@@ -483,27 +403,3 @@
     }
   free_if_unused (t, g);
 }
-
-/* Record the LOAD that G has reported: the number of requests of all entries,
-   including this one.  */
-void
-wy_target_record_load (struct wy_target *g, uint32_t load, int64_t now_ms)
-{
-  g->reported_load = load;
-  g->in_flight_at_report = g->in_flight;
-  g->reported_ms = now_ms;
-}
-
-/* Record that G took MS for a unit of WORK.  */
-void
-wy_target_record_pace (struct wy_target *g, enum wy_work_kind work, double ms,
-                       int64_t now_ms)
-{
-  struct wy_work_pace *p = &g->pace[work];
-
-  if (p->ms <= 0 || now_ms - p->seen_ms > PACE_VALID_MS)
-    p->ms = ms;
-  else
-    p->ms += pace_smoothing * (ms - p->ms);
-  p->seen_ms = now_ms;
-}
--- /dev/null
+++ b/src/gate/targets_state.h
@@ -0,0 +1,23 @@
+/* Private declarations of the targets.  */
+#ifndef WY_GATE_TARGETS_STATE_H
+#define WY_GATE_TARGETS_STATE_H
+
+#include <glib.h>
+
+#include "gate/targets.h"
+
+struct wy_targets
+{
+  GHashTable *by_id; /* struct wy_target */
+  struct wy_rng rng;
+  /* Returns the number of idle connections to a target; NULL: not known.  */
+  uint32_t (*idle_count) (const void *ctx, const struct sockaddr_in *a);
+  const void *idle_count_ctx;
+};
+
+bool wy_target_is_ready (const struct wy_target *g, const char *service);
+uint32_t wy_target_load (const struct wy_target *g, int64_t now_ms);
+double wy_target_pace_ms (const struct wy_target *g, enum wy_work_kind work,
+                          double unknown_ms, int64_t now_ms);
+
+#endif
