Replicas that load weights get no items for the usual time of a load

Cause: three quarters of the rejected runs came in bursts of 0.4 to 1.4 s at one replica while it loaded weights. It was tried again after 50 to 200 ms each time, since its rejections were taken for a full queue.

Change: where models are configured, a run that is rejected while slots are free as far as known means a load (src/decide/weight_load.c). Items avoid the replica for the usual time of a load of its service (900 ms until measured, 3 s at most) or until its row shows another version; then it gets one run until it accepts one. Callers' requests and plain services keep today's rule.

--- a/src/gate/env.h
+++ b/src/gate/env.h
@@ -28,6 +28,7 @@
   uint64_t *item_runs;
   uint64_t *items_done;
   uint64_t *item_runs_failed;
+  uint64_t *item_runs_loading;
   uint64_t *item_moves;
   uint64_t *item_moves_declined;
   uint64_t *score_calls;
--- a/src/gate/gate_metrics.c
+++ b/src/gate/gate_metrics.c
@@ -40,6 +40,9 @@
                                       "Job items with a result");
   c->item_runs_failed = wy_metrics_counter (
       m, "wy_gate_item_runs_broken_total", "Runs of job items that broke off");
+  c->item_runs_loading = wy_metrics_counter (
+      m, "wy_gate_item_runs_loading_total",
+      "Runs of job items rejected by a replica that loads weights");
   c->item_moves
       = wy_metrics_counter (m, "wy_gate_item_moves_total",
                             "Runs of job items moved to another replica");
--- a/src/gate/target_estimate.c
+++ b/src/gate/target_estimate.c
@@ -188,3 +188,58 @@
   return wy_targets_service (t, service)->events_per_token.value
          * expected_tokens;
 }
+
+/* Whether a slot of G is free as far as known.  Requests that wait for a
+   response don't count: when one of several is rejected, the others will
+   be.  */
+bool
+wy_target_seems_free (const struct wy_target *g, int64_t now_ms)
+{
+  uint32_t running = g->in_flight - MIN (g->unanswered, g->in_flight);
+
+  if (has_recent_load (g, now_ms) && g->reported_load >= g->info.slots)
+    return false;
+  return running < g->info.slots;
+}
+
+/* Whether INFO shows a newer version of a model's weights than G is known to
+   have.  */
+bool
+wy_target_row_is_newer (const struct wy_target *g,
+                        const struct wy_replica *info)
+{
+  for (uint32_t i = 0; i < info->n_models; i++)
+    if (info->models[i].version > wy_target_version (g, info->models[i].model))
+      return true;
+  return false;
+}
+
+/* Record that G has rejected a run although it has free slots.  Return whether
+   a load of weights explains it.  */
+bool
+wy_target_load_rejected (struct wy_targets *t, struct wy_target *g,
+                         int64_t now_ms)
+{
+  return wy_weight_load_rejected (
+      &g->weight_load, &wy_targets_service (t, g->info.service)->load_time,
+      now_ms);
+}
+
+/* Record that G has accepted a run started at STARTED_MS.  Return whether this
+   is the first one after a load of weights.  */
+bool
+wy_target_run_accepted (struct wy_targets *t, struct wy_target *g,
+                        int64_t started_ms, int64_t now_ms)
+{
+  g->refusals = 0;
+  return wy_weight_load_accepted (
+      &g->weight_load, &wy_targets_service (t, g->info.service)->load_time,
+      started_ms, now_ms);
+}
+
+/* Usual duration of a load of weights at SERVICE.  */
+double
+wy_targets_load_time_ms (const struct wy_targets *t, const char *service)
+{
+  return wy_weight_load_usual_ms (&wy_targets_service (t, service)->load_time);
+}
--- a/src/gate/target_estimate.h
+++ b/src/gate/target_estimate.h
@@ -9,6 +9,11 @@
                               int64_t now_ms);
 double wy_target_event_ms (const struct wy_target *g, double unknown_ms,
                            int64_t now_ms);
+bool wy_target_seems_free (const struct wy_target *g, int64_t now_ms);
+double wy_targets_load_time_ms (const struct wy_targets *t,
+                                const char *service);
+bool wy_target_run_accepted (struct wy_targets *t, struct wy_target *g,
+                             int64_t started_ms, int64_t now_ms);
 bool wy_target_is_full (const struct wy_target *g, int64_t now_ms);
 bool wy_target_has_known_slot (const struct wy_target *g, int64_t now_ms);
 void wy_targets_record_first_event (const struct wy_targets *t,
--- a/src/gate/targets.c
+++ b/src/gate/targets.c
@@ -108,6 +108,7 @@
   g->reported_ms = 0;
   memset (g->pace, 0, sizeof g->pace);
   memset (&g->usual_event, 0, sizeof g->usual_event);
+  memset (&g->weight_load, 0, sizeof g->weight_load);
 }
 
 /* Add or update a target from INFO, the replica's row in the list.  */
@@ -133,6 +134,8 @@
     }
   if (g->info.started_ms != info->started_ms)
     reset_observations (g);
+  if (wy_target_row_is_newer (g, info))
+    wy_weight_load_row_changed (&g->weight_load);
   g->info = *info;
   g->listed = true;
   /* Rows lag behind the versions seen in responses, which only increase.  */
@@ -259,6 +262,9 @@
   /* After a failure or rejection, probe with one request at a time.  */
   if ((g->failures && g->in_flight) || (g->refusals && g->unanswered))
     return false;
+  if (p->work == WY_WORK_EVENT
+      && wy_weight_load_blocks (&g->weight_load, g->unanswered, now_ms))
+    return false;
   return now_ms >= g->avoid_until_ms;
 }
 
@@ -376,6 +382,10 @@
       break;
     case WY_TARGET_CANCELLED:
       break;
+    case WY_TARGET_LOADING:
+      if (wy_target_load_rejected (t, g, now_ms))
+        break;
+      /* fall through */
     case WY_TARGET_REJECTED:
       /* Requests rejected at the same time count once.  */
       if (now_ms >= g->avoid_until_ms)
--- a/src/gate/targets.h
+++ b/src/gate/targets.h
@@ -9,6 +9,7 @@
 
 #include "base/rng.h"
 #include "decide/usual_pace.h"
+#include "decide/weight_load.h"
 #include "gate/replica.h"
 
 struct wy_targets;
@@ -45,6 +46,7 @@
   int64_t reported_ms;          /* time of that report; 0: none */
   struct wy_work_pace pace[WY_WORK_KINDS];
   struct wy_usual_pace usual_event;
+  struct wy_weight_load weight_load;
 };
 
 enum wy_target_outcome
@@ -52,6 +54,7 @@
   WY_TARGET_ANSWERED,
   WY_TARGET_CANCELLED,  /* by this entry, through no fault of the target */
   WY_TARGET_REJECTED,   /* not run by the target, which is at capacity */
+  WY_TARGET_LOADING,    /* not run by the target, which loads weights */
   WY_TARGET_FAILED,     /* connection refused or reset, invalid response */
   WY_TARGET_TIMED_OUT,  /* no data in time */
   WY_TARGET_STALLED,    /* no progress now, as while it loads weights */
--- a/src/gate/targets_state.h
+++ b/src/gate/targets_state.h
@@ -12,6 +12,7 @@
 {
   struct wy_running_median events_per_token; /* of the expected tokens */
   struct wy_running_median first_event_ms;   /* from the start of a run */
+  struct wy_weight_load_time load_time;
 };
 
 struct wy_targets
@@ -28,6 +29,10 @@
                                                 const char *service);
 bool wy_target_is_ready (const struct wy_target *g, const char *service);
 uint32_t wy_target_load (const struct wy_target *g, int64_t now_ms);
+bool wy_target_row_is_newer (const struct wy_target *g,
+                             const struct wy_replica *info);
+bool wy_target_load_rejected (struct wy_targets *t, struct wy_target *g,
+                              int64_t now_ms);
 double wy_target_pace_ms (const struct wy_target *g, enum wy_work_kind work,
                           double unknown_ms, int64_t now_ms);
 
--- a/src/jobs/run.c
+++ b/src/jobs/run.c
@@ -23,6 +23,7 @@
      backoff of this many failed runs.  */
   SUSPECT_RUNS_WITHOUT_EVENT = 6,
   STATUS_OK = 200,
+  STATUS_MISDIRECTED = 421,
   STATUS_UNPROCESSABLE = 422,
   STATUS_INTERNAL_ERROR = 500
 };
@@ -174,7 +175,7 @@
     r->fault = RUN_FAULT_OTHER_REQUEST;
   if (a->status != STATUS_OK || r->fault)
     return;
-  r->target->refusals = 0;
+  wy_run_accepted (r);
   r->version = info.version;
   check_version (r);
 }
@@ -335,6 +336,19 @@
   return true;
 }
 
+static void
+on_not_run (struct wy_run *r)
+{
+  enum wy_target_outcome outcome = r->status == STATUS_MISDIRECTED
+                                       ? WY_TARGET_MISDIRECTED
+                                       : wy_run_rejection_outcome (r);
+
+  wy_run_end_for_retry (r, outcome, RETRY_MS,
+                        outcome == WY_TARGET_MISDIRECTED ? "not_there"
+                        : outcome == WY_TARGET_LOADING   ? "loading"
+                                                         : "full");
+}
+
 static void
 on_end (void *ctx, int err)
 {
@@ -350,9 +364,7 @@
   else if (err)
     on_interrupted (r);
   else if (r->not_run)
-    wy_run_end_for_retry (
-        r, r->status == 421 ? WY_TARGET_MISDIRECTED : WY_TARGET_REJECTED,
-        RETRY_MS, r->status == 421 ? "not_there" : "full");
+    on_not_run (r);
   else if (r->status != STATUS_OK)
     on_error_status (r);
   else if (wy_sse_has_partial (&r->events) || r->item->last_event < 0)
--- a/src/jobs/run_state.h
+++ b/src/jobs/run_state.h
@@ -36,6 +36,8 @@
 
 int64_t wy_run_now_ms (const struct wy_run *r);
 void wy_run_record_events (struct wy_run *r, uint32_t n, int64_t now_ms);
+enum wy_target_outcome wy_run_rejection_outcome (const struct wy_run *r);
+void wy_run_accepted (const struct wy_run *r);
 void wy_run_end_for_retry (struct wy_run *r, enum wy_target_outcome outcome,
                            int64_t delay_ms, const char *why);
 
--- a/tests/test_gate_targets.c
+++ b/tests/test_gate_targets.c
@@ -336,3 +336,33 @@
   cr_expect_not (wy_target_has_known_slot (b, 5000));
   wy_targets_free (t);
 }
+
+/* Load: a weight load of 0.9 s.  Items avoid the replica until it accepts one;
+   callers' requests keep their own rule, since some have no other replica.  */
+Test (targets, loading_target_gets_no_items)
+{
+  struct wy_targets *t = wy_targets_new (1);
+  struct wy_target *g = add (t, "a");
+  struct wy_replica row = g->info;
+  static const struct wy_target_criteria item
+      = { .service = "svc", .work = WY_WORK_EVENT };
+
+  for (int k = 0; k < SLOTS; k++)
+    wy_target_request_started (g);
+  wy_target_response_started (g);
+  cr_expect (wy_target_seems_free (g, 1));
+  for (int k = 0; k < SLOTS; k++)
+    wy_target_request_ended (t, g, WY_TARGET_LOADING, 1);
+  cr_expect_null (wy_targets_pick (t, &item, 500));
+  cr_expect_eq (wy_targets_pick (t, &any, 500), g);
+  row.models[0].version++;
+  wy_targets_set (t, &row);
+  cr_assert_eq (wy_targets_pick (t, &item, 500), g);
+  wy_target_request_started (g);
+  cr_expect_null (wy_targets_pick (t, &item, 500));
+  cr_expect (wy_target_run_accepted (t, g, 500, 510));
+  cr_expect_eq (wy_targets_pick (t, &item, 510), g);
+  wy_target_record_load (g, SLOTS, 511);
+  cr_expect_not (wy_target_seems_free (g, 512));
+  wy_targets_free (t);
+}
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -42,6 +42,24 @@
   job_fixture_stop ();
 }
 
+/* Load: a weight load.  A replica of a configured model rejects all items,
+   although it has free slots.  The items must run on the other one, and the
+   rejections must count as a load.  */
+Test (jobs, replica_loads_weights)
+{
+  const struct wy_service *s;
+
+  job_fixture_start (2);
+  s = wy_routing_service (job_fixture.env.routing, "svc");
+  g_ptr_array_add (s->models, g_strdup ("m"));
+  wy_platform_replica_faults (job_fixture.replicas[0])->respond_not_run
+      = UINT32_MAX;
+  cr_expect_eq (job_fixture_submit ("j1", 1), 202);
+  job_fixture_check_results ("j1");
+  cr_expect_gt (*job_fixture.env.count.item_runs_loading, 0);
+  job_fixture_stop ();
+}
+
 /* The response to the write that accepts a job is lost although the write took
    effect.  Guards against telling the submitter that the job was not accepted,
    and against running it twice.  */
