Job items are placed by pace at load where replicas are uneven

Cause: one moving average per replica mixes its speed with the number of its runs, and the choice knows nothing of lengths: the longest items of a step run on slow replicas as often as short ones.

Change: src/decide/pace.c estimates the time per event with one run, for each replica, and the slow-down per run, for each service; the effect of the fourth figure of the reported load is learned as an exponent, since the figure does not say whether a larger one means faster. Where a service has engines with slots in the configuration and its replicas are uneven by 1.25 or report that figure, src/decide/pace_choice.c gives short items a slow replica on which they still end in time and long ones the fastest; an item that would be late on the free slow replica, but not on a fast one, leaves the slot to a shorter item. With equal replicas and no fourth figure the choice is as before. The usual pace, with which runs are compared, is that at the present number of runs, and its average covers 10 s. Log event pace.by_load; item.run_started has the usual pace, the percentage with its age and the expected events. The stand-in replica can report a fourth figure.

--- a/src/decide/usual_pace.h
+++ b/src/decide/usual_pace.h
@@ -8,7 +8,8 @@
 struct wy_usual_pace
 {
   double ms;
-  int64_t seen_ms; /* time of the last sample */
+  int64_t seen_ms;    /* time of the last sample */
+  double observed_ms; /* time that the samples cover */
   uint32_t samples;
 };
 
--- a/src/gate/target_estimate.c
+++ b/src/gate/target_estimate.c
@@ -114,22 +114,6 @@
   return e;
 }
 
-/* Record that events of a job item took EVENT_MS each at G.  */
-void
-wy_target_record_events (struct wy_target *g, double event_ms, int64_t now_ms)
-{
-  wy_target_record_pace (g, WY_WORK_EVENT, event_ms, now_ms);
-  wy_usual_pace_record (&g->usual_event, event_ms, now_ms);
-}
-
-/* Expected time per event at G; UNKNOWN_MS if there is no recent sample.  */
-double
-wy_target_event_ms (const struct wy_target *g, double unknown_ms,
-                    int64_t now_ms)
-{
-  return wy_target_pace_ms (g, WY_WORK_EVENT, unknown_ms, now_ms);
-}
-
 static bool
 has_recent_load (const struct wy_target *g, int64_t now_ms)
 {
--- a/src/gate/target_estimate.h
+++ b/src/gate/target_estimate.h
@@ -1,14 +1,10 @@
-/* Estimates from the events of job items: lengths, times to the first event,
-   and whether a target is full.  */
+/* Estimates of targets from their job items: lengths, times to the first
+   event, loads of weights, and whether a target is full.  */
 #ifndef WY_GATE_TARGET_ESTIMATE_H
 #define WY_GATE_TARGET_ESTIMATE_H
 
 #include "gate/targets.h"
 
-void wy_target_record_events (struct wy_target *g, double event_ms,
-                              int64_t now_ms);
-double wy_target_event_ms (const struct wy_target *g, double unknown_ms,
-                           int64_t now_ms);
 bool wy_target_seems_free (const struct wy_target *g, int64_t now_ms);
 double wy_targets_load_time_ms (const struct wy_targets *t,
                                 const char *service);
--- a/src/gate/targets.c
+++ b/src/gate/targets.c
@@ -107,7 +107,7 @@
   g->in_flight_at_report = 0;
   g->reported_ms = 0;
   memset (g->pace, 0, sizeof g->pace);
-  memset (&g->usual_event, 0, sizeof g->usual_event);
+  memset (&g->event_pace, 0, sizeof g->event_pace);
   memset (&g->weight_load, 0, sizeof g->weight_load);
 }
 
@@ -277,7 +277,9 @@
 {
   double pace = wy_target_pace_ms (g, p->work, median_ms, now_ms);
   double load = (double)wy_target_load (g, now_ms) / g->info.slots;
-  double cost = pace * (1 + load / 2);
+  double cost = p->item
+                    ? wy_target_cost_by_load (t, g, p->item, median_ms, now_ms)
+                    : pace * (1 + load / 2);
 
   if (load >= 1)
     cost += pace * queueing_cost * load;
--- a/src/gate/targets.h
+++ b/src/gate/targets.h
@@ -8,7 +8,8 @@
 #include <stdint.h>
 
 #include "base/rng.h"
-#include "decide/usual_pace.h"
+#include "decide/pace.h"
+#include "decide/pace_choice.h"
 #include "decide/weight_load.h"
 #include "gate/replica.h"
 
@@ -45,7 +46,7 @@
   uint32_t in_flight_at_report; /* in_flight when the load was reported */
   int64_t reported_ms;          /* time of that report; 0: none */
   struct wy_work_pace pace[WY_WORK_KINDS];
-  struct wy_usual_pace usual_event;
+  struct wy_pace_target event_pace; /* by number of runs */
   struct wy_weight_load weight_load;
 };
 
@@ -75,6 +76,7 @@
   double slots_share;       /* fraction of the slots to use; 0: all */
   uint32_t reserved_slots;  /* number of slots to leave free */
   double pace_limit_ms;     /* no target with a slower pace; 0: no limit */
+  const struct wy_pace_item *item;      /* choose by its length; NULL: don't */
   const struct wy_target *const *tried; /* excluded */
   uint32_t n_tried;
 };
--- a/src/jobs/active_job.c
+++ b/src/jobs/active_job.c
@@ -5,6 +5,7 @@
 
 #include "decide/item_slots.h"
 #include "jobs/checkpoint.h"
+#include "jobs/item_placement.h"
 #include "jobs/score.h"
 #include "trace/json_log.h"
 
@@ -355,7 +356,7 @@
   q.service = wy_route_pick_service (
       route, wy_rng_below (&i->job->env->rng, UINT32_MAX));
   q.in_flight_limit = wy_gate_in_flight_limit (o->env, q.service);
-  return wy_targets_pick (o->env->targets, &q, now_of (o));
+  return wy_item_placement_pick (i, route, &q);
 }
 
 /* Start waiting items, those with the longest expected text first: the step
@@ -390,10 +391,13 @@
       if (i->state != WY_ITEM_WAITING || i->not_before_ms > now_ms
           || (share > 0 && limited_full) || wy_run_is_held_back (i))
         continue;
+      o->left_slow_slot = false;
       g = wy_active_job_pick_target (i, i->avoid, 0, share);
       /* The target that failed last is better than none.  */
       if (!g && i->avoid)
         g = wy_active_job_pick_target (i, NULL, 0, share);
+      if (!g && o->left_slow_slot)
+        continue;
       if (!g && share > 0)
         limited_full = true;
       else if (!g)
--- a/src/jobs/active_job.h
+++ b/src/jobs/active_job.h
@@ -78,7 +78,10 @@
   GQueue unlisted;  /* struct wy_item */
   size_t row_bytes; /* limit of a row in the store */
   uint64_t ticks;
-  int64_t started_ms; /* when this entry started to run it */
+  int64_t started_ms;             /* when this entry started to run it */
+  bool left_slow_slot;            /* by a long item, to a shorter one */
+  uint32_t waiting_median_tokens; /* of the waiting items, expected */
+  int64_t waiting_median_ms;      /* when that was computed; 0: never */
   bool closed;
   bool lingering; /* ended by its trainer; runs continue for a later job */
   int64_t linger_until_ms;
--- a/src/jobs/run.c
+++ b/src/jobs/run.c
@@ -10,6 +10,8 @@
 
 #include "gate/response.h"
 #include "gate/target_estimate.h"
+#include "gate/target_pace.h"
+#include "jobs/item_placement.h"
 #include "platform/request_wire.h"
 #include "trace/json_log.h"
 
@@ -171,6 +173,9 @@
   if (info.has_load)
     wy_target_record_load (r->target, info.running + info.waiting,
                            r->progress_ms);
+  if (info.percent)
+    wy_target_record_percent (r->item->job->env->targets, r->target,
+                              info.percent, wy_run_now_ms (r));
   if (info.id && strcmp (info.id, r->item->spec->id) != 0)
     r->fault = RUN_FAULT_OTHER_REQUEST;
   if (a->status != STATUS_OK || r->fault)
@@ -259,8 +264,7 @@
 {
   struct wy_item *i = r->item;
   wy_targets_record_length (i->job->env->targets, r->target->info.service,
-                            i->spec->expected_tokens,
-                            (uint32_t)i->last_event + 1);
+                            i->spec->expected_tokens, wy_item_events (i));
   log_run (r, "completed");
   end_run (r, WY_TARGET_ANSWERED);
   wy_item_text_complete (i);
@@ -381,15 +385,22 @@
   const struct wy_target *g = r->target;
   int64_t now_ms = wy_run_now_ms (r);
 
-  wy_json_log ("item.run_started",
-               "id=%s job=%s target=%s after=%lld run=%u in_flight=%u load=%u "
-               "load_age_ms=%lld pace_ms=%.0f held_version=%lld",
-               i->spec->id, i->job->record->id, g->info.id,
-               (long long)i->last_event, i->runs, g->in_flight,
-               g->reported_load,
-               g->reported_ms ? (long long)(now_ms - g->reported_ms) : -1LL,
-               g->pace[WY_WORK_EVENT].ms,
-               (long long)wy_target_version (g, i->job->spec->model));
+  wy_json_log (
+      "item.run_started",
+      "id=%s job=%s target=%s after=%lld run=%u in_flight=%u load=%u "
+      "load_age_ms=%lld pace_ms=%.0f usual_ms=%.0f percent=%u "
+      "percent_age_ms=%lld expected_events=%.0f held_version=%lld",
+      i->spec->id, i->job->record->id, g->info.id, (long long)i->last_event,
+      i->runs, g->in_flight, g->reported_load,
+      g->reported_ms ? (long long)(now_ms - g->reported_ms) : -1LL,
+      g->pace[WY_WORK_EVENT].ms,
+      wy_target_usual_event_ms (i->job->env->targets, g, now_ms),
+      g->event_pace.percent,
+      g->event_pace.percent ? (long long)(now_ms - g->event_pace.percent_ms)
+                            : -1LL,
+      wy_targets_expected_events (i->job->env->targets, g->info.service,
+                                  i->spec->expected_tokens),
+      (long long)wy_target_version (g, i->job->spec->model));
 }
 
 /* Run I on G, from the end of its text on.  */
--- a/src/jobs/run_progress.c
+++ b/src/jobs/run_progress.c
@@ -3,6 +3,8 @@
 #include "decide/run_move.h"
 #include "decide/run_progress.h"
 #include "gate/target_estimate.h"
+#include "gate/target_pace.h"
+#include "jobs/item_placement.h"
 #include "jobs/run_state.h"
 #include "trace/json_log.h"
 
@@ -37,7 +39,8 @@
     }
   r->previous_event_duration_ms = n > 1 ? event_ms : r->event_duration_ms;
   r->event_duration_ms = event_ms;
-  wy_target_record_events (r->target, event_ms, now_ms);
+  wy_target_record_events (r->item->job->env->targets, r->target, event_ms,
+                           now_ms);
 }
 
 static long long
@@ -96,12 +99,13 @@
   const struct wy_target *to = wy_active_job_pick_target (
       i, r->target, o->typical_event_ms * WY_RUN_PROGRESS_NORMAL_FACTOR, 0);
   struct wy_run_move_options m = {
-    .events_done = (uint32_t)(i->last_event + 1),
+    .events_done = wy_item_events (i),
     .expected_events = wy_targets_expected_events (env->targets, service,
                                                    i->spec->expected_tokens),
     .here_ms = MIN (o->last_event_ms, o->previous_event_ms),
-    .there_ms
-    = to ? wy_target_event_ms (to, o->typical_event_ms, wy_run_now_ms (r)) : 0,
+    .there_ms = to ? wy_target_event_ms (env->targets, to, o->typical_event_ms,
+                                         wy_run_now_ms (r))
+                   : 0,
     .first_event_ms = wy_targets_first_event_ms (env->targets, service)
   };
 
@@ -133,7 +137,8 @@
           .previous_event_ms = r->previous_event_duration_ms,
           /* 1 ms stands for an unknown pace.  */
           .typical_event_ms = typical_ms > 1 ? typical_ms : 0,
-          .usual_event_ms = wy_usual_pace_ms (&r->target->usual_event) };
+          .usual_event_ms = wy_target_usual_event_ms (
+              r->item->job->env->targets, r->target, wy_run_now_ms (r)) };
   enum wy_run_progress progress = wy_run_progress_assess (&o);
 
   if (o.silent_ms >= SILENCE_TIMEOUT_MS)
--- a/src/standin/platform_replica.c
+++ b/src/standin/platform_replica.c
@@ -134,7 +134,11 @@
   u->abort = wy_platform_take_fault (&r->faults.abort_streams);
   u->stalled = wy_platform_take_fault (&r->faults.stall_streams);
   snprintf (version, sizeof version, "%lld", (long long)r->version);
-  snprintf (load, sizeof load, "%u,0,%u", r->running, r->o.slots);
+  if (r->faults.load_percent)
+    snprintf (load, sizeof load, "%u,0,%u,%u", r->running, r->o.slots,
+              r->faults.load_percent);
+  else
+    snprintf (load, sizeof load, "%u,0,%u", r->running, r->o.slots);
   wy_h1_begin_response (q, 200, fields, G_N_ELEMENTS (fields));
   uv_timer_init (r->o.loop, &u->timer);
   u->timer.data = u;
--- a/src/standin/platform_replica.h
+++ b/src/standin/platform_replica.h
@@ -23,6 +23,7 @@
   uint32_t hang;                  /* plain services: run without a response */
   uint32_t response_ms;           /* plain services: latency */
   uint32_t order_load_ms;         /* time to load weights */
+  uint32_t load_percent;          /* reported with streams; 0: not */
   bool silent;                    /* all requests are ignored */
 };
 
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -3,6 +3,7 @@
 #include <criterion/criterion.h>
 #include <string.h>
 
+#include "gate/target_pace.h"
 #include "support/job_fixture.h"
 
 Test (jobs, accepted_and_listed_once)
@@ -60,6 +61,26 @@
   job_fixture_stop ();
 }
 
+/* Load: a neighbour that takes the processor.  Replicas that report a fourth
+   figure with their load are chosen by the lengths of the items; the job must
+   end like any other.  */
+Test (jobs, replicas_report_a_percentage)
+{
+  job_fixture_start (2);
+  ((struct wy_service *)wy_routing_service (job_fixture.env.routing, "svc"))
+      ->slots
+      = 2;
+  for (int i = 0; i < 2; i++)
+    wy_platform_replica_faults (job_fixture.replicas[i])->load_percent
+        = i ? 100 : 300;
+  cr_expect_eq (job_fixture_submit ("j1", 1), 202);
+  job_fixture_check_results ("j1");
+  cr_expect (wy_targets_are_paced_by_load (job_fixture.env.targets, "svc", 1));
+  cr_expect_eq (job_fixture_submit ("j2", 1), 202);
+  job_fixture_check_results ("j2");
+  job_fixture_stop ();
+}
+
 /* The response to the write that accepts a job is lost although the write took
    effect.  Guards against telling the submitter that the job was not accepted,
    and against running it twice.  */
--- a/tests/test_platform_wire.c
+++ b/tests/test_platform_wire.c
@@ -221,6 +221,48 @@
   wy_h1_head_append_value (h, value, strlen (value));
 }
 
+static struct wy_response_info
+parse_load (const char *load)
+{
+  struct wy_h1_head h;
+  struct wy_response_info info;
+
+  wy_h1_head_init (&h);
+  wy_h1_head_append_url (&h, "/x", 2);
+  append_field (&h, "Server-Load", load);
+  wy_response_parse_head (200, &h, &info);
+  wy_h1_head_clear (&h);
+  return info;
+}
+
+/* Some replicas report a fourth figure with their load.  One without it, or
+   with one that can't be read, must not lose the other three.  */
+Test (wire, reported_load)
+{
+  static const struct
+  {
+    const char *text;
+    uint32_t percent;
+  } loads[] = { { "5,2,6", 0 },
+                { "5,2,6,130", 130 },
+                { "5,2,6,", 0 },
+                { "5,2,6,-1", 0 },
+                { "5,2,6,1x", 0 },
+                { "5,2,6,80,1", 80 },
+                { "5,2,6,99999999999", 0 } };
+
+  for (size_t k = 0; k < G_N_ELEMENTS (loads); k++)
+    {
+      struct wy_response_info info = parse_load (loads[k].text);
+
+      cr_expect (info.has_load && info.running == 5 && info.waiting == 2
+                     && info.slots == 6,
+                 "%s", loads[k].text);
+      cr_expect_eq (info.percent, loads[k].percent, "%s", loads[k].text);
+    }
+  cr_expect_not (parse_load ("5,2").has_load);
+}
+
 /* Hop-by-hop fields are not forwarded, and the entry's fields replace the
    caller's, so that a caller cannot choose the replica.  */
 Test (wire, forwarded_header_fields)
