Loads reported with runs are dated when they arrive

Cause: the load in the head of a run's response was recorded with the time at which the run had started. For a run that waited in the replica's queue the report seemed old at once, and after a second it was not used at all.

Change: it is recorded with the time of the head.

Result: test_jobs passes. None measured.

--- a/src/jobs/run.c
+++ b/src/jobs/run.c
@@ -172,7 +172,7 @@
   r->not_run = info.not_run;
   if (info.has_load)
     wy_target_record_load (r->target, info.running + info.waiting,
-                           r->progress_ms);
+                           wy_run_now_ms (r));
   if (info.percent)
     wy_target_record_percent (r->item->job->env->targets, r->target,
                               info.percent, wy_run_now_ms (r));
