Late runs leave replicas that are always slow

Cause: a run on a replica that is always slow was never moved for its pace.

Change: such a run is moved if 1.3 times its expected time exceeds the time left here while it is in time there (reason late). Much larger samples count in the usual pace over 60 s instead of 30, so that equal replicas of which one in five is three times slower for 8 s don't count as uneven.

--- a/src/decide/run_move.c
+++ b/src/decide/run_move.c
@@ -18,6 +18,11 @@
    of its present length.  */
 static const double overdue_part = 0.5;
 
+/* An item counts as late if this multiple of its expected time does not fit:
+   expected lengths are right only at the median.  A larger margin moves more
+   runs without more items in time.  */
+static const double late_margin = 1.3;
+
 /* Expected number of events until the end of the item.  */
 double
 wy_run_move_events_left (const struct wy_run_move_options *o)
@@ -44,3 +49,22 @@
   return wy_run_move_events_left (o) * (o->here_ms - o->there_ms)
          > wy_run_move_cost_ms (o);
 }
+
+/* Whether the item of O is expected to be late here.  From a target that is
+   always slow, only such a run is moved: others would take the slots of fast
+   targets from longer items.  */
+bool
+wy_run_move_is_late_here (const struct wy_run_move_options *o)
+{
+  return o->has_due && o->expected_events > 0
+         && wy_run_move_events_left (o) * o->here_ms * late_margin
+                > o->time_left_ms;
+}
+
+/* Whether the item of O is expected to be in time at the other target.  */
+bool
+wy_run_move_is_in_time (const struct wy_run_move_options *o)
+{
+  return wy_run_move_cost_ms (o) + wy_run_move_events_left (o) * o->there_ms
+         <= o->time_left_ms;
+}
--- a/src/decide/run_progress.c
+++ b/src/decide/run_progress.c
@@ -21,28 +21,33 @@
   /* Before its first event a run may be queued at the target.  */
   FIRST_STALL_EVENTS = 9,
   FIRST_STALL_MIN_MS = 300,
-  /* At a target whose usual pace is unknown, a run is not slow before this
-     many events: they show whether the target is always like this.  */
-  UNKNOWN_PACE_EVENTS = 5
+  /* Until a run has more events than this, it is not compared with other
+     targets unless it is slower than usual at its own: the first events show
+     whether the target is always like this.  */
+  FIRST_EVENTS = 5
 };
 
 /* A target is slow if two consecutive events took this many times the typical
-   time and its own usual one; a target that is always slower than others is
-   not slow, and nearly every run there would be moved otherwise.  A single one
-   may be chance or a load of weights.  The mean of the whole run would react
-   too late: after some seconds at normal speed, a run would stay on a slow
-   target for about as long again.  */
+   time and its own usual one; at a target that is always slower than others,
+   nearly every run would be moved otherwise.  A single one may be chance or a
+   load of weights.  The mean of the whole run would react too late: after some
+   seconds at normal speed, a run would stay on a slow target for about as long
+   again.  */
 static const double slow_factor = 1.7;
 
-static bool
-is_slow (const struct wy_run_progress_options *o)
+static enum wy_run_progress
+assess_pace (const struct wy_run_progress_options *o)
 {
-  double normal_ms = MAX (o->typical_event_ms, o->usual_event_ms);
+  double ms = MIN (o->last_event_ms, o->previous_event_ms);
 
-  if (o->usual_event_ms <= 0 && o->n_events <= UNKNOWN_PACE_EVENTS)
-    return false;
-  return MIN (o->last_event_ms, o->previous_event_ms)
-         > slow_factor * normal_ms;
+  if (ms <= slow_factor * o->typical_event_ms)
+    return WY_RUN_PROGRESS_NORMAL;
+  if (o->n_events <= FIRST_EVENTS && o->usual_event_ms <= 0)
+    return WY_RUN_PROGRESS_NORMAL;
+  if (ms > slow_factor * o->usual_event_ms)
+    return WY_RUN_PROGRESS_SLOW;
+  return o->n_events <= FIRST_EVENTS ? WY_RUN_PROGRESS_NORMAL
+                                     : WY_RUN_PROGRESS_SLOW_TARGET;
 }
 
 /* The progress of the run of O; normal while the typical time is unknown.  */
@@ -58,5 +63,5 @@
     return WY_RUN_PROGRESS_NORMAL;
   if ((double)o->silent_ms > stall_ms)
     return WY_RUN_PROGRESS_STALLED;
-  return is_slow (o) ? WY_RUN_PROGRESS_SLOW : WY_RUN_PROGRESS_NORMAL;
+  return assess_pace (o);
 }
--- a/src/decide/run_progress.h
+++ b/src/decide/run_progress.h
@@ -8,8 +8,9 @@
 enum wy_run_progress
 {
   WY_RUN_PROGRESS_NORMAL,
-  WY_RUN_PROGRESS_STALLED, /* no event for too long */
-  WY_RUN_PROGRESS_SLOW     /* events arrive, but too slowly */
+  WY_RUN_PROGRESS_STALLED,    /* no event for too long */
+  WY_RUN_PROGRESS_SLOW,       /* events arrive, but too slowly */
+  WY_RUN_PROGRESS_SLOW_TARGET /* as slowly as always at this target */
 };
 
 struct wy_run_progress_options
--- a/src/decide/usual_pace.c
+++ b/src/decide/usual_pace.c
@@ -4,7 +4,8 @@
    gain little by a move, and every run there would be moved.  A replica that
    is slowed down for 8 to 10 s by something else must still be recognised as
    slow at the end of that time.  So the average follows samples of normal size
-   within ten seconds, and those that are much larger only within a minute.  */
+   within ten seconds, and those that are much larger only over some minutes.
+ */
 #include "decide/usual_pace.h"
 
 #include <glib.h>
@@ -15,11 +16,11 @@
   SAMPLES_MIN = 8,
   /* Time constants of the average.  With 3 s as the first, targets whose
      number of runs goes up and down every few seconds seemed uneven.  With the
-     second, 10 s at three times the time per event raise the average to 1.6
+     second, 8 s at three times the time per event raise the average to 1.3
      times, so that the target is still slow by the factor in
-     src/decide/run_progress.c.  */
+     src/decide/run_progress.c, and equal targets don't become uneven.  */
   NORMAL_TIME_CONSTANT_MS = 10000,
-  SLOW_TIME_CONSTANT_MS = 30000,
+  SLOW_TIME_CONSTANT_MS = 60000,
   /* Longest time between two samples that counts: after a pause, one sample
      must not replace the average.  */
   INTERVAL_MAX_MS = 500
--- a/src/jobs/item_placement.c
+++ b/src/jobs/item_placement.c
@@ -21,6 +21,18 @@
   return i->last_event > 0 ? (uint32_t)i->last_event : 0;
 }
 
+/* Time until I, which was submitted by ROUTE, is due, if the route says so. */
+double
+wy_item_time_left_ms (const struct wy_item *i, const struct wy_route *route)
+{
+  const struct wy_active_job *o = i->job;
+  int64_t age_ms = wy_active_job_age_ms (o);
+
+  if (age_ms < 0)
+    age_ms = wy_clock_mono_ms (o->env->clock) - o->started_ms;
+  return (double)route->result_deadline_ms - (double)age_ms;
+}
+
 static int
 compare_tokens (const void *a, const void *b)
 {
@@ -77,11 +89,8 @@
   int64_t now_ms = wy_clock_mono_ms (o->env->clock);
   uint32_t tokens = i->spec->expected_tokens;
   struct wy_run_move_options m = { .events_done = wy_item_events (i) };
-  int64_t age_ms = wy_active_job_age_ms (o);
   bool by_load;
 
-  if (age_ms < 0)
-    age_ms = now_ms - o->started_ms;
   if (!s || !s->slots)
     return false;
   by_load = wy_targets_are_paced_by_load (t, service, now_ms);
@@ -93,7 +102,7 @@
     .events_left = m.expected_events > 0 ? wy_run_move_events_left (&m) : 0,
     .is_long = tokens >= waiting_median (o, now_ms),
     .has_due = route->result_deadline_ms > 0,
-    .time_left_ms = (double)route->result_deadline_ms - age_ms
+    .time_left_ms = wy_item_time_left_ms (i, route)
   };
   return true;
 }
--- a/src/jobs/item_placement.h
+++ b/src/jobs/item_placement.h
@@ -5,6 +5,8 @@
 #include "jobs/active_job.h"
 
 uint32_t wy_item_events (const struct wy_item *i);
+double wy_item_time_left_ms (const struct wy_item *i,
+                             const struct wy_route *route);
 struct wy_target *wy_item_placement_pick (const struct wy_item *i,
                                           const struct wy_route *route,
                                           struct wy_target_criteria *q);
--- a/src/jobs/run_progress.c
+++ b/src/jobs/run_progress.c
@@ -70,57 +70,85 @@
                to->reported_load, load_age_ms (to, now_ms));
 }
 
-/* Whether R must stay although it makes no normal PROGRESS, instead of being
-   moved to TO.  */
+/* Whether the run R of no normal PROGRESS must stay instead of being moved to
+   TO.  */
 static bool
-must_stay (struct wy_run *r, enum wy_run_progress progress,
+must_stay (const struct wy_run *r, enum wy_run_progress progress,
            const struct wy_target *to, const struct wy_run_move_options *m)
 {
   int64_t now_ms = wy_run_now_ms (r);
 
-  if (progress == WY_RUN_PROGRESS_SLOW)
-    return !wy_run_move_is_worthwhile (m);
-  /* When several entries fill all slots at the same time, most replicas seem
-     free to each of them: a queued run would lose its place there and wait
-     again elsewhere.  */
-  return r->n_events == 0 && wy_target_is_full (r->target, now_ms)
-         && !wy_target_has_known_slot (to, now_ms);
+  switch (progress)
+    {
+    case WY_RUN_PROGRESS_SLOW:
+      return !wy_run_move_is_worthwhile (m);
+    case WY_RUN_PROGRESS_SLOW_TARGET:
+      return !wy_run_move_is_in_time (m);
+    default:
+      /* When several entries fill all slots at the same time, most replicas
+         seem free to each of them: a queued run would lose its place there and
+         wait again elsewhere.  */
+      return r->n_events == 0 && wy_target_is_full (r->target, now_ms)
+             && !wy_target_has_known_slot (to, now_ms);
+    }
+}
+
+static const char *
+reason_of (enum wy_run_progress progress)
+{
+  return progress == WY_RUN_PROGRESS_STALLED ? "stalled"
+         : progress == WY_RUN_PROGRESS_SLOW  ? "slow"
+                                             : "late";
+}
+
+static void
+decline_move (struct wy_run *r)
+{
+  if (!r->move_declined)
+    (*r->item->job->env->count.item_moves_declined)++;
+  r->move_declined = true;
 }
 
+/* Move R, which makes no normal PROGRESS, if another replica has a free slot
+   and the move is of use.  */
 static void
 consider_move (struct wy_run *r, enum wy_run_progress progress,
                const struct wy_run_progress_options *o)
 {
   const struct wy_item *i = r->item;
   struct wy_gate_env *env = i->job->env;
+  const struct wy_route *route = wy_active_job_route (i->job);
   const char *service = r->target->info.service;
-  bool stalled = progress == WY_RUN_PROGRESS_STALLED;
-  const char *reason = stalled ? "stalled" : "slow";
-  const struct wy_target *to = wy_active_job_pick_target (
-      i, r->target, o->typical_event_ms * WY_RUN_PROGRESS_NORMAL_FACTOR, 0);
-  struct wy_run_move_options m = {
-    .events_done = wy_item_events (i),
-    .expected_events = wy_targets_expected_events (env->targets, service,
-                                                   i->spec->expected_tokens),
-    .here_ms = MIN (o->last_event_ms, o->previous_event_ms),
-    .there_ms = to ? wy_target_event_ms (env->targets, to, o->typical_event_ms,
-                                         wy_run_now_ms (r))
-                   : 0,
-    .first_event_ms = wy_targets_first_event_ms (env->targets, service)
-  };
+  const struct wy_target *to;
+  struct wy_run_move_options m
+      = { .events_done = wy_item_events (i),
+          .expected_events = wy_targets_expected_events (
+              env->targets, service, i->spec->expected_tokens),
+          .here_ms = MIN (o->last_event_ms, o->previous_event_ms),
+          .first_event_ms = wy_targets_first_event_ms (env->targets, service),
+          .has_due = route && route->result_deadline_ms,
+          .time_left_ms = route ? wy_item_time_left_ms (i, route) : 0 };
 
+  if (progress == WY_RUN_PROGRESS_SLOW_TARGET
+      && !wy_run_move_is_late_here (&m))
+    return;
+  to = wy_active_job_pick_target (
+      i, r->target, o->typical_event_ms * WY_RUN_PROGRESS_NORMAL_FACTOR, 0);
   if (!to)
     return;
+  m.there_ms = wy_target_event_ms (env->targets, to, o->typical_event_ms,
+                                   wy_run_now_ms (r));
   if (must_stay (r, progress, to, &m))
     {
-      if (!r->move_declined)
-        (*env->count.item_moves_declined)++;
-      r->move_declined = true;
+      decline_move (r);
       return;
     }
-  log_move (r, to, o, &m, reason);
+  log_move (r, to, o, &m, reason_of (progress));
   (*env->count.item_moves)++;
-  stop (r, stalled ? WY_TARGET_STALLED : WY_TARGET_CANCELLED, reason);
+  stop (r,
+        progress == WY_RUN_PROGRESS_STALLED ? WY_TARGET_STALLED
+                                            : WY_TARGET_CANCELLED,
+        reason_of (progress));
 }
 
 /* End R if its replica is silent.  Move it if its progress is too slow and its
--- a/tests/test_decide_run_move.c
+++ b/tests/test_decide_run_move.c
@@ -122,6 +122,38 @@
   cr_expect (wy_run_move_is_worthwhile (&o));
 }
 
+/* Load: relative times per event .7, .7, 1.7.  A long item on a replica that
+   is always slow ends late; it must be moved if it ends in time elsewhere, but
+   the items that end in time here must not be.  */
+Test (run_move, late_run_leaves_a_slow_target)
+{
+  struct wy_run_progress_options p = { .n_events = 6,
+                                       .last_event_ms = SLOW_MS,
+                                       .previous_event_ms = SLOW_MS,
+                                       .typical_event_ms = FAST_MS,
+                                       .usual_event_ms = SLOW_MS };
+  struct wy_run_move_options o = { .events_done = 6,
+                                   .expected_events = 86,
+                                   .here_ms = SLOW_MS,
+                                   .there_ms = FAST_MS,
+                                   .first_event_ms = 300,
+                                   .has_due = true,
+                                   .time_left_ms = 6000 };
+
+  cr_expect_eq (wy_run_progress_assess (&p), WY_RUN_PROGRESS_SLOW_TARGET);
+  p.n_events = 5;
+  cr_expect_eq (wy_run_progress_assess (&p), WY_RUN_PROGRESS_NORMAL);
+  cr_expect (wy_run_move_is_late_here (&o));
+  cr_expect (wy_run_move_is_in_time (&o));
+  o.time_left_ms = 3000;
+  cr_expect_not (wy_run_move_is_in_time (&o));
+  o.time_left_ms = 10000;
+  cr_expect_not (wy_run_move_is_late_here (&o));
+  o.time_left_ms = 6000;
+  o.has_due = false;
+  cr_expect_not (wy_run_move_is_late_here (&o));
+}
+
 /* The submitter's estimate is right only at the median: a tenth of the items
    is several times longer.  They must not make all others seem longer.  */
 Test (run_move, events_per_token_with_long_tail)
