Few short intervals don't multiply a model's need

Cause: after an outage of the store a trainer submitted the step that waited and the next one within a second to an entry new to its jobs. The need rose from 23 to 143 slots, and 31 of 43 replicas went to that model; the steps of the others ended up to 5.9 s behind.

Change: the mean of the first two intervals counts as no less than half of the route's due time.

--- a/src/decide/model_demand.c
+++ b/src/decide/model_demand.c
@@ -9,11 +9,19 @@
    successive intervals: a single short one would multiply the need.  */
 #include "decide/model_demand.h"
 
+#include <glib.h>
+
 enum
 {
   /* Jobs submitted within this time count as one: a trainer may split a step,
      and the short time between the halves is not its interval.  */
   SAME_SUBMISSION_MS = 500,
+  /* Up to this many intervals, their mean counts as no less than the due time
+     over FIRST_DIVISOR: after an outage of the store a trainer submits the
+     step that waited and the next one within a second, and a new holder of the
+     model's jobs knows no other intervals.  */
+  FIRST_INTERVALS = 2,
+  FIRST_DIVISOR = 2,
   /* Items completed before a demand is known: the times of single items differ
      by a factor of two.  */
   ITEMS_MIN = 16
@@ -78,6 +86,8 @@
       return;
     }
   mean_ms = mean_interval_ms (e);
+  if (e->submissions <= FIRST_INTERVALS + 1)
+    mean_ms = MAX (mean_ms, (double)due_ms / FIRST_DIVISOR);
   e->interval_ms
       = e->interval_ms == 0 || mean_ms < rise_ms ? mean_ms : rise_ms;
   e->has_interval = true;
--- a/tests/test_decide_model_demand.c
+++ b/tests/test_decide_model_demand.c
@@ -160,3 +160,20 @@
   cr_expect (wy_demand_is_due (&e, &row, &slots));
   cr_expect_float_eq (slots, 36.25, .01);
 }
+
+/* Load: after an outage of the store a trainer submits the step that waited
+   and the next one within a second, to an entry that has run no job of the
+   model before.  A single short interval must not multiply the need, which
+   would take the replicas of all other models.  */
+Test (model_demand, short_first_interval_does_not_multiply_the_need)
+{
+  struct wy_demand_estimate e = { 0 };
+
+  for (int k = 0; k < 200; k++)
+    wy_demand_item_completed (&e, 100, 80);
+  wy_demand_job_submitted (&e, 100000, 1000, 7500);
+  wy_demand_job_submitted (&e, 100000, 1700, 7500);
+  cr_expect_leq (wy_demand_slots (&e), 100000 * .8 / 3750 + .01);
+  wy_demand_job_submitted (&e, 100000, 2300, 7500);
+  cr_expect_leq (wy_demand_slots (&e), 100000 * .8 / 3750 + .01);
+}
