Test of a refused connection keeps its port

Cause: the test freed the port of a listener and dialled it; another process of the test run can take it in between.

Change: the port is that of a socket which is bound and does not listen, so the connection is refused by that port alone; the checks are the same.

--- a/tests/test_conn_liveness.c
+++ b/tests/test_conn_liveness.c
@@ -1,6 +1,8 @@
 /* Connections between processes: timeouts, heartbeats and backpressure.  */
 #include <criterion/criterion.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "support/conn_fixture.h"
 
@@ -157,15 +159,21 @@
 Test (conn_liveness, connection_refused)
 {
   struct fixture w;
-  uint16_t port;
+  struct sockaddr_in a;
+  socklen_t n = sizeof a;
+  /* Bound and not listening, so that no other process takes the port.  */
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
 
   conn_fixture_init (&w);
-  port = wy_listener_port (w.listener);
+  uv_ip4_addr ("127.0.0.1", 0, &a);
+  cr_assert_eq (bind (fd, (const struct sockaddr *)&a, n), 0);
+  cr_assert_eq (getsockname (fd, (struct sockaddr *)&a, &n), 0);
   wy_listener_close (w.listener);
   uv_run (&w.loop, UV_RUN_NOWAIT);
-  conn_dial (&w, port);
+  conn_dial (&w, ntohs (a.sin_port));
   cr_assert_eq (w.a.closed, 0);
   conn_run_until (&w, conn_a_closed);
   cr_assert_eq (w.a.err, WY_INNER_ECONNECT);
   cr_assert_eq (w.a.closed, 1);
+  close (fd);
 }
