Soak: a run reserves its ports, each for one process

A soak did not start: "wygated: cannot start: error -1001", in 9 of 9 runs of one seed after another, and said so as if a check had failed.

Cause: free_ports passed over every port in the kernel's table, also those of closed connections in TIME-WAIT left by an earlier run of the same seed. The script asks for two lists, from a base and from 20 above it; when the first is pushed past the second, both hold the same ports. Seen on after three soaks with seed 3: both lists begin 16183 to 16191, nine ports common. Neighbouring seeds, 40 ports apart, meet in the same way, and a port that was found free was not kept.

A run now takes all its ports from one block, which is locked until the last process of the run has ended, and only listening sockets make a port unusable: all programs listen with SO_REUSEADDR. The seed still chooses the first block that is tried, so a seed plays the same faults.

--- a/scripts/demo-platform.sh
+++ b/scripts/demo-platform.sh
@@ -13,7 +13,7 @@
 mkdir -p "$OUT"
 trap cleanup EXIT
 
-mapfile -t PORT < <(free_ports 8)
+reserve_ports 8 $SRANDOM
 cat >"$OUT/platform.yaml" <<Y
 name: platform
 ports_file: $OUT/platform.ports
--- a/scripts/platform.sh
+++ b/scripts/platform.sh
@@ -20,19 +20,38 @@
   exit 1
 }
 
-# free_ports N [FROM]: ports without a listener, below the ephemeral range;
-# concurrent runs use different values of FROM to get different ports.
-free_ports() {
-  local n=$1 port used
-  used=$(cat /proc/net/tcp | awk 'NR > 1 {split($2, a, ":"); print a[2]}')
-  port=${2:-$((16000 + SRANDOM % 12000))}
-  while [ "$n" -gt 0 ]; do
-    if ! printf '%s\n' "$used" | grep -qi "^$(printf '%04X' $port)$"; then
-      echo $port
-      n=$((n - 1))
+# Ports below the ephemeral range, in blocks.  A block is locked while a process
+# of the run that took it lives, so concurrent runs never share a port.
+PORTS_FROM=16000
+PORT_BLOCKS=300
+PORT_BLOCK=40
+PORT_LOCKS=${TMPDIR:-/tmp}/waxwing-ports
+
+# has_listener FIRST N: whether a process listens on one of these ports.  Closed
+# connections that the kernel still lists don't prevent a process from listening.
+has_listener() {
+  awk -v first="$1" -v n="$2" '
+    BEGIN {for (i = 0; i < n; i++) wanted[sprintf("%04X", first + i)] = 1}
+    FNR > 1 && $4 == "0A" {split($2, a, ":"); if (a[2] in wanted) found = 1}
+    END {exit !found}' /proc/net/tcp /proc/net/tcp6
+}
+
+# reserve_ports N SEED: sets PORT to N different ports, which are this run's until
+# all its processes have ended.
+reserve_ports() {
+  local n=$1 seed=$2 i first fd
+  [ "$n" -le $PORT_BLOCK ] || die "a run has at most $PORT_BLOCK ports"
+  mkdir -p "$PORT_LOCKS"
+  for ((i = 0; i < PORT_BLOCKS; i++)); do
+    first=$((PORTS_FROM + (seed + i) % PORT_BLOCKS * PORT_BLOCK))
+    exec {fd}>"$PORT_LOCKS/$first"
+    if flock -n "$fd" && ! has_listener $first "$n"; then
+      mapfile -t PORT < <(seq $first $((first + n - 1)))
+      return 0
     fi
-    port=$((port + 1))
+    exec {fd}>&-
   done
+  die "no free block of ports"
 }
 
 # launch NAME PROGRAM [KIND]: run it on $OUT/NAME.yaml.
--- a/scripts/soak-platform.sh
+++ b/scripts/soak-platform.sh
@@ -37,9 +37,9 @@
 
 # Ports: three per gate; then the proxy's: callers and store of each gate, the
 # orderers' store, the replicas.
-base=$((16000 + SEED % 300 * 40))
-mapfile -t OWN < <(free_ports $((3 * GATES)) $base)
-mapfile -t VIA < <(free_ports $((2 * GATES + 1 + ENGINES + DESKS)) $((base + 20)))
+reserve_ports $((5 * GATES + 1 + ENGINES + DESKS)) "$SEED"
+OWN=("${PORT[@]:0:3*GATES}")
+VIA=("${PORT[@]:3*GATES}")
 callers=("${VIA[@]:0:$GATES}")
 stores=("${VIA[@]:$GATES:$((GATES + 1))}")
 replicas=("${VIA[@]:$((2 * GATES + 1))}")
