Log what entries are told of crashes, and when it is in the store

When a request crashed replicas again after they were back, the log of an entry could not show whether it had been told of one crash, of none, or knew of two and ran the request all the same: request.blocked is written from the second crash on alone. Nor did it show whether the list of an entry that died had reached the store.

suspect.heard is written for a first crash that another entry has told of, and suspects.stored when the directory row with the list is in the store. A request's fingerprint leads from one to the other. No behaviour changes.

--- a/src/decide/crash_tracker.h
+++ b/src/decide/crash_tracker.h
@@ -49,8 +49,8 @@
 
 struct wy_crash_tracker
 {
-  /* Called for each crash that is counted, and for each request that another
-     entry's list blocks; may be NULL.  */
+  /* Called for each crash that is counted, here or as another entry's list
+     says; may be NULL.  */
   void (*on_crash) (void *ctx, const struct wy_crash_event *ev);
   void *ctx;
   struct wy_suspects suspects;
--- a/src/decide/suspect.c
+++ b/src/decide/suspect.c
@@ -165,6 +165,17 @@
   return removed;
 }
 
+/* Number of different targets that crashed under the request with FINGERPRINT;
+   0: it is not suspect.  */
+uint32_t
+wy_suspects_crashes (struct wy_suspects *s, uint64_t fingerprint,
+                     int64_t now_ms)
+{
+  const struct wy_suspect *e = find (s, fingerprint, now_ms);
+
+  return e ? e->crashes : 0;
+}
+
 /* How to treat a request with FINGERPRINT.  */
 enum wy_suspicion
 wy_suspects_check (struct wy_suspects *s, uint64_t fingerprint, int64_t now_ms)
--- a/src/decide/suspect.h
+++ b/src/decide/suspect.h
@@ -48,6 +48,8 @@
                     bool (*is_running) (const void *ctx, uint64_t target),
                     const void *ctx, int64_t now_ms);
 void wy_suspects_clear (struct wy_suspects *s, uint64_t fingerprint);
+uint32_t wy_suspects_crashes (struct wy_suspects *s, uint64_t fingerprint,
+                              int64_t now_ms);
 enum wy_suspicion wy_suspects_check (struct wy_suspects *s,
                                      uint64_t fingerprint, int64_t now_ms);
 uint32_t wy_suspects_merge (struct wy_suspects *s,
--- a/src/gate/crash_watch.c
+++ b/src/gate/crash_watch.c
@@ -34,9 +34,12 @@
 {
   struct wy_gate_env *env = ctx;
 
-  if (ev->is_remote)
+  if (ev->is_remote && ev->is_blocked)
     wy_json_log ("request.blocked", "fingerprint=%016llx crashes=%u",
                  (unsigned long long)ev->fingerprint, ev->crashes);
+  else if (ev->is_remote)
+    wy_json_log ("suspect.heard", "fingerprint=%016llx crashes=%u",
+                 (unsigned long long)ev->fingerprint, ev->crashes);
   else if (ev->is_refuted)
     wy_json_log ("crash.refuted", "fingerprint=%016llx crashes=%u",
                  (unsigned long long)ev->fingerprint, ev->crashes);
--- a/src/gate/members.c
+++ b/src/gate/members.c
@@ -253,9 +253,24 @@
   return text;
 }
 
+/* Log that the row being written is in the store, if it has suspects: from
+   here on they outlive this process.  */
+static void
+log_suspects_stored (const struct wy_members *m, int64_t version)
+{
+  json_t *doc = json_loads (m->pending_row, 0, NULL);
+  size_t n = json_array_size (json_object_get (doc, "crashed"));
+
+  if (n)
+    wy_json_log ("suspects.stored", "suspects=%zu version=%lld", n,
+                 (long long)version);
+  json_decref (doc);
+}
+
 static void
 set_stored_row (struct wy_members *m, int64_t version)
 {
+  log_suspects_stored (m, version);
   m->own_version = version;
   m->address_written = true;
   g_free (m->stored_row);
--- a/src/gate/suspect_list.c
+++ b/src/gate/suspect_list.c
@@ -112,18 +112,19 @@
   for (size_t i = 0; i < json_array_size (list); i++)
     {
       struct wy_suspect s = parse_suspect (json_array_get (list, i));
-      struct wy_crash_event ev = { .fingerprint = s.fingerprint,
-                                   .is_remote = true,
-                                   .is_blocked = true };
+      struct wy_crash_event ev
+          = { .fingerprint = s.fingerprint, .is_remote = true };
+      uint32_t known
+          = wy_suspects_crashes (&w->suspects, s.fingerprint, now_ms);
 
       if (s.fingerprint == 0
           || wy_crash_tracker_is_blocked (w, s.fingerprint, now_ms))
         continue;
       ev.crashes = wy_suspects_merge (&w->suspects, &s, now_ms);
-      if (!wy_crash_tracker_is_blocked (w, s.fingerprint, now_ms))
-        continue;
-      blocked++;
-      wy_crash_tracker_report (w, &ev);
+      ev.is_blocked = wy_crash_tracker_is_blocked (w, s.fingerprint, now_ms);
+      blocked += ev.is_blocked;
+      if (ev.crashes > known)
+        wy_crash_tracker_report (w, &ev);
     }
   return blocked;
 }
