Entries tell each other of crashes directly, not through the store alone

Callers saw: a service went down a second time. The only entry that had seen a request crash three replicas died, or the store was away, before its list was in its directory row; each other entry ran the request again as soon as the replicas were back.

Cause: a suspicion outlived the process that formed it only once the store had the row, which is written after the fact, one write at a time.

A crash is now sent to the other entries at once: to all of them up to 16, in larger fleets to those at the distances 1, 2, 4, ... on the ring, which pass on what is new to them (10 messages an entry and 10 steps for 1,000 entries). If the sender's row does not show it within 500 ms, the first three entries in the order of the request's fingerprint write it to their own rows, so that entries that start later read it. Rows stay as they are; hearing of a suspect through a row still writes nothing.

--- a/src/decide/ring.c
+++ b/src/decide/ring.c
@@ -65,3 +65,18 @@
       timely += EXTRA_PER_LATE;
   return i;
 }
+
+/* Write the indices of those of the N other members, nearest first, to which a
+   member sends what all are to hear to OUT, at most MAX: all of them if these
+   are no more, else those at the distances 1, 2, 4, ...  If each member passes
+   on what is new to it, all hear it in log2 N steps.  Returns the number of
+   indices written.  */
+size_t
+wy_ring_fan_out (size_t n, size_t max, size_t *out)
+{
+  size_t count = 0;
+
+  for (size_t i = 0; i < n && count < max; i = n <= max ? i + 1 : 2 * i + 1)
+    out[count++] = i;
+  return count;
+}
--- a/src/decide/ring.h
+++ b/src/decide/ring.h
@@ -10,6 +10,7 @@
 
 size_t wy_ring_successors (const uint64_t *positions, size_t n, uint64_t own,
                            size_t max, size_t *out);
+size_t wy_ring_fan_out (size_t n, size_t max, size_t *out);
 size_t wy_ring_monitored (const struct wy_liveness *liveness, size_t n,
                           size_t timely);
 
--- a/src/decide/suspect.c
+++ b/src/decide/suspect.c
@@ -105,6 +105,7 @@
     }
   add_target (e, target, now_ms);
   e->is_remote = false;
+  e->told_ms = 0;
   if (running == 1)
     e->isolated_crashes++;
   e->seen_ms = now_ms;
@@ -223,6 +224,55 @@
 {
   struct wy_suspect *e = find (s, fingerprint, now_ms);
 
-  if (e)
-    e->is_remote = false;
+  if (!e)
+    return;
+  e->is_remote = false;
+  e->told_ms = 0;
+}
+
+/* Merge a suspect of which another entry has told directly.  Returns whether
+   it tells of a crash that was not known.  */
+bool
+wy_suspects_hear (struct wy_suspects *s, const struct wy_suspect *other,
+                  int64_t now_ms)
+{
+  uint32_t known = wy_suspects_crashes (s, other->fingerprint, now_ms);
+  struct wy_suspect *e;
+
+  if (wy_suspects_merge (s, other, now_ms) <= known)
+    return false;
+  e = find (s, other->fingerprint, now_ms);
+  if (e && e->is_remote)
+    e->told_ms = now_ms;
+  return true;
+}
+
+/* The store has OTHER: it outlives the entry that told of it.  */
+void
+wy_suspects_stored (struct wy_suspects *s, const struct wy_suspect *other,
+                    int64_t now_ms)
+{
+  struct wy_suspect *e = find (s, other->fingerprint, now_ms);
+
+  if (e && e->crashes <= other->crashes)
+    e->told_ms = 0;
+}
+
+/* The fingerprint of a suspect that another entry told of AGE_MS ago or
+   earlier and that the store does not have; 0: none.  It is not returned
+   again.  */
+uint64_t
+wy_suspects_next_unstored (struct wy_suspects *s, int64_t age_ms,
+                           int64_t now_ms)
+{
+  for (uint32_t i = 0; i < WY_SUSPECTS_MAX && s->n > 0; i++)
+    {
+      struct wy_suspect *e = &s->slot[i];
+
+      if (e->fingerprint == 0 || !e->told_ms || now_ms - e->told_ms < age_ms)
+        continue;
+      e->told_ms = 0;
+      return e->fingerprint;
+    }
+  return 0;
 }
--- a/src/decide/suspect.h
+++ b/src/decide/suspect.h
@@ -27,6 +27,9 @@
   uint32_t isolated_crashes; /* when nothing else was running */
   int64_t seen_ms;           /* last crash or last report by another entry */
   bool is_remote;            /* known only from another entry */
+  /* When another entry told of it directly; 0: the store has it, or this entry
+     has seen it itself.  */
+  int64_t told_ms;
 };
 
 struct wy_suspects
@@ -41,6 +44,12 @@
 uint32_t wy_suspects_record_crash (struct wy_suspects *s, uint64_t fingerprint,
                                    uint64_t target, uint32_t running,
                                    int64_t now_ms);
+bool wy_suspects_hear (struct wy_suspects *s, const struct wy_suspect *other,
+                       int64_t now_ms);
+void wy_suspects_stored (struct wy_suspects *s, const struct wy_suspect *other,
+                         int64_t now_ms);
+uint64_t wy_suspects_next_unstored (struct wy_suspects *s, int64_t age_ms,
+                                    int64_t now_ms);
 void wy_suspects_adopt (struct wy_suspects *s, uint64_t fingerprint,
                         int64_t now_ms);
 uint32_t
--- a/src/gate/env.h
+++ b/src/gate/env.h
@@ -51,6 +51,7 @@
 };
 
 struct wy_demand;
+struct wy_suspect_peers;
 
 struct wy_gate_env
 {
@@ -73,6 +74,7 @@
      they are not shared.  */
   void (*on_suspects_changed) (void *ctx);
   void *suspects_ctx;
+  struct wy_suspect_peers *suspect_peers; /* NULL: there are none */
   int64_t list_current_since_ms; /* of the targets; 0: it may be out of date */
   struct wy_usage *usage;        /* NULL: usage is not reported */
   /* Of models, by which replicas are divided; NULL: they are not.  */
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -7,6 +7,7 @@
 #include "gate/crash_watch.h"
 #include "gate/response.h"
 #include "gate/status.h"
+#include "gate/suspect_peers.h"
 #include "platform/replica_wire.h"
 #include "trace/json_log.h"
 
@@ -109,7 +110,8 @@
   const char *body;
   size_t n;
 
-  if (wy_jobs_accept_handoff (g->jobs, r))
+  if (wy_jobs_accept_handoff (g->jobs, r)
+      || wy_suspect_peers_handle (g->env.suspect_peers, r))
     return;
   f = g_new0 (struct forward, 1);
   f->request = r;
@@ -380,6 +382,7 @@
     wy_h1_server_free (g->metrics_server);
   wy_gate_free_duties (g);
   wy_jobs_free (g->jobs);
+  wy_suspect_peers_free (g->env.suspect_peers);
   wy_members_free (g->members);
   wy_watch_free (g->operator_watch);
   wy_watch_free (g->replica_watch);
--- a/src/gate/members.h
+++ b/src/gate/members.h
@@ -26,7 +26,9 @@
   WY_MEMBERS_PARTITIONS = 8,
   WY_MEMBERS_PARTITION_SIZE_BYTES = 8,
   /* Keys of addresses and heartbeats.  */
-  WY_MEMBERS_KEY_SIZE_BYTES = 17
+  WY_MEMBERS_KEY_SIZE_BYTES = 17,
+  /* Entries to which one sends what all are to hear.  */
+  WY_MEMBERS_FAN_OUT_MAX = 16
 };
 
 struct wy_members;
@@ -50,6 +52,13 @@
   int64_t silent_ms; /* -1: not monitored by this entry */
 };
 
+/* An entry that is alive.  */
+struct wy_member_peer
+{
+  struct sockaddr_in address;
+  bool is_self;
+};
+
 struct wy_members *wy_members_new (const struct wy_members_options *o);
 void wy_members_free (struct wy_members *m);
 void wy_members_set_leaving (struct wy_members *m);
@@ -67,6 +76,10 @@
 bool wy_members_choose_holder (const struct wy_members *m, const char *key,
                                const char **holder,
                                struct sockaddr_in *address);
+size_t wy_members_first_for (const struct wy_members *m, uint64_t key,
+                             struct wy_member_peer *out, size_t max);
+size_t wy_members_fan_out (const struct wy_members *m, struct sockaddr_in *out,
+                           bool *is_complete);
 uint32_t wy_members_rank (const struct wy_members *m, const char *key);
 size_t wy_members_peer_addresses (const struct wy_members *m,
                                   struct sockaddr_in *out, size_t max);
--- a/src/gate/members_heartbeat.c
+++ b/src/gate/members_heartbeat.c
@@ -27,7 +27,13 @@
   /* Polls between scans for expired rows.  */
   EXPIRY_POLLS = 20,
   /* How long the row of a failed entry is kept.  */
-  FAILED_RETENTION_MS = 60000
+  FAILED_RETENTION_MS = 60000,
+  /* A suspect of which another entry has told is in that entry's row within
+     this time, if it lives and reaches the store.  */
+  UNSTORED_MAX_MS = 500,
+  /* Entries that publish it otherwise.  The one that died may be among the
+     first.  */
+  ADOPTERS = 3
 };
 
 static unsigned
@@ -361,11 +367,37 @@
     }
 }
 
+/* Publish suspects that other entries told of directly and whose rows still
+   don't show them: these entries may have died.  */
+static void
+adopt_unstored (struct wy_members *m)
+{
+  struct wy_gate_env *env = m->o.env;
+  struct wy_suspects *s = &env->crashes.suspects;
+  int64_t now_ms = wy_clock_mono_ms (env->clock);
+  uint64_t f;
+
+  while ((f = wy_suspects_next_unstored (s, UNSTORED_MAX_MS, now_ms)))
+    {
+      struct wy_member_peer first[ADOPTERS];
+      size_t n = wy_members_first_for (m, f, first, ADOPTERS);
+
+      for (size_t i = 0; i < n; i++)
+        if (first[i].is_self)
+          {
+            wy_json_log ("suspect.adopted", "fingerprint=%016llx",
+                         (unsigned long long)f);
+            wy_suspects_adopt (s, f, now_ms);
+          }
+    }
+}
+
 static void
 on_poll (uv_timer_t *t)
 {
   struct wy_members *m = t->data;
 
+  adopt_unstored (m);
   wy_busy_slots_sample (m->busy_slots, m->o.env);
   if (!wy_watch_is_synced (m->watch) || m->pending_reads)
     return;
--- a/src/gate/members_query.c
+++ b/src/gate/members_query.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "base/id.h"
+#include "decide/ring.h"
 #include "platform/replica_wire.h"
 
 enum
@@ -277,6 +278,90 @@
   return n;
 }
 
+/* An entry and its weight in the order of a key.  */
+struct weighted
+{
+  struct wy_member_peer peer;
+  uint64_t weight;
+};
+
+static gint
+by_weight (gconstpointer a, gconstpointer b)
+{
+  uint64_t x = ((const struct weighted *)a)->weight;
+  uint64_t y = ((const struct weighted *)b)->weight;
+
+  return (x < y) - (x > y);
+}
+
+/* Write the first MAX entries that are alive in an order that depends on KEY
+   to OUT.  All entries that know the same directory find the same ones, and an
+   entry that starts or fails changes few keys.  This entry always counts as
+   alive.  Returns their number.  */
+size_t
+wy_members_first_for (const struct wy_members *m, uint64_t key,
+                      struct wy_member_peer *out, size_t max)
+{
+  const char *node = m->o.env->node;
+  GArray *all = g_array_new (FALSE, FALSE, sizeof (struct weighted));
+  struct weighted self = { .peer.is_self = true,
+                           .weight = wy_hash64 (node, strlen (node), key) };
+  GHashTableIter it;
+  gpointer p;
+  size_t n;
+
+  g_array_append_val (all, self);
+  g_hash_table_iter_init (&it, m->by_node);
+  while (g_hash_table_iter_next (&it, NULL, &p))
+    {
+      const struct member *e = p;
+      struct weighted w
+          = { .peer.address = e->address,
+              .weight = wy_hash64 (e->node, strlen (e->node), key) };
+
+      if (wy_member_is_alive (e) && e->has_address && strcmp (e->node, node))
+        g_array_append_val (all, w);
+    }
+  g_array_sort (all, by_weight);
+  for (n = 0; n < max && n < all->len; n++)
+    out[n] = g_array_index (all, struct weighted, n).peer;
+  g_array_free (all, TRUE);
+  return n;
+}
+
+/* Write the addresses to which this entry sends what all entries are to hear
+   to OUT, which has space for WY_MEMBERS_FAN_OUT_MAX.  *IS_COMPLETE is whether
+   these are all others; if not, each entry passes on what is new to it.
+   Returns their number.  */
+size_t
+wy_members_fan_out (const struct wy_members *m, struct sockaddr_in *out,
+                    bool *is_complete)
+{
+  size_t n_ring;
+  struct member **ring = wy_members_ring (m, &n_ring);
+  GArray *others = g_array_new (FALSE, FALSE, sizeof (struct sockaddr_in));
+  size_t at[WY_MEMBERS_FAN_OUT_MAX];
+  size_t first = 0;
+  size_t n;
+
+  while (first < n_ring && ring[first]->position <= m->position)
+    first++;
+  for (size_t i = 0; i < n_ring; i++)
+    {
+      const struct member *e = ring[(first + i) % n_ring];
+
+      if (e->has_address && e->position != m->position)
+        g_array_append_val (others, e->address);
+    }
+  n = wy_ring_fan_out (others->len, WY_MEMBERS_FAN_OUT_MAX, at);
+  for (size_t i = 0; i < n; i++)
+    out[i] = g_array_index (others, struct sockaddr_in, at[i]);
+  *is_complete = n == others->len;
+  g_array_free (others, TRUE);
+  g_free (ring);
+  return n;
+}
+
 /* Parse ROW of the table of addresses: the address on which its entry relays
    store calls.  Returns false if the row is invalid.  */
 bool
--- a/src/gate/store_watch.c
+++ b/src/gate/store_watch.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "gate/crash_watch.h"
+#include "gate/suspect_peers.h"
 #include "jobs/model_shares.h"
 #include "platform/config_wire.h"
 #include "platform/replica_wire.h"
@@ -177,6 +178,7 @@
 {
   struct wy_gate *g = ctx;
 
+  wy_suspect_peers_tell (g->env.suspect_peers);
   wy_members_publish_suspects (g->members);
 }
 
@@ -233,6 +235,7 @@
   w.seed = seed + 1;
   g->replica_watch = wy_watch_new (&w);
   g->members = wy_members_new (&m);
+  g->env.suspect_peers = wy_suspect_peers_new (&g->env, g->members);
   g->env.on_suspects_changed = on_suspects_changed;
   g->env.suspects_ctx = g;
   wy_gate_set_relays (g);
--- a/src/gate/suspect_list.c
+++ b/src/gate/suspect_list.c
@@ -101,8 +101,27 @@
   return s;
 }
 
-/* Merge the LIST of another entry into W.  LIST may be NULL; invalid elements
-   are ignored.  Returns the number of requests that this blocks.  */
+/* Report that W has heard of S, after CRASHES had been known of it.  Returns
+   whether this blocks the request.  */
+static bool
+report_heard (struct wy_crash_tracker *w, const struct wy_suspect *s,
+              uint32_t crashes, int64_t now_ms)
+{
+  struct wy_crash_event ev = {
+    .fingerprint = s->fingerprint,
+    .is_remote = true,
+    .crashes = wy_suspects_crashes (&w->suspects, s->fingerprint, now_ms),
+    .is_blocked = wy_crash_tracker_is_blocked (w, s->fingerprint, now_ms)
+  };
+
+  if (ev.crashes > crashes)
+    wy_crash_tracker_report (w, &ev);
+  return ev.is_blocked;
+}
+
+/* Merge the LIST in the directory row of another entry into W.  LIST may be
+   NULL; invalid elements are ignored.  Returns the number of requests that
+   this blocks.  */
 uint32_t
 wy_suspect_list_merge (struct wy_crash_tracker *w, const json_t *list,
                        int64_t now_ms)
@@ -112,23 +131,44 @@
   for (size_t i = 0; i < json_array_size (list); i++)
     {
       struct wy_suspect s = parse_suspect (json_array_get (list, i));
-      struct wy_crash_event ev
-          = { .fingerprint = s.fingerprint, .is_remote = true };
       uint32_t known
           = wy_suspects_crashes (&w->suspects, s.fingerprint, now_ms);
 
-      if (s.fingerprint == 0
-          || wy_crash_tracker_is_blocked (w, s.fingerprint, now_ms))
+      if (s.fingerprint == 0)
+        continue;
+      wy_suspects_stored (&w->suspects, &s, now_ms);
+      if (wy_crash_tracker_is_blocked (w, s.fingerprint, now_ms))
         continue;
-      ev.crashes = wy_suspects_merge (&w->suspects, &s, now_ms);
-      ev.is_blocked = wy_crash_tracker_is_blocked (w, s.fingerprint, now_ms);
-      blocked += ev.is_blocked;
-      if (ev.crashes > known)
-        wy_crash_tracker_report (w, &ev);
+      wy_suspects_merge (&w->suspects, &s, now_ms);
+      wy_suspects_stored (&w->suspects, &s, now_ms);
+      blocked += report_heard (w, &s, known, now_ms);
     }
   return blocked;
 }
 
+/* Merge the LIST that another entry has sent directly into W.  LIST may be
+   NULL; invalid elements are ignored.  Returns whether anything in it is
+   new.  */
+bool
+wy_suspect_list_hear (struct wy_crash_tracker *w, const json_t *list,
+                      int64_t now_ms)
+{
+  bool is_new = false;
+
+  for (size_t i = 0; i < json_array_size (list); i++)
+    {
+      struct wy_suspect s = parse_suspect (json_array_get (list, i));
+      uint32_t known
+          = wy_suspects_crashes (&w->suspects, s.fingerprint, now_ms);
+
+      if (s.fingerprint == 0 || !wy_suspects_hear (&w->suspects, &s, now_ms))
+        continue;
+      is_new = true;
+      report_heard (w, &s, known, now_ms);
+    }
+  return is_new;
+}
+
 /* Merge the LIST of an entry that is gone into W, and send it on in the list
    of this entry from now on.  LIST may be NULL.  */
 void
--- a/src/gate/suspect_list.h
+++ b/src/gate/suspect_list.h
@@ -8,6 +8,8 @@
 #include "decide/crash_tracker.h"
 
 json_t *wy_suspect_list_encode (struct wy_crash_tracker *w, int64_t now_ms);
+bool wy_suspect_list_hear (struct wy_crash_tracker *w, const json_t *list,
+                           int64_t now_ms);
 uint32_t wy_suspect_list_merge (struct wy_crash_tracker *w, const json_t *list,
                                 int64_t now_ms);
 void wy_suspect_list_adopt (struct wy_crash_tracker *w, const json_t *list,
--- a/tests/support/crash_fixture.c
+++ b/tests/support/crash_fixture.c
@@ -11,10 +11,11 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include "base/id.h"
 #include "platform/config_wire.h"
 #include "platform/replica_wire.h"
 
-#define CRASHING "crash-1"
+#define TARGET "/p/x"
 
 enum
 {
@@ -98,23 +99,37 @@
   struct crash_fixture *x = ctx;
 
   if (strncmp (body, CRASHING, n) != 0)
-    return;
+    {
+      if (x->on_run)
+        x->on_run (x);
+      return;
+    }
   x->runs++;
   x->late_runs
       += x->third_crash_ms && now_ms () - x->third_crash_ms > CRASH_KNOWN_MS;
 }
 
-static struct platform_response *
-call (struct crash_fixture *x, uint32_t gate, const char *id, const char *body)
+/* Send a request with BODY to GATE.  */
+struct platform_response *
+crash_fixture_call (struct crash_fixture *x, uint32_t gate, const char *id,
+                    const char *body)
 {
   struct wy_h1_header fields[] = { { "Host", "h" },
                                    { "Attempt-Id", id },
                                    { "Deadline-Milliseconds", "2000" } };
 
-  return platform_fixture_call (&x->w, x->gates[gate].callers, "POST", "/p/x",
+  return platform_fixture_call (&x->w, x->gates[gate].callers, "POST", TARGET,
                                 fields, G_N_ELEMENTS (fields), body);
 }
 
+/* The fingerprint by which entries recognize a request with BODY.  */
+uint64_t
+crash_fixture_fingerprint (const char *body)
+{
+  return wy_hash64 (body, strlen (body),
+                    wy_hash64 (TARGET, strlen (TARGET), 0));
+}
+
 static uint32_t
 next_receiver (struct crash_fixture *x)
 {
@@ -143,7 +158,7 @@
         platform_response_free (x->calls[i]);
       gate = next_receiver (x);
       snprintf (id, sizeof id, "bad-%u", x->sent);
-      x->calls[i] = call (x, gate, id, CRASHING);
+      x->calls[i] = crash_fixture_call (x, gate, id, CRASHING);
     }
 }
 
@@ -247,9 +262,9 @@
 static void
 write_settings (struct crash_fixture *x, uint32_t i)
 {
-  uint16_t peers = next_port ();
   char *text;
 
+  x->gates[i].peers = next_port ();
   x->gates[i].callers = next_port ();
   x->gates[i].ready = next_port ();
   x->gates[i].path = g_strdup_printf ("%s/gate-%u.yaml", x->dir, i);
@@ -258,7 +273,7 @@
       "callers_address: 127.0.0.1:%u\nready_address: 127.0.0.1:%u\n"
       "peers_address: 127.0.0.1:%u\nstore_address: 127.0.0.1:%u\n"
       "seeds: []\nduties: []\nmemory_mb: 64\n",
-      i, x->gates[i].callers, x->gates[i].ready, peers,
+      i, x->gates[i].callers, x->gates[i].ready, x->gates[i].peers,
       wy_platform_store_port (x->w.store));
   cr_assert (g_file_set_contents (x->gates[i].path, text, -1, NULL));
   g_free (text);
@@ -447,7 +462,7 @@
 
       if (!x->gates[i].pid)
         continue;
-      a = call (x, i, "good", body);
+      a = crash_fixture_call (x, i, "good", body);
       cr_assert (
           platform_fixture_run_until (&x->w, platform_response_done, a));
       cr_expect_eq (a->status, 200, "gate %u: %d", i, a->status);
--- a/tests/support/crash_fixture.h
+++ b/tests/support/crash_fixture.h
@@ -5,6 +5,8 @@
 
 #include <sys/types.h>
 
+#define CRASHING "crash-1"
+
 #include "support/platform_fixture.h"
 
 enum
@@ -31,6 +33,7 @@
   pid_t pid;
   uint16_t callers;
   uint16_t ready;
+  uint16_t peers;
   char *path; /* of the settings; its log is beside them */
 };
 
@@ -70,6 +73,9 @@
   uint32_t late_runs; /* later than CRASH_KNOWN_MS after the third crash */
   /* Called at each crash; may be NULL.  */
   void (*on_crash) (struct crash_fixture *x);
+  /* Called when a replica starts to run a request that doesn't crash it; may
+     be NULL.  */
+  void (*on_run) (struct crash_fixture *x);
 };
 
 void crash_fixture_start (struct crash_fixture *x,
@@ -78,6 +84,10 @@
 void crash_fixture_launch (struct crash_fixture *x, uint32_t gate);
 void crash_fixture_await_ready (struct crash_fixture *x, uint32_t gate);
 void crash_fixture_kill (struct crash_fixture *x, uint32_t gate);
+struct platform_response *crash_fixture_call (struct crash_fixture *x,
+                                              uint32_t gate, const char *id,
+                                              const char *body);
+uint64_t crash_fixture_fingerprint (const char *body);
 void crash_fixture_send (struct crash_fixture *x, uint32_t receivers);
 void crash_fixture_send_until_third_crash (struct crash_fixture *x,
                                            uint32_t receivers);
--- /dev/null
+++ b/tests/test_crash_witness.c
@@ -0,0 +1,140 @@
+/* The only entry that saw a request crash replicas dies at that moment.  The
+   other entries get the request when the replicas are back.  */
+#include <criterion/criterion.h>
+
+#include "support/crash_fixture.h"
+
+enum
+{
+  FEW_GATES = 3,
+  MANY_GATES = 7,
+  WITNESS = 0,
+  /* In which every gate reads the directory.  */
+  SETTLE_MS = 1000
+};
+
+static struct crash_fixture x;
+static uint32_t kill_delay_ms;
+static uv_timer_t kill_timer;
+
+/* The bit set of all gates but the witness.  */
+static uint32_t
+others (void)
+{
+  return (1U << x.o.gates) - 1 - (1U << WITNESS);
+}
+
+static void
+on_kill (uv_timer_t *t)
+{
+  crash_fixture_kill (&x, WITNESS);
+  crash_fixture_send (&x, others ());
+}
+
+static void
+on_crash (struct crash_fixture *f)
+{
+  if (f->crashes == CRASHES_ALLOWED)
+    uv_timer_start (&kill_timer, on_kill, kill_delay_ms, 0);
+}
+
+/* Start gates and replicas as O says, and a request that the witness alone
+   gets until it is killed DELAY_MS after the third crash; from then on the
+   others get it.  */
+static void
+start (const struct crash_options *o, uint32_t delay_ms)
+{
+  crash_fixture_start (&x, o);
+  kill_delay_ms = delay_ms;
+  x.on_crash = on_crash;
+  uv_timer_init (&x.w.loop, &kill_timer);
+  platform_fixture_run_ms (&x.w, SETTLE_MS);
+}
+
+/* Kill the witness among N gates DELAY_MS after the third crash.  */
+static void
+kill_witness (uint32_t n, uint32_t delay_ms)
+{
+  start (&(struct crash_options){ .gates = n,
+                                  .replicas = CRASH_REPLICAS_MAX,
+                                  .down_ms = CRASH_DOWN_MS },
+         delay_ms);
+  crash_fixture_send_until_third_crash (&x, 1U << WITNESS);
+  crash_fixture_expect_rejected (&x);
+  crash_fixture_expect_served (&x, "good");
+}
+
+static void
+finish (void)
+{
+  uv_close ((uv_handle_t *)&kill_timer, NULL);
+  crash_fixture_stop (&x);
+}
+
+/* The witness is killed while it tells of the crashes.  Guards against each
+   other entry running the request for itself when the replicas return.  */
+Test (crash_witness, killed_while_it_tells)
+{
+  kill_witness (FEW_GATES, 20);
+  finish ();
+}
+
+/* The store does not respond, and the request comes again only after all must
+   know of it.  Guards against crashes that are told through the store
+   alone.  */
+Test (crash_witness, killed_while_the_store_is_away)
+{
+  start (&(struct crash_options){ .gates = MANY_GATES,
+                                  .replicas = CRASH_REPLICAS_MAX,
+                                  .down_ms = 500,
+                                  .keeps_id = true },
+         20);
+  wy_platform_store_faults (x.w.store)->silent = true;
+  crash_fixture_send_until_third_crash (&x, 1U << WITNESS);
+  platform_fixture_run_ms (&x.w, 100);
+  crash_fixture_send (&x, 0);
+  platform_fixture_run_ms (&x.w, CRASH_KNOWN_MS);
+  crash_fixture_send (&x, others ());
+  crash_fixture_expect_rejected (&x);
+  finish ();
+}
+
+static void
+on_store_slow (uv_timer_t *t)
+{
+  wy_platform_store_faults (x.w.store)->silent = true;
+}
+
+/* The store has the first crash and responds no more; the witness is killed at
+   the third.  */
+static void
+on_crash_in_turn (struct crash_fixture *f)
+{
+  if (f->crashes == 1)
+    uv_timer_start (&kill_timer, on_store_slow, 15, 0);
+  else
+    on_crash (f);
+}
+
+/* The witness has told of one of three crashes when it is killed.  Guards
+   against each other entry taking one crash for harmless.  */
+Test (crash_witness, killed_after_it_told_of_one_crash)
+{
+  struct platform_response *calls[2];
+
+  start (&(struct crash_options){ .gates = FEW_GATES,
+                                  .replicas = CRASH_REPLICAS_MAX,
+                                  .down_ms = CRASH_DOWN_MS },
+         0);
+  x.on_crash = on_crash_in_turn;
+  calls[0] = crash_fixture_call (&x, WITNESS, "first", CRASHING);
+  platform_fixture_run_ms (&x.w, 35);
+  calls[1] = crash_fixture_call (&x, WITNESS, "second", CRASHING);
+  platform_fixture_run_ms (&x.w, 600);
+  wy_platform_store_faults (x.w.store)->silent = false;
+  cr_expect_eq (x.crashes, CRASHES_ALLOWED);
+  crash_fixture_expect_rejected (&x);
+  for (uint32_t i = 0; i < 2; i++)
+    platform_response_free (calls[i]);
+  finish ();
+}
