One run at a time among all entries of a request that crashed a replica

Callers saw: after the replicas of a service had returned from a crash, the service went down once more, since each entry that knew of one crash still ran the request, all of them at the moment when the replicas returned.

Cause: one known crash changed nothing. WY_SUSPICION_ISOLATE was returned and not used; an entry decided for itself, from what it had been told so far. Evidence: suspect.heard crashes=1 at each entry, and after it a run.interrupted for each caller that it served.

A request under which one replica has crashed now needs a permit, of which there is one among all entries. The permit is released when the run has ended and it is known whether the replica has crashed; the release carries the crash. A response clears the suspicion at all entries. Requests that nobody suspects are not affected: no message, no look-up while the list of suspects is empty.

--- a/src/decide/crash_tracker.c
+++ b/src/decide/crash_tracker.c
@@ -45,6 +45,34 @@
   r->fingerprint = fingerprint;
   r->incarnation = incarnation;
   r->at_ms = now_ms;
+  r->is_open = true;
+}
+
+/* It is known, or can't be found out at once, whether the INCARNATION of a
+   target has crashed.  */
+void
+wy_crash_tracker_verdict (struct wy_crash_tracker *t, uint64_t incarnation)
+{
+  for (uint32_t i = 0; i < WY_INTERRUPTED_RUNS_MAX; i++)
+    if (t->run[i].incarnation == incarnation)
+      t->run[i].is_open = false;
+}
+
+/* Whether a run of the request with FINGERPRINT was interrupted and it will be
+   known soon whether its target has crashed.  */
+bool
+wy_crash_tracker_is_open (const struct wy_crash_tracker *t,
+                          uint64_t fingerprint, int64_t now_ms)
+{
+  for (uint32_t i = 0; i < WY_INTERRUPTED_RUNS_MAX; i++)
+    {
+      const struct wy_interrupted_run *r = &t->run[i];
+
+      if (r->is_open && r->fingerprint == fingerprint
+          && now_ms - r->at_ms < WY_CRASH_VERDICT_MS)
+        return true;
+    }
+  return false;
 }
 
 /* Pass EV on to the owner of T.  */
--- a/src/decide/crash_tracker.h
+++ b/src/decide/crash_tracker.h
@@ -16,7 +16,10 @@
   /* A crashed target is removed from the list after a few missed heartbeats
      or restarts within seconds; runs interrupted longer before that have
      another cause.  */
-  WY_CRASH_CONFIRM_MS = 10000
+  WY_CRASH_CONFIRM_MS = 10000,
+  /* Longest time from an interruption until it is known whether the target
+     has crashed: that of an attempt to connect to it.  */
+  WY_CRASH_VERDICT_MS = 500
 };
 
 /* A run whose connection was lost before the response; its target may have
@@ -26,6 +29,7 @@
   uint64_t fingerprint; /* of the request; 0: free slot */
   uint64_t incarnation; /* of its target: one start of the process */
   int64_t at_ms;
+  bool is_open; /* whether its target has crashed will be known soon */
 };
 
 /* What a crash of a target meant for the runs on it.  */
@@ -62,6 +66,10 @@
 void wy_crash_tracker_run_interrupted (struct wy_crash_tracker *t,
                                        uint64_t fingerprint,
                                        uint64_t incarnation, int64_t now_ms);
+void wy_crash_tracker_verdict (struct wy_crash_tracker *t,
+                               uint64_t incarnation);
+bool wy_crash_tracker_is_open (const struct wy_crash_tracker *t,
+                               uint64_t fingerprint, int64_t now_ms);
 struct wy_crash_counts
 wy_crash_tracker_target_crashed (struct wy_crash_tracker *t,
                                  uint64_t incarnation, int64_t now_ms);
--- a/src/decide/suspect.c
+++ b/src/decide/suspect.c
@@ -16,6 +16,10 @@
    wrong suspicion.  */
 #define TTL_MS INT64_C (1800000)
 
+/* Reports of other entries from before a suspect was cleared arrive within
+   this time.  */
+#define LATE_REPORTS_MS INT64_C (2000)
+
 /* The fingerprint of a request: a hash of its KEY, or of its body if KEY is
    NULL or empty; never 0.  */
 uint64_t
@@ -190,6 +194,31 @@
   return WY_SUSPICION_ISOLATE;
 }
 
+/* The same, where other entries may still report the request as suspect for a
+   while: their reports of a single crash are ignored.  */
+void
+wy_suspects_clear_lasting (struct wy_suspects *s, uint64_t fingerprint,
+                           int64_t now_ms)
+{
+  struct wy_cleared *c = &s->cleared[s->next_cleared];
+
+  wy_suspects_clear (s, fingerprint);
+  s->next_cleared = (s->next_cleared + 1) % WY_CLEARED_MAX;
+  c->fingerprint = fingerprint;
+  c->at_ms = now_ms;
+}
+
+static bool
+is_late_report (const struct wy_suspects *s, const struct wy_suspect *other,
+                int64_t now_ms)
+{
+  for (uint32_t i = 0; i < WY_CLEARED_MAX; i++)
+    if (s->cleared[i].fingerprint == other->fingerprint
+        && now_ms - s->cleared[i].at_ms < LATE_REPORTS_MS)
+      return other->crashes < WY_SUSPECT_CRASHES_MAX;
+  return false;
+}
+
 /* Merge a suspect received from another entry.  It doesn't extend the lifetime
    of one that this entry has observed itself: otherwise suspects that entries
    send to each other would never expire.  Returns the number of different
@@ -202,6 +231,8 @@
 
   if (other->fingerprint == 0)
     return 0;
+  if (!e && is_late_report (s, other, now_ms))
+    return 0;
   if (!e)
     {
       e = take_slot (s);
--- a/src/decide/suspect.h
+++ b/src/decide/suspect.h
@@ -7,6 +7,7 @@
 
 #define WY_SUSPECTS_MAX 256
 #define WY_SUSPECT_CRASHES_MAX 2
+#define WY_CLEARED_MAX 32
 
 enum wy_suspicion
 {
@@ -32,10 +33,19 @@
   int64_t told_ms;
 };
 
+/* A request that is no longer suspect.  */
+struct wy_cleared
+{
+  uint64_t fingerprint; /* 0: free slot */
+  int64_t at_ms;
+};
+
 struct wy_suspects
 {
   struct wy_suspect slot[WY_SUSPECTS_MAX];
   uint32_t n;
+  struct wy_cleared cleared[WY_CLEARED_MAX]; /* ring buffer */
+  uint32_t next_cleared;
 };
 
 uint64_t wy_fingerprint (const char *key, const void *body,
@@ -44,6 +54,8 @@
 uint32_t wy_suspects_record_crash (struct wy_suspects *s, uint64_t fingerprint,
                                    uint64_t target, uint32_t running,
                                    int64_t now_ms);
+void wy_suspects_clear_lasting (struct wy_suspects *s, uint64_t fingerprint,
+                                int64_t now_ms);
 bool wy_suspects_hear (struct wy_suspects *s, const struct wy_suspect *other,
                        int64_t now_ms);
 void wy_suspects_stored (struct wy_suspects *s, const struct wy_suspect *other,
--- a/src/gate/crash_watch.c
+++ b/src/gate/crash_watch.c
@@ -117,6 +117,7 @@
   if (err && wy_h1_call_was_refused (b->call)
       && b->incarnation == g->incarnation)
     wy_crash_watch_refused (b->env, g);
+  wy_crash_tracker_verdict (&b->env->crashes, b->incarnation);
   wy_target_unref (b->env->targets, g);
   g_free (b);
 }
@@ -144,6 +145,13 @@
   b->call = wy_h1_call_start (env->http, &o);
 }
 
+/* Whether it is being found out if R's target has crashed under it.  */
+static bool
+is_being_probed (const struct wy_crash_watch_run *r)
+{
+  return r->target->is_probed && r->incarnation == r->target->incarnation;
+}
+
 /* Record the interrupted run R, and find out whether its target has crashed.
  */
 void
@@ -164,6 +172,8 @@
     count_crash (env, g, r->incarnation, "known");
   else if (r->incarnation == g->incarnation)
     start_probe (env, g);
+  if (!is_being_probed (r))
+    wy_crash_tracker_verdict (&env->crashes, r->incarnation);
 }
 
 static bool
--- a/src/gate/env.h
+++ b/src/gate/env.h
@@ -45,9 +45,11 @@
   struct wy_metrics_family *requests_ended; /* by route, outcome and reason */
   /* By route, target's service and outcome.  */
   struct wy_metrics_family *latency_by_route;
-  struct wy_metrics_family *told;     /* by reason and basis */
-  struct wy_metrics_family *told_us;  /* by reason */
-  struct wy_metrics_family *returned; /* by work, time and outcome */
+  struct wy_metrics_family *told;        /* by reason and basis */
+  struct wy_metrics_family *told_us;     /* by reason */
+  struct wy_metrics_family *returned;    /* by work, time and outcome */
+  struct wy_metrics_family *run_permits; /* by outcome */
+  uint64_t *waits;                       /* for an equal request */
 };
 
 struct wy_demand;
--- a/src/gate/gate_metrics.c
+++ b/src/gate/gate_metrics.c
@@ -40,6 +40,13 @@
   c->crash_probes = wy_metrics_counter (
       m, "wy_gate_crash_probes_total",
       "Connections opened to find out whether a replica has crashed");
+  c->waits = wy_metrics_counter (
+      m, "wy_gate_isolation_waits_total",
+      "Requests that waited while an equal one ran, as a replica had crashed");
+  c->run_permits = wy_metrics_counter_family (
+      m, "wy_gate_run_permits_total",
+      "Requests for a permit to run where one replica has crashed, by outcome",
+      WY_GATE_LABEL_SETS_MAX);
   c->retries = wy_metrics_counter (m, "wy_gate_retries_total",
                                    "Tries that failed at one replica");
   c->hedges = wy_metrics_counter (m, "wy_gate_hedges_total",
--- a/src/gate/proxy.c
+++ b/src/gate/proxy.c
@@ -33,6 +33,8 @@
      rejection.  A stream that has begun is retried until its deadline.  */
   CAPACITY_RETRY_MS = 40,
   CAPACITY_RETRIES_MAX = 6,
+  /* The same while an equal request may be about to crash its target.  */
+  ISOLATION_RETRY_MS = 20,
   /* If a stream pauses for this long, its replica counts as failed.  */
   STREAM_IDLE_TIMEOUT_MS = 2000,
   /* A stream whose caller reads too slowly is aborted at this size: unsent
@@ -43,7 +45,6 @@
   RESPONSE_LIMIT_BYTES = 16 << 20
 };
 
-static void start_attempt (struct wy_proxy_request *p);
 static void on_timer (uv_timer_t *timer);
 
 static bool
@@ -72,7 +73,7 @@
   if (has_running_attempt (p))
     {
       if (repeatable && p->attempts_left)
-        start_attempt (p);
+        wy_proxy_start_attempt (p);
       return;
     }
   if (!repeatable || p->attempts_left == 0
@@ -81,7 +82,7 @@
       wy_proxy_fail (p, false, reason);
       return;
     }
-  start_attempt (p);
+  wy_proxy_start_attempt (p);
 }
 
 static void
@@ -266,6 +267,7 @@
   wy_target_request_started (g);
   p->sends++;
   p->attempts_left--;
+  p->waits_since_ms = 0;
   wy_proxy_usage_begin (p);
   t->call = wy_h1_call_start (p->env->http, &o);
   g_array_free (fields, TRUE);
@@ -310,6 +312,16 @@
                   due_ms > now_ms ? (uint64_t)(due_ms - now_ms) : 0, 0);
 }
 
+/* Try again to start an attempt after MS.  */
+static void
+retry_after (struct wy_proxy_request *p, int64_t ms)
+{
+  /* Nothing runs that could be hedged.  */
+  p->hedge_due_ms = 0;
+  p->retry_due_ms = wy_proxy_now_ms (p) + ms;
+  arm_timer (p);
+}
+
 /* Whether P, of which nothing has been sent, can't be served in its time.
    Doesn't apply to streams, whose callers use what arrives in time.  */
 static bool
@@ -322,27 +334,53 @@
                   0));
 }
 
-/* Whether P is blocked because targets crashed while running equal requests,
-   here or at other entries.  */
-static bool
-is_blocked (struct wy_proxy_request *p)
+/* No target accepts the request now, and it isn't running.  Retry shortly, or
+   fail at once if the service has no target.  */
+static void
+wait_for_target (struct wy_proxy_request *p)
+{
+  wy_proxy_end_permit (p);
+  if (wy_targets_count_ready (p->env->targets, p->service) == 0)
+    wy_proxy_fail (p, false, "no_target");
+  else if (++p->capacity_retries > CAPACITY_RETRIES_MAX && !p->streaming)
+    wy_proxy_fail (p, false, "full");
+  else
+    retry_after (p, CAPACITY_RETRY_MS);
+}
+
+/* Send the request to G, unless it must run alone and can't now.  */
+static void
+try_target (struct wy_proxy_request *p, struct wy_target *g,
+            struct wy_proxy_attempt *t)
 {
-  struct wy_crash_tracker *w = &p->env->crashes;
-
-  if (!wy_crash_tracker_has_suspects (w)
-      || !wy_crash_tracker_is_blocked (w, wy_proxy_fingerprint (p),
-                                       wy_proxy_now_ms (p)))
-    return false;
-  (*p->env->count.held_back)++;
-  return true;
+  bool is_hedge = has_running_attempt (p);
+
+  switch (wy_proxy_go (p, is_hedge))
+    {
+    case WY_PROXY_RUN:
+      send_attempt (p, g, t);
+      p->hedge_due_ms = is_repeatable (p) && p->attempts_left && !p->streaming
+                            ? wy_proxy_now_ms (p) + p->hedge_delay_ms
+                            : 0;
+      arm_timer (p);
+      return;
+    case WY_PROXY_WAIT:
+      if (!is_hedge)
+        retry_after (p, ISOLATION_RETRY_MS);
+      return;
+    case WY_PROXY_REJECT:
+      if (!is_hedge)
+        wy_proxy_fail (p, false, p->reject_reason);
+      return;
+    }
 }
 
 /* Send the request to one more target, one that has not been tried if
    possible.  If no target can accept it now, retry shortly; if the service has
    no target or the time is too short for any, fail at once; likewise if it has
    been blocked since it was accepted.  */
-static void
-start_attempt (struct wy_proxy_request *p)
+void
+wy_proxy_start_attempt (struct wy_proxy_request *p)
 {
   struct wy_proxy_attempt *t = unused_attempt (p);
   struct wy_target *g = pick_target (p, false);
@@ -350,7 +388,7 @@
   p->retry_due_ms = 0;
   if (!t)
     return;
-  if (is_blocked (p))
+  if (wy_proxy_is_blocked (p))
     {
       if (!has_running_attempt (p))
         wy_proxy_fail (p, false, WY_PROXY_REASON_CRASHES_TARGETS);
@@ -365,30 +403,9 @@
       && (is_repeatable (p) || !p->may_have_run))
     g = pick_target (p, true);
   if (g)
-    {
-      send_attempt (p, g, t);
-      p->hedge_due_ms = is_repeatable (p) && p->attempts_left && !p->streaming
-                            ? wy_proxy_now_ms (p) + p->hedge_delay_ms
-                            : 0;
-      arm_timer (p);
-      return;
-    }
-  if (has_running_attempt (p))
-    return;
-  if (wy_targets_count_ready (p->env->targets, p->service) == 0)
-    {
-      wy_proxy_fail (p, false, "no_target");
-      return;
-    }
-  if (++p->capacity_retries > CAPACITY_RETRIES_MAX && !p->streaming)
-    {
-      wy_proxy_fail (p, false, "full");
-      return;
-    }
-  /* Nothing runs that could be hedged.  */
-  p->hedge_due_ms = 0;
-  p->retry_due_ms = wy_proxy_now_ms (p) + CAPACITY_RETRY_MS;
-  arm_timer (p);
+    try_target (p, g, t);
+  else if (!has_running_attempt (p))
+    wait_for_target (p);
 }
 
 static void
@@ -422,7 +439,7 @@
       wy_proxy_fail (p, true, "time_limit");
     }
   else if (p->retry_due_ms && now_ms >= p->retry_due_ms)
-    start_attempt (p);
+    wy_proxy_start_attempt (p);
   else if (p->hedge_due_ms && now_ms >= p->hedge_due_ms
            && wy_proxy_is_paused (p))
     {
@@ -436,7 +453,7 @@
       p->hedge_due_ms = 0;
       (*p->env->count.hedges)++;
       p->may_have_run = true;
-      start_attempt (p);
+      wy_proxy_start_attempt (p);
       if (!p->ended)
         arm_timer (p);
     }
@@ -500,10 +517,10 @@
   if (wy_rejections_expects_any (env->rejections, p->service))
     p->returned = wy_rejections_returned (env->rejections, p->service,
                                           wy_proxy_fingerprint (p));
-  if (is_blocked (p))
+  if (wy_proxy_is_blocked (p))
     wy_proxy_fail (p, false, WY_PROXY_REASON_CRASHES_TARGETS);
   else if (wy_proxy_is_over_memory (p))
     wy_proxy_fail (p, false, WY_PROXY_REASON_MEMORY);
   else
-    start_attempt (p);
+    wy_proxy_start_attempt (p);
 }
--- a/src/gate/proxy_end.c
+++ b/src/gate/proxy_end.c
@@ -19,6 +19,9 @@
   RETRY_AFTER_MEMORY_MS = 1000,
   /* A retry is of no use before an operator has looked at the request.  */
   RETRY_AFTER_CRASHES_MS = 30000,
+  /* An equal request that runs will have been answered, or have crashed its
+     replica.  */
+  RETRY_AFTER_SUSPECT_MS = 1000,
   STATUS_UNAVAILABLE = 503
 };
 
@@ -105,6 +108,7 @@
   for (guint i = 0; i < p->tried->len; i++)
     wy_target_unref (p->env->targets, g_ptr_array_index (p->tried, i));
   wy_proxy_usage_end (p, true);
+  wy_proxy_end_permit (p);
   g_ptr_array_free (p->tried, TRUE);
   wy_sse_clear (&p->events);
   wy_response_free (p->error_response);
@@ -211,6 +215,8 @@
     o.default_ms = RETRY_AFTER_FULL_MS;
   else if (!strcmp (reason, WY_PROXY_REASON_MEMORY))
     o.not_before_ms = o.default_ms = RETRY_AFTER_MEMORY_MS;
+  else if (!strcmp (reason, WY_PROXY_REASON_SUSPECT))
+    o.not_before_ms = o.default_ms = RETRY_AFTER_SUSPECT_MS;
   else if (!strcmp (reason, "no_target"))
     o.not_before_ms = RETRY_AFTER_NO_TARGET_MS;
   return wy_rejections_tell (p->env->rejections, &o);
@@ -289,8 +295,7 @@
   struct wy_response *response = t->response;
   int64_t now_ms = wy_proxy_now_ms (p);
 
-  if (wy_crash_tracker_has_suspects (&p->env->crashes))
-    wy_crash_tracker_clear (&p->env->crashes, wy_proxy_fingerprint (p));
+  wy_proxy_clear_suspicion (p);
   p->request = NULL;
   t->response = NULL;
   (*p->env->count.answered)++;
--- a/src/gate/proxy_state.h
+++ b/src/gate/proxy_state.h
@@ -5,11 +5,15 @@
 #include "gate/proxy.h"
 #include "gate/response.h"
 #include "gate/sse.h"
+#include "gate/suspect_peers.h"
 #include "h1/read_pause.h"
 #include "platform/request_wire.h"
 
 /* Reason for rejecting a request that is suspected of crashing targets.  */
 #define WY_PROXY_REASON_CRASHES_TARGETS "crashes_targets"
+/* Reason for rejecting a request under which one target has crashed, since an
+   equal one is running.  */
+#define WY_PROXY_REASON_SUSPECT "suspect"
 /* Reason for rejecting a request that can't be served in its time.  */
 #define WY_PROXY_REASON_NO_TIME "no_time"
 /* Reason for rejecting a request for which there is no memory.  */
@@ -35,6 +39,14 @@
   bool not_run; /* the target states that it did not run the request */
 };
 
+/* Whether a request may be sent to a target.  */
+enum wy_proxy_go
+{
+  WY_PROXY_RUN,
+  WY_PROXY_WAIT,
+  WY_PROXY_REJECT /* for its reject_reason */
+};
+
 struct wy_proxy_request
 {
   struct wy_gate_env *env;
@@ -61,8 +73,11 @@
   uint32_t attempts_left; /* an attempt that has not run isn't counted */
   uint32_t sends;         /* all attempts so far */
   uint32_t capacity_retries;
-  uint64_t fingerprint; /* 0: not computed */
-  int64_t after_event;  /* id of the caller's last event; -1: none */
+  uint64_t fingerprint;      /* 0: not computed */
+  struct wy_permit *permit;  /* to run though suspect; NULL: none */
+  int64_t waits_since_ms;    /* for an equal request; 0: it doesn't */
+  const char *reject_reason; /* set with WY_PROXY_REJECT */
+  int64_t after_event;       /* id of the caller's last event; -1: none */
   bool may_have_run;
   int64_t hedge_due_ms; /* 0: none */
   int64_t retry_due_ms; /* 0: none */
@@ -79,6 +94,11 @@
 bool wy_proxy_is_paused (const struct wy_proxy_request *p);
 bool wy_proxy_is_over_memory (const struct wy_proxy_request *p);
 uint64_t wy_proxy_fingerprint (struct wy_proxy_request *p);
+void wy_proxy_start_attempt (struct wy_proxy_request *p);
+bool wy_proxy_is_blocked (struct wy_proxy_request *p);
+enum wy_proxy_go wy_proxy_go (struct wy_proxy_request *p, bool is_hedge);
+void wy_proxy_end_permit (struct wy_proxy_request *p);
+void wy_proxy_clear_suspicion (struct wy_proxy_request *p);
 void wy_proxy_usage_begin (struct wy_proxy_request *p);
 void wy_proxy_usage_end (struct wy_proxy_request *p, bool has_run);
 const char *wy_proxy_organisation (const struct wy_proxy_request *p);
--- a/src/gate/suspect_list.c
+++ b/src/gate/suspect_list.c
@@ -20,8 +20,9 @@
   HEX_BASE = 16
 };
 
-static json_t *
-json_hex (uint64_t v)
+/* V as a string in hexadecimal.  */
+json_t *
+wy_suspect_json_hex (uint64_t v)
 {
   char text[HEX_SIZE_BYTES];
 
@@ -29,8 +30,9 @@
   return json_string (text);
 }
 
-static uint64_t
-parse_hex (const json_t *j)
+/* The number in the string J; 0: J is no string.  */
+uint64_t
+wy_suspect_parse_hex (const json_t *j)
 {
   const char *text = json_string_value (j);
 
@@ -54,9 +56,9 @@
 {
   json_t *item = json_array ();
 
-  json_array_append_new (item, json_hex (e->fingerprint));
+  json_array_append_new (item, wy_suspect_json_hex (e->fingerprint));
   for (uint32_t k = 0; k < e->crashes; k++)
-    json_array_append_new (item, json_hex (e->target[k]));
+    json_array_append_new (item, wy_suspect_json_hex (e->target[k]));
   return item;
 }
 
@@ -84,16 +86,32 @@
   return list;
 }
 
+/* A list of the suspect with FINGERPRINT; empty if it is not suspect.  */
+json_t *
+wy_suspect_list_encode_one (struct wy_crash_tracker *w, uint64_t fingerprint,
+                            int64_t now_ms)
+{
+  json_t *list = json_array ();
+
+  if (wy_suspects_check (&w->suspects, fingerprint, now_ms)
+      == WY_SUSPICION_NONE)
+    return list;
+  for (uint32_t i = 0; i < WY_SUSPECTS_MAX; i++)
+    if (w->suspects.slot[i].fingerprint == fingerprint)
+      json_array_append_new (list, encode_suspect (&w->suspects.slot[i]));
+  return list;
+}
+
 static struct wy_suspect
 parse_suspect (const json_t *item)
 {
   struct wy_suspect s
-      = { .fingerprint = parse_hex (json_array_get (item, 0)) };
+      = { .fingerprint = wy_suspect_parse_hex (json_array_get (item, 0)) };
 
   for (size_t k = 1;
        k < json_array_size (item) && s.crashes < WY_SUSPECT_CRASHES_MAX; k++)
     {
-      uint64_t target = parse_hex (json_array_get (item, k));
+      uint64_t target = wy_suspect_parse_hex (json_array_get (item, k));
 
       if (target)
         s.target[s.crashes++] = target;
--- a/src/gate/suspect_peers.c
+++ b/src/gate/suspect_peers.c
@@ -5,7 +5,7 @@
    of the others would run the request again.  So a crash is sent to the other
    entries at once; those responsible for the request write it to their own
    rows if the row of the sender does not show it soon.  */
-#include "gate/suspect_peers.h"
+#include "gate/suspect_peers_state.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -20,15 +20,10 @@
 {
   /* Minimum interval between two messages.  */
   TELL_INTERVAL_MS = 20,
-  TIMEOUT_MS = 400
-};
-
-struct wy_suspect_peers
-{
-  struct wy_gate_env *env;
-  struct wy_members *members;
-  uv_timer_t tell_timer;
-  int64_t told_ms; /* time of the last message; 0: none */
+  /* Several requests that ran beside a crash are cleared in one message.  */
+  CLEARED_DELAY_MS = 50,
+  TIMEOUT_MS = 400,
+  CLEARED_MAX = 64
 };
 
 static void
@@ -60,6 +55,18 @@
     send_to (s, a, n, doc);
 }
 
+static json_t *
+encode_cleared (struct wy_suspect_peers *s)
+{
+  json_t *list = json_array ();
+
+  for (guint i = 0; i < s->cleared->len; i++)
+    json_array_append_new (
+        list, wy_suspect_json_hex (g_array_index (s->cleared, uint64_t, i)));
+  g_array_set_size (s->cleared, 0);
+  return list;
+}
+
 static void
 on_tell (uv_timer_t *t)
 {
@@ -67,6 +74,7 @@
   struct wy_gate_env *env = s->env;
   int64_t now_ms = wy_clock_mono_ms (env->clock);
   json_t *crashed = wy_suspect_list_encode (&env->crashes, now_ms);
+  json_t *cleared = encode_cleared (s);
   struct sockaddr_in a[WY_MEMBERS_FAN_OUT_MAX];
   bool is_complete;
   size_t n = wy_members_fan_out (s->members, a, &is_complete);
@@ -74,19 +82,20 @@
 
   s->told_ms = now_ms;
   if (n)
-    wy_json_log ("suspects.told", "suspects=%zu entries=%zu",
-                 json_array_size (crashed), n);
-  doc = json_pack ("{s:s, s:o}", "holder", env->holder, "crashed", crashed);
+    wy_json_log ("suspects.told", "suspects=%zu cleared=%zu entries=%zu",
+                 json_array_size (crashed), json_array_size (cleared), n);
+  doc = json_pack ("{s:s, s:o, s:o}", "holder", env->holder, "crashed",
+                   crashed, "cleared", cleared);
   send_to (s, a, n, doc);
   json_decref (doc);
 }
 
 static void
-schedule (struct wy_suspect_peers *s)
+schedule (struct wy_suspect_peers *s, int64_t delay_ms)
 {
   int64_t now_ms = wy_clock_mono_ms (s->env->clock);
-  int64_t due_ms
-      = s->told_ms ? MAX (s->told_ms + TELL_INTERVAL_MS - now_ms, 0) : 0;
+  int64_t due_ms = MAX (
+      delay_ms, s->told_ms ? s->told_ms + TELL_INTERVAL_MS - now_ms : 0);
 
   if (uv_is_active ((uv_handle_t *)&s->tell_timer)
       && (int64_t)uv_timer_get_due_in (&s->tell_timer) <= due_ms)
@@ -99,7 +108,39 @@
 void
 wy_suspect_peers_tell (struct wy_suspect_peers *s)
 {
-  schedule (s);
+  schedule (s, 0);
+}
+
+/* The request with FINGERPRINT, which was suspect, got a response.  Let the
+   other entries know.  */
+void
+wy_suspect_peers_cleared (struct wy_suspect_peers *s, uint64_t fingerprint)
+{
+  if (s->cleared->len == CLEARED_MAX)
+    return;
+  g_array_append_val (s->cleared, fingerprint);
+  schedule (s, CLEARED_DELAY_MS);
+}
+
+/* Clear the requests of LIST that are suspect here.  One that is blocked stays
+   so.  Returns whether there were any.  */
+static bool
+clear_suspects (struct wy_suspect_peers *s, const json_t *list)
+{
+  struct wy_crash_tracker *w = &s->env->crashes;
+  int64_t now_ms = wy_clock_mono_ms (s->env->clock);
+  bool any = false;
+
+  for (size_t i = 0; i < json_array_size (list); i++)
+    {
+      uint64_t f = wy_suspect_parse_hex (json_array_get (list, i));
+
+      if (wy_suspects_check (&w->suspects, f, now_ms) != WY_SUSPICION_ISOLATE)
+        continue;
+      wy_suspects_clear_lasting (&w->suspects, f, now_ms);
+      any = true;
+    }
+  return any;
 }
 
 static json_t *
@@ -110,6 +151,7 @@
                                       json_object_get (doc, "crashed"),
                                       wy_clock_mono_ms (s->env->clock));
 
+  is_new |= clear_suspects (s, json_object_get (doc, "cleared"));
   if (is_new)
     {
       wy_json_log ("suspects.heard", "holder=%s", holder ? holder : "");
@@ -123,26 +165,32 @@
 bool
 wy_suspect_peers_handle (struct wy_suspect_peers *s, struct wy_h1_request *r)
 {
+  static const struct
+  {
+    const char *target;
+    json_t *(*handle) (struct wy_suspect_peers *s, const json_t *doc);
+  } targets[] = { { TOLD_TARGET, on_told },
+                  { WY_PERMIT_ASK_TARGET, wy_permit_on_ask },
+                  { WY_PERMIT_RELEASE_TARGET, wy_permit_on_release } };
   static const struct wy_h1_header type
       = { "Content-Type", "application/json" };
 
-  json_t *response;
-  const char *body;
-  json_t *doc;
-  char *text;
-  size_t n;
-
-  if (strcmp (wy_h1_target (r), TOLD_TARGET) != 0)
-    return false;
-  body = wy_h1_body (r, &n);
-  doc = json_loadb (body, n, 0, NULL);
-  response = on_told (s, doc);
-  text = json_dumps (response, JSON_COMPACT);
-  wy_h1_respond (r, 200, &type, 1, text, strlen (text));
-  free (text);
-  json_decref (response);
-  json_decref (doc);
-  return true;
+  for (size_t i = 0; i < G_N_ELEMENTS (targets); i++)
+    if (!strcmp (wy_h1_target (r), targets[i].target))
+      {
+        size_t n;
+        const char *body = wy_h1_body (r, &n);
+        json_t *doc = json_loadb (body, n, 0, NULL);
+        json_t *response = targets[i].handle (s, doc);
+        char *text = json_dumps (response, JSON_COMPACT);
+
+        wy_h1_respond (r, 200, &type, 1, text, strlen (text));
+        free (text);
+        json_decref (response);
+        json_decref (doc);
+        return true;
+      }
+  return false;
 }
 
 /* Start exchanging suspects with the entries that MEMBERS knows.  */
@@ -153,6 +201,7 @@
 
   s->env = env;
   s->members = members;
+  s->cleared = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   uv_timer_init (env->loop, &s->tell_timer);
   s->tell_timer.data = s;
   return s;
--- a/tests/support/platform_fixture.c
+++ b/tests/support/platform_fixture.c
@@ -115,7 +115,7 @@
           &c->runs_interrupted, &c->run_crashes,      &c->crash_probes,
           &c->items_done,       &c->item_runs_failed, &c->jobs_accepted,
           &c->jobs_taken_over,  &c->score_calls,      &c->score_calls_failed,
-          &c->score_hedges };
+          &c->score_hedges,     &c->waits };
   char name[32];
 
   w->metrics = wy_metrics_new ();
@@ -132,6 +132,7 @@
       = wy_metrics_histogram_family (w->metrics, "latency_by", "", 16);
   c->told = wy_metrics_counter_family (w->metrics, "told", "", 64);
   c->told_us = wy_metrics_histogram_family (w->metrics, "told_us", "", 16);
+  c->run_permits = wy_metrics_counter_family (w->metrics, "permits", "", 8);
   c->returned = wy_metrics_counter_family (w->metrics, "returned", "", 64);
 }
 
--- a/tests/test_crash_isolation.c
+++ b/tests/test_crash_isolation.c
@@ -1,18 +1,63 @@
-/* Which entries are told, and what is kept, when targets crash.  */
+/* Which requests run one at a time, and which entries are told, when targets
+   crash.  */
 #include <criterion/criterion.h>
 #include <string.h>
 
 #include "decide/crash_tracker.h"
 #include "decide/ring.h"
+#include "decide/run_permits.h"
 #include "gate/suspect_list.h"
 
 enum
 {
   FINGERPRINT = 77,
   ENTRIES_MAX = 1000,
-  FAN_OUT = 16
+  FAN_OUT = 16,
+  RUN_MS = 800
 };
 
+/* Entries ask for permits for one request at the same time.  Guards against
+   more than one run at a time.  */
+Test (crash_isolation, one_permit_a_request)
+{
+  static struct wy_run_permits p;
+
+  cr_expect (wy_run_permits_take (&p, FINGERPRINT, 1, RUN_MS, 0));
+  cr_expect_not (wy_run_permits_take (&p, FINGERPRINT, 2, RUN_MS, 1));
+  cr_expect (wy_run_permits_take (&p, FINGERPRINT + 1, 3, RUN_MS, 1));
+  wy_run_permits_release (&p, FINGERPRINT, 2);
+  cr_expect_not (wy_run_permits_take (&p, FINGERPRINT, 2, RUN_MS, 2));
+  wy_run_permits_release (&p, FINGERPRINT, 1);
+  cr_expect (wy_run_permits_take (&p, FINGERPRINT, 2, RUN_MS, 3));
+}
+
+/* The entry that has a permit dies.  Guards against a request that never runs
+   again.  */
+Test (crash_isolation, permits_expire)
+{
+  static struct wy_run_permits p;
+
+  cr_expect (wy_run_permits_take (&p, FINGERPRINT, 1, RUN_MS, 0));
+  cr_expect_not (wy_run_permits_take (&p, FINGERPRINT, 2, RUN_MS, RUN_MS - 1));
+  cr_expect (wy_run_permits_take (&p, FINGERPRINT, 2, RUN_MS, RUN_MS));
+  cr_expect (
+      wy_run_permits_take (&p, FINGERPRINT + 1, 3, INT64_MAX / 2, RUN_MS));
+  cr_expect (wy_run_permits_take (&p, FINGERPRINT + 1, 4, RUN_MS,
+                                  RUN_MS + WY_RUN_PERMIT_MAX_MS));
+}
+
+/* More requests are suspect than there are slots.  Guards against a permit
+   that is given twice.  */
+Test (crash_isolation, no_slot_no_permit)
+{
+  static struct wy_run_permits p;
+
+  for (uint64_t f = 1; f <= WY_RUN_PERMITS_MAX; f++)
+    cr_expect (wy_run_permits_take (&p, f, 1, RUN_MS, 0));
+  cr_expect_not (wy_run_permits_take (&p, 1000, 1, RUN_MS, 1));
+  cr_expect_not (wy_run_permits_take (&p, 1, 2, RUN_MS, 1));
+}
+
 /* The number of steps in which what the first of N entries tells reaches all,
    if each passes on what is new to it.  */
 static uint32_t
@@ -60,6 +105,26 @@
   cr_expect_leq (wy_ring_fan_out (999, FAN_OUT, at), 10);
 }
 
+/* A run is interrupted.  Guards against the next run of a suspect request
+   before it is known whether its target has crashed.  */
+Test (crash_isolation, verdict_is_awaited)
+{
+  static struct wy_crash_tracker t;
+
+  wy_crash_tracker_init (&t);
+  cr_expect_not (wy_crash_tracker_is_open (&t, FINGERPRINT, 0));
+  wy_crash_tracker_run_interrupted (&t, FINGERPRINT, 1, 0);
+  cr_expect (wy_crash_tracker_is_open (&t, FINGERPRINT, 1));
+  cr_expect_not (wy_crash_tracker_is_open (&t, FINGERPRINT + 1, 1));
+  wy_crash_tracker_verdict (&t, 2);
+  cr_expect (wy_crash_tracker_is_open (&t, FINGERPRINT, 1));
+  wy_crash_tracker_verdict (&t, 1);
+  cr_expect_not (wy_crash_tracker_is_open (&t, FINGERPRINT, 1));
+  wy_crash_tracker_run_interrupted (&t, FINGERPRINT, 3, 0);
+  cr_expect_not (
+      wy_crash_tracker_is_open (&t, FINGERPRINT, WY_CRASH_VERDICT_MS));
+}
+
 /* An entry tells of a crash and dies.  Guards against a suspect that no
    directory row has.  */
 Test (crash_isolation, suspects_told_but_not_stored)
--- a/tests/test_crash_witness.c
+++ b/tests/test_crash_witness.c
@@ -1,6 +1,8 @@
 /* The only entry that saw a request crash replicas dies at that moment.  The
    other entries get the request when the replicas are back.  */
 #include <criterion/criterion.h>
+#include <inttypes.h>
+#include <string.h>
 
 #include "support/crash_fixture.h"
 
@@ -138,3 +140,100 @@
     platform_response_free (calls[i]);
   finish ();
 }
+
+static int64_t last_run_ms;
+static int64_t min_interval_ms;
+
+static void
+on_run (struct crash_fixture *f)
+{
+  int64_t now_ms = wy_clock_mono_ms (wy_clock_system ());
+
+  if (last_run_ms)
+    min_interval_ms = MIN (min_interval_ms, now_ms - last_run_ms);
+  last_run_ms = now_ms;
+}
+
+/* Let all entries hear that one replica has crashed under the request with
+   BODY.  */
+static void
+tell_of_crash (const char *body)
+{
+  char *text
+      = g_strdup_printf ("{\"holder\":\"other/1\",\"crashed\":[[\"%016" PRIx64
+                         "\",\"01\"]],\"cleared\":[]}",
+                         crash_fixture_fingerprint (body));
+
+  for (uint32_t i = 0; i < x.o.gates; i++)
+    {
+      struct wy_h1_header host = { "Host", "entry" };
+      struct platform_response *a = platform_fixture_call (
+          &x.w, x.gates[i].peers, "POST", "/suspects/told", &host, 1, text);
+
+      cr_assert (platform_fixture_run_until (&x.w, platform_response_done, a));
+      cr_assert_eq (a->status, 200);
+      platform_response_free (a);
+    }
+  g_free (text);
+}
+
+/* All entries know of one crash and get the request at the same time.  Guards
+   against one run at each of them.  */
+Test (crash_witness, one_crash_is_known_to_many)
+{
+  start (&(struct crash_options){ .gates = MANY_GATES,
+                                  .replicas = CRASH_REPLICAS_MAX,
+                                  .down_ms = 500 },
+         0);
+  x.on_crash = NULL;
+  tell_of_crash (CRASHING);
+  crash_fixture_send (&x, others ());
+  platform_fixture_run_ms (&x.w, 2000);
+  cr_expect_leq (x.runs, CRASH_LATE_RUNS_MAX, "%u runs", x.runs);
+  crash_fixture_send (&x, 0);
+  finish ();
+}
+
+/* A request that ran beside one that crashed its replica comes to all entries
+   at once.  Guards against its being rejected, and against two runs at a
+   time.  */
+Test (crash_witness, request_beside_a_crash_is_served)
+{
+  enum
+  {
+    RESPONSE_MS = 60
+  };
+  struct platform_response *calls[MANY_GATES];
+
+  start (&(struct crash_options){ .gates = MANY_GATES,
+                                  .replicas = CRASH_REPLICAS_MAX,
+                                  .down_ms = 500 },
+         0);
+  for (uint32_t i = 0; i < CRASH_REPLICAS_MAX; i++)
+    wy_platform_replica_faults (x.replicas[i].replica)->response_ms
+        = RESPONSE_MS;
+  tell_of_crash ("beside");
+  min_interval_ms = INT64_MAX;
+  for (uint32_t i = 0; i < 2; i++)
+    calls[i] = crash_fixture_call (&x, i, "beside", "beside");
+  x.on_run = on_run;
+  for (uint32_t i = 0; i < 2; i++)
+    {
+      cr_assert (
+          platform_fixture_run_until (&x.w, platform_response_done, calls[i]));
+      cr_expect_eq (calls[i]->status, 200, "%u: %d", i, calls[i]->status);
+      platform_response_free (calls[i]);
+    }
+  cr_expect_geq (min_interval_ms, RESPONSE_MS / 2, "%d ms",
+                 (int)min_interval_ms);
+  for (uint32_t i = 0; i < MANY_GATES; i++)
+    calls[i] = crash_fixture_call (&x, i, "beside", "beside");
+  for (uint32_t i = 0; i < MANY_GATES; i++)
+    {
+      cr_assert (
+          platform_fixture_run_until (&x.w, platform_response_done, calls[i]));
+      cr_expect_eq (calls[i]->status, 200, "%u: %d", i, calls[i]->status);
+      platform_response_free (calls[i]);
+    }
+  finish ();
+}
