After a crash, equal requests run one at a time until it is known why

Cause: what the others do see, replicas that end without a reason, changed nothing for them. Evidence: in runs in which the witness is killed in the same millisecond as the third crash, no other entry logs suspect.heard, and the two others log three run.interrupted each at the same moment.

For 10 s after an entry has seen a replica crash, a request waits there while an equal one runs, or while it is not known yet whether the replica of an interrupted one has crashed; 500 ms at most, then it runs. Requests that differ are not held. The bound without any message from the witness is two runs: the first is not suspect, the second has one known crash.

--- a/src/gate/env.h
+++ b/src/gate/env.h
@@ -10,6 +10,7 @@
 #include "base/rng.h"
 #include "decide/crash_tracker.h"
 #include "duties/usage.h"
+#include "gate/isolation.h"
 #include "gate/rejections.h"
 #include "gate/routing.h"
 #include "gate/targets.h"
@@ -77,6 +78,7 @@
   void (*on_suspects_changed) (void *ctx);
   void *suspects_ctx;
   struct wy_suspect_peers *suspect_peers; /* NULL: there are none */
+  struct wy_isolation isolation;
   int64_t list_current_since_ms; /* of the targets; 0: it may be out of date */
   struct wy_usage *usage;        /* NULL: usage is not reported */
   /* Of models, by which replicas are divided; NULL: they are not.  */
--- a/src/gate/gate_metrics.c
+++ b/src/gate/gate_metrics.c
@@ -42,7 +42,7 @@
       "Connections opened to find out whether a replica has crashed");
   c->waits = wy_metrics_counter (
       m, "wy_gate_isolation_waits_total",
-      "Requests that waited while an equal one ran, as a replica had crashed");
+      "Requests that waited while an equal one ran, after a replica crashed");
   c->run_permits = wy_metrics_counter_family (
       m, "wy_gate_run_permits_total",
       "Requests for a permit to run where one replica has crashed, by outcome",
--- a/src/gate/proxy.c
+++ b/src/gate/proxy.c
@@ -267,7 +267,7 @@
   wy_target_request_started (g);
   p->sends++;
   p->attempts_left--;
-  p->waits_since_ms = 0;
+  wy_proxy_isolate (p);
   wy_proxy_usage_begin (p);
   t->call = wy_h1_call_start (p->env->http, &o);
   g_array_free (fields, TRUE);
--- a/src/gate/proxy_end.c
+++ b/src/gate/proxy_end.c
@@ -108,7 +108,7 @@
   for (guint i = 0; i < p->tried->len; i++)
     wy_target_unref (p->env->targets, g_ptr_array_index (p->tried, i));
   wy_proxy_usage_end (p, true);
-  wy_proxy_end_permit (p);
+  wy_proxy_end_isolation (p);
   g_ptr_array_free (p->tried, TRUE);
   wy_sse_clear (&p->events);
   wy_response_free (p->error_response);
@@ -260,6 +260,7 @@
 
   if (status == STATUS_UNAVAILABLE && !p->streaming && !p->error_response)
     told = tell_return (p, reason);
+  wy_proxy_note_failure (p);
   p->request = NULL;
   for (size_t i = 0; i < WY_PROXY_ATTEMPTS_MAX; i++)
     if (p->running[i].target)
--- a/src/gate/proxy_isolation.c
+++ b/src/gate/proxy_isolation.c
@@ -1,13 +1,16 @@
 /* Whether a request may run now, or must wait or be rejected since replicas
-   have crashed under equal requests.
+   have crashed under equal requests, or may have.
 
-   With one known crash it needs a permit, of which there is one among all
-   entries.  With two it is rejected.  Other requests are not affected.  */
+   For some time after a replica has crashed a request waits while an equal one
+   runs here.  If it has failed in this time and comes again, or one crash is
+   known under it, it needs a permit, of which there is one among all entries.
+   With two crashes it is rejected.  Other requests are not affected.  */
 #include "gate/proxy_state.h"
 
 enum
 {
-  /* A request whose equals still run after this time is rejected.  */
+  /* A request whose equals still run after this time is not kept any longer:
+     rejected if a replica has crashed under it, else run.  */
   WAIT_MAX_MS = 500
 };
 
@@ -43,7 +46,7 @@
 
 /* P has to wait for an equal request.  */
 static enum wy_proxy_go
-wait_for_equal (struct wy_proxy_request *p)
+wait_or (struct wy_proxy_request *p, enum wy_proxy_go otherwise)
 {
   int64_t now_ms = wy_proxy_now_ms (p);
 
@@ -52,9 +55,10 @@
       p->waits_since_ms = now_ms;
       (*p->env->count.waits)++;
     }
-  return now_ms - p->waits_since_ms < WAIT_MAX_MS
-             ? WY_PROXY_WAIT
-             : reject (p, WY_PROXY_REASON_SUSPECT);
+  if (now_ms - p->waits_since_ms < WAIT_MAX_MS)
+    return WY_PROXY_WAIT;
+  return otherwise == WY_PROXY_REJECT ? reject (p, WY_PROXY_REASON_SUSPECT)
+                                      : otherwise;
 }
 
 static void
@@ -85,9 +89,10 @@
 }
 
 /* Ask for a permit for P, or see whether it has been given.  If another run
-   has it, the next call asks again.  */
+   has it, the next call asks again.  OTHERWISE is what to do if it can't be
+   had.  */
 static enum wy_proxy_go
-go_with_permit (struct wy_proxy_request *p)
+go_with_permit (struct wy_proxy_request *p, enum wy_proxy_go otherwise)
 {
   switch (permit_state (p))
     {
@@ -96,11 +101,12 @@
     case WY_PERMIT_PENDING:
       return WY_PROXY_WAIT;
     case WY_PERMIT_BUSY:
-      return wait_for_equal (p);
+      return wait_or (p, otherwise);
     case WY_PERMIT_BLOCKED:
       return reject (p, WY_PROXY_REASON_CRASHES_TARGETS);
     case WY_PERMIT_UNREACHED:
-      return reject (p, WY_PROXY_REASON_SUSPECT);
+      return otherwise == WY_PROXY_REJECT ? reject (p, WY_PROXY_REASON_SUSPECT)
+                                          : otherwise;
     }
   return WY_PROXY_RUN;
 }
@@ -110,14 +116,49 @@
 enum wy_proxy_go
 wy_proxy_go (struct wy_proxy_request *p, bool is_hedge)
 {
-  struct wy_crash_tracker *w = &p->env->crashes;
+  struct wy_gate_env *env = p->env;
+  int64_t now_ms = wy_proxy_now_ms (p);
+  bool suspect;
 
-  if (!wy_crash_tracker_has_suspects (w) || !is_suspect (p))
+  if (!wy_crash_tracker_has_suspects (&env->crashes)
+      && !wy_isolation_is_alert (&env->isolation, now_ms))
     return WY_PROXY_RUN;
-  if (is_hedge
-      || wy_crash_tracker_is_open (w, p->fingerprint, wy_proxy_now_ms (p)))
+  suspect = is_suspect (p);
+  if (is_hedge)
+    return suspect ? WY_PROXY_WAIT : WY_PROXY_RUN;
+  if (wy_crash_tracker_is_open (&env->crashes, p->fingerprint, now_ms))
     return WY_PROXY_WAIT;
-  return go_with_permit (p);
+  if (!p->is_isolated
+      && wy_isolation_is_running (&env->isolation, p->fingerprint))
+    {
+      enum wy_proxy_go go
+          = wait_or (p, suspect ? WY_PROXY_REJECT : WY_PROXY_RUN);
+
+      if (go != WY_PROXY_RUN)
+        return go;
+    }
+  if (suspect)
+    return go_with_permit (p, WY_PROXY_REJECT);
+  return wy_isolation_is_alert (&env->isolation, now_ms)
+                 && wy_isolation_has_failed (&env->isolation, p->fingerprint)
+             ? go_with_permit (p, WY_PROXY_RUN)
+             : WY_PROXY_RUN;
+}
+
+/* P is about to be sent to a replica: equal requests wait from here on, if
+   those that are suspect, or any, are isolated.  */
+void
+wy_proxy_isolate (struct wy_proxy_request *p)
+{
+  struct wy_gate_env *env = p->env;
+
+  p->waits_since_ms = 0;
+  if (p->is_isolated
+      || (!wy_crash_tracker_has_suspects (&env->crashes)
+          && !wy_isolation_is_alert (&env->isolation, wy_proxy_now_ms (p))))
+    return;
+  wy_isolation_begin (&env->isolation, wy_proxy_fingerprint (p));
+  p->is_isolated = true;
 }
 
 /* End the permit of P, if it has one.  */
@@ -128,6 +169,27 @@
   p->permit = NULL;
 }
 
+/* P has ended: equal requests need not wait for it any longer.  */
+void
+wy_proxy_end_isolation (struct wy_proxy_request *p)
+{
+  wy_proxy_end_permit (p);
+  if (p->is_isolated)
+    wy_isolation_end (&p->env->isolation, p->fingerprint);
+  p->is_isolated = false;
+}
+
+/* P has failed.  If this may be since it crashes replicas, it is known when it
+   comes again.  */
+void
+wy_proxy_note_failure (struct wy_proxy_request *p)
+{
+  struct wy_isolation *i = &p->env->isolation;
+
+  if (wy_isolation_is_alert (i, wy_proxy_now_ms (p)))
+    wy_isolation_failed (i, wy_proxy_fingerprint (p));
+}
+
 /* P got a response: it is no longer suspect.  */
 void
 wy_proxy_clear_suspicion (struct wy_proxy_request *p)
--- a/src/gate/proxy_state.h
+++ b/src/gate/proxy_state.h
@@ -77,6 +77,7 @@
   struct wy_permit *permit;  /* to run though suspect; NULL: none */
   int64_t waits_since_ms;    /* for an equal request; 0: it doesn't */
   const char *reject_reason; /* set with WY_PROXY_REJECT */
+  bool is_isolated;          /* equal requests wait for this one */
   int64_t after_event;       /* id of the caller's last event; -1: none */
   bool may_have_run;
   int64_t hedge_due_ms; /* 0: none */
@@ -97,7 +98,10 @@
 void wy_proxy_start_attempt (struct wy_proxy_request *p);
 bool wy_proxy_is_blocked (struct wy_proxy_request *p);
 enum wy_proxy_go wy_proxy_go (struct wy_proxy_request *p, bool is_hedge);
+void wy_proxy_isolate (struct wy_proxy_request *p);
 void wy_proxy_end_permit (struct wy_proxy_request *p);
+void wy_proxy_end_isolation (struct wy_proxy_request *p);
+void wy_proxy_note_failure (struct wy_proxy_request *p);
 void wy_proxy_clear_suspicion (struct wy_proxy_request *p);
 void wy_proxy_usage_begin (struct wy_proxy_request *p);
 void wy_proxy_usage_end (struct wy_proxy_request *p, bool has_run);
--- a/tests/test_crash_isolation.c
+++ b/tests/test_crash_isolation.c
@@ -6,6 +6,7 @@
 #include "decide/crash_tracker.h"
 #include "decide/ring.h"
 #include "decide/run_permits.h"
+#include "gate/isolation.h"
 #include "gate/suspect_list.h"
 
 enum
@@ -174,3 +175,26 @@
   json_decref (stored);
   json_decref (told);
 }
+
+/* Equal requests come to one entry after a crash.  Guards against requests
+   that are taken for equal, or known, for longer than the crash matters.  */
+Test (crash_isolation, equal_requests)
+{
+  static struct wy_isolation i;
+
+  cr_expect_not (wy_isolation_is_alert (&i, 1));
+  wy_isolation_crash_seen (&i, 1);
+  cr_expect (wy_isolation_is_alert (&i, 2));
+  wy_isolation_begin (&i, 5);
+  wy_isolation_begin (&i, 5);
+  wy_isolation_end (&i, 5);
+  cr_expect (wy_isolation_is_running (&i, 5));
+  cr_expect_not (wy_isolation_is_running (&i, 6));
+  wy_isolation_end (&i, 5);
+  cr_expect_not (wy_isolation_is_running (&i, 5));
+  wy_isolation_failed (&i, 7);
+  cr_expect (wy_isolation_has_failed (&i, 7));
+  cr_expect_not (wy_isolation_is_alert (&i, 20000));
+  wy_isolation_crash_seen (&i, 20000);
+  cr_expect_not (wy_isolation_has_failed (&i, 7));
+}
--- a/tests/test_crash_witness.c
+++ b/tests/test_crash_witness.c
@@ -2,6 +2,7 @@
    other entries get the request when the replicas are back.  */
 #include <criterion/criterion.h>
 #include <inttypes.h>
+#include <signal.h>
 #include <string.h>
 
 #include "support/crash_fixture.h"
@@ -81,6 +82,22 @@
   finish ();
 }
 
+/* The witness is killed at the moment of the third crash.  Guards against the
+   same where nothing was told.  */
+Test (crash_witness, killed_at_the_crash)
+{
+  kill_witness (FEW_GATES, 0);
+  finish ();
+}
+
+/* The same with more entries than the request may reach replicas.  Guards
+   against one run at each of them.  */
+Test (crash_witness, killed_at_the_crash_among_many)
+{
+  kill_witness (MANY_GATES, 0);
+  finish ();
+}
+
 /* The store does not respond, and the request comes again only after all must
    know of it.  Guards against crashes that are told through the store
    alone.  */
@@ -141,6 +158,37 @@
   finish ();
 }
 
+static void
+on_resume (uv_timer_t *t)
+{
+  kill (x.gates[WITNESS].pid, SIGCONT);
+}
+
+static void
+on_third_crash (struct crash_fixture *f)
+{
+  if (f->crashes != CRASHES_ALLOWED)
+    return;
+  kill (x.gates[WITNESS].pid, SIGSTOP);
+  crash_fixture_send (&x, others ());
+  uv_timer_start (&kill_timer, on_resume, CRASH_DOWN_MS + 500, 0);
+}
+
+/* The witness is paused at the third crash, and resumes when the replicas have
+   returned.  Guards against the same as its death.  */
+Test (crash_witness, paused_at_the_crash)
+{
+  start (&(struct crash_options){ .gates = MANY_GATES,
+                                  .replicas = CRASH_REPLICAS_MAX,
+                                  .down_ms = CRASH_DOWN_MS },
+         0);
+  x.on_crash = on_third_crash;
+  crash_fixture_send_until_third_crash (&x, 1U << WITNESS);
+  crash_fixture_expect_rejected (&x);
+  crash_fixture_expect_served (&x, "good");
+  finish ();
+}
+
 static int64_t last_run_ms;
 static int64_t min_interval_ms;
 
