The number of interrupted loads outlives the orderer that counted them

An orderer delays the next load the longer, the more loads in a row have ended with a restart of its replica. The number was in its memory; an orderer that started again ordered the crashing load at once.

The number goes into the orderer's row of the store when it changes, with the store's time, and the next process takes it over with the generation, without a further call. After two minutes it no longer counts: another replica may have the address. A load that succeeds sets it to 0. Bound: a restart that the orderer did not live to see is not counted; without the store no order is sent at all, as before.

--- a/src/orders/orderer.c
+++ b/src/orders/orderer.c
@@ -20,6 +20,9 @@
 
 /* In the partition named by the replica's address.  */
 static const char generation_key[] = "generation";
+/* Loads that the replica's restarts have interrupted: their number, and the
+   store's time of the last.  */
+static const char interrupted_key[] = "interrupted";
 
 enum
 {
@@ -39,7 +42,12 @@
   /* Maximum age of the report on which an order is based.  */
   REPORT_FRESH_MS = 300,
   INITIAL_LOAD_MS = 950,
-  LOAD_MS_MAX = 5000
+  LOAD_MS_MAX = 5000,
+  /* The number of interrupted loads is taken over from the previous process of
+     the orderer within this time; another replica may have the address
+     later.  */
+  INTERRUPTED_VALID_MS = 120000,
+  VALUE_SIZE_BYTES = 64
 };
 
 /* Weight of a new value in the moving average of load durations.  */
@@ -47,11 +55,68 @@
 
 static void on_generation_written (void *ctx, const struct wy_rows_result *r);
 
+static void
+on_interrupted_written (void *ctx, const struct wy_rows_result *r)
+{
+  if (r->err)
+    wy_json_log ("loads.not_stored", "err=%d", r->err);
+}
+
+/* Store the number of interrupted loads, so that it outlives this process.  */
+static void
+store_interrupted (struct wy_orderer_daemon *d)
+{
+  char value[VALUE_SIZE_BYTES];
+  struct wy_row_write w
+      = { .table = GENERATION_TABLE, .key = interrupted_key, .value = value };
+  struct wy_rows_tx tx
+      = { .partition = d->o.settings->target, .writes = &w, .n_writes = 1 };
+
+  snprintf (value, sizeof value, "%u %lld", d->loads_interrupted,
+            (long long)wy_rows_store_now_ms (d->rows));
+  w.size_bytes = strlen (value);
+  wy_rows_tx (d->rows, &tx, on_interrupted_written, d);
+}
+
+static const struct wy_row *
+find_row (const struct wy_rows_result *r, const char *key)
+{
+  for (size_t i = 0; i < r->n; i++)
+    if (!strcmp (r->rows[i].key, key))
+      return &r->rows[i];
+  return NULL;
+}
+
+/* Continue with the number of interrupted loads in R, which the previous
+   process has stored.  */
+static void
+take_over_interrupted (struct wy_orderer_daemon *d,
+                       const struct wy_rows_result *r)
+{
+  const struct wy_row *row = find_row (r, interrupted_key);
+  char *text = row ? g_strndup (row->value, row->size_bytes) : NULL;
+  unsigned n = 0;
+  long long at_ms = 0;
+
+  if (text && sscanf (text, "%u %lld", &n, &at_ms) == 2
+      && r->store_now_ms - at_ms < INTERRUPTED_VALID_MS
+      && n > d->loads_interrupted)
+    {
+      d->loads_interrupted = n;
+      d->order_due_ms
+          = wy_orderer_now_ms (d) + wy_crash_tracker_backoff_ms (n);
+      wy_json_log ("loads.taken_over", "interrupted=%u age_ms=%lld", n,
+                   (long long)r->store_now_ms - at_ms);
+    }
+  g_free (text);
+}
+
 static void
 on_generation_read (void *ctx, const struct wy_rows_result *r)
 {
   struct wy_orderer_daemon *d = ctx;
-  char value[32];
+  const struct wy_row *row;
+  char value[VALUE_SIZE_BYTES];
   struct wy_row_ref condition
       = { .table = GENERATION_TABLE, .key = generation_key };
   struct wy_row_write w
@@ -68,9 +133,10 @@
       d->generation_pending = false;
       return;
     }
-  old = r->n ? g_strndup (r->rows[0].value, r->rows[0].size_bytes)
-             : g_strdup ("0");
-  condition.version = r->n ? r->rows[0].version : 0;
+  take_over_interrupted (d, r);
+  row = find_row (r, generation_key);
+  old = row ? g_strndup (row->value, row->size_bytes) : g_strdup ("0");
+  condition.version = row ? row->version : 0;
   snprintf (value, sizeof value, "%lld", strtoll (old, NULL, 10) + 1);
   w.size_bytes = strlen (value);
   /* Negative until the write is confirmed.  */
@@ -149,8 +215,11 @@
       /* The process that accepted the order is gone.  The load may have
          crashed it.  */
       if (d->ordered)
-        d->order_due_ms
-            = now_ms + wy_crash_tracker_backoff_ms (++d->loads_interrupted);
+        {
+          d->order_due_ms
+              = now_ms + wy_crash_tracker_backoff_ms (++d->loads_interrupted);
+          store_interrupted (d);
+        }
       d->ordered = NULL;
       /* The new process may have another id.  */
       d->rank_read_ms = 0;
@@ -170,7 +239,11 @@
       wy_json_log ("version.loaded", "model=%s version=%lld ms=%.0f",
                    d->ordered->v.model, (long long)version, took_ms);
       d->ordered = NULL;
-      d->loads_interrupted = 0;
+      if (d->loads_interrupted)
+        {
+          d->loads_interrupted = 0;
+          store_interrupted (d);
+        }
     }
   else if (!r.order_in_progress && now_ms - d->ordered_ms >= ORDER_RETRY_MS)
     {
--- a/tests/test_orders.c
+++ b/tests/test_orders.c
@@ -203,6 +203,30 @@
   stop ();
 }
 
+/* Each load of a version crashes the replica, and the orderer starts again
+   after each.  Guards against an orderer that forgets the crashes.  */
+Test (orders, interrupted_loads_outlive_the_orderer)
+{
+  uint32_t crashes = 0;
+
+  start ();
+  wy_platform_replica_faults (w.replicas[0])->order_load_ms = 60000;
+  request_version (2);
+  cr_expect_geq (count_crashing_loads (3000), 3);
+  platform_fixture_run_ms (&w, 300);
+  for (int i = 0; i < 6; i++)
+    {
+      wy_orderer_daemon_free (d);
+      platform_fixture_run_ms (&w, 20);
+      start_daemon ();
+      crashes += count_crashing_loads (1000);
+    }
+  cr_expect_leq (crashes, 3, "%u", crashes);
+  wy_platform_replica_faults (w.replicas[0])->order_load_ms = 0;
+  cr_expect (gets_loaded (2));
+  stop ();
+}
+
 /* The store is unreachable when the orderer starts.  Without a generation it
    must not send orders; once the store is reachable, it must.  */
 Test (orders, no_order_without_a_generation)
