A program that can't listen says which address, which setting and why

Operators saw "wygated: cannot start: error -1001" and no log line, also "error -803", "err=-502" and "start_failed name=p" of the other programs, and could not tell a port in use from an address that isn't the machine's.

Cause: the servers turned libuv's error into their own and dropped it. They return it beside their own now (system_error), and gate, orderer, entry, agent and stand-ins log process.not_started with the setting, the address and the system's error; wygated and wyorderd print it as well. The three copies of bind and listen became wy_tcp_listen.

--- a/src/agent/http.c
+++ b/src/agent/http.c
@@ -5,6 +5,7 @@
 
 #include <jansson.h>
 
+#include "agent/links.h"
 #include "http/json.h"
 
 enum
@@ -62,15 +63,20 @@
 int
 wy_agent_http_start (struct wy_agent *a)
 {
+  int system_error = 0;
   struct wy_http_server_options o = { .loop = a->loop,
                                       .host = a->s->host,
                                       .port = (uint16_t)a->s->http_port,
                                       .body_limit_bytes = REQUEST_LIMIT_BYTES,
                                       .connection_limit = CONNECTIONS_MAX,
                                       .on_request = on_request,
-                                      .ctx = a };
+                                      .ctx = a,
+                                      .system_error = &system_error };
 
-  return wy_http_server_new (&a->http, &o) ? WY_AGENT_ELISTEN : 0;
+  if (!wy_http_server_new (&a->http, &o))
+    return 0;
+  wy_agent_listen_failed (a, "http_port", o.port, system_error);
+  return WY_AGENT_ELISTEN;
 }
 
 #define COUNTER(field, help)                                                  \
--- a/src/agent/links.c
+++ b/src/agent/links.c
@@ -256,17 +256,32 @@
   return events;
 }
 
+/* Log that the agent can't listen on PORT, which SETTING names.  */
+void
+wy_agent_listen_failed (const struct wy_agent *a, const char *setting,
+                        uint16_t port, int system_error)
+{
+  wy_log (WY_LOG_ERROR, "process.not_started",
+          "setting=%s address=%s:%u error=%s", setting, a->s->host, port,
+          uv_strerror (system_error));
+}
+
 /* Listen for connections from entries.  Returns 0 or WY_AGENT_ELISTEN.  */
 int
 wy_agent_links_start (struct wy_agent *a)
 {
+  int system_error = 0;
   struct wy_listener_options o = { .identity = &a->identity,
                                    .host = a->s->host,
                                    .port = (uint16_t)a->s->port,
                                    .on_accept = on_accept,
-                                   .ctx = a };
+                                   .ctx = a,
+                                   .system_error = &system_error };
 
-  return wy_listener_new (&a->listener, &o) ? WY_AGENT_ELISTEN : 0;
+  if (!wy_listener_new (&a->listener, &o))
+    return 0;
+  wy_agent_listen_failed (a, "port", o.port, system_error);
+  return WY_AGENT_ELISTEN;
 }
 
 /* Send F to all connected entries.  */
--- a/src/agent/weight_relay.c
+++ b/src/agent/weight_relay.c
@@ -10,6 +10,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "agent/links.h"
 #include "http/error.h"
 
 enum
@@ -204,13 +205,15 @@
 wy_agent_weight_relay_start (struct wy_agent *a)
 {
   struct wy_weight_relay *w = g_new0 (struct wy_weight_relay, 1);
+  int system_error = 0;
   struct wy_http_server_options o = { .loop = a->loop,
                                       .host = a->s->host,
                                       .port = (uint16_t)a->s->weights_port,
                                       .body_limit_bytes = REQUEST_LIMIT_BYTES,
                                       .connection_limit = CONNECTIONS_MAX,
                                       .on_request = on_request,
-                                      .ctx = w };
+                                      .ctx = w,
+                                      .system_error = &system_error };
 
   w->agent = a;
   a->weight_relay = w;
@@ -221,7 +224,10 @@
   g_queue_init (&w->order);
   if (*a->s->weights_url && !parse_address (a->s->weights_url, &w->store))
     return WY_AGENT_EADDRESS;
-  return wy_http_server_new (&w->server, &o) ? WY_AGENT_ELISTEN : 0;
+  if (!wy_http_server_new (&w->server, &o))
+    return 0;
+  wy_agent_listen_failed (a, "weights_port", o.port, system_error);
+  return WY_AGENT_ELISTEN;
 }
 
 /* Return the port of the relay.  */
--- a/src/cmd/wygated.c
+++ b/src/cmd/wygated.c
@@ -106,11 +106,12 @@
   process.path = program.path;
   process.loop = uv_default_loop ();
   o.loop = process.loop;
+  o.reason = g_string_new (NULL);
   err = wy_gate_new (&process.gate, &o);
   if (err)
     {
       wy_json_log_flush ();
-      fprintf (stderr, "wygated: cannot start: error %d\n", err);
+      fprintf (stderr, "wygated: cannot start: %s\n", o.reason->str);
       return WY_EXIT_FAILED;
     }
   watch_signals (&process);
--- a/src/cmd/wyorderd.c
+++ b/src/cmd/wyorderd.c
@@ -30,14 +30,17 @@
   static const int numbers[] = { SIGTERM, SIGINT, SIGHUP };
   uv_signal_t signals[G_N_ELEMENTS (numbers)];
   uv_loop_t *loop = uv_default_loop ();
-  struct wy_orderer_daemon_options o
-      = { .loop = loop, .clock = wy_clock_system (), .settings = settings };
+  struct wy_orderer_daemon_options o = { .loop = loop,
+                                         .clock = wy_clock_system (),
+                                         .settings = settings,
+                                         .reason = g_string_new (NULL) };
   struct wy_orderer_daemon *d;
   int err = wy_orderer_daemon_new (&d, &o);
 
   if (err)
     {
-      fprintf (stderr, "wyorderd: cannot start: error %d\n", err);
+      wy_json_log_flush ();
+      fprintf (stderr, "wyorderd: cannot start: %s\n", o.reason->str);
       return WY_EXIT_FAILED;
     }
   for (size_t i = 0; i < G_N_ELEMENTS (numbers); i++)
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -172,6 +172,7 @@
 listen_http (struct wy_entry *e)
 {
   const struct wy_entry_settings *s = e->s;
+  int system_error = 0;
   struct wy_http_server_options o
       = { .loop = e->loop,
           .host = s->host,
@@ -180,9 +181,15 @@
           .connection_limit = (uint32_t)s->connection_limit,
           .request_timeout_ms = (uint32_t)s->request_timeout_ms,
           .on_request = wy_routes_http,
-          .ctx = e };
+          .ctx = e,
+          .system_error = &system_error };
 
-  return wy_http_server_new (&e->http, &o) ? WY_ENTRY_ELISTEN : 0;
+  if (!wy_http_server_new (&e->http, &o))
+    return 0;
+  wy_log (WY_LOG_ERROR, "process.not_started",
+          "setting=port address=%s:%u error=%s", s->host, o.port,
+          uv_strerror (system_error));
+  return WY_ENTRY_ELISTEN;
 }
 
 static int
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -146,12 +146,29 @@
   g_string_free (out, TRUE);
 }
 
+/* Log that the gate can't start since ADDRESS, which SETTING names, can't be
+   used because of libuv's error ERR.  */
+static void
+address_failed (struct wy_gate *g, const char *setting, const char *address,
+                int err)
+{
+  wy_json_log ("process.not_started", "setting=%s address=%s error=%s",
+               setting, address, uv_err_name (err));
+  if (g->o.reason)
+    g_string_printf (g->o.reason, "%s %s: %s", setting, address,
+                     uv_strerror (err));
+}
+
+/* Listen at ADDRESS, which SETTING names.  */
 static int
-listen_at (struct wy_gate *g, struct wy_h1_server **out, const char *address,
+listen_at (struct wy_gate *g, struct wy_h1_server **out, const char *setting,
+           const char *address,
            void (*on_request) (void *ctx, struct wy_h1_request *r))
 {
   struct sockaddr_in a;
   char ip[INET_ADDRSTRLEN];
+  int system_error = 0;
+  int err;
   struct wy_h1_server_options o
       = { .loop = g->o.loop,
           .host = ip,
@@ -169,27 +186,37 @@
           .may_reject
           = on_request == wy_gate_on_request ? wy_gate_may_reject_body : NULL,
           .on_shed = wy_gate_on_shed_caller,
-          .ctx = g };
+          .ctx = g,
+          .system_error = &system_error };
 
   if (!wy_address_parse (address, &a))
-    return WY_H1_EBIND;
+    {
+      address_failed (g, setting, address, UV_EINVAL);
+      return WY_H1_EBIND;
+    }
   uv_ip4_name (&a, ip, sizeof ip);
   o.port = ntohs (a.sin_port);
-  return wy_h1_server_new (out, &o);
+  err = wy_h1_server_new (out, &o);
+  if (err)
+    address_failed (g, setting, address, system_error);
+  return err;
 }
 
 static int
 start_servers (struct wy_gate *g)
 {
   const struct wy_gate_settings *s = g->o.settings;
-  int err = listen_at (g, &g->caller_server, s->callers, wy_gate_on_request);
+  int err = listen_at (g, &g->caller_server, "callers_address", s->callers,
+                       wy_gate_on_request);
 
   if (!err)
-    err = listen_at (g, &g->ready_server, s->ready, on_ready_check);
+    err = listen_at (g, &g->ready_server, "ready_address", s->ready,
+                     on_ready_check);
   if (!err)
-    err = listen_at (g, &g->peer_server, s->peers, on_peer);
+    err = listen_at (g, &g->peer_server, "peers_address", s->peers, on_peer);
   if (!err && *s->metrics)
-    err = listen_at (g, &g->metrics_server, s->metrics, on_metrics);
+    err = listen_at (g, &g->metrics_server, "metrics_address", s->metrics,
+                     on_metrics);
   return err;
 }
 
@@ -283,7 +310,10 @@
           .returned = g->env.count.returned };
 
   if (!wy_address_parse (g->o.settings->store, &rows.address))
-    return WY_H1_EBIND;
+    {
+      address_failed (g, "store_address", g->o.settings->store, UV_EINVAL);
+      return WY_H1_EBIND;
+    }
   g->env.http = wy_h1_client_new (&http);
   rows.http = g->env.http;
   g->env.rows = wy_rows_new (&rows);
@@ -333,7 +363,10 @@
   wy_gate_start_watches (g);
   err = wy_gate_start_duties (g);
   if (err)
-    return err;
+    {
+      address_failed (g, "platform_address", o->settings->platform, UV_EINVAL);
+      return err;
+    }
   uv_timer_init (o->loop, &g->tick);
   g->tick.data = g;
   uv_timer_start (&g->tick, on_tick, TICK_MS, TICK_MS);
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -3,6 +3,7 @@
 #ifndef WY_GATE_GATE_H
 #define WY_GATE_GATE_H
 
+#include <glib.h>
 #include <uv.h>
 
 #include "gate/settings.h"
@@ -16,6 +17,7 @@
   const struct wy_gate_settings *settings;
   void (*on_stopped) (void *ctx);
   void *ctx;
+  GString *reason; /* gets why the gate can't start; may be NULL */
 };
 
 int wy_gate_new (struct wy_gate **out, const struct wy_gate_options *o);
--- a/src/h1/server.c
+++ b/src/h1/server.c
@@ -1,4 +1,5 @@
 /* HTTP/1.1 server: listener, and timeouts of connections.  */
+#include "base/tcp_listen.h"
 #include "h1/server_state.h"
 
 enum
@@ -132,19 +133,18 @@
 static int
 listen_on (struct wy_h1_server *s, const struct wy_h1_server_options *o)
 {
-  struct sockaddr_in a;
-  int n = sizeof a;
-
-  uv_tcp_init (o->loop, &s->listener);
-  s->listener.data = s;
-  if (uv_ip4_addr (o->host, o->port, &a)
-      || uv_tcp_bind (&s->listener, (struct sockaddr *)&a, 0)
-      || uv_listen ((uv_stream_t *)&s->listener, LISTEN_BACKLOG, on_accept)
-      || uv_tcp_getsockname (&s->listener, (struct sockaddr *)&a, &n))
-    return WY_H1_EBIND;
-  s->port = ntohs (a.sin_port);
-  s->listening = true;
-  return 0;
+  struct wy_tcp_listen_options l = { .loop = o->loop,
+                                     .host = o->host,
+                                     .port = o->port,
+                                     .backlog = LISTEN_BACKLOG,
+                                     .on_connection = on_accept,
+                                     .data = s };
+  int err = wy_tcp_listen (&s->listener, &l, &s->port);
+
+  if (o->system_error)
+    *o->system_error = err;
+  s->listening = err == 0;
+  return err ? WY_H1_EBIND : 0;
 }
 
 /* Start a server with the options O and store it in OUT.  Returns 0 or
--- a/src/h1/server.h
+++ b/src/h1/server.h
@@ -65,6 +65,7 @@
   void (*on_shed) (void *ctx, const struct wy_h1_request *r,
                    size_t unsent_bytes, uint32_t silent_ms);
   void *ctx;
+  int *system_error; /* set to libuv's with WY_H1_EBIND; may be NULL */
 };
 
 int wy_h1_server_new (struct wy_h1_server **out,
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -8,6 +8,7 @@
 #include <h2o.h>
 #include <h2o/http1.h>
 
+#include "base/tcp_listen.h"
 #include "http/error.h"
 #include "http/exchange.h"
 #include "http/tcp_info.h"
@@ -224,19 +225,18 @@
 static int
 listen_on (struct wy_http_server *s, const struct wy_http_server_options *o)
 {
-  struct sockaddr_in a;
-  int n = sizeof a;
-
-  uv_tcp_init (o->loop, &s->listener);
-  s->listener.data = s;
-  if (uv_ip4_addr (o->host, o->port, &a)
-      || uv_tcp_bind (&s->listener, (struct sockaddr *)&a, 0)
-      || uv_listen ((uv_stream_t *)&s->listener, LISTEN_BACKLOG, on_accept)
-      || uv_tcp_getsockname (&s->listener, (struct sockaddr *)&a, &n))
-    return WY_HTTP_EBIND;
-  s->port = ntohs (a.sin_port);
-  s->accepting = true;
-  return 0;
+  struct wy_tcp_listen_options l = { .loop = o->loop,
+                                     .host = o->host,
+                                     .port = o->port,
+                                     .backlog = LISTEN_BACKLOG,
+                                     .on_connection = on_accept,
+                                     .data = s };
+  int err = wy_tcp_listen (&s->listener, &l, &s->port);
+
+  if (o->system_error)
+    *o->system_error = err;
+  s->accepting = err == 0;
+  return err ? WY_HTTP_EBIND : 0;
 }
 
 static void
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -21,6 +21,7 @@
   uint32_t request_timeout_ms; /* to receive a complete request; 0: h2o's */
   void (*on_request) (struct wy_http_exchange *ex, void *ctx);
   void *ctx;
+  int *system_error; /* set to libuv's with WY_HTTP_EBIND; may be NULL */
 };
 
 int wy_http_server_new (struct wy_http_server **out,
--- a/src/inner/conn.h
+++ b/src/inner/conn.h
@@ -76,6 +76,7 @@
      event handlers of the connection.  */
   struct wy_conn_events (*on_accept) (void *ctx, struct wy_conn *c);
   void *ctx;
+  int *system_error; /* set to libuv's with WY_INNER_EBIND; may be NULL */
 };
 
 int wy_listener_new (struct wy_listener **out,
--- a/src/inner/listener.c
+++ b/src/inner/listener.c
@@ -1,4 +1,5 @@
 /* Listening socket for connections from other processes.  */
+#include "base/tcp_listen.h"
 #include "inner/conn.h"
 #include "inner/conn_state.h"
 
@@ -77,21 +78,23 @@
 wy_listener_new (struct wy_listener **out, const struct wy_listener_options *o)
 {
   struct wy_listener *l = g_malloc0 (sizeof *l);
-  struct sockaddr_in a;
-  int n = sizeof a;
+  struct wy_tcp_listen_options t = { .loop = o->identity->loop,
+                                     .host = o->host,
+                                     .port = o->port,
+                                     .backlog = LISTEN_BACKLOG,
+                                     .on_connection = on_connection,
+                                     .data = l };
+  int err;
 
   l->o = *o;
-  uv_tcp_init (o->identity->loop, &l->tcp);
-  l->tcp.data = l;
-  if (uv_ip4_addr (o->host, o->port, &a)
-      || uv_tcp_bind (&l->tcp, (struct sockaddr *)&a, 0)
-      || uv_listen ((uv_stream_t *)&l->tcp, LISTEN_BACKLOG, on_connection)
-      || uv_tcp_getsockname (&l->tcp, (struct sockaddr *)&a, &n))
+  err = wy_tcp_listen (&l->tcp, &t, &l->port);
+  if (o->system_error)
+    *o->system_error = err;
+  if (err)
     {
       wy_listener_close (l);
       return WY_INNER_EBIND;
     }
-  l->port = ntohs (a.sin_port);
   *out = l;
   return 0;
 }
--- a/src/orders/order_metrics.c
+++ b/src/orders/order_metrics.c
@@ -125,6 +125,8 @@
 int
 wy_order_metrics_start (struct wy_orderer_daemon *d)
 {
+  const char *address = d->o.settings->metrics;
+  int system_error = 0;
   struct sockaddr_in a;
   char ip[INET_ADDRSTRLEN];
   struct wy_h1_server_options o
@@ -136,16 +138,24 @@
                       .idle_timeout_ms = IDLE_MS,
                       .buffered_bytes = BUFFERED_BYTES },
           .on_request = on_request,
-          .ctx = d };
+          .ctx = d,
+          .system_error = &system_error };
+  int err;
 
   create_metrics (&d->metrics);
-  if (!*d->o.settings->metrics)
+  if (!*address)
     return 0;
-  if (!wy_address_parse (d->o.settings->metrics, &a))
-    return WY_H1_EBIND;
+  if (!wy_address_parse (address, &a))
+    {
+      wy_orderer_address_failed (d, "metrics_address", address, UV_EINVAL);
+      return WY_H1_EBIND;
+    }
   uv_ip4_name (&a, ip, sizeof ip);
   o.port = ntohs (a.sin_port);
-  return wy_h1_server_new (&d->metrics.server, &o);
+  err = wy_h1_server_new (&d->metrics.server, &o);
+  if (err)
+    wy_orderer_address_failed (d, "metrics_address", address, system_error);
+  return err;
 }
 
 void
--- a/src/orders/orderer.c
+++ b/src/orders/orderer.c
@@ -443,6 +443,29 @@
     start_call (d, now_ms);
 }
 
+/* Log that the orderer can't start since ADDRESS, which SETTING names, can't
+   be used because of libuv's error ERR.  */
+void
+wy_orderer_address_failed (const struct wy_orderer_daemon *d,
+                           const char *setting, const char *address, int err)
+{
+  wy_json_log ("process.not_started", "setting=%s address=%s error=%s",
+               setting, address, uv_err_name (err));
+  if (d->o.reason)
+    g_string_printf (d->o.reason, "%s %s: %s", setting, address,
+                     uv_strerror (err));
+}
+
+static bool
+parse_address (const struct wy_orderer_daemon *d, const char *setting,
+               const char *text, struct sockaddr_in *out)
+{
+  if (wy_address_parse (text, out))
+    return true;
+  wy_orderer_address_failed (d, setting, text, UV_EINVAL);
+  return false;
+}
+
 /* Start an orderer with options O and store it in OUT.  Returns 0 or
    WY_H1_EBIND for an address that can't be parsed or bound.  */
 int
@@ -464,14 +487,15 @@
 
   d->o = *o;
   d->load_ms = INITIAL_LOAD_MS;
-  if (!wy_address_parse (o->settings->target, &d->target)
-      || !wy_address_parse (o->settings->store, &rows.address))
+  wy_id_new (o->clock, d->incarnation);
+  wy_json_log_open (o->loop, o->settings->name, d->incarnation);
+  if (!parse_address (d, "target_address", o->settings->target, &d->target)
+      || !parse_address (d, "store_address", o->settings->store,
+                         &rows.address))
     {
       g_free (d);
       return WY_H1_EBIND;
     }
-  wy_id_new (o->clock, d->incarnation);
-  wy_json_log_open (o->loop, o->settings->name, d->incarnation);
   wy_json_log ("process.start", "target=%s service=%s store=%s",
                o->settings->target, o->settings->service, o->settings->store);
   d->response = g_string_new (NULL);
--- a/src/orders/orderer.h
+++ b/src/orders/orderer.h
@@ -7,6 +7,7 @@
 #ifndef WY_ORDERS_ORDERER_H
 #define WY_ORDERS_ORDERER_H
 
+#include <glib.h>
 #include <uv.h>
 
 #include "base/clock.h"
@@ -19,6 +20,7 @@
   uv_loop_t *loop;
   const struct wy_clock *clock;
   const struct wy_orders_settings *settings;
+  GString *reason; /* gets why the orderer can't start; may be NULL */
 };
 
 int wy_orderer_daemon_new (struct wy_orderer_daemon **out,
--- a/src/orders/orderer_state.h
+++ b/src/orders/orderer_state.h
@@ -92,6 +92,9 @@
 };
 
 int64_t wy_orderer_now_ms (const struct wy_orderer_daemon *d);
+void wy_orderer_address_failed (const struct wy_orderer_daemon *d,
+                                const char *setting, const char *address,
+                                int err);
 int64_t wy_orderer_loaded_version (const struct wy_orderer_daemon *d,
                                    const char *model);
 void wy_orderer_init_relays (struct wy_orderer_daemon *d);
--- a/src/standin/proxy.c
+++ b/src/standin/proxy.c
@@ -7,6 +7,7 @@
 
 #include "standin/kinds.h"
 #include "standin/standin.h"
+#include "trace/log.h"
 
 enum
 {
@@ -328,7 +329,7 @@
   uint16_t to_port = 0;
   uint64_t port = g_ascii_strtoull (text, &to, 10);
   struct sockaddr_in at;
-  int err = -1;
+  int err = UV_EINVAL;
 
   l->proxy = x;
   l->name = g_strdup (text);
@@ -337,9 +338,13 @@
   l->listener.data = l;
   if (*to == '=' && wy_standin_parse_address (to + 1, &host, &to_port)
       && !uv_ip4_addr (host, to_port, &l->to)
-      && !uv_ip4_addr (x->standin->common->host, (int)port, &at)
-      && !uv_tcp_bind (&l->listener, (const struct sockaddr *)&at, 0))
+      && !uv_ip4_addr (x->standin->common->host, (int)port, &at))
+    err = uv_tcp_bind (&l->listener, (const struct sockaddr *)&at, 0);
+  if (!err)
     err = uv_listen ((uv_stream_t *)&l->listener, BACKLOG, on_connection);
+  if (err)
+    wy_log (WY_LOG_ERROR, "process.not_started", "setting=links %s error=%s",
+            text, uv_strerror (err));
   g_free (host);
   g_ptr_array_add (x->links, l);
   return err;
--- a/src/standin/standin.c
+++ b/src/standin/standin.c
@@ -132,6 +132,7 @@
 static int
 open_server (struct wy_standin *s)
 {
+  int system_error = 0;
   struct wy_http_server_options o
       = { .loop = s->loop,
           .host = s->common->host,
@@ -139,9 +140,15 @@
           .body_limit_bytes = BODY_LIMIT_SIZE_BYTES,
           .request_timeout_ms = REQUEST_TIMEOUT_MS,
           .on_request = wy_standin_on_request,
-          .ctx = s };
-
-  return wy_http_server_new (&s->server, &o);
+          .ctx = s,
+          .system_error = &system_error };
+  int err = wy_http_server_new (&s->server, &o);
+
+  if (err)
+    wy_log (WY_LOG_ERROR, "process.not_started",
+            "setting=port address=%s:%u error=%s", o.host, o.port,
+            uv_strerror (system_error));
+  return err;
 }
 
 static int
