--- a/src/gate/members_query.c
+++ b/src/gate/members_query.c
@@ -319,7 +319,8 @@
           = { .peer.address = e->address,
               .weight = wy_hash64 (e->node, strlen (e->node), key) };
 
-      if (wy_member_is_alive (e) && e->has_address && strcmp (e->node, node))
+      if (wy_member_is_alive (e) && e->has_address
+          && strcmp (e->node, node) != 0)
         g_array_append_val (all, w);
     }
   g_array_sort (all, by_weight);
--- a/src/gate/proxy_state.h
+++ b/src/gate/proxy_state.h
@@ -96,6 +96,13 @@
 bool wy_proxy_is_over_memory (const struct wy_proxy_request *p);
 uint64_t wy_proxy_fingerprint (struct wy_proxy_request *p);
 void wy_proxy_start_attempt (struct wy_proxy_request *p);
+bool wy_proxy_is_repeatable (const struct wy_proxy_request *p);
+bool wy_proxy_is_running (const struct wy_proxy_request *p);
+void wy_proxy_send (struct wy_proxy_request *p, struct wy_target *g,
+                    struct wy_proxy_attempt *t);
+void wy_proxy_attempt_failed (struct wy_proxy_attempt *t,
+                              enum wy_target_outcome outcome,
+                              bool may_have_run, const char *reason);
 bool wy_proxy_is_blocked (struct wy_proxy_request *p);
 enum wy_proxy_go wy_proxy_go (struct wy_proxy_request *p, bool is_hedge);
 void wy_proxy_isolate (struct wy_proxy_request *p);
--- a/tests/support/platform_fixture.c
+++ b/tests/support/platform_fixture.c
@@ -108,14 +108,16 @@
 make_counters (struct platform_fixture *w)
 {
   struct wy_gate_counters *c = &w->env.count;
-  uint64_t **counters[]
-      = { &c->requests,         &c->answered,         &c->refused,
-          &c->failed,           &c->hung_up,          &c->retries,
-          &c->held_back,        &c->hedges,           &c->item_runs,
-          &c->runs_interrupted, &c->run_crashes,      &c->crash_probes,
-          &c->items_done,       &c->item_runs_failed, &c->jobs_accepted,
-          &c->jobs_taken_over,  &c->score_calls,      &c->score_calls_failed,
-          &c->score_hedges,     &c->waits };
+  uint64_t **counters[] = { &c->requests,      &c->answered,
+                            &c->refused,       &c->failed,
+                            &c->hung_up,       &c->retries,
+                            &c->held_back,     &c->hedges,
+                            &c->item_runs,     &c->runs_interrupted,
+                            &c->run_crashes,   &c->crash_probes,
+                            &c->items_done,    &c->item_runs_failed,
+                            &c->jobs_accepted, &c->jobs_taken_over,
+                            &c->score_calls,   &c->score_calls_failed,
+                            &c->score_hedges,  &c->waits };
   char name[32];
 
   w->metrics = wy_metrics_new ();
