Soak: the gate is killed again when the request first crashes replicas

The default moment had been moved 700 ms back because the soak found the death of the only entry that had seen the crashes.

--- a/scripts/soak-platform.sh
+++ b/scripts/soak-platform.sh
@@ -13,9 +13,9 @@
 FAULTS_S=$4
 GRACE_S=3
 CALM_S=9 # without faults: 4 s to recover, 5 s that are checked
-# From the end of the calm until a gate is killed at the earliest; the request
-# that crashes replicas is first sent after 1500.
-KILL_FROM_MS=${KILL_FROM_MS:-2200}
+# From the end of the calm until a gate is killed at the earliest, which is when
+# the request that crashes replicas is first sent.
+KILL_FROM_MS=${KILL_FROM_MS:-1500}
 CRASH_S=10 # in which a request crashes replicas and one gate is killed
 GATES=3
 # Little enough that callers that stop reading, with 900 kB each, exceed it.
