Tests end their gates also when they are killed

They are of test_memory: its gates had no death signal, and it has three tests. Shown by a run: a test program whose workers are killed after 2.5 s leaves three gates behind; now none. test_crash_loop, which was suspected, leaves none when its workers or its runner are killed or terminated, before and after.

The function that sets the signal stood twice; test_memory and test_ports_file use it as well. Checks are as they were.

--- a/tests/support/crash_fixture.c
+++ b/tests/support/crash_fixture.c
@@ -7,13 +7,13 @@
 #include <signal.h>
 #include <string.h>
 #include <sys/file.h>
-#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include "base/id.h"
 #include "platform/config_wire.h"
 #include "platform/replica_wire.h"
+#include "support/proc.h"
 
 #define TARGET "/p/x"
 
@@ -178,13 +178,6 @@
   g_free (text);
 }
 
-/* A test that fails leaves no gates behind.  */
-static void
-end_with_test (gpointer data)
-{
-  prctl (PR_SET_PDEATHSIG, SIGKILL);
-}
-
 /* Start GATE; its lines are added to its log.  */
 void
 crash_fixture_launch (struct crash_fixture *x, uint32_t gate)
@@ -197,8 +190,8 @@
   cr_assert_geq (out, 0);
   cr_assert (g_spawn_async_with_fds (
       NULL, (char *[]){ program, "--config", x->gates[gate].path, NULL }, NULL,
-      G_SPAWN_DO_NOT_REAP_CHILD, end_with_test, NULL, &x->gates[gate].pid, -1,
-      out, out, NULL));
+      G_SPAWN_DO_NOT_REAP_CHILD, wy_end_with_parent, NULL, &x->gates[gate].pid,
+      -1, out, out, NULL));
   close (out);
   g_free (log);
   g_free (program);
--- a/tests/support/proc.c
+++ b/tests/support/proc.c
@@ -39,6 +39,14 @@
   return g_build_filename (dir ? dir : "build/bin", program, NULL);
 }
 
+/* For g_spawn_async: end the child with the test, also if the test is killed.
+ */
+void
+wy_end_with_parent (gpointer data)
+{
+  prctl (PR_SET_PDEATHSIG, SIGKILL);
+}
+
 /* Start a child process that is killed when the test ends.  The programs of a
    test that crashes or times out would otherwise run on and keep the pipes of
    the test runner open, for which it would wait.  */
@@ -50,7 +58,7 @@
 
   if (pid)
     return pid;
-  prctl (PR_SET_PDEATHSIG, SIGKILL);
+  wy_end_with_parent (NULL);
   if (getppid () != test)
     _exit (EXIT_FAILURE);
   closefrom (STDERR_FILENO + 1);
--- a/tests/support/proc.h
+++ b/tests/support/proc.h
@@ -5,6 +5,7 @@
 #include <stdint.h>
 #include <sys/types.h>
 
+#include <glib.h>
 #include <jansson.h>
 
 #include "http/client.h"
@@ -17,6 +18,7 @@
   char *timeline;
 };
 
+void wy_end_with_parent (gpointer data);
 int wy_proc_start (struct wy_proc *p, const char *program, const char *kind,
                    const char *settings);
 uint16_t wy_proc_port (const struct wy_proc *p, const char *name);
--- a/tests/test_memory.c
+++ b/tests/test_memory.c
@@ -15,6 +15,7 @@
 #include "platform/config_wire.h"
 #include "platform/replica_wire.h"
 #include "support/platform_fixture.h"
+#include "support/proc.h"
 
 enum
 {
@@ -243,7 +244,7 @@
   cr_assert (
       g_spawn_async (NULL, (char *[]){ program, "--config", path, NULL }, NULL,
                      G_SPAWN_DO_NOT_REAP_CHILD | G_SPAWN_STDOUT_TO_DEV_NULL,
-                     NULL, NULL, &gate, NULL));
+                     wy_end_with_parent, NULL, &gate, NULL));
   platform_response_free (await (READY, "/"));
   g_free (settings);
   g_free (path);
--- a/tests/test_ports_file.c
+++ b/tests/test_ports_file.c
@@ -58,8 +58,8 @@
   argv[n++] = "--config";
   argv[n++] = settings;
   cr_assert (g_spawn_async (NULL, (char **)argv, NULL,
-                            G_SPAWN_DO_NOT_REAP_CHILD, NULL, NULL, &pid,
-                            NULL));
+                            G_SPAWN_DO_NOT_REAP_CHILD, wy_end_with_parent,
+                            NULL, &pid, NULL));
   g_free (path);
   return pid;
 }
