Equal requests wait after a crash only if one has failed and none was answered

Found by reading, not seen on a deployment: for 10 s after a replica crashed, equal requests ran one at a time at each entry, also a popular request that many callers send with the same body and that crashes nothing: each of them waited up to 200 ms.

Now only a request that has failed or waited since the crash is held, and no longer once an equal one was answered; one that crashes replicas never is.

--- a/src/gate/isolation.c
+++ b/src/gate/isolation.c
@@ -2,17 +2,16 @@
 
    An entry that sees targets crash does not know the cause: the entry at which
    the request ran may have died with the targets.  The request may come to
-   this one next, from several callers at once.  So for some time after a crash
-   a request waits while an equal one runs.  One that has failed in this time
-   and comes again may wait at all entries for the targets to return, so it is
-   known by its fingerprint.  Other requests are not affected.  */
+   this one next, from several callers at once.  It fails or waits here until
+   the targets have returned, and is never answered, so for some time after a
+   crash it is known how requests have ended, by their fingerprints.  */
 #include "gate/isolation.h"
 
 enum
 {
   /* Crashed targets return within a few seconds.  */
   ALERT_MS = 10000,
-  FAILED_MAX = 4096
+  OUTCOMES_MAX = 4096
 };
 
 static GHashTable *
@@ -25,8 +24,8 @@
 void
 wy_isolation_crash_seen (struct wy_isolation *i, int64_t now_ms)
 {
-  if (i->failed && !wy_isolation_is_alert (i, now_ms))
-    g_hash_table_remove_all (i->failed);
+  if (i->outcomes && !wy_isolation_is_alert (i, now_ms))
+    g_hash_table_remove_all (i->outcomes);
   i->crash_seen_ms = now_ms;
 }
 
@@ -74,23 +73,31 @@
   return i->running && g_hash_table_contains (i->running, &key);
 }
 
-/* A request with FINGERPRINT has failed shortly after a target crashed.  */
+/* A request with FINGERPRINT has ended with OUTCOME shortly after a target
+   crashed.  */
 void
-wy_isolation_failed (struct wy_isolation *i, uint64_t fingerprint)
+wy_isolation_ended (struct wy_isolation *i, uint64_t fingerprint,
+                    enum wy_isolation_outcome outcome)
 {
   gint64 key = (gint64)fingerprint;
 
-  if (!i->failed)
-    i->failed = new_table ();
-  if (g_hash_table_size (i->failed) < FAILED_MAX)
-    g_hash_table_add (i->failed, g_memdup2 (&key, sizeof key));
+  if (!i->outcomes)
+    i->outcomes = new_table ();
+  if (wy_isolation_outcome (i, fingerprint) == WY_ISOLATION_ANSWERED
+      || (g_hash_table_size (i->outcomes) >= OUTCOMES_MAX
+          && !g_hash_table_contains (i->outcomes, &key)))
+    return;
+  g_hash_table_replace (i->outcomes, g_memdup2 (&key, sizeof key),
+                        GUINT_TO_POINTER (outcome));
 }
 
-/* Whether a request with FINGERPRINT has failed since targets crash.  */
-bool
-wy_isolation_has_failed (const struct wy_isolation *i, uint64_t fingerprint)
+/* How requests with FINGERPRINT have ended since targets crash.  */
+enum wy_isolation_outcome
+wy_isolation_outcome (const struct wy_isolation *i, uint64_t fingerprint)
 {
   gint64 key = (gint64)fingerprint;
 
-  return i->failed && g_hash_table_contains (i->failed, &key);
+  return i->outcomes
+             ? GPOINTER_TO_UINT (g_hash_table_lookup (i->outcomes, &key))
+             : WY_ISOLATION_UNKNOWN;
 }
--- a/src/gate/proxy_isolation.c
+++ b/src/gate/proxy_isolation.c
@@ -1,10 +1,11 @@
 /* Whether a request may run now, or must wait or be rejected since replicas
    have crashed under equal requests, or may have.
 
-   For some time after a replica has crashed a request waits while an equal one
-   runs here.  If it has waited or failed in this time, or one crash is known
-   under it, it needs a permit, of which there is one among all entries.  With
-   two crashes it is rejected.  Other requests are not affected.  */
+   With one known crash a request waits while an equal one runs here, and needs
+   a permit, of which there is one among all entries.  For some time after a
+   replica has crashed this is also so for a request that has waited or failed
+   in this time, while no equal one was answered.  With two crashes it is
+   rejected.  Other requests are not affected.  */
 #include "gate/proxy_state.h"
 
 enum
@@ -115,6 +116,27 @@
   return WY_PROXY_RUN;
 }
 
+/* Whether P has waited or failed since replicas crash, and no equal request
+   was answered, as with one that crashes them.  */
+static bool
+comes_again (const struct wy_proxy_request *p)
+{
+  const struct wy_isolation *i = &p->env->isolation;
+
+  if (!wy_isolation_is_alert (i, wy_proxy_now_ms (p)))
+    return false;
+  switch (wy_isolation_outcome (i, p->fingerprint))
+    {
+    case WY_ISOLATION_UNKNOWN:
+      return p->sends > 0 || p->capacity_retries > 0;
+    case WY_ISOLATION_FAILED:
+      return true;
+    case WY_ISOLATION_ANSWERED:
+      return false;
+    }
+  return false;
+}
+
 /* Whether an equal request may be about to crash its replica, or an attempt of
    P itself may have crashed it.  */
 static bool
@@ -128,18 +150,6 @@
              && wy_isolation_is_running (&env->isolation, p->fingerprint));
 }
 
-/* Whether P has waited or failed since replicas crash, as a request that
-   crashes them does at all entries until they return.  */
-static bool
-comes_again (const struct wy_proxy_request *p)
-{
-  const struct wy_isolation *i = &p->env->isolation;
-
-  return wy_isolation_is_alert (i, wy_proxy_now_ms (p))
-         && (p->sends > 0 || p->capacity_retries > 0
-             || wy_isolation_has_failed (i, p->fingerprint));
-}
-
 /* Whether P, which isn't blocked, may be sent to a replica now.  IS_HEDGE: it
    is running at one already.  */
 enum wy_proxy_go
@@ -155,6 +165,8 @@
   suspect = is_suspect (p);
   if (is_hedge)
     return suspect ? WY_PROXY_WAIT : WY_PROXY_RUN;
+  if (!suspect && !comes_again (p))
+    return WY_PROXY_RUN;
   if (must_wait (p))
     {
       enum wy_proxy_go go = wait (p, suspect);
@@ -162,8 +174,7 @@
       if (go != WY_PROXY_RUN)
         return go;
     }
-  return suspect || comes_again (p) ? go_with_permit (p, suspect)
-                                    : WY_PROXY_RUN;
+  return go_with_permit (p, suspect);
 }
 
 /* P is about to be sent to a replica: equal requests wait from here on, if
@@ -208,7 +219,20 @@
   struct wy_isolation *i = &p->env->isolation;
 
   if (wy_isolation_is_alert (i, wy_proxy_now_ms (p)))
-    wy_isolation_failed (i, wy_proxy_fingerprint (p));
+    wy_isolation_ended (i, wy_proxy_fingerprint (p), WY_ISOLATION_FAILED);
+}
+
+/* P, which may have waited or failed before, was answered: equal requests need
+   not wait.  */
+static void
+note_answer (struct wy_proxy_request *p)
+{
+  struct wy_isolation *i = &p->env->isolation;
+  uint64_t f = wy_proxy_fingerprint (p);
+
+  if (p->sends > 1 || p->capacity_retries > 0
+      || wy_isolation_outcome (i, f) == WY_ISOLATION_FAILED)
+    wy_isolation_ended (i, f, WY_ISOLATION_ANSWERED);
 }
 
 /* P got a response: it is no longer suspect.  */
@@ -217,6 +241,8 @@
 {
   struct wy_gate_env *env = p->env;
 
+  if (wy_isolation_is_alert (&env->isolation, wy_proxy_now_ms (p)))
+    note_answer (p);
   if (!wy_crash_tracker_has_suspects (&env->crashes))
     return;
   if (!is_suspect (p))
--- a/tests/test_crash_isolation.c
+++ b/tests/test_crash_isolation.c
@@ -192,9 +192,12 @@
   cr_expect_not (wy_isolation_is_running (&i, 6));
   wy_isolation_end (&i, 5);
   cr_expect_not (wy_isolation_is_running (&i, 5));
-  wy_isolation_failed (&i, 7);
-  cr_expect (wy_isolation_has_failed (&i, 7));
+  wy_isolation_ended (&i, 7, WY_ISOLATION_FAILED);
+  cr_expect_eq (wy_isolation_outcome (&i, 7), WY_ISOLATION_FAILED);
+  wy_isolation_ended (&i, 7, WY_ISOLATION_ANSWERED);
+  wy_isolation_ended (&i, 7, WY_ISOLATION_FAILED);
+  cr_expect_eq (wy_isolation_outcome (&i, 7), WY_ISOLATION_ANSWERED);
   cr_expect_not (wy_isolation_is_alert (&i, 20000));
   wy_isolation_crash_seen (&i, 20000);
-  cr_expect_not (wy_isolation_has_failed (&i, 7));
+  cr_expect_eq (wy_isolation_outcome (&i, 7), WY_ISOLATION_UNKNOWN);
 }
