Read as a newcomer: suspects, their list, the wait for an equal request

A comment that had lost the function it refers to stands beside it again, the merge of a directory row decides once what was blocked before, and a function no longer has the name of a system call. No change of behaviour.

--- a/src/decide/suspect.c
+++ b/src/decide/suspect.c
@@ -130,6 +130,20 @@
       }
 }
 
+/* The same, where other entries may still report the request as suspect: for a
+   while their reports of a single crash are ignored.  */
+void
+wy_suspects_clear_lasting (struct wy_suspects *s, uint64_t fingerprint,
+                           int64_t now_ms)
+{
+  struct wy_cleared *c = &s->cleared[s->next_cleared];
+
+  wy_suspects_clear (s, fingerprint);
+  s->next_cleared = (s->next_cleared + 1) % WY_CLEARED_MAX;
+  c->fingerprint = fingerprint;
+  c->at_ms = now_ms;
+}
+
 static void
 remove_crash (struct wy_suspect *e, uint32_t i)
 {
@@ -194,20 +208,6 @@
   return WY_SUSPICION_ISOLATE;
 }
 
-/* The same, where other entries may still report the request as suspect for a
-   while: their reports of a single crash are ignored.  */
-void
-wy_suspects_clear_lasting (struct wy_suspects *s, uint64_t fingerprint,
-                           int64_t now_ms)
-{
-  struct wy_cleared *c = &s->cleared[s->next_cleared];
-
-  wy_suspects_clear (s, fingerprint);
-  s->next_cleared = (s->next_cleared + 1) % WY_CLEARED_MAX;
-  c->fingerprint = fingerprint;
-  c->at_ms = now_ms;
-}
-
 static bool
 is_late_report (const struct wy_suspects *s, const struct wy_suspect *other,
                 int64_t now_ms)
--- a/src/gate/proxy_isolation.c
+++ b/src/gate/proxy_isolation.c
@@ -52,7 +52,7 @@
 
 /* P has to wait, or is not kept any longer.  */
 static enum wy_proxy_go
-wait (struct wy_proxy_request *p, bool suspect)
+wait_for_equal (struct wy_proxy_request *p, bool suspect)
 {
   int64_t now_ms = wy_proxy_now_ms (p);
   int64_t max_ms = suspect ? WAIT_SUSPECT_MAX_MS : WAIT_MAX_MS;
@@ -107,7 +107,7 @@
     case WY_PERMIT_PENDING:
       return WY_PROXY_WAIT;
     case WY_PERMIT_BUSY:
-      return wait (p, suspect);
+      return wait_for_equal (p, suspect);
     case WY_PERMIT_BLOCKED:
       return reject (p, WY_PROXY_REASON_CRASHES_TARGETS);
     case WY_PERMIT_UNREACHED:
@@ -169,7 +169,7 @@
     return WY_PROXY_RUN;
   if (must_wait (p))
     {
-      enum wy_proxy_go go = wait (p, suspect);
+      enum wy_proxy_go go = wait_for_equal (p, suspect);
 
       if (go != WY_PROXY_RUN)
         return go;
@@ -177,8 +177,8 @@
   return go_with_permit (p, suspect);
 }
 
-/* P is about to be sent to a replica: equal requests wait from here on, if
-   those that are suspect, or any, are isolated.  */
+/* P is about to be sent to a replica.  While some requests are suspect, or
+   replicas have just crashed, equal requests may have to wait for P.  */
 void
 wy_proxy_isolate (struct wy_proxy_request *p)
 {
--- a/src/gate/suspect_list.c
+++ b/src/gate/suspect_list.c
@@ -151,15 +151,16 @@
       struct wy_suspect s = parse_suspect (json_array_get (list, i));
       uint32_t known
           = wy_suspects_crashes (&w->suspects, s.fingerprint, now_ms);
+      bool was_blocked
+          = wy_crash_tracker_is_blocked (w, s.fingerprint, now_ms);
 
       if (s.fingerprint == 0)
         continue;
+      if (!was_blocked)
+        wy_suspects_merge (&w->suspects, &s, now_ms);
       wy_suspects_stored (&w->suspects, &s, now_ms);
-      if (wy_crash_tracker_is_blocked (w, s.fingerprint, now_ms))
-        continue;
-      wy_suspects_merge (&w->suspects, &s, now_ms);
-      wy_suspects_stored (&w->suspects, &s, now_ms);
-      blocked += report_heard (w, &s, known, now_ms);
+      if (!was_blocked)
+        blocked += report_heard (w, &s, known, now_ms);
     }
   return blocked;
 }
