Soak: signals go only to programs that have installed their handlers

Cause: the script waited 500 ms after a start before it sent a signal, and not at all after the first. With 15 runnable processes on 5 cores the shell that was to become the gate had not run yet: there was no log file. SIGTERM ended it, or made it run the script's own cleanup, which kills all processes of the run.

The script now looks whether the process is the program and catches SIGTERM, and passes over the fault otherwise, as it did within the 500 ms.

--- a/scripts/soak-platform.sh
+++ b/scripts/soak-platform.sh
@@ -115,12 +115,22 @@
   STARTED[$1]=$(now_ms)
 }
 
+# handles_signals PID: whether it is one of the programs and has installed its
+# handler of SIGTERM (bit 14), not a shell that is about to run one.
+handles_signals() {
+  local caught
+  case $(cat "/proc/$1/comm" 2>/dev/null) in wygated | wyorderd) ;; *) return 1 ;; esac
+  caught=$(sed -n 's/^SigCgt:[[:space:]]*//p' "/proc/$1/status" 2>/dev/null)
+  [ -n "$caught" ] && [ $((0x$caught >> 14 & 1)) = 1 ]
+}
+
 begin() {
   local how=$1 name=$2 ms=$3
   [ -z "${BACK[$name]:-}" ] || return 0
   # A signal would end a process that has not installed its handlers yet, which
   # would look like a failure.
   [ "$(now_ms)" -ge $((${STARTED[$name]:-0} + 500)) ] || return 0
+  handles_signals "${PID[$name]}" || return 0
   say "$how $name for $ms ms"
   BACK[$name]=$(($(now_ms) + ms))
   HOW[$name]=$how
