--- a/review/standin/yard.c
+++ b/review/standin/yard.c
@@ -43,8 +43,8 @@
   int events;     /* of a stream */
   int first_event;
   int event_gap;
-  double per_s; /* new requests, evenly */
-  int clump;    /* or so many at a time, give or take a quarter */
+  double per_s; /* new requests */
+  int clump;    /* besides, so many at a time, give or take a quarter */
   int clump_ms; /* between the clumps */
   int length;
   const char *trouble;
@@ -59,20 +59,21 @@
   { .rule = "TWICE",
     .service = "order-desk",
     .kind = "unsafe",
-    .replicas = 3,
+    .replicas = 2,
     .slots = 6,
     .queue = 4,
     .target_latency = 150,
     .attempts = 3,
     .time_limit = 2000,
-    .work = 25,
-    .clump = 38,
-    .clump_ms = 250,
-    .length = 80000,
+    .work = 40,
+    .per_s = 36,
+    .clump = 24,
+    .clump_ms = 200,
+    .length = 100000,
     .trouble = "garble extra late",
     .troubled = 1,
     .window = 5000,
-    .pause = 3000,
+    .pause = 1000,
     .share = 0.03 },
   { .rule = "ORDER",
     .service = "advice-lm",
@@ -681,12 +682,25 @@
   return status;
 }
 
+/* Gate I and replica I are in the zone I % ZONES.  Clumps come from the clients
+   of the other zones, single requests from those of zone 0.  */
+static int
+gate_of_client (bool of_clump)
+{
+  int gate;
+
+  do
+    gate = (int)(random () % GATES);
+  while ((gate % ZONES != 0) != of_clump);
+  return gate;
+}
+
 /* Retries once, after a promise only, with an Attempt-Id of its own.  */
 static void
-be_plain_client (void)
+be_plain_client (bool of_clump)
 {
   int64_t from = now_ms ();
-  int gate = (int)(random () % GATES);
+  int gate = gate_of_client (of_clump);
   int after_ms = 0;
   int status = attempt_plain (gate, plan->time_limit, &after_ms);
   int64_t left = plan->time_limit - (now_ms () - from);
@@ -698,7 +712,7 @@
   sleep_ms (after_ms);
   left -= after_ms;
   if (left > 100)
-    attempt_plain ((gate + 1) % GATES, (int)left, &after_ms);
+    attempt_plain (gate_of_client (of_clump), (int)left, &after_ms);
 }
 
 /* What a client has seen of a stream.  */
@@ -836,11 +850,10 @@
 static void *
 run_client (void *arg)
 {
-  (void)arg;
   if (plan->is_model)
     be_stream_client ();
   else
-    be_plain_client ();
+    be_plain_client (arg);
   __sync_sub_and_fetch (&n_clients, 1);
   return NULL;
 }
@@ -864,10 +877,20 @@
   return NULL;
 }
 
+/* Start a client; of a clump if ARG is not NULL.  */
+static void
+start_client (void *arg)
+{
+  __sync_add_and_fetch (&n_clients, 1);
+  start_thread (run_client, arg);
+}
+
 static void
 play (void)
 {
+  static char of_clump;
   int64_t next = now_ms ();
+  int64_t next_clump = next;
 
   traffic_ms = next;
   start_thread (run_trouble, NULL);
@@ -875,18 +898,16 @@
     {
       while (next <= now_ms ())
         {
-          int n = plan->clump
-                      ? (int)(plan->clump * (0.75 + 0.5 * chance ()))
-                      : 1;
+          next += (int64_t)(1000 / plan->per_s * 2 * chance ()) + 1;
+          start_client (NULL);
+        }
+      if (plan->clump && next_clump <= now_ms ())
+        {
+          int n = (int)(plan->clump * (0.75 + 0.5 * chance ()));
 
-          next += plan->clump ? plan->clump_ms
-                              : (int64_t)(1000 / plan->per_s * 2 * chance ())
-                                    + 1;
+          next_clump += plan->clump_ms;
           for (int i = 0; i < n; i++)
-            {
-              __sync_add_and_fetch (&n_clients, 1);
-              start_thread (run_client, NULL);
-            }
+            start_client (&of_clump);
         }
       sleep_ms (1);
     }
