--- a/review/standin/yard.c
+++ b/review/standin/yard.c
@@ -474,7 +474,8 @@
             "\"version\":\"v1\",\"slots\":%d,\"state\":\"ready\","
             "\"coldRemainingMs\":0,\"stage\":\"both\",\"models\":[%s],"
             "\"sequence\":%d}",
-            plan->service, r->port, r->number % ZONES, plan->slots,
+            plan->service, r->port, r->number * ZONES / plan->replicas,
+            plan->slots,
             plan->is_model
                 ? "{\"name\":\"m0\",\"version\":1,\"adapters\":[]}"
                 : "",
@@ -682,7 +683,7 @@
   return status;
 }
 
-/* Gate I and replica I are in the zone I % ZONES.  Clumps come from the clients
+/* Gate I is in the zone I % ZONES.  Clumps come from the clients
    of the other zones, single requests from those of zone 0.  */
 static int
 gate_of_client (bool of_clump)
