--- a/review/standin/base.c
+++ b/review/standin/base.c
@@ -183,8 +183,7 @@
 {
   struct pollfd p = { .fd = c->fd, .events = POLLRDHUP };
 
-  return poll (&p, 1, 0) > 0
-         && (p.revents & (POLLRDHUP | POLLHUP | POLLERR));
+  return poll (&p, 1, 0) > 0 && (p.revents & (POLLRDHUP | POLLHUP | POLLERR));
 }
 
 /* Connect to PORT; reads and writes then fail after TIMEOUT_MS each.  */
--- a/review/standin/store.c
+++ b/review/standin/store.c
@@ -116,9 +116,9 @@
 static json_t *
 row_json (const struct row *r)
 {
-  json_t *o = json_pack ("{s:s, s:s, s:s, s:I}", "table", r->table, "part",
-                         r->part, "key", r->key, "rowVersion",
-                         (json_int_t)r->version);
+  json_t *o
+      = json_pack ("{s:s, s:s, s:s, s:I}", "table", r->table, "part", r->part,
+                   "key", r->key, "rowVersion", (json_int_t)r->version);
 
   if (r->value)
     json_object_set_new (o, "value", json_string (r->value));
@@ -166,8 +166,7 @@
     int64_t have = r && r->value ? r->version : 0;
 
     failed = failed
-             || have
-                    != json_integer_value (json_object_get (o, "rowVersion"));
+             || have != json_integer_value (json_object_get (o, "rowVersion"));
     if (have)
       json_array_append_new (found, row_json (r));
   }
@@ -177,9 +176,8 @@
       json_array_foreach (json_object_get (doc, "writes"), i, o)
           set (text_of (o, "table"), text_of (o, "part"), text_of (o, "key"),
                text_of (o, "value"));
-      json_array_foreach (json_object_get (doc, "remove"), i, o)
-          set (text_of (o, "table"), text_of (o, "part"), text_of (o, "key"),
-               NULL);
+      json_array_foreach (json_object_get (doc, "remove"), i, o) set (
+          text_of (o, "table"), text_of (o, "part"), text_of (o, "key"), NULL);
       pthread_cond_broadcast (&changed);
     }
   out = json_pack ("{s:I}", "rowVersion", (json_int_t)version);
--- a/review/standin/yard.c
+++ b/review/standin/yard.c
@@ -1,10 +1,10 @@
 /* The users' side of a small deployment: the store, the operator, replicas and
    clients, and the check of one rule.
 
-   yard CASE DIR: writes the ports to DIR/ports, waits for DIR/started, plays the
-   case, writes DIR/record.txt and exits with 1 if the rule was broken, 0 if it
-   held, 2 if the case could not run.  With TROUBLE=0 in the environment the
-   disruption is left out.  */
+   yard CASE DIR: writes the ports to DIR/ports, waits for DIR/started, plays
+   the case, writes DIR/record.txt and exits with 1 if the rule was broken, 0
+   if it held, 2 if the case could not run.  With TROUBLE=0 in the environment
+   the disruption is left out.  */
 #define _GNU_SOURCE
 #include <jansson.h>
 #include <stdio.h>
@@ -20,7 +20,7 @@
   GATES = 7,
   ZONES = 3,
   HEARTBEAT_MS = 1200,
-  READY_MAX_MS = 20000,
+  READY_MAX_MS = 10000,
   STEP_MS = 2,
   REQUESTS_MAX = 40000
 };
@@ -374,8 +374,9 @@
     return false;
   for (int k = after + 1; k <= plan->events; k++)
     {
-      snprintf (text, sizeof text, "id: %d\ndata: run %d after %d piece %d\n\n",
-                k, run, after, k);
+      snprintf (text, sizeof text,
+                "id: %d\ndata: run %d after %d piece %d\n\n", k, run, after,
+                k);
       if (!send_chunk (c, text))
         return false;
       if (k < plan->events && !wait_open (c, plan->event_gap * slower))
@@ -401,8 +402,7 @@
       return send_answer (r, c, id, 500, "Response-Stamp: error\r\n", "error");
     }
   if (!admit (r, c, &gone))
-    return !gone
-           && send_answer (r, c, id, 503, "Not-Executed: 1\r\n", "");
+    return !gone && send_answer (r, c, id, 503, "Not-Executed: 1\r\n", "");
   run = __sync_add_and_fetch (&next_run, 1);
   record ("replica %s: %s run %d began after %d%s", r->id, id, run, after,
           is_troubled (r) ? " (disrupted replica)" : "");
@@ -478,17 +478,15 @@
 {
   char text[512];
 
-  snprintf (text, sizeof text,
-            "{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\",\"zone\":\"z%d\","
-            "\"version\":\"v1\",\"slots\":%d,\"state\":\"ready\","
-            "\"coldRemainingMs\":0,\"stage\":\"both\",\"models\":[%s],"
-            "\"sequence\":%d}",
-            r->service, r->port, r->number * ZONES / plan->replicas,
-            plan->slots,
-            plan->is_model
-                ? "{\"name\":\"m0\",\"version\":1,\"adapters\":[]}"
-                : "",
-            sequence);
+  snprintf (
+      text, sizeof text,
+      "{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\",\"zone\":\"z%d\","
+      "\"version\":\"v1\",\"slots\":%d,\"state\":\"ready\","
+      "\"coldRemainingMs\":0,\"stage\":\"both\",\"models\":[%s],"
+      "\"sequence\":%d}",
+      r->service, r->port, r->number * ZONES / plan->replicas, plan->slots,
+      plan->is_model ? "{\"name\":\"m0\",\"version\":1,\"adapters\":[]}" : "",
+      sequence);
   store_put ("servers", r->id, text);
 }
 
@@ -589,9 +587,9 @@
     {
       callers[i] = reserve_port ();
       ready[i] = reserve_port ();
-      fprintf (f, "CALLERS[%d]=%u\nREADY[%d]=%u\nPEERS[%d]=%u\nMETRICS[%d]=%u\n",
-               i, callers[i], i, ready[i], i, reserve_port (), i,
-               reserve_port ());
+      fprintf (
+          f, "CALLERS[%d]=%u\nREADY[%d]=%u\nPEERS[%d]=%u\nMETRICS[%d]=%u\n", i,
+          callers[i], i, ready[i], i, reserve_port (), i, reserve_port ());
     }
   for (int i = 0; plan->is_model && i < plan->replicas; i++)
     fprintf (f, "TARGET[%d]=%u\nSIDE_METRICS[%d]=%u\n", i, replicas[i].port, i,
@@ -690,7 +688,7 @@
 }
 
 /* One client attempt at a plain route.  Return the status, 0 for none, and set
-   *AFTER_MS to the Retry-After field.  */
+ *AFTER_MS to the Retry-After field.  */
 static int
 attempt_plain (int gate, int time_left, int *after_ms)
 {
@@ -795,8 +793,7 @@
                 piece, s->piece);
       break_rule (q, what);
     }
-  else if (run != s->run && s->n_runs
-           && (case_number == 3)
+  else if (run != s->run && s->n_runs && (case_number == 3)
            && (has_seen_run (s, run) || after != s->piece))
     {
       snprintf (what, sizeof what,
