Known red: seven ways in which entries run a request that has crashed replicas

A request needs a permit only if it failed or waited at the same entry before; six that arrive anew need none.

The others are found by asking for each run whether its crash can go unseen, untold or forgotten.

--- a/src/standin/platform_replica.c
+++ b/src/standin/platform_replica.c
@@ -16,8 +16,10 @@
 /* Every replica responds 500 to a plain request whose body begins so.  */
 #define FAILS_ALWAYS "fail"
 
-/* A plain request whose body begins so crashes every replica that runs it.  */
+/* A plain request whose body begins so crashes every replica that runs it, and
+   in the second case after the response has begun.  */
 #define CRASHES_ALWAYS "crash"
+#define CRASHES_LATE "crash-late"
 
 struct run
 {
@@ -260,6 +262,14 @@
 {
   r->faults.hang++;
   start_plain (r, q, 0, id);
+  if (body_begins (q, CRASHES_LATE))
+    {
+      struct wy_h1_header fields[]
+          = { { "Attempt-Id", id }, { "Response-Stamp", "stamp" } };
+
+      wy_h1_begin_response (q, 200, fields, G_N_ELEMENTS (fields));
+      wy_h1_write_response (q, "begun", strlen ("begun"));
+    }
   wy_platform_replica_crash_soon (r);
 }
 
--- a/tests/support/crash_fixture.c
+++ b/tests/support/crash_fixture.c
@@ -98,7 +98,7 @@
 {
   struct crash_fixture *x = ctx;
 
-  if (strncmp (body, CRASHING, n) != 0)
+  if (n != strlen (x->o.body) || strncmp (body, x->o.body, n) != 0)
     {
       if (x->on_run)
         x->on_run (x);
@@ -158,7 +158,7 @@
         platform_response_free (x->calls[i]);
       gate = next_receiver (x);
       snprintf (id, sizeof id, "bad-%u", x->sent);
-      x->calls[i] = crash_fixture_call (x, gate, id, CRASHING);
+      x->calls[i] = crash_fixture_call (x, gate, id, x->o.body);
     }
 }
 
@@ -322,6 +322,8 @@
 {
   memset (x, 0, sizeof *x);
   x->o = *o;
+  if (!x->o.body)
+    x->o.body = CRASHING;
   platform_fixture_init (&x->w);
   uv_timer_init (&x->w.loop, &x->sender);
   x->sender.data = x;
--- a/tests/support/crash_fixture.h
+++ b/tests/support/crash_fixture.h
@@ -54,6 +54,7 @@
   uint32_t replicas;
   uint32_t down_ms;
   bool keeps_id; /* replicas return under the id that they had */
+  const char *body; /* of the request; NULL: CRASHING */
 };
 
 struct crash_fixture
--- a/tests/test_crash_witness.c
+++ b/tests/test_crash_witness.c
@@ -5,6 +5,7 @@
 #include <signal.h>
 #include <string.h>
 
+#include "base/id.h"
 #include "support/crash_fixture.h"
 
 enum
@@ -54,6 +55,35 @@
   platform_fixture_run_ms (&x.w, SETTLE_MS);
 }
 
+/* The body of a crashing request for which the witness gives permits.  */
+static const char *
+body_of_witness (uint32_t gates)
+{
+  static char body[32];
+
+  for (uint32_t i = 0;; i++)
+    {
+      uint64_t key;
+      uint64_t best = 0;
+      uint32_t giver = 0;
+
+      snprintf (body, sizeof body, "%s-%u", CRASHING, i);
+      key = crash_fixture_fingerprint (body);
+      for (uint32_t k = 0; k < gates; k++)
+        {
+          char node[16];
+          int n = snprintf (node, sizeof node, "gate-%u", k);
+          uint64_t weight = wy_hash64 (node, (size_t)n, key);
+
+          if (weight > best)
+            giver = k;
+          best = MAX (best, weight);
+        }
+      if (giver == WITNESS)
+        return body;
+    }
+}
+
 /* Kill the witness among N gates DELAY_MS after the third crash.  */
 static void
 kill_witness (uint32_t n, uint32_t delay_ms)
@@ -158,6 +188,52 @@
   finish ();
 }
 
+static void
+on_kill_alone (uv_timer_t *t)
+{
+  crash_fixture_kill (&x, WITNESS);
+  crash_fixture_send (&x, 0);
+  crash_fixture_hang_up (&x);
+}
+
+static void
+on_third_crash_alone (struct crash_fixture *f)
+{
+  if (f->crashes == CRASHES_ALLOWED)
+    uv_timer_start (&kill_timer, on_kill_alone, 0, 0);
+}
+
+/* The witness is killed at the third crash, and no other entry gets a request
+   until DELAY_MS later, when the replicas have returned.  */
+static void
+send_after (int64_t delay_ms)
+{
+  start (&(struct crash_options){ .gates = MANY_GATES,
+                                  .replicas = CRASH_REPLICAS_MAX,
+                                  .down_ms = CRASH_DOWN_MS },
+         0);
+  x.on_crash = on_third_crash_alone;
+  crash_fixture_send_until_third_crash (&x, 1U << WITNESS);
+  platform_fixture_run_ms (&x.w, delay_ms);
+  crash_fixture_send (&x, others ());
+  crash_fixture_expect_rejected (&x);
+  finish ();
+}
+
+/* The other entries get the request at the same moment when the list shows
+   which replicas have ended.  Guards against one run at each of them.  */
+Test (crash_witness, others_get_it_after_the_rows_lapse)
+{
+  send_after (CRASH_LAPSE_MS + 500);
+}
+
+/* The same as soon as the replicas have returned, while the rows of those that
+   ended are still listed.  */
+Test (crash_witness, others_get_it_before_the_rows_lapse)
+{
+  send_after (CRASH_DOWN_MS + 250);
+}
+
 static void
 on_resume (uv_timer_t *t)
 {
@@ -196,6 +272,21 @@
   finish ();
 }
 
+/* The same where the witness also gives the permits for the request.  Guards
+   against entries that run it when the permit is late.  */
+Test (crash_witness, giver_paused_at_the_crash)
+{
+  start (&(struct crash_options){ .gates = MANY_GATES,
+                                  .replicas = CRASH_REPLICAS_MAX,
+                                  .down_ms = CRASH_DOWN_MS,
+                                  .body = body_of_witness (MANY_GATES) },
+         0);
+  x.on_crash = on_third_crash;
+  crash_fixture_send_until_third_crash (&x, 1U << WITNESS);
+  crash_fixture_expect_rejected (&x);
+  finish ();
+}
+
 static int64_t last_run_ms;
 static int64_t min_interval_ms;
 
@@ -209,15 +300,15 @@
   last_run_ms = now_ms;
 }
 
-/* Let all entries hear that one replica has crashed under the request with
-   BODY.  */
+/* Let all entries hear that CRASHES replicas, one or two, have crashed under
+   the request with BODY.  */
 static void
-tell_of_crash (const char *body)
+tell_of_crashes (const char *body, uint32_t crashes)
 {
-  char *text
-      = g_strdup_printf ("{\"holder\":\"other/1\",\"crashed\":[[\"%016" PRIx64
-                         "\",\"01\"]],\"cleared\":[]}",
-                         crash_fixture_fingerprint (body));
+  char *text = g_strdup_printf (
+      "{\"holder\":\"other/1\",\"crashed\":[[\"%016" PRIx64
+      "\",\"01\"%s]],\"cleared\":[]}",
+      crash_fixture_fingerprint (body), crashes > 1 ? ",\"02\"" : "");
 
   for (uint32_t i = 0; i < x.o.gates; i++)
     {
@@ -241,7 +332,7 @@
                                   .down_ms = 500 },
          0);
   x.on_crash = NULL;
-  tell_of_crash (CRASHING);
+  tell_of_crashes (CRASHING, 1);
   crash_fixture_send (&x, others ());
   platform_fixture_run_ms (&x.w, 2000);
   cr_expect_leq (x.runs, CRASH_LATE_RUNS_MAX, "%u runs", x.runs);
@@ -267,7 +358,7 @@
   for (uint32_t i = 0; i < CRASH_REPLICAS_MAX; i++)
     wy_platform_replica_faults (x.replicas[i].replica)->response_ms
         = RESPONSE_MS;
-  tell_of_crash ("beside");
+  tell_of_crashes ("beside", 1);
   min_interval_ms = INT64_MAX;
   for (uint32_t i = 0; i < 2; i++)
     calls[i] = crash_fixture_call (&x, i, "beside", "beside");
@@ -292,3 +383,44 @@
     }
   finish ();
 }
+
+/* Entries start again one after the other, when more requests are blocked than
+   a row of the directory has room for.  Guards against a run of the request at
+   each that starts.  */
+Test (crash_witness, entries_start_when_rows_are_full)
+{
+  enum
+  {
+    BLOCKED = 40,
+    STORED_MS = 1000
+  };
+  char body[32];
+
+  start (&(struct crash_options){ .gates = FEW_GATES,
+                                  .replicas = CRASH_REPLICAS_MAX,
+                                  .down_ms = 500,
+                                  .keeps_id = true },
+         0);
+  tell_of_crashes (CRASHING, 2);
+  platform_fixture_run_ms (&x.w, STORED_MS);
+  for (uint32_t i = 0; i < BLOCKED; i++)
+    {
+      snprintf (body, sizeof body, "other-%u", i);
+      tell_of_crashes (body, 2);
+    }
+  platform_fixture_run_ms (&x.w, STORED_MS);
+  for (uint32_t i = 0; i <= FEW_GATES; i++)
+    {
+      uint32_t gate = i % FEW_GATES;
+
+      crash_fixture_kill (&x, gate);
+      crash_fixture_launch (&x, gate);
+      crash_fixture_await_ready (&x, gate);
+      platform_fixture_run_ms (&x.w, CRASH_KNOWN_MS);
+      crash_fixture_send (&x, 1U << gate);
+      platform_fixture_run_ms (&x.w, STORED_MS);
+      crash_fixture_send (&x, 0);
+    }
+  cr_expect_leq (x.runs, CRASH_LATE_RUNS_MAX, "%u runs", x.runs);
+  finish ();
+}
--- a/tests/test_crashes.c
+++ b/tests/test_crashes.c
@@ -56,6 +56,30 @@
   cr_expect_not (wy_crash_tracker_is_blocked (&w, FINGERPRINT, 7 * s_ms));
 }
 
+/* A replica with more requests than any platform allows crashes under all of
+   them.  Guards against runs whose record is overwritten before it is known
+   that the replica has crashed.  */
+Test (crashes, many_runs_at_once)
+{
+  enum
+  {
+    RUNS = 500
+  };
+  static struct wy_crash_tracker w;
+
+  wy_crash_tracker_init (&w);
+  for (uint64_t crash = 1; crash <= 2; crash++)
+    {
+      wy_crash_tracker_run_interrupted (&w, FINGERPRINT, crash, 0);
+      for (uint64_t i = 1; i < RUNS; i++)
+        wy_crash_tracker_run_interrupted (&w, FINGERPRINT + RUNS * crash + i,
+                                          crash, 0);
+      cr_expect_eq (wy_crash_tracker_target_crashed (&w, crash, 1).counted,
+                    RUNS);
+    }
+  cr_expect (wy_crash_tracker_is_blocked (&w, FINGERPRINT, 2));
+}
+
 static bool
 is_even (const void *ctx, uint64_t incarnation)
 {
