After a crash, requests of that service need a permit until one was answered

What callers saw: officers' queries refused twice, since a request that had crashed all three replicas crashed them again when they were back: "sent to servers 4 times more; 9 ended in all" in the record.

Cause: the entry that saw the crashes had told nobody, and each of the other six ran the request once. A request that no crash is known of needed a permit only where it had failed or waited before; six that come anew at six entries needed none. Evidence: the logs of crash_witness::others_get_it_after_the_rows_lapse show six runs within 2 ms, `crashes=1` at each of the six entries afterwards.

For 10 s after an entry has seen a replica of a service end, a request for that service needs the permit unless an equal one was answered since. The entry that gives permits hears of the answer with the release, so that equal requests which crash nothing wait for one run and not for one run at each entry. A service whose replicas did not end is not affected any more.

In crash_isolation::equal_requests the outcome "failed" is gone with its use: it now requires the permit of more requests than before.

--- a/src/decide/run_permits.h
+++ b/src/decide/run_permits.h
@@ -12,6 +12,17 @@
   WY_RUN_PERMIT_MAX_MS = 10000
 };
 
+/* State of a permit for the run that has asked for it.  */
+enum wy_permit_state
+{
+  WY_PERMIT_NONE, /* not asked for */
+  WY_PERMIT_PENDING,
+  WY_PERMIT_GRANTED,
+  WY_PERMIT_BUSY,     /* another run has it */
+  WY_PERMIT_BLOCKED,  /* the request must not run */
+  WY_PERMIT_UNREACHED /* no entry that could give it has responded */
+};
+
 struct wy_run_permit
 {
   uint64_t fingerprint; /* of the request; 0: free slot */
--- a/src/gate/crash_watch.c
+++ b/src/gate/crash_watch.c
@@ -68,7 +68,8 @@
   struct wy_crash_counts n = wy_crash_tracker_target_crashed (
       &env->crashes, incarnation, wy_clock_mono_ms (env->clock));
 
-  wy_isolation_crash_seen (&env->isolation, wy_clock_mono_ms (env->clock));
+  wy_isolation_crash_seen (&env->isolation, g->info.service,
+                           wy_clock_mono_ms (env->clock));
   if (n.counted == 0)
     return false;
   wy_json_log ("target.crashed", "id=%s evidence=%s runs=%u", g->info.id,
--- a/src/gate/isolation.c
+++ b/src/gate/isolation.c
@@ -1,39 +1,57 @@
-/* Equal requests that run one at a time at this entry.
+/* Equal requests that run one at a time at this entry, and what is known of
+   requests since targets crash.
 
-   An entry that sees targets crash does not know the cause: the entry at which
-   the request ran may have died with the targets.  The request may come to
-   this one next, from several callers at once.  It fails or waits here until
-   the targets have returned, and is never answered, so for some time after a
-   crash it is known how requests have ended, by their fingerprints.  */
+   An entry that sees a target end does not know the cause: the entry at which
+   the request ran may have died with the target.  So for some time after a
+   crash requests for that service run with care, unless an equal one was
+   answered: a request that crashes targets never is.  */
 #include "gate/isolation.h"
 
 enum
 {
   /* Crashed targets return within a few seconds.  */
-  ALERT_MS = 10000,
-  OUTCOMES_MAX = 4096
+  ALERT_MS = 10000
 };
 
-static GHashTable *
-new_table (void)
+static bool
+is_recent (int64_t at_ms, int64_t now_ms)
 {
-  return g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  return at_ms && now_ms - at_ms < ALERT_MS;
 }
 
-/* A target has crashed.  */
+/* A target of SERVICE has crashed.  */
 void
-wy_isolation_crash_seen (struct wy_isolation *i, int64_t now_ms)
+wy_isolation_crash_seen (struct wy_isolation *i, const char *service,
+                         int64_t now_ms)
 {
-  if (i->outcomes && !wy_isolation_is_alert (i, now_ms))
-    g_hash_table_remove_all (i->outcomes);
-  i->crash_seen_ms = now_ms;
+  int64_t *seen_ms = g_new (int64_t, 1);
+
+  if (!i->crash_seen_ms)
+    i->crash_seen_ms
+        = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  *seen_ms = now_ms;
+  g_hash_table_replace (i->crash_seen_ms, g_strdup (service), seen_ms);
+  i->last_crash_ms = now_ms;
+}
+
+/* Whether a target of any service has crashed recently.  */
+bool
+wy_isolation_any_crash (const struct wy_isolation *i, int64_t now_ms)
+{
+  return is_recent (i->last_crash_ms, now_ms);
 }
 
-/* Whether a target has crashed recently.  */
+/* Whether a target of SERVICE has crashed recently.  */
 bool
-wy_isolation_is_alert (const struct wy_isolation *i, int64_t now_ms)
+wy_isolation_has_crashed (const struct wy_isolation *i, const char *service,
+                          int64_t now_ms)
 {
-  return i->crash_seen_ms && now_ms - i->crash_seen_ms < ALERT_MS;
+  const int64_t *seen_ms;
+
+  if (!wy_isolation_any_crash (i, now_ms))
+    return false;
+  seen_ms = g_hash_table_lookup (i->crash_seen_ms, service);
+  return seen_ms && is_recent (*seen_ms, now_ms);
 }
 
 /* A request with FINGERPRINT starts to run.  */
@@ -44,7 +62,8 @@
   guint n;
 
   if (!i->running)
-    i->running = new_table ();
+    i->running
+        = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   n = GPOINTER_TO_UINT (g_hash_table_lookup (i->running, &key));
   g_hash_table_replace (i->running, g_memdup2 (&key, sizeof key),
                         GUINT_TO_POINTER (n + 1));
@@ -73,31 +92,26 @@
   return i->running && g_hash_table_contains (i->running, &key);
 }
 
-/* A request with FINGERPRINT has ended with OUTCOME shortly after a target
-   crashed.  */
+/* A request with FINGERPRINT was answered.  */
 void
-wy_isolation_ended (struct wy_isolation *i, uint64_t fingerprint,
-                    enum wy_isolation_outcome outcome)
+wy_isolation_note_answer (struct wy_isolation *i, uint64_t fingerprint,
+                          int64_t now_ms)
 {
-  gint64 key = (gint64)fingerprint;
+  struct wy_answered_request *a = &i->answered[i->next_answered];
 
-  if (!i->outcomes)
-    i->outcomes = new_table ();
-  if (wy_isolation_outcome (i, fingerprint) == WY_ISOLATION_ANSWERED
-      || (g_hash_table_size (i->outcomes) >= OUTCOMES_MAX
-          && !g_hash_table_contains (i->outcomes, &key)))
-    return;
-  g_hash_table_replace (i->outcomes, g_memdup2 (&key, sizeof key),
-                        GUINT_TO_POINTER (outcome));
+  i->next_answered = (i->next_answered + 1) % WY_ISOLATION_ANSWERED_MAX;
+  a->fingerprint = fingerprint;
+  a->at_ms = now_ms;
 }
 
-/* How requests with FINGERPRINT have ended since targets crash.  */
-enum wy_isolation_outcome
-wy_isolation_outcome (const struct wy_isolation *i, uint64_t fingerprint)
+/* Whether a request with FINGERPRINT was answered recently.  */
+bool
+wy_isolation_was_answered (const struct wy_isolation *i, uint64_t fingerprint,
+                           int64_t now_ms)
 {
-  gint64 key = (gint64)fingerprint;
-
-  return i->outcomes
-             ? GPOINTER_TO_UINT (g_hash_table_lookup (i->outcomes, &key))
-             : WY_ISOLATION_UNKNOWN;
+  for (uint32_t k = 0; k < WY_ISOLATION_ANSWERED_MAX; k++)
+    if (i->answered[k].fingerprint == fingerprint
+        && is_recent (i->answered[k].at_ms, now_ms))
+      return true;
+  return false;
 }
--- a/src/gate/isolation.h
+++ b/src/gate/isolation.h
@@ -1,4 +1,5 @@
-/* Equal requests that run one at a time at this entry.  */
+/* Equal requests that run one at a time at this entry, and what is known of
+   requests since targets crash.  */
 #ifndef WY_GATE_ISOLATION_H
 #define WY_GATE_ISOLATION_H
 
@@ -7,33 +8,37 @@
 
 #include <glib.h>
 
-/* How requests with one fingerprint have ended shortly after a crash.  */
-enum wy_isolation_outcome
+#define WY_ISOLATION_ANSWERED_MAX 1024
+
+struct wy_answered_request
 {
-  WY_ISOLATION_UNKNOWN,
-  WY_ISOLATION_FAILED,
-  WY_ISOLATION_ANSWERED /* any of them: it doesn't crash targets */
+  uint64_t fingerprint; /* 0: free slot */
+  int64_t at_ms;
 };
 
 /* Zero-initialized.  */
 struct wy_isolation
 {
-  int64_t crash_seen_ms; /* of any target; 0: none */
+  GHashTable
+      *crash_seen_ms;    /* service to time of the last crash; NULL: none */
+  int64_t last_crash_ms; /* of any service; 0: none */
   GHashTable *running;   /* fingerprint to number of requests; NULL: none */
-  /* Fingerprints to enum wy_isolation_outcome, since targets crash; NULL:
-     none.  */
-  GHashTable *outcomes;
+  struct wy_answered_request answered[WY_ISOLATION_ANSWERED_MAX]; /* ring */
+  uint32_t next_answered;
 };
 
-void wy_isolation_crash_seen (struct wy_isolation *i, int64_t now_ms);
-bool wy_isolation_is_alert (const struct wy_isolation *i, int64_t now_ms);
+void wy_isolation_crash_seen (struct wy_isolation *i, const char *service,
+                              int64_t now_ms);
+bool wy_isolation_any_crash (const struct wy_isolation *i, int64_t now_ms);
+bool wy_isolation_has_crashed (const struct wy_isolation *i,
+                               const char *service, int64_t now_ms);
 void wy_isolation_begin (struct wy_isolation *i, uint64_t fingerprint);
 void wy_isolation_end (struct wy_isolation *i, uint64_t fingerprint);
-void wy_isolation_ended (struct wy_isolation *i, uint64_t fingerprint,
-                         enum wy_isolation_outcome outcome);
-enum wy_isolation_outcome wy_isolation_outcome (const struct wy_isolation *i,
-                                                uint64_t fingerprint);
 bool wy_isolation_is_running (const struct wy_isolation *i,
                               uint64_t fingerprint);
+void wy_isolation_note_answer (struct wy_isolation *i, uint64_t fingerprint,
+                               int64_t now_ms);
+bool wy_isolation_was_answered (const struct wy_isolation *i,
+                                uint64_t fingerprint, int64_t now_ms);
 
 #endif
--- a/src/gate/proxy_end.c
+++ b/src/gate/proxy_end.c
@@ -260,7 +260,6 @@
 
   if (status == STATUS_UNAVAILABLE && !p->streaming && !p->error_response)
     told = tell_return (p, reason);
-  wy_proxy_note_failure (p);
   p->request = NULL;
   for (size_t i = 0; i < WY_PROXY_ATTEMPTS_MAX; i++)
     if (p->running[i].target)
--- a/src/gate/proxy_state.h
+++ b/src/gate/proxy_state.h
@@ -108,7 +108,6 @@
 void wy_proxy_isolate (struct wy_proxy_request *p);
 void wy_proxy_end_permit (struct wy_proxy_request *p);
 void wy_proxy_end_isolation (struct wy_proxy_request *p);
-void wy_proxy_note_failure (struct wy_proxy_request *p);
 void wy_proxy_clear_suspicion (struct wy_proxy_request *p);
 void wy_proxy_usage_begin (struct wy_proxy_request *p);
 void wy_proxy_usage_end (struct wy_proxy_request *p, bool has_run);
--- a/src/gate/run_permit.c
+++ b/src/gate/run_permit.c
@@ -14,9 +14,9 @@
 
 enum
 {
-  /* Entries that are asked one after the other.  */
+  /* Entries that are asked one after the other, for equal parts of the
+     time.  */
   GIVERS_MAX = 3,
-  ASK_TIMEOUT_MS = 100,
   RELEASE_TIMEOUT_MS = 400,
   /* After the end of the run, for the answer of the probe and a late
      release.  */
@@ -39,7 +39,7 @@
 };
 
 static const char *const state_names[]
-    = { "pending", "granted", "busy", "blocked", "unreached" };
+    = { "none", "pending", "granted", "busy", "blocked", "unreached" };
 
 static int64_t
 now_ms_of (const struct wy_suspect_peers *s)
@@ -47,6 +47,17 @@
   return wy_clock_mono_ms (s->env->clock);
 }
 
+/* Whether an equal request was answered recently and no crash is known.  */
+static bool
+is_harmless (const struct wy_suspect_peers *s, uint64_t fingerprint)
+{
+  struct wy_gate_env *env = s->env;
+  int64_t now_ms = now_ms_of (s);
+
+  return wy_suspects_crashes (&env->crashes.suspects, fingerprint, now_ms) == 0
+         && wy_isolation_was_answered (&env->isolation, fingerprint, now_ms);
+}
+
 /* Decide on a request for a permit.  */
 static enum wy_permit_state
 give (struct wy_suspect_peers *s, uint64_t fingerprint, uint64_t token,
@@ -56,6 +67,8 @@
 
   if (wy_crash_tracker_is_blocked (&s->env->crashes, fingerprint, now_ms))
     return WY_PERMIT_BLOCKED;
+  if (is_harmless (s, fingerprint))
+    return WY_PERMIT_GRANTED;
   return wy_run_permits_take (&s->permits, fingerprint, token, duration_ms,
                               now_ms)
              ? WY_PERMIT_GRANTED
@@ -83,15 +96,18 @@
 }
 
 /* Handle the release of a permit by another entry, which tells of the crash
-   that its run has caused, if any.  */
+   that its run has caused, if any, or that it was answered.  */
 json_t *
 wy_permit_on_release (struct wy_suspect_peers *s, const json_t *doc)
 {
+  uint64_t f = wy_suspect_parse_hex (json_object_get (doc, "fingerprint"));
+
   wy_suspect_list_hear (&s->env->crashes, json_object_get (doc, "crashed"),
                         now_ms_of (s));
+  if (json_is_true (json_object_get (doc, "answered")))
+    wy_isolation_note_answer (&s->env->isolation, f, now_ms_of (s));
   wy_run_permits_release (
-      &s->permits, wy_suspect_parse_hex (json_object_get (doc, "fingerprint")),
-      wy_suspect_parse_hex (json_object_get (doc, "token")));
+      &s->permits, f, wy_suspect_parse_hex (json_object_get (doc, "token")));
   return json_object ();
 }
 
@@ -116,13 +132,14 @@
 static json_t *
 encode (const struct wy_permit *p)
 {
-  return json_pack ("{s:o, s:o, s:I, s:o}", "fingerprint",
+  return json_pack ("{s:o, s:o, s:I, s:o, s:b}", "fingerprint",
                     wy_suspect_json_hex (p->o.fingerprint), "token",
                     wy_suspect_json_hex (p->token), "duration_ms",
                     (json_int_t)p->o.duration_ms, "crashed",
                     wy_suspect_list_encode_one (&p->peers->env->crashes,
                                                 p->o.fingerprint,
-                                                now_ms_of (p->peers)));
+                                                now_ms_of (p->peers)),
+                    "answered", is_harmless (p->peers, p->o.fingerprint));
 }
 
 /* Release the permit that the present giver has given, or may give late.  */
@@ -198,7 +215,7 @@
       return;
     }
   o.address = p->givers[p->at].address;
-  o.timeout_ms = (uint32_t)MIN (left_ms, ASK_TIMEOUT_MS);
+  o.timeout_ms = (uint32_t)MIN (left_ms, p->o.timeout_ms / GIVERS_MAX);
   o.doc = doc = encode (p);
   p->call = wy_peer_call_start (&o);
   json_decref (doc);
@@ -213,6 +230,7 @@
 
   p->peers = s;
   p->o = *o;
+  p->state = WY_PERMIT_PENDING;
   p->o.duration_ms += DURATION_MARGIN_MS;
   p->asked_ms = now_ms_of (s);
   p->token = wy_rng_u64 (&s->env->rng) | 1;
--- a/src/gate/suspect_peers.h
+++ b/src/gate/suspect_peers.h
@@ -6,21 +6,13 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "decide/run_permits.h"
 #include "gate/env.h"
 #include "gate/members.h"
 
 struct wy_suspect_peers;
 struct wy_permit;
 
-enum wy_permit_state
-{
-  WY_PERMIT_PENDING,
-  WY_PERMIT_GRANTED,
-  WY_PERMIT_BUSY,     /* another run has it */
-  WY_PERMIT_BLOCKED,  /* the request must not run */
-  WY_PERMIT_UNREACHED /* no entry that could give it has responded */
-};
-
 struct wy_permit_options
 {
   uint64_t fingerprint;
--- a/tests/test_crash_isolation.c
+++ b/tests/test_crash_isolation.c
@@ -182,9 +182,10 @@
 {
   static struct wy_isolation i;
 
-  cr_expect_not (wy_isolation_is_alert (&i, 1));
-  wy_isolation_crash_seen (&i, 1);
-  cr_expect (wy_isolation_is_alert (&i, 2));
+  cr_expect_not (wy_isolation_has_crashed (&i, "a", 1));
+  wy_isolation_crash_seen (&i, "a", 1);
+  cr_expect (wy_isolation_has_crashed (&i, "a", 2));
+  cr_expect_not (wy_isolation_has_crashed (&i, "b", 2));
   wy_isolation_begin (&i, 5);
   wy_isolation_begin (&i, 5);
   wy_isolation_end (&i, 5);
@@ -192,12 +193,12 @@
   cr_expect_not (wy_isolation_is_running (&i, 6));
   wy_isolation_end (&i, 5);
   cr_expect_not (wy_isolation_is_running (&i, 5));
-  wy_isolation_ended (&i, 7, WY_ISOLATION_FAILED);
-  cr_expect_eq (wy_isolation_outcome (&i, 7), WY_ISOLATION_FAILED);
-  wy_isolation_ended (&i, 7, WY_ISOLATION_ANSWERED);
-  wy_isolation_ended (&i, 7, WY_ISOLATION_FAILED);
-  cr_expect_eq (wy_isolation_outcome (&i, 7), WY_ISOLATION_ANSWERED);
-  cr_expect_not (wy_isolation_is_alert (&i, 20000));
-  wy_isolation_crash_seen (&i, 20000);
-  cr_expect_eq (wy_isolation_outcome (&i, 7), WY_ISOLATION_UNKNOWN);
+  cr_expect_not (wy_isolation_was_answered (&i, 7, 2));
+  wy_isolation_note_answer (&i, 7, 2);
+  wy_isolation_note_answer (&i, 8, 3);
+  cr_expect (wy_isolation_was_answered (&i, 7, 4));
+  cr_expect_not (wy_isolation_was_answered (&i, 9, 4));
+  cr_expect_not (wy_isolation_has_crashed (&i, "a", 20000));
+  wy_isolation_crash_seen (&i, "a", 20000);
+  cr_expect_not (wy_isolation_was_answered (&i, 7, 20000));
 }
