A replica that starts at the address of another shows that this one has ended

Cause of the second half of the incident: a replica is back after about 3 s, and the row of the process that ended lapses after 3.6 s. In between an entry that had sent nothing there meanwhile does not know that a replica has ended, so that it runs the crashing request without a permit. Evidence: in the logs of crash_witness::others_get_it_before_the_rows_lapse `target.seen` of three new replicas precedes the six runs, `target.gone` of the old ones follows.

The row of a younger process at the same address is evidence: the older one has ended, unless it had announced that it leaves.

--- a/src/gate/store_watch.c
+++ b/src/gate/store_watch.c
@@ -112,12 +112,29 @@
   wy_h1_client_close_idle (g->env.http, &t->info.address);
 }
 
+/* G has started.  If another target had its address, that one has ended, which
+   the list shows only when its row lapses.  */
+static void
+target_started (struct wy_gate *g, const struct wy_target *t)
+{
+  struct wy_target *ended = wy_targets_find_replaced (g->env.targets, t);
+
+  if (!ended || ended->info.draining
+      || ended->crashed_incarnation == ended->incarnation)
+    return;
+  wy_json_log ("target.replaced", "id=%s service=%s started_ms=%lld by=%s",
+               ended->info.id, ended->info.service,
+               (long long)ended->info.started_ms, t->info.id);
+  wy_crash_watch_target_ended (&g->env, ended);
+}
+
 static void
 on_replica_row (void *ctx, const struct wy_row *row)
 {
   struct wy_gate *g = ctx;
   struct wy_replica info;
   struct wy_target *t = wy_targets_find (g->env.targets, row->key);
+  bool is_start;
   const char *invalid_field;
 
   if (row->deleted)
@@ -146,7 +163,10 @@
                  (long long)row->version);
   if (t && t->info.started_ms != info.started_ms)
     target_restarted (g, t, &info);
-  wy_targets_set (g->env.targets, &info);
+  is_start = !t || !t->listed || t->info.started_ms != info.started_ms;
+  t = wy_targets_set (g->env.targets, &info);
+  if (is_start)
+    target_started (g, t);
   if (g->jobs)
     wy_jobs_targets_changed (g->jobs);
 }
--- a/src/gate/targets.c
+++ b/src/gate/targets.c
@@ -231,6 +231,32 @@
   return g_hash_table_lookup (t->by_id, id);
 }
 
+/* Of G and another listed target with its address the one that started first;
+   NULL: no other has it.  Its process has ended, though the list still shows
+   it.  */
+struct wy_target *
+wy_targets_find_replaced (struct wy_targets *t, const struct wy_target *g)
+{
+  uint64_t address = wy_replica_address_key (&g->info.address);
+  GHashTableIter it;
+  gpointer p;
+
+  g_hash_table_iter_init (&it, t->by_id);
+  while (g_hash_table_iter_next (&it, NULL, &p))
+    {
+      struct wy_target *other = p;
+
+      if (other == g || !other->listed
+          || wy_replica_address_key (&other->info.address) != address)
+        continue;
+      if (other->info.started_ms < g->info.started_ms)
+        return other;
+      if (other->info.started_ms > g->info.started_ms)
+        return wy_targets_find (t, g->info.id);
+    }
+  return NULL;
+}
+
 static bool
 is_ready (const struct wy_target *g, const char *service)
 {
--- a/src/gate/targets.h
+++ b/src/gate/targets.h
@@ -90,6 +90,8 @@
                                   const struct wy_replica *info);
 void wy_targets_remove (struct wy_targets *t, const char *id);
 struct wy_target *wy_targets_find (struct wy_targets *t, const char *id);
+struct wy_target *wy_targets_find_replaced (struct wy_targets *t,
+                                            const struct wy_target *g);
 void wy_targets_each (const struct wy_targets *t,
                       void (*fn) (void *ctx, const struct wy_target *g),
                       void *ctx);
