Count crashes of replicas whose response has begun

What callers see: the service goes down each time that its replicas are back, without end. Cause: an attempt whose connection broke was recorded as interrupted only if no response head had arrived, so a request that crashes a replica after its first bytes was never suspect.

Each attempt that breaks off is recorded; the probe finds out whether the replica has ended, as for the others.

--- a/src/gate/proxy_attempt.c
+++ b/src/gate/proxy_attempt.c
@@ -182,8 +182,7 @@
                              "no_connection");
   else if (err)
     {
-      if (!t->response)
-        record_interruption (t);
+      record_interruption (t);
       wy_proxy_attempt_failed (t, WY_TARGET_FAILED, may_have_run,
                                err == WY_H1_EPARTIAL ? "cut_short"
                                                      : "broken_off");
