Room for all runs that a crash interrupts, and for the suspects

Cause: 64 interrupted runs were kept until it is known whether their replica has crashed, so that in a crash under more of them the one that caused it could be overwritten, and 256 suspects, of which the oldest went first. Nobody had to be told then.

1,024 of each, 120 KB; a replica of any deployment has 160 connections at most.

crashes::many_runs_at_once failed before: 64 of 500 runs counted.

--- a/src/decide/crash_tracker.h
+++ b/src/decide/crash_tracker.h
@@ -9,7 +9,7 @@
 
 enum
 {
-  WY_INTERRUPTED_RUNS_MAX = 64,
+  WY_INTERRUPTED_RUNS_MAX = 1024,
   /* Work that can't be rejected and under which targets crashed elsewhere
      starts with the backoff of this many interrupted runs.  */
   WY_CRASH_SUSPECT_RUNS = 6,
--- a/src/decide/suspect.h
+++ b/src/decide/suspect.h
@@ -5,7 +5,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#define WY_SUSPECTS_MAX 256
+#define WY_SUSPECTS_MAX 1024
 #define WY_SUSPECT_CRASHES_MAX 2
 #define WY_CLEARED_MAX 32
 
