An error of a replica does not clear a request of crashes

What callers see: one replica in trouble answers 500, the others end under a request, again and again. Cause: any response that was passed on cleared the request at all entries, also a 500 of a replica that had not run it. Evidence: `suspects.told cleared=1` after each crash.

--- a/src/gate/proxy_end.c
+++ b/src/gate/proxy_end.c
@@ -22,6 +22,7 @@
   /* An equal request that runs will have been answered, or have crashed its
      replica.  */
   RETRY_AFTER_SUSPECT_MS = 200,
+  STATUS_INTERNAL_ERROR = 500,
   STATUS_UNAVAILABLE = 503
 };
 
@@ -295,7 +296,9 @@
   struct wy_response *response = t->response;
   int64_t now_ms = wy_proxy_now_ms (p);
 
-  wy_proxy_clear_suspicion (p);
+  /* An error shows nothing: its replica may not have run the request.  */
+  if (response->status < STATUS_INTERNAL_ERROR)
+    wy_proxy_clear_suspicion (p);
   p->request = NULL;
   t->response = NULL;
   (*p->env->count.answered)++;
