Count crashes of replicas under runs that were cancelled

What callers see: a request whose caller gives up early, or whose time limit is short, takes the service down each time that its replicas are back, without end. Cause: when the caller hangs up or the time is up, the entry closes the connection to the replica, and so never sees it break. Nobody counted the crash, however often.

A run that is cancelled before its request was answered is recorded like one that broke off, and counts if its replica ends within 5 s: the three heartbeats after which the list shows it, and some time to read it. The loser of a hedge is not recorded, since its request was answered.

--- a/src/decide/crash_tracker.c
+++ b/src/decide/crash_tracker.c
@@ -31,21 +31,39 @@
   wy_suspects_init (&t->suspects);
 }
 
+static struct wy_interrupted_run *
+add_run (struct wy_crash_tracker *t, uint64_t fingerprint,
+         uint64_t incarnation, int64_t now_ms)
+{
+  struct wy_interrupted_run *r = &t->run[t->next];
+
+  t->next = (t->next + 1) % WY_INTERRUPTED_RUNS_MAX;
+  *r = (struct wy_interrupted_run){ .fingerprint = fingerprint,
+                                    .incarnation = incarnation,
+                                    .at_ms = now_ms };
+  return r;
+}
+
 /* Record that the run of the request with FINGERPRINT at a target's
-   INCARNATION was interrupted without a response.  The oldest record is
-   overwritten if all are in use.  */
+   INCARNATION was interrupted before the end of the response.
+   The oldest record is overwritten if all are in use.  */
 void
 wy_crash_tracker_run_interrupted (struct wy_crash_tracker *t,
                                   uint64_t fingerprint, uint64_t incarnation,
                                   int64_t now_ms)
 {
-  struct wy_interrupted_run *r = &t->run[t->next];
+  add_run (t, fingerprint, incarnation, now_ms)->is_open = true;
+}
 
-  t->next = (t->next + 1) % WY_INTERRUPTED_RUNS_MAX;
-  r->fingerprint = fingerprint;
-  r->incarnation = incarnation;
-  r->at_ms = now_ms;
-  r->is_open = true;
+/* Record that this entry has cancelled the run of the request with FINGERPRINT
+   at a target's INCARNATION: if it crashes the target, no connection shows
+   it.  */
+void
+wy_crash_tracker_run_cancelled (struct wy_crash_tracker *t,
+                                uint64_t fingerprint, uint64_t incarnation,
+                                int64_t now_ms)
+{
+  add_run (t, fingerprint, incarnation, now_ms)->is_cancelled = true;
 }
 
 /* It is known, or can't be found out at once, whether the INCARNATION of a
@@ -102,6 +120,12 @@
   return ev.is_blocked;
 }
 
+static int64_t
+confirm_ms (const struct wy_interrupted_run *r)
+{
+  return r->is_cancelled ? WY_CRASH_CANCELLED_MS : WY_CRASH_CONFIRM_MS;
+}
+
 /* The INCARNATION of a target has crashed: count it against each request whose
    run there was interrupted shortly before.  */
 struct wy_crash_counts
@@ -112,19 +136,19 @@
   uint32_t running = 0;
 
   for (uint32_t i = 0; i < WY_INTERRUPTED_RUNS_MAX; i++)
-    running += t->run[i].fingerprint && t->run[i].incarnation == incarnation;
+    running += t->run[i].incarnation == incarnation;
   for (uint32_t i = 0; i < WY_INTERRUPTED_RUNS_MAX; i++)
     {
       struct wy_interrupted_run *r = &t->run[i];
 
-      if (r->fingerprint == 0 || r->incarnation != incarnation)
+      if (r->incarnation != incarnation)
         continue;
-      if (now_ms - r->at_ms <= WY_CRASH_CONFIRM_MS)
+      if (now_ms - r->at_ms <= confirm_ms (r))
         {
           n.counted++;
           n.blocked += count_crash (t, r, running, now_ms);
         }
-      r->fingerprint = 0;
+      *r = (struct wy_interrupted_run){ 0 };
     }
   return n;
 }
--- a/src/decide/crash_tracker.h
+++ b/src/decide/crash_tracker.h
@@ -17,19 +17,23 @@
      or restarts within seconds; runs interrupted longer before that have
      another cause.  */
   WY_CRASH_CONFIRM_MS = 10000,
+  /* The same for runs that this entry has cancelled: from the last heartbeat
+     of a target that crashes next until the list shows it.  */
+  WY_CRASH_CANCELLED_MS = 5000,
   /* Longest time from an interruption until it is known whether the target
      has crashed: that of an attempt to connect to it.  */
   WY_CRASH_VERDICT_MS = 500
 };
 
-/* A run whose connection was lost before the response; its target may have
-   crashed.  */
+/* A run whose connection was lost before the end of the response, or that was
+   cancelled; its target may have crashed.  */
 struct wy_interrupted_run
 {
-  uint64_t fingerprint; /* of the request; 0: free slot */
-  uint64_t incarnation; /* of its target: one start of the process */
+  uint64_t fingerprint; /* of the request */
+  uint64_t incarnation; /* of its target, one start of the process; 0: free */
   int64_t at_ms;
   bool is_open; /* whether its target has crashed will be known soon */
+  bool is_cancelled;
 };
 
 /* What a crash of a target meant for the runs on it.  */
@@ -66,6 +70,9 @@
 void wy_crash_tracker_run_interrupted (struct wy_crash_tracker *t,
                                        uint64_t fingerprint,
                                        uint64_t incarnation, int64_t now_ms);
+void wy_crash_tracker_run_cancelled (struct wy_crash_tracker *t,
+                                     uint64_t fingerprint,
+                                     uint64_t incarnation, int64_t now_ms);
 void wy_crash_tracker_verdict (struct wy_crash_tracker *t,
                                uint64_t incarnation);
 bool wy_crash_tracker_is_open (const struct wy_crash_tracker *t,
--- a/src/gate/crash_watch.c
+++ b/src/gate/crash_watch.c
@@ -178,6 +178,22 @@
     wy_crash_tracker_verdict (&env->crashes, r->incarnation);
 }
 
+/* Record the run R, which this entry has cancelled.  */
+void
+wy_crash_watch_run_cancelled (struct wy_gate_env *env,
+                              const struct wy_crash_watch_run *r)
+{
+  int64_t now_ms = wy_clock_mono_ms (env->clock);
+
+  wy_json_log ("run.cancelled", "id=%s fingerprint=%016llx target=%s ms=%lld",
+               r->id, (unsigned long long)r->fingerprint, r->target->info.id,
+               (long long)(now_ms - r->started_ms));
+  wy_crash_tracker_run_cancelled (&env->crashes, r->fingerprint,
+                                  r->incarnation, now_ms);
+  if (r->incarnation == r->target->crashed_incarnation)
+    count_crash (env, r->target, r->incarnation, "known");
+}
+
 static bool
 is_listed (const void *targets, uint64_t incarnation)
 {
--- a/src/gate/crash_watch.h
+++ b/src/gate/crash_watch.h
@@ -5,7 +5,8 @@
 
 #include "gate/env.h"
 
-/* A run whose connection was lost before the response.  */
+/* A run whose connection was lost before the end of the response, or that was
+   cancelled.  */
 struct wy_crash_watch_run
 {
   const char *id; /* of the request or item */
@@ -18,6 +19,8 @@
 void wy_crash_watch_init (struct wy_gate_env *env);
 void wy_crash_watch_run_interrupted (struct wy_gate_env *env,
                                      const struct wy_crash_watch_run *r);
+void wy_crash_watch_run_cancelled (struct wy_gate_env *env,
+                                   const struct wy_crash_watch_run *r);
 void wy_crash_watch_refused (struct wy_gate_env *env, struct wy_target *g);
 void wy_crash_watch_target_ended (struct wy_gate_env *env,
                                   struct wy_target *g);
--- a/src/gate/proxy_attempt.c
+++ b/src/gate/proxy_attempt.c
@@ -61,6 +61,30 @@
   wy_proxy_start_attempt (p);
 }
 
+static struct wy_crash_watch_run
+run_of (const struct wy_proxy_attempt *t)
+{
+  return (struct wy_crash_watch_run){ .id = t->p->id,
+                                      .fingerprint
+                                      = wy_proxy_fingerprint (t->p),
+                                      .target = t->target,
+                                      .incarnation = t->incarnation,
+                                      .started_ms = t->started_ms };
+}
+
+/* T is about to be cancelled and its request has not been answered: the run
+   may still crash its target.  */
+void
+wy_proxy_note_cancelled (const struct wy_proxy_attempt *t)
+{
+  struct wy_crash_watch_run r;
+
+  if (!t->target || !t->call || !wy_h1_call_sent (t->call))
+    return;
+  r = run_of (t);
+  wy_crash_watch_run_cancelled (t->p->env, &r);
+}
+
 /* T has ended with OUTCOME for its target, without a usable response.  */
 void
 wy_proxy_attempt_failed (struct wy_proxy_attempt *t,
@@ -70,6 +94,7 @@
   struct wy_proxy_request *p = t->p;
 
   wy_proxy_log_failed_attempt (t, reason);
+  wy_proxy_note_cancelled (t);
   if (may_have_run)
     p->may_have_run = true;
   else
@@ -148,18 +173,6 @@
     wy_proxy_pause_if_behind (t, p->request);
 }
 
-static void
-record_interruption (const struct wy_proxy_attempt *t)
-{
-  struct wy_crash_watch_run r = { .id = t->p->id,
-                                  .fingerprint = wy_proxy_fingerprint (t->p),
-                                  .target = t->target,
-                                  .incarnation = t->incarnation,
-                                  .started_ms = t->started_ms };
-
-  wy_crash_watch_run_interrupted (t->p->env, &r);
-}
-
 static void
 on_end (void *ctx, int err)
 {
@@ -182,7 +195,9 @@
                              "no_connection");
   else if (err)
     {
-      record_interruption (t);
+      struct wy_crash_watch_run r = run_of (t);
+
+      wy_crash_watch_run_interrupted (p->env, &r);
       wy_proxy_attempt_failed (t, WY_TARGET_FAILED, may_have_run,
                                err == WY_H1_EPARTIAL ? "cut_short"
                                                      : "broken_off");
--- a/src/gate/proxy_end.c
+++ b/src/gate/proxy_end.c
@@ -167,6 +167,8 @@
 {
   struct wy_proxy_request *p = ctx;
 
+  for (size_t i = 0; i < WY_PROXY_ATTEMPTS_MAX; i++)
+    wy_proxy_note_cancelled (&p->running[i]);
   p->request = NULL;
   (*p->env->count.hung_up)++;
   log_end (p, "hung_up", 0, "caller");
@@ -261,10 +263,13 @@
 
   if (status == STATUS_UNAVAILABLE && !p->streaming && !p->error_response)
     told = tell_return (p, reason);
-  p->request = NULL;
   for (size_t i = 0; i < WY_PROXY_ATTEMPTS_MAX; i++)
     if (p->running[i].target)
-      wy_proxy_log_failed_attempt (&p->running[i], "unanswered");
+      {
+        wy_proxy_log_failed_attempt (&p->running[i], "unanswered");
+        wy_proxy_note_cancelled (&p->running[i]);
+      }
+  p->request = NULL;
   if (p->streaming)
     {
       (*p->env->count.failed)++;
--- a/src/gate/proxy_state.h
+++ b/src/gate/proxy_state.h
@@ -103,6 +103,7 @@
 void wy_proxy_attempt_failed (struct wy_proxy_attempt *t,
                               enum wy_target_outcome outcome,
                               bool may_have_run, const char *reason);
+void wy_proxy_note_cancelled (const struct wy_proxy_attempt *t);
 bool wy_proxy_is_blocked (struct wy_proxy_request *p);
 enum wy_proxy_go wy_proxy_go (struct wy_proxy_request *p, bool is_hedge);
 void wy_proxy_isolate (struct wy_proxy_request *p);
--- a/tests/test_crashes.c
+++ b/tests/test_crashes.c
@@ -371,3 +371,19 @@
     }
   cr_expect_leq (runs, 3);
 }
+
+/* A run is cancelled and its replica ends some time later.  Guards against
+   crashes that no connection shows, and against counting one that the run
+   can't have caused.  */
+Test (crashes, cancelled_runs_count_for_a_while)
+{
+  static struct wy_crash_tracker w;
+
+  wy_crash_tracker_init (&w);
+  wy_crash_tracker_run_cancelled (&w, FINGERPRINT, 1, 0);
+  cr_expect_not (wy_crash_tracker_is_open (&w, FINGERPRINT, 1));
+  wy_crash_tracker_target_crashed (&w, 1, 4 * s_ms);
+  wy_crash_tracker_run_cancelled (&w, FINGERPRINT, 2, 5 * s_ms);
+  cr_expect_eq (wy_crash_tracker_target_crashed (&w, 2, 11 * s_ms).counted, 0);
+  cr_expect_eq (wy_suspects_crashes (&w.suspects, FINGERPRINT, 11 * s_ms), 1);
+}
