An entry that starts asks others for all suspects

What callers see: when entries are replaced one after the other, each runs a request again that all others reject. Cause: an entry that starts learns from the directory, whose rows have room for the newest sixteen suspects of an entry. It then tells of its crash, and those who know of more do not answer.

An entry that has read the directory asks three others for all that they know, 512 at most, and the response to what an entry tells has what is known beyond it.

crash_witness::entries_start_when_rows_are_full failed before with 2 runs at each start, 3 allowed in all; now 0.

--- a/src/gate/members_query.c
+++ b/src/gate/members_query.c
@@ -330,6 +330,13 @@
   return n;
 }
 
+/* Whether the directory has been read.  */
+bool
+wy_members_are_known (const struct wy_members *m)
+{
+  return wy_watch_is_synced (m->watch);
+}
+
 /* Write the addresses to which this entry sends what all entries are to hear
    to OUT, which has space for WY_MEMBERS_FAN_OUT_MAX.  *IS_COMPLETE is whether
    these are all others; if not, each entry passes on what is new to it.
--- a/src/gate/store_watch.c
+++ b/src/gate/store_watch.c
@@ -189,8 +189,10 @@
 {
   struct wy_gate *g = ctx;
 
-  if (g->members)
-    wy_gate_set_relays (g);
+  if (!g->members)
+    return;
+  wy_gate_set_relays (g);
+  wy_suspect_peers_members_changed (g->env.suspect_peers);
 }
 
 static void
--- a/src/gate/suspect_list.c
+++ b/src/gate/suspect_list.c
@@ -16,6 +16,8 @@
   /* Suspects in one list.  Each takes about 60 bytes of a row that every entry
      reads.  */
   SUSPECTS_SENT_MAX = 16,
+  /* The same for an entry that has started.  */
+  SUSPECTS_ALL_MAX = 512,
   HEX_SIZE_BYTES = 17,
   HEX_BASE = 16
 };
@@ -62,30 +64,46 @@
   return item;
 }
 
-/* The suspects that this entry has seen itself, as a list of
-   [fingerprint, incarnation, ...] with each number in hexadecimal.  */
-json_t *
-wy_suspect_list_encode (struct wy_crash_tracker *w, int64_t now_ms)
+/* At most MAX suspects, those of other entries among them only if ALL, as a
+   list of [fingerprint, incarnation, ...] with each number in
+   hexadecimal.  */
+static json_t *
+encode_most (struct wy_crash_tracker *w, bool all, guint max, int64_t now_ms)
 {
-  GPtrArray *own = g_ptr_array_new ();
+  GPtrArray *found = g_ptr_array_new ();
   json_t *list = json_array ();
 
   for (uint32_t i = 0; i < WY_SUSPECTS_MAX; i++)
     {
       struct wy_suspect *e = &w->suspects.slot[i];
 
-      if (e->fingerprint && !e->is_remote
+      if (e->fingerprint && (all || !e->is_remote)
           && wy_suspects_check (&w->suspects, e->fingerprint, now_ms)
                  != WY_SUSPICION_NONE)
-        g_ptr_array_add (own, e);
+        g_ptr_array_add (found, e);
     }
-  g_ptr_array_sort (own, compare);
-  for (guint i = 0; i < own->len && i < SUSPECTS_SENT_MAX; i++)
-    json_array_append_new (list, encode_suspect (g_ptr_array_index (own, i)));
-  g_ptr_array_free (own, TRUE);
+  g_ptr_array_sort (found, compare);
+  for (guint i = 0; i < found->len && i < max; i++)
+    json_array_append_new (list,
+                           encode_suspect (g_ptr_array_index (found, i)));
+  g_ptr_array_free (found, TRUE);
   return list;
 }
 
+/* The newest suspects that this entry has seen itself.  */
+json_t *
+wy_suspect_list_encode (struct wy_crash_tracker *w, int64_t now_ms)
+{
+  return encode_most (w, false, SUSPECTS_SENT_MAX, now_ms);
+}
+
+/* All suspects that this entry knows, for one that has started.  */
+json_t *
+wy_suspect_list_encode_all (struct wy_crash_tracker *w, int64_t now_ms)
+{
+  return encode_most (w, true, SUSPECTS_ALL_MAX, now_ms);
+}
+
 /* A list of the suspect with FINGERPRINT; empty if it is not suspect.  */
 json_t *
 wy_suspect_list_encode_one (struct wy_crash_tracker *w, uint64_t fingerprint,
@@ -119,6 +137,29 @@
   return s;
 }
 
+/* The suspects of LIST, which another entry has sent, under which more targets
+   have crashed than it knows.  */
+json_t *
+wy_suspect_list_encode_unknown (struct wy_crash_tracker *w, const json_t *list,
+                                int64_t now_ms)
+{
+  json_t *unknown = json_array ();
+
+  for (size_t i = 0; i < json_array_size (list); i++)
+    {
+      struct wy_suspect s = parse_suspect (json_array_get (list, i));
+      json_t *own;
+
+      if (wy_suspects_crashes (&w->suspects, s.fingerprint, now_ms)
+          <= s.crashes)
+        continue;
+      own = wy_suspect_list_encode_one (w, s.fingerprint, now_ms);
+      json_array_extend (unknown, own);
+      json_decref (own);
+    }
+  return unknown;
+}
+
 /* Report that W has heard of S, after CRASHES had been known of it.  Returns
    whether this blocks the request.  */
 static bool
--- a/src/gate/suspect_peers.c
+++ b/src/gate/suspect_peers.c
@@ -15,6 +15,7 @@
 #include "trace/json_log.h"
 
 #define TOLD_TARGET "/suspects/told"
+#define ALL_TARGET "/suspects/all"
 
 enum
 {
@@ -23,9 +24,21 @@
   /* Several requests that ran beside a crash are cleared in one message.  */
   CLEARED_DELAY_MS = 50,
   TIMEOUT_MS = 400,
-  CLEARED_MAX = 64
+  CLEARED_MAX = 64,
+  /* Entries that one which has started asks for all suspects.  */
+  ASKED_MAX = 3
 };
 
+/* Another entry has responded with suspects that this one may not know.  */
+static void
+on_response (void *ctx, const json_t *doc)
+{
+  struct wy_suspect_peers *s = ctx;
+
+  wy_suspect_list_hear (&s->env->crashes, json_object_get (doc, "crashed"),
+                        wy_clock_mono_ms (s->env->clock));
+}
+
 static void
 send_to (struct wy_suspect_peers *s, const struct sockaddr_in *a, size_t n,
          const json_t *doc)
@@ -36,7 +49,9 @@
                                         .address = a[i],
                                         .target = TOLD_TARGET,
                                         .doc = doc,
-                                        .timeout_ms = TIMEOUT_MS };
+                                        .timeout_ms = TIMEOUT_MS,
+                                        .on_end = on_response,
+                                        .ctx = s };
 
       wy_peer_call_start (&o);
     }
@@ -147,9 +162,9 @@
 on_told (struct wy_suspect_peers *s, const json_t *doc)
 {
   const char *holder = json_string_value (json_object_get (doc, "holder"));
-  bool is_new = wy_suspect_list_hear (&s->env->crashes,
-                                      json_object_get (doc, "crashed"),
-                                      wy_clock_mono_ms (s->env->clock));
+  const json_t *crashed = json_object_get (doc, "crashed");
+  int64_t now_ms = wy_clock_mono_ms (s->env->clock);
+  bool is_new = wy_suspect_list_hear (&s->env->crashes, crashed, now_ms);
 
   is_new |= clear_suspects (s, json_object_get (doc, "cleared"));
   if (is_new)
@@ -157,7 +172,60 @@
       wy_json_log ("suspects.heard", "holder=%s", holder ? holder : "");
       pass_on (s, doc);
     }
-  return json_object ();
+  return json_pack (
+      "{s:o}", "crashed",
+      wy_suspect_list_encode_unknown (&s->env->crashes, crashed, now_ms));
+}
+
+static json_t *
+on_all (struct wy_suspect_peers *s, const json_t *doc)
+{
+  return json_pack ("{s:o}", "crashed",
+                    wy_suspect_list_encode_all (
+                        &s->env->crashes, wy_clock_mono_ms (s->env->clock)));
+}
+
+static void
+on_all_response (void *ctx, const json_t *doc)
+{
+  struct wy_suspect_peers *s = ctx;
+  const json_t *list = json_object_get (doc, "crashed");
+
+  if (!list)
+    return;
+  s->has_all = true;
+  wy_json_log ("suspects.read", "suspects=%zu", json_array_size (list));
+  wy_suspect_list_merge (&s->env->crashes, list,
+                         wy_clock_mono_ms (s->env->clock));
+}
+
+/* The directory has changed.  An entry that has started asks others for the
+   suspects that they know, until one has responded: rows have room for the
+   newest only.  */
+void
+wy_suspect_peers_members_changed (struct wy_suspect_peers *s)
+{
+  struct sockaddr_in a[ASKED_MAX];
+  json_t *doc;
+  size_t n;
+
+  if (s->has_all || !wy_members_are_known (s->members))
+    return;
+  doc = json_object ();
+  n = wy_members_peer_addresses (s->members, a, ASKED_MAX);
+  for (size_t i = 0; i < n; i++)
+    {
+      struct wy_peer_call_options o = { .env = s->env,
+                                        .address = a[i],
+                                        .target = ALL_TARGET,
+                                        .doc = doc,
+                                        .timeout_ms = TIMEOUT_MS,
+                                        .on_end = on_all_response,
+                                        .ctx = s };
+
+      wy_peer_call_start (&o);
+    }
+  json_decref (doc);
 }
 
 /* Handle R if it is a message of another entry on suspects.  Returns false if
@@ -170,6 +238,7 @@
     const char *target;
     json_t *(*handle) (struct wy_suspect_peers *s, const json_t *doc);
   } targets[] = { { TOLD_TARGET, on_told },
+                  { ALL_TARGET, on_all },
                   { WY_PERMIT_ASK_TARGET, wy_permit_on_ask },
                   { WY_PERMIT_RELEASE_TARGET, wy_permit_on_release } };
   static const struct wy_h1_header type
--- a/src/gate/suspect_peers.h
+++ b/src/gate/suspect_peers.h
@@ -31,6 +31,7 @@
 void wy_suspect_peers_tell (struct wy_suspect_peers *s);
 void wy_suspect_peers_cleared (struct wy_suspect_peers *s,
                                uint64_t fingerprint);
+void wy_suspect_peers_members_changed (struct wy_suspect_peers *s);
 bool wy_suspect_peers_handle (struct wy_suspect_peers *s,
                               struct wy_h1_request *r);
 
--- a/src/gate/suspect_peers_state.h
+++ b/src/gate/suspect_peers_state.h
@@ -18,6 +18,7 @@
   GArray *cleared;               /* uint64_t, not told yet */
   uv_timer_t tell_timer;
   int64_t told_ms; /* time of the last message; 0: none */
+  bool has_all;    /* another entry has sent all suspects that it knows */
 };
 
 json_t *wy_permit_on_ask (struct wy_suspect_peers *s, const json_t *doc);
