Every entry that has heard of a suspect writes it to the store in the end

Cause: what was told and is in no row after 0.5 s was written by the first three entries in the order of the fingerprint, if these had heard of it. While entries are cut off or paused, those that heard may all be others; when they end, nobody knows.

Each 0.5 s twice as many are to write it: three, six, twelve. With seven entries it is stored 1.25 s after the latest message, with 1,000 after 5.25 s (ranks; not measured), if any of those who heard reaches the store so long.

The tests tell chosen entries and find bodies by rank for it.

--- a/src/decide/suspect.c
+++ b/src/decide/suspect.c
@@ -274,7 +274,10 @@
     return false;
   e = find (s, other->fingerprint, now_ms);
   if (e && e->is_remote)
-    e->told_ms = now_ms;
+    {
+      e->told_ms = now_ms;
+      e->unstored_rounds = 0;
+    }
   return true;
 }
 
@@ -307,3 +310,18 @@
     }
   return 0;
 }
+
+/* Wait once more until the store has the suspect with FINGERPRINT, which
+   wy_suspects_next_unstored has returned.  Returns how often this was done
+   before.  */
+uint32_t
+wy_suspects_await_stored (struct wy_suspects *s, uint64_t fingerprint,
+                          int64_t now_ms)
+{
+  struct wy_suspect *e = find (s, fingerprint, now_ms);
+
+  if (!e)
+    return 0;
+  e->told_ms = now_ms;
+  return e->unstored_rounds++;
+}
--- a/src/decide/suspect.h
+++ b/src/decide/suspect.h
@@ -31,6 +31,7 @@
   /* When another entry told of it directly; 0: the store has it, or this entry
      has seen it itself.  */
   int64_t told_ms;
+  uint32_t unstored_rounds; /* since then */
 };
 
 /* A request that is no longer suspect.  */
@@ -62,6 +63,8 @@
                          int64_t now_ms);
 uint64_t wy_suspects_next_unstored (struct wy_suspects *s, int64_t age_ms,
                                     int64_t now_ms);
+uint32_t wy_suspects_await_stored (struct wy_suspects *s, uint64_t fingerprint,
+                                   int64_t now_ms);
 void wy_suspects_adopt (struct wy_suspects *s, uint64_t fingerprint,
                         int64_t now_ms);
 uint32_t
--- a/src/gate/members.h
+++ b/src/gate/members.h
@@ -78,6 +78,7 @@
                                struct sockaddr_in *address);
 size_t wy_members_first_for (const struct wy_members *m, uint64_t key,
                              struct wy_member_peer *out, size_t max);
+uint32_t wy_members_rank_for (const struct wy_members *m, uint64_t key);
 bool wy_members_are_known (const struct wy_members *m);
 size_t wy_members_fan_out (const struct wy_members *m, struct sockaddr_in *out,
                            bool *is_complete);
--- a/src/gate/members_heartbeat.c
+++ b/src/gate/members_heartbeat.c
@@ -31,9 +31,10 @@
   /* A suspect of which another entry has told is in that entry's row within
      this time, if it lives and reaches the store.  */
   UNSTORED_MAX_MS = 500,
-  /* Entries that publish it otherwise.  The one that died may be among the
-     first.  */
-  ADOPTERS = 3
+  /* Entries that publish it otherwise, and twice as many each time that these
+     have not: they may have died or not have heard.  */
+  ADOPTERS = 3,
+  ADOPTER_DOUBLINGS_MAX = 16
 };
 
 static unsigned
@@ -379,16 +380,14 @@
 
   while ((f = wy_suspects_next_unstored (s, UNSTORED_MAX_MS, now_ms)))
     {
-      struct wy_member_peer first[ADOPTERS];
-      size_t n = wy_members_first_for (m, f, first, ADOPTERS);
+      uint32_t round = wy_suspects_await_stored (s, f, now_ms);
 
-      for (size_t i = 0; i < n; i++)
-        if (first[i].is_self)
-          {
-            wy_json_log ("suspect.adopted", "fingerprint=%016llx",
-                         (unsigned long long)f);
-            wy_suspects_adopt (s, f, now_ms);
-          }
+      if (wy_members_rank_for (m, f)
+          >= (uint32_t)ADOPTERS << MIN (round, ADOPTER_DOUBLINGS_MAX))
+        continue;
+      wy_json_log ("suspect.adopted", "fingerprint=%016llx",
+                   (unsigned long long)f);
+      wy_suspects_adopt (s, f, now_ms);
     }
 }
 
--- a/src/gate/members_query.c
+++ b/src/gate/members_query.c
@@ -330,6 +330,28 @@
   return n;
 }
 
+/* Rank of this entry in the order of wy_members_first_for; 0 is the first.  */
+uint32_t
+wy_members_rank_for (const struct wy_members *m, uint64_t key)
+{
+  const char *node = m->o.env->node;
+  uint64_t own = wy_hash64 (node, strlen (node), key);
+  GHashTableIter it;
+  gpointer p;
+  uint32_t rank = 0;
+
+  g_hash_table_iter_init (&it, m->by_node);
+  while (g_hash_table_iter_next (&it, NULL, &p))
+    {
+      const struct member *e = p;
+
+      rank += wy_member_is_alive (e) && e->has_address
+              && strcmp (e->node, node) != 0
+              && wy_hash64 (e->node, strlen (e->node), key) > own;
+    }
+  return rank;
+}
+
 /* Whether the directory has been read.  */
 bool
 wy_members_are_known (const struct wy_members *m)
--- a/tests/test_crash_witness.c
+++ b/tests/test_crash_witness.c
@@ -55,33 +55,38 @@
   platform_fixture_run_ms (&x.w, SETTLE_MS);
 }
 
-/* The body of a crashing request for which the witness gives permits.  */
-static const char *
-body_of_witness (uint32_t gates)
+/* The rank of GATE among N in the order in which they give permits for the
+   request with BODY.  */
+static uint32_t
+rank_of (uint32_t gate, uint32_t n, const char *body)
 {
-  static char body[32];
+  uint64_t key = crash_fixture_fingerprint (body);
+  uint64_t weight[CRASH_GATES_MAX];
+  uint32_t rank = 0;
 
-  for (uint32_t i = 0;; i++)
+  for (uint32_t i = 0; i < n; i++)
     {
-      uint64_t key;
-      uint64_t best = 0;
-      uint32_t giver = 0;
-
-      snprintf (body, sizeof body, "%s-%u", CRASHING, i);
-      key = crash_fixture_fingerprint (body);
-      for (uint32_t k = 0; k < gates; k++)
-        {
-          char node[16];
-          int n = snprintf (node, sizeof node, "gate-%u", k);
-          uint64_t weight = wy_hash64 (node, (size_t)n, key);
-
-          if (weight > best)
-            giver = k;
-          best = MAX (best, weight);
-        }
-      if (giver == WITNESS)
-        return body;
+      char node[16];
+      int size = snprintf (node, sizeof node, "gate-%u", i);
+
+      weight[i] = wy_hash64 (node, (size_t)size, key);
     }
+  for (uint32_t i = 0; i < n; i++)
+    rank += weight[i] > weight[gate];
+  return rank;
+}
+
+/* The body of a crashing request for which the witness has RANK among N.  */
+static const char *
+body_of_rank (uint32_t rank, uint32_t n)
+{
+  static char body[32];
+  uint32_t i = 0;
+
+  do
+    snprintf (body, sizeof body, "%s-%u", CRASHING, i++);
+  while (rank_of (WITNESS, n, body) != rank);
+  return body;
 }
 
 /* Kill the witness among N gates DELAY_MS after the third crash.  */
@@ -279,7 +284,7 @@
   start (&(struct crash_options){ .gates = MANY_GATES,
                                   .replicas = CRASH_REPLICAS_MAX,
                                   .down_ms = CRASH_DOWN_MS,
-                                  .body = body_of_witness (MANY_GATES) },
+                                  .body = body_of_rank (0, MANY_GATES) },
          0);
   x.on_crash = on_third_crash;
   crash_fixture_send_until_third_crash (&x, 1U << WITNESS);
@@ -300,10 +305,10 @@
   last_run_ms = now_ms;
 }
 
-/* Let all entries hear that CRASHES replicas, one or two, have crashed under
-   the request with BODY.  */
+/* Let the entries of the bit set GATES hear that CRASHES replicas, one or two,
+   have crashed under the request with BODY.  */
 static void
-tell_of_crashes (const char *body, uint32_t crashes)
+tell (uint32_t gates, const char *body, uint32_t crashes)
 {
   char *text = g_strdup_printf (
       "{\"holder\":\"other/1\",\"crashed\":[[\"%016" PRIx64
@@ -313,9 +318,12 @@
   for (uint32_t i = 0; i < x.o.gates; i++)
     {
       struct wy_h1_header host = { "Host", "entry" };
-      struct platform_response *a = platform_fixture_call (
-          &x.w, x.gates[i].peers, "POST", "/suspects/told", &host, 1, text);
+      struct platform_response *a;
 
+      if (!(gates & 1U << i))
+        continue;
+      a = platform_fixture_call (&x.w, x.gates[i].peers, "POST",
+                                 "/suspects/told", &host, 1, text);
       cr_assert (platform_fixture_run_until (&x.w, platform_response_done, a));
       cr_assert_eq (a->status, 200);
       platform_response_free (a);
@@ -332,7 +340,7 @@
                                   .down_ms = 500 },
          0);
   x.on_crash = NULL;
-  tell_of_crashes (CRASHING, 1);
+  tell (UINT32_MAX, CRASHING, 1);
   crash_fixture_send (&x, others ());
   platform_fixture_run_ms (&x.w, 2000);
   cr_expect_leq (x.runs, CRASH_LATE_RUNS_MAX, "%u runs", x.runs);
@@ -358,7 +366,7 @@
   for (uint32_t i = 0; i < CRASH_REPLICAS_MAX; i++)
     wy_platform_replica_faults (x.replicas[i].replica)->response_ms
         = RESPONSE_MS;
-  tell_of_crashes ("beside", 1);
+  tell (UINT32_MAX, "beside", 1);
   min_interval_ms = INT64_MAX;
   for (uint32_t i = 0; i < 2; i++)
     calls[i] = crash_fixture_call (&x, i, "beside", "beside");
@@ -401,12 +409,12 @@
                                   .down_ms = 500,
                                   .keeps_id = true },
          0);
-  tell_of_crashes (CRASHING, 2);
+  tell (UINT32_MAX, CRASHING, 2);
   platform_fixture_run_ms (&x.w, STORED_MS);
   for (uint32_t i = 0; i < BLOCKED; i++)
     {
       snprintf (body, sizeof body, "other-%u", i);
-      tell_of_crashes (body, 2);
+      tell (UINT32_MAX, body, 2);
     }
   platform_fixture_run_ms (&x.w, STORED_MS);
   for (uint32_t i = 0; i <= FEW_GATES; i++)
@@ -424,3 +432,30 @@
   cr_expect_leq (x.runs, CRASH_LATE_RUNS_MAX, "%u runs", x.runs);
   finish ();
 }
+
+/* Only the entry that ranks last for the request has heard of its crashes, and
+   is killed some time later.  Guards against suspects that are written to the
+   store only by entries that have not heard of them.  */
+Test (crash_witness, only_the_last_in_the_order_has_heard)
+{
+  enum
+  {
+    STORED_MS = 2500
+  };
+
+  start (&(struct crash_options){ .gates = MANY_GATES,
+                                  .replicas = CRASH_REPLICAS_MAX,
+                                  .down_ms = 500,
+                                  .keeps_id = true,
+                                  .body = body_of_rank (MANY_GATES - 1,
+                                                        MANY_GATES) },
+         0);
+  tell (1U << WITNESS, x.o.body, 2);
+  platform_fixture_run_ms (&x.w, STORED_MS);
+  crash_fixture_kill (&x, WITNESS);
+  crash_fixture_send (&x, others ());
+  platform_fixture_run_ms (&x.w, CRASH_KNOWN_MS);
+  crash_fixture_send (&x, 0);
+  cr_expect_eq (x.runs, 0, "%u runs", x.runs);
+  finish ();
+}
