An item under which replicas died is placed again soon, and so is its score

What trainers see: after a burst of crashes all is calm and replicas have room, but an item is not placed for seconds, up to a minute, and its step runs out of time. Cause: an item whose runs broke off before their first event waited longer from run to run, 0.5 s, 1 s, up to 64 s, since it might be the cause of the crashes; with two crashes known, also from its first run at the next holder on, at 4 s. A call for a score likewise. Items that are handed in for later are never the cause.

An item waits 1 s at most, a score 3 s, and neither is counted as suspect; its runs still show that a replica has ended. So a crash under many items leaves the list of suspects to requests. Bound: placed within 1 s, a score asked for within 3 s, and a tick, once a replica with a free slot is listed.

--- a/src/decide/crash_tracker.c
+++ b/src/decide/crash_tracker.c
@@ -44,8 +44,8 @@
   return r;
 }
 
-/* Record that the run of the request with FINGERPRINT at a target's
-   INCARNATION was interrupted before the end of the response.
+/* Record that the run of the request with FINGERPRINT, or of an item if it is
+   0, at a target's INCARNATION was interrupted before the end of the response.
    The oldest record is overwritten if all are in use.  */
 void
 wy_crash_tracker_run_interrupted (struct wy_crash_tracker *t,
@@ -146,7 +146,7 @@
       if (now_ms - r->at_ms <= confirm_ms (r))
         {
           n.counted++;
-          n.blocked += count_crash (t, r, running, now_ms);
+          n.blocked += r->fingerprint && count_crash (t, r, running, now_ms);
         }
       *r = (struct wy_interrupted_run){ 0 };
     }
--- a/src/decide/crash_tracker.h
+++ b/src/decide/crash_tracker.h
@@ -10,9 +10,6 @@
 enum
 {
   WY_INTERRUPTED_RUNS_MAX = 1024,
-  /* Work that can't be rejected and under which targets crashed elsewhere
-     starts with the backoff of this many interrupted runs.  */
-  WY_CRASH_SUSPECT_RUNS = 6,
   /* A crashed target is removed from the list after a few missed heartbeats
      or restarts within seconds; runs interrupted longer before that have
      another cause.  */
@@ -29,7 +26,8 @@
    cancelled; its target may have crashed.  */
 struct wy_interrupted_run
 {
-  uint64_t fingerprint; /* of the request */
+  /* Of the request; 0: an item, which never is the cause of a crash.  */
+  uint64_t fingerprint;
   uint64_t incarnation; /* of its target, one start of the process; 0: free */
   int64_t at_ms;
   bool is_open; /* whether its target has crashed will be known soon */
--- a/src/gate/crash_watch.h
+++ b/src/gate/crash_watch.h
@@ -9,8 +9,8 @@
    cancelled.  */
 struct wy_crash_watch_run
 {
-  const char *id; /* of the request or item */
-  uint64_t fingerprint;
+  const char *id;       /* of the request or item */
+  uint64_t fingerprint; /* of the request; 0: an item */
   struct wy_target *target;
   uint64_t incarnation; /* of the target when the run started */
   int64_t started_ms;
--- a/src/jobs/active_job.c
+++ b/src/jobs/active_job.c
@@ -394,8 +394,7 @@
       struct wy_target *g;
 
       if (i->state != WY_ITEM_WAITING || i->not_before_ms > now_ms
-          || (share > 0 && limited_full) || wy_item_plan_class (i) > last
-          || wy_run_is_held_back (i))
+          || (share > 0 && limited_full) || wy_item_plan_class (i) > last)
         continue;
       g = wy_active_job_pick_target (i, i->avoid, 0, share);
       /* The target that failed last is better than none.  */
--- a/src/jobs/active_job.h
+++ b/src/jobs/active_job.h
@@ -146,7 +146,6 @@
 void wy_item_give_up (struct wy_item *i);
 void wy_result_list_schedule (struct wy_active_job *o);
 
-bool wy_run_is_held_back (struct wy_item *i);
 void wy_run_start (struct wy_item *i, struct wy_target *g,
                    const struct wy_route *route);
 void wy_run_cancel (struct wy_run *r);
--- a/src/jobs/run.c
+++ b/src/jobs/run.c
@@ -20,6 +20,9 @@
      tight loop.  */
   RETRY_MS = 20,
   RETRY_FAILED_MS = 100,
+  /* Longest delay after runs in a row whose connections were lost: the
+     trainer's step waits for the item.  */
+  RETRY_INTERRUPTED_MAX_MS = 1000,
   STATUS_OK = 200,
   STATUS_UNPROCESSABLE = 422,
   STATUS_INTERNAL_ERROR = 500
@@ -321,14 +324,8 @@
                           "replica_failed");
 }
 
-static uint64_t
-fingerprint_of (const struct wy_item *i)
-{
-  return wy_fingerprint (i->spec->id, NULL, 0);
-}
-
-/* The connection was lost.  The replica may have crashed, and if no event had
-   arrived, possibly because of this item.  */
+/* The connection was lost.  The replica may have crashed, though not because
+   of the item.  */
 static void
 on_interrupted (struct wy_run *r)
 {
@@ -337,7 +334,6 @@
   if (r->n_events == 0)
     {
       struct wy_crash_watch_run w = { .id = i->spec->id,
-                                      .fingerprint = fingerprint_of (i),
                                       .target = r->target,
                                       .incarnation = r->incarnation,
                                       .started_ms = r->started_ms };
@@ -347,31 +343,11 @@
     }
   wy_run_end_for_retry (
       r, WY_TARGET_FAILED,
-      MAX (RETRY_MS, wy_crash_tracker_backoff_ms (i->runs_without_event)),
+      CLAMP (wy_crash_tracker_backoff_ms (i->runs_without_event), RETRY_MS,
+             RETRY_INTERRUPTED_MAX_MS),
       "broken_off");
 }
 
-/* Return whether I must wait because replicas crashed while running it, here
-   or at other entries.  The delay grows with each such run.  */
-bool
-wy_run_is_held_back (struct wy_item *i)
-{
-  struct wy_gate_env *env = i->job->env;
-  int64_t now_ms = wy_clock_mono_ms (env->clock);
-
-  if (i->runs_without_event || !wy_crash_tracker_has_suspects (&env->crashes)
-      || !wy_crash_tracker_is_blocked (&env->crashes, fingerprint_of (i),
-                                       now_ms))
-    return false;
-  i->runs_without_event = WY_CRASH_SUSPECT_RUNS;
-  i->not_before_ms
-      = now_ms + wy_crash_tracker_backoff_ms (i->runs_without_event);
-  (*env->count.held_back)++;
-  wy_json_log ("item.held_back", "id=%s job=%s ms=%lld", i->spec->id,
-               i->job->record->id, (long long)(i->not_before_ms - now_ms));
-  return true;
-}
-
 static void
 on_end (void *ctx, int err)
 {
--- a/src/jobs/score.c
+++ b/src/jobs/score.c
@@ -26,6 +26,8 @@
   DEFAULT_TIMEOUT_MS = 3000,
   /* Delay after a response that is neither a score nor a failure to score.  */
   UNEXPECTED_STATUS_DELAY_MS = 100,
+  /* Longest delay after calls whose connections were lost.  */
+  INTERRUPTED_BACKOFF_MAX_MS = 3000,
   STATUS_OK = 200,
   STATUS_INTERNAL_ERROR = 500,
   STATUS_MISDIRECTED = 421
@@ -266,20 +268,13 @@
 {
 }
 
-static uint64_t
-fingerprint_of (const struct wy_score *s)
-{
-  return wy_fingerprint (s->item->spec->scorer->id, NULL, 0);
-}
-
 /* The connection of T was lost before a response.  The replica may have
-   crashed, possibly because of this call.  */
+   crashed, though not because of this call.  */
 static void
 on_interrupted (struct score_attempt *t)
 {
   struct wy_score *s = t->score;
   struct wy_crash_watch_run r = { .id = s->item->spec->scorer->id,
-                                  .fingerprint = fingerprint_of (s),
                                   .target = t->target,
                                   .incarnation = t->incarnation,
                                   .started_ms = t->started_ms };
@@ -288,24 +283,11 @@
   wy_crash_watch_run_interrupted (s->item->job->env, &r);
 }
 
-/* Whether the next call for S must wait because replicas crashed while running
-   one, here or at other entries.  The delay grows with each such call.  */
-static bool
-is_held_back (struct wy_score *s, int64_t now_ms)
+static int64_t
+interrupted_backoff_ms (const struct wy_score *s)
 {
-  struct wy_gate_env *env = s->item->job->env;
-
-  if (s->interrupted || !wy_crash_tracker_has_suspects (&env->crashes)
-      || !wy_crash_tracker_is_blocked (&env->crashes, fingerprint_of (s),
-                                       now_ms))
-    return false;
-  s->interrupted = WY_CRASH_SUSPECT_RUNS;
-  s->not_before_ms = now_ms + wy_crash_tracker_backoff_ms (s->interrupted);
-  (*env->count.held_back)++;
-  wy_json_log ("item.held_back", "id=%s job=%s ms=%lld",
-               s->item->spec->scorer->id, s->item->job->record->id,
-               (long long)(s->not_before_ms - now_ms));
-  return true;
+  return MIN (wy_crash_tracker_backoff_ms (s->interrupted),
+              INTERRUPTED_BACKOFF_MAX_MS);
 }
 
 static void
@@ -321,7 +303,7 @@
   t->call = NULL;
   if (err && err != WY_H1_ECONNECT && t->status == 0)
     on_interrupted (t);
-  delay_ms = MAX (delay_ms, wy_crash_tracker_backoff_ms (s->interrupted));
+  delay_ms = MAX (delay_ms, interrupted_backoff_ms (s));
   if (err || t->invalid || t->not_run)
     s->failures_in_row++;
   else
@@ -502,8 +484,7 @@
       struct wy_scoring_candidate candidate;
 
       if (i->state != WY_ITEM_SCORING || has_attempt (i->score)
-          || i->score->not_before_ms > now_ms
-          || is_held_back (i->score, now_ms))
+          || i->score->not_before_ms > now_ms)
         continue;
       candidate = (struct wy_scoring_candidate){ i->group->missing,
                                                  i->score->since_ms };
--- a/tests/support/crash_fixture.h
+++ b/tests/support/crash_fixture.h
@@ -53,8 +53,15 @@
   uint32_t gates;
   uint32_t replicas;
   uint32_t down_ms;
-  bool keeps_id; /* replicas return under the id that they had */
+  bool keeps_id;    /* replicas return under the id that they had */
   const char *body; /* of the request; NULL: CRASHING */
+  /* Of replicas that run the items of jobs, whose events take EVENT_MS; NULL:
+     a plain service.  */
+  const char *model;
+  uint32_t event_ms;
+  uint32_t events;
+  /* Called when an item starts to run; may be NULL.  */
+  void (*on_item) (const char *id);
 };
 
 struct crash_fixture
--- a/tests/test_scores.c
+++ b/tests/test_scores.c
@@ -338,3 +338,41 @@
                  "%u then %u", calls, calls_so_far () - calls);
   job_fixture_stop ();
 }
+
+/* The scorers die twice while they score sound texts, and another entry takes
+   over when they are back.  Guards against texts that count as the cause and
+   are scored only much later.  */
+Test (scores, scored_when_scorers_are_back)
+{
+  enum
+  {
+    BURSTS = 2,
+    BURST_MS = 600,
+    CALLED_MS = 1500
+  };
+  uint32_t calls;
+
+  start (2);
+  for (int i = SCORER; i <= OTHER_SCORER; i++)
+    {
+      faults (i)->return_ms = 100;
+      /* No call is answered between two bursts.  */
+      faults (i)->response_ms = 2 * BURST_MS;
+    }
+  submit (SCORED);
+  for (int burst = 0; burst < BURSTS; burst++)
+    {
+      run_with_list (BURST_MS);
+      for (int i = SCORER; i <= OTHER_SCORER; i++)
+        wy_platform_replica_crash (job_fixture.replicas[i]);
+    }
+  run_with_list (BURST_MS);
+  faults (SCORER)->response_ms = faults (OTHER_SCORER)->response_ms = 1;
+  calls = calls_so_far ();
+  start_successor ();
+  run_with_list (CALLED_MS);
+  cr_expect_geq (calls_so_far () - calls, JOB_ITEMS, "%u calls",
+                 calls_so_far () - calls);
+  check_scores ();
+  job_fixture_stop ();
+}
