Bytes without end end the call: limits at each client

What callers see: a request that a replica in trouble "answers" with bytes that never end fails at its time limit though another replica is sound; items and scores are late; an entry, or the orderer beside the replica, grows until its memory is gone.

Cause: a response that was found to be invalid was read on to its end; interim responses, reports, pages and objects of the store had no limit, and each piece of an object extended the time for it; an event of a stream had no limit, and each read scanned it from its beginning, so that chunks of 8 bytes kept the loop busy for 80 s.

A call has a limit for its head (128 KB with interim responses) and, where its caller sets it, for the response; an event has 1 MB, an object what the settings say, in the time that the largest needs; the scan goes on where it stopped. An invalid response ends the attempt at once. Bytes that are no events are no progress of a stream.

--- a/src/duties/calls.c
+++ b/src/duties/calls.c
@@ -22,7 +22,8 @@
      that can reach the platform may be elected.  */
   UNREACHABLE_RESIGN_MS = 1500,
   /* It is no candidate for this long afterwards.  */
-  RESIGN_PAUSE_MS = 10000
+  RESIGN_PAUSE_MS = 10000,
+  RESPONSE_LIMIT_BYTES = 65536
 };
 
 struct wy_duty_calls
@@ -207,6 +208,7 @@
           .body_size_bytes = n,
           .has_body = true,
           .new_connection = true,
+          .response_limit_bytes = RESPONSE_LIMIT_BYTES,
           .on_head = on_head,
           .on_data = on_data,
           .on_end = on_end };
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -301,7 +301,8 @@
       = { .loop = g->o.loop,
           .clock = g->o.clock,
           .seed = wy_hash64 (g->incarnation, WY_ID_LEN, 1),
-          .memory = &g->env.memory };
+          .memory = &g->env.memory,
+          .object_bytes = (size_t)g->o.settings->object_bytes };
   struct wy_rejections_options rejections
       = { .clock = g->o.clock,
           .seed = wy_hash64 (g->incarnation, WY_ID_LEN, 5),
--- a/src/gate/peer_call.c
+++ b/src/gate/peer_call.c
@@ -59,10 +59,7 @@
 static void
 on_data (void *ctx, const char *p, size_t n)
 {
-  struct wy_peer_call *c = ctx;
-
-  if (c->response->len + n <= RESPONSE_LIMIT_BYTES)
-    g_string_append_len (c->response, p, (gssize)n);
+  g_string_append_len (((struct wy_peer_call *)ctx)->response, p, (gssize)n);
 }
 
 static void
@@ -102,6 +99,7 @@
                                   .body_size_bytes = strlen (c->body),
                                   .has_body = true,
                                   .new_connection = c->repeated,
+                                  .response_limit_bytes = RESPONSE_LIMIT_BYTES,
                                   .on_head = on_head,
                                   .on_data = on_data,
                                   .on_end = on_end,
--- a/src/gate/proxy_attempt.c
+++ b/src/gate/proxy_attempt.c
@@ -139,6 +139,7 @@
 {
   struct wy_proxy_request *p = ctx;
 
+  p->events_received++;
   if (ev->id >= 0 && ev->id <= p->after_event)
     return;
   if (ev->id >= 0)
@@ -146,28 +147,41 @@
   wy_h1_write_response (p->request, ev->raw, ev->raw_n);
 }
 
+/* The response of T can't be used.  Its connection is closed.  */
+static void
+fail_invalid (struct wy_proxy_attempt *t)
+{
+  wy_proxy_attempt_failed (t, WY_TARGET_FAILED, true, "spoilt_answer");
+}
+
 static void
 on_data (void *ctx, const char *bytes, size_t n)
 {
   struct wy_proxy_attempt *t = ctx;
   struct wy_proxy_request *p = t->p;
+  bool is_stream = p->streaming && t->response->status == 200;
+  uint64_t before = p->events_received;
 
-  t->last_received_ms = wy_proxy_now_ms (p);
-  if (t->invalid)
-    return;
-  if (!p->streaming || t->response->status != 200)
+  /* The rest of an invalid response may have no end.  */
+  if (t->invalid
+      || (!is_stream && t->response->body->len + n > RESPONSE_LIMIT_BYTES))
+    {
+      fail_invalid (t);
+      return;
+    }
+  if (!is_stream)
     {
-      if (t->response->body->len + n > RESPONSE_LIMIT_BYTES)
-        t->invalid = true;
-      else
-        {
-          wy_response_append (t->response, bytes, n);
-          wy_proxy_pause_if_behind (t, NULL);
-        }
+      t->last_received_ms = wy_proxy_now_ms (p);
+      wy_response_append (t->response, bytes, n);
+      wy_proxy_pause_if_behind (t, NULL);
       return;
     }
   wy_sse_feed (&p->events, bytes, n, on_event, p);
-  if (wy_h1_unsent_bytes (p->request) > UNSENT_LIMIT_BYTES)
+  if (p->events_received > before)
+    t->last_received_ms = wy_proxy_now_ms (p);
+  if (wy_sse_is_too_long (&p->events))
+    fail_invalid (t);
+  else if (wy_h1_unsent_bytes (p->request) > UNSENT_LIMIT_BYTES)
     wy_proxy_fail (p, false, "slow_caller");
   else
     wy_proxy_pause_if_behind (t, p->request);
--- a/src/gate/proxy_state.h
+++ b/src/gate/proxy_state.h
@@ -79,6 +79,7 @@
   const char *reject_reason; /* set with WY_PROXY_REJECT */
   bool is_isolated;          /* equal requests wait for this one */
   int64_t after_event;       /* id of the caller's last event; -1: none */
+  uint64_t events_received;  /* of a stream, from all attempts */
   bool may_have_run;
   int64_t hedge_due_ms; /* 0: none */
   int64_t retry_due_ms; /* 0: none */
--- a/src/gate/sse.c
+++ b/src/gate/sse.c
@@ -12,7 +12,9 @@
 
 enum
 {
-  ID_DIGITS_MAX = 15
+  ID_DIGITS_MAX = 15,
+  /* With the line feed before it.  */
+  BLANK_LINE_MAX_BYTES = 3
 };
 
 /* Initialize E for a new stream.  */
@@ -21,6 +23,7 @@
 {
   e->partial_event = g_string_new (NULL);
   e->data = g_string_new (NULL);
+  e->scanned_bytes = 0;
   e->last_id = -1;
 }
 
@@ -37,6 +40,7 @@
 wy_sse_reset (struct wy_sse_parser *e)
 {
   g_string_truncate (e->partial_event, 0);
+  e->scanned_bytes = 0;
 }
 
 /* Whether the input so far ends inside an event.  */
@@ -46,6 +50,13 @@
   return e->partial_event->len > 0;
 }
 
+/* Whether the input can't be a stream of events: one has no end.  */
+bool
+wy_sse_is_too_long (const struct wy_sse_parser *e)
+{
+  return e->partial_event->len > WY_SSE_EVENT_MAX_BYTES;
+}
+
 static bool
 field_value (const char *line, size_t n, const char *name, const char **value,
              size_t *value_n)
@@ -120,11 +131,15 @@
 }
 
 /* Length of the first complete event at P, including its blank line; 0: there
-   is none.  */
+   is none.  No event ends in the first SCANNED bytes.  */
 static size_t
-event_size (const char *p, size_t n)
+event_size (const char *p, size_t n, size_t scanned)
 {
-  for (size_t i = 0; i + 1 < n; i++)
+  size_t first = scanned > BLANK_LINE_MAX_BYTES
+                     ? scanned - BLANK_LINE_MAX_BYTES
+                     : 0;
+
+  for (size_t i = first; i + 1 < n; i++)
     {
       if (p[i] != '\n')
         continue;
@@ -148,7 +163,7 @@
 
   g_string_append_len (e->partial_event, p, (gssize)n);
   while ((size = event_size (e->partial_event->str + at,
-                             e->partial_event->len - at)))
+                             e->partial_event->len - at, e->scanned_bytes)))
     {
       struct wy_sse_event ev;
 
@@ -156,7 +171,9 @@
       if (ev.id >= 0)
         e->last_id = ev.id;
       at += size;
+      e->scanned_bytes = 0;
       on_event (ctx, &ev);
     }
   g_string_erase (e->partial_event, 0, (gssize)at);
+  e->scanned_bytes = e->partial_event->len;
 }
--- a/src/gate/sse.h
+++ b/src/gate/sse.h
@@ -8,6 +8,9 @@
 
 #include <glib.h>
 
+/* Limit of one event.  Bytes that are no events may come without end.  */
+#define WY_SSE_EVENT_MAX_BYTES 1048576
+
 struct wy_sse_event
 {
   const char *raw; /* the event as received, with its blank line */
@@ -21,6 +24,7 @@
 struct wy_sse_parser
 {
   GString *partial_event; /* bytes of an incomplete event */
+  size_t scanned_bytes;   /* of these, in which no event ends */
   GString *data;          /* of the event being parsed */
   int64_t last_id;        /* -1: none yet */
 };
@@ -29,6 +33,7 @@
 void wy_sse_clear (struct wy_sse_parser *e);
 void wy_sse_reset (struct wy_sse_parser *e);
 bool wy_sse_has_partial (const struct wy_sse_parser *e);
+bool wy_sse_is_too_long (const struct wy_sse_parser *e);
 void wy_sse_feed (struct wy_sse_parser *e, const char *p, size_t n,
                   void (*on_event) (void *ctx, const struct wy_sse_event *ev),
                   void *ctx);
--- a/src/h1/client.c
+++ b/src/h1/client.c
@@ -109,6 +109,7 @@
   k->head_complete = false;
   k->keep_alive_ms = 0;
   k->sweeps = 0;
+  k->received_bytes = 0;
   k->unsent_bytes = 0;
   k->silent_sweeps = 0;
   k->link.data = k;
--- a/src/h1/client.h
+++ b/src/h1/client.h
@@ -38,6 +38,9 @@
   bool has_body;       /* send a length even if it is 0 */
   bool new_connection; /* never on a reused one */
   bool connect_only;   /* send nothing: end once the connection is open */
+  /* Limit of the response, head and body together; 0: of the head alone.  A
+     peer in trouble may send bytes without end.  */
+  size_t response_limit_bytes;
   /* The head of the response; the call may be cancelled within.  */
   void (*on_head) (void *ctx, const struct wy_h1_response *r);
   void (*on_data) (void *ctx, const char *p, size_t n);
--- a/src/h1/client_call.c
+++ b/src/h1/client_call.c
@@ -14,6 +14,8 @@
   /* With each level of the memory account a read is shortened to a quarter: a
      response is paused only after the read that takes it over its limit.  */
   LEVEL_SHIFT = 2,
+  /* Limit of all that precedes the body, interim responses included.  */
+  HEAD_LIMIT_BYTES = 131072,
   MS_PER_S = 1000
 };
 
@@ -225,6 +227,14 @@
   *buf = uv_buf_init (c->read_buffer, sizeof c->read_buffer >> shift);
 }
 
+static bool
+is_too_long (const struct wy_h1_call *k)
+{
+  return (!k->head_complete && k->received_bytes > HEAD_LIMIT_BYTES)
+         || (k->o.response_limit_bytes
+             && k->received_bytes > k->o.response_limit_bytes);
+}
+
 static void
 parse (struct wy_h1_call *k, const char *p, size_t n)
 {
@@ -233,6 +243,7 @@
 
   if (k->closing)
     return;
+  k->received_bytes += n;
   if (k->complete)
     {
       /* Bytes after a complete response belong to no request.  */
@@ -240,7 +251,7 @@
         k->no_reuse = true;
       finish_response (k);
     }
-  else if (err != HPE_OK)
+  else if (err != HPE_OK || is_too_long (k))
     wy_h1_call_fail (k, WY_H1_EMALFORMED);
 }
 
--- a/src/h1/client_state.h
+++ b/src/h1/client_state.h
@@ -38,6 +38,7 @@
   bool closing;
   bool paused;            /* the response is not read */
   uint32_t sweeps;        /* since the call started */
+  size_t received_bytes;  /* of the response */
   size_t unsent_bytes;    /* of the request, at the last sweep */
   uint32_t silent_sweeps; /* in which nothing of them was taken */
   GList link;             /* in active_calls or the peer's idle list */
--- a/src/jobs/handoff.c
+++ b/src/jobs/handoff.c
@@ -19,7 +19,8 @@
 {
   /* A peer responds within some ms; the training step waits meanwhile.  */
   TIMEOUT_MS = 400,
-  STATUS_ACCEPTED = 204
+  STATUS_ACCEPTED = 204,
+  RESPONSE_LIMIT_BYTES = 65536
 };
 
 struct handoff
@@ -95,6 +96,7 @@
                                   .n_fields = G_N_ELEMENTS (fields),
                                   .body = body,
                                   .body_size_bytes = n,
+                                  .response_limit_bytes = RESPONSE_LIMIT_BYTES,
                                   .on_head = on_head,
                                   .on_end = on_end,
                                   .ctx = h };
--- a/src/jobs/run.c
+++ b/src/jobs/run.c
@@ -48,6 +48,8 @@
       return "other_weights";
     case RUN_FAULT_OTHER_REQUEST:
       return "foreign_answer";
+    case RUN_FAULT_NO_EVENTS:
+      return "no_events";
     case RUN_FAULT_EVENT_MISSING:
       return "event_missing";
     }
@@ -240,6 +242,7 @@
     discard_text (i);
   wy_run_end_for_retry (r,
                         fault == RUN_FAULT_OTHER_REQUEST
+                                || fault == RUN_FAULT_NO_EVENTS
                                 || fault == RUN_FAULT_EVENT_MISSING
                             ? WY_TARGET_FAILED
                             : WY_TARGET_CANCELLED,
@@ -255,6 +258,11 @@
 
   if (r->status == STATUS_OK && !r->fault)
     wy_sse_feed (&r->events, p, n, on_event, r);
+  r->ignored_bytes += r->status == STATUS_OK ? 0 : n;
+  if (!r->fault
+      && (wy_sse_is_too_long (&r->events)
+          || r->ignored_bytes > WY_SSE_EVENT_MAX_BYTES))
+    r->fault = RUN_FAULT_NO_EVENTS;
   if (before && r->n_events > before && !r->was_paused)
     {
       uint32_t n = r->n_events - before;
--- a/src/jobs/run_state.h
+++ b/src/jobs/run_state.h
@@ -12,6 +12,7 @@
   RUN_FAULT_STALE_WEIGHTS, /* older than the job allows */
   RUN_FAULT_OTHER_WEIGHTS, /* not those of the text; single-version route */
   RUN_FAULT_OTHER_REQUEST, /* the response belongs to another request */
+  RUN_FAULT_NO_EVENTS,     /* bytes that are no events */
   RUN_FAULT_EVENT_MISSING  /* a gap in the event ids */
 };
 
@@ -32,6 +33,7 @@
   int64_t started_ms;
   int64_t progress_ms; /* time of the last event, or of the start */
   uint32_t n_events;
+  size_t ignored_bytes;     /* of a response without events */
   double event_duration_ms; /* that the last event took; 0: unknown */
   double previous_event_duration_ms;
   uint32_t allowed_failures; /* runs of the item with status 500 */
--- a/src/jobs/score.c
+++ b/src/jobs/score.c
@@ -28,6 +28,7 @@
   UNEXPECTED_STATUS_DELAY_MS = 100,
   /* Longest delay after calls whose connections were lost.  */
   INTERRUPTED_BACKOFF_MAX_MS = 3000,
+  RESPONSE_LIMIT_BYTES = 1 << 20,
   STATUS_OK = 200,
   STATUS_INTERNAL_ERROR = 500,
   STATUS_MISDIRECTED = 421
@@ -357,6 +358,7 @@
                                   .body = spec->body,
                                   .body_size_bytes = spec->body_size_bytes,
                                   .has_body = true,
+                                  .response_limit_bytes = RESPONSE_LIMIT_BYTES,
                                   .on_head = on_head,
                                   .on_data = on_data,
                                   .on_end = on_end,
--- a/src/orders/orderer.c
+++ b/src/orders/orderer.c
@@ -35,6 +35,7 @@
   /* A load that was accepted but has no effect by then is ordered again.  */
   ORDER_RETRY_MS = 1500,
   CALL_RETRY_MS = 400,
+  RESPONSE_LIMIT_BYTES = 1 << 20,
   /* Interval of reports while no load is due, to detect a restart of the
      replica.  */
   REPORT_IDLE_MS = 1000,
@@ -322,6 +323,7 @@
                                   .target = target,
                                   .body = body,
                                   .body_size_bytes = body ? strlen (body) : 0,
+                                  .response_limit_bytes = RESPONSE_LIMIT_BYTES,
                                   .on_head = on_head,
                                   .on_data = on_data,
                                   .on_end = on_end,
--- a/src/rows/call.c
+++ b/src/rows/call.c
@@ -34,7 +34,12 @@
   RATE_LIMIT_GRACE_MS = 1500,
   /* Responses of this window determine the offset of the store's clock.  */
   OFFSET_WINDOW_MS = 15000,
-  STATUS_TOO_MANY_REQUESTS = 429
+  STATUS_TOO_MANY_REQUESTS = 429,
+  /* Pages of rows end at 1 MB of values; changes come in one page.  */
+  PAGE_LIMIT_BYTES = 4 << 20,
+  CHANGES_LIMIT_BYTES = 32 << 20,
+  /* The head, and the rows around an object.  */
+  OBJECT_MARGIN_BYTES = 1 << 20
 };
 
 static void
@@ -287,9 +292,13 @@
   g_string_append_len (k->response_body, p, (gssize)n);
   wy_memory_account_add (k->store->memory, WY_MEMORY_STORE, (int64_t)n);
   /* The size of the object is not known beforehand: each piece extends the
-     deadline.  */
+     deadline, up to that of the largest.  */
   if (k->verb == WY_STORE_GET_OBJECT)
-    k->deadline_ms = wy_clock_mono_ms (k->store->clock) + OBJECT_TIMEOUT_MS;
+    k->deadline_ms
+        = MIN (wy_clock_mono_ms (k->store->clock),
+               k->started_ms
+                   + (int64_t)(k->store->object_bytes / OBJECT_BYTES_PER_MS))
+          + OBJECT_TIMEOUT_MS;
 }
 
 static void
@@ -354,6 +363,25 @@
   return ROWS_TIMEOUT_MS;
 }
 
+static size_t
+response_limit_bytes (const struct wy_rows_call *k)
+{
+  switch (k->verb)
+    {
+    case WY_STORE_GET:
+    case WY_STORE_PARTITIONS:
+    case WY_STORE_TX:
+      return PAGE_LIMIT_BYTES;
+    case WY_STORE_FEED:
+      return CHANGES_LIMIT_BYTES;
+    case WY_STORE_PUT_OBJECT:
+    case WY_STORE_GET_OBJECT:
+    case WY_STORE_DELETE_OBJECT:
+      break;
+    }
+  return k->store->object_bytes + OBJECT_MARGIN_BYTES;
+}
+
 /* Create a call that is not sent yet.  Takes ownership of TARGET.  */
 struct wy_rows_call *
 wy_rows_call_new (struct wy_rows *s, enum wy_store_verb verb,
@@ -385,16 +413,18 @@
   char host[64];
   char ip[INET_ADDRSTRLEN];
   struct wy_h1_header fields[3];
-  struct wy_h1_call_options o = { .method = k->method,
-                                  .target = k->target,
-                                  .fields = fields,
-                                  .body = k->body,
-                                  .body_size_bytes = k->body_size_bytes,
-                                  .has_body = k->body != NULL,
-                                  .on_head = on_head,
-                                  .on_data = on_data,
-                                  .on_end = on_end,
-                                  .ctx = k };
+  struct wy_h1_call_options o
+      = { .method = k->method,
+          .target = k->target,
+          .fields = fields,
+          .body = k->body,
+          .body_size_bytes = k->body_size_bytes,
+          .has_body = k->body != NULL,
+          .response_limit_bytes = response_limit_bytes (k),
+          .on_head = on_head,
+          .on_data = on_data,
+          .on_end = on_end,
+          .ctx = k };
 
   k->attempts++;
   k->started_ms = wy_clock_mono_ms (s->clock);
--- a/src/rows/client.c
+++ b/src/rows/client.c
@@ -10,6 +10,8 @@
 
 enum
 {
+  /* Limit of an object where the settings don't say it.  */
+  OBJECT_DEFAULT_BYTES = 32 << 20,
   /* The store counts as unreachable when the direct path fails and no response
      has come on any path for this long; while a peer reaches it, responses
      come several times a second.  */
@@ -148,6 +150,7 @@
   s->clock = o->clock;
   s->http = o->http;
   s->memory = o->memory;
+  s->object_bytes = o->object_bytes ? o->object_bytes : OBJECT_DEFAULT_BYTES;
   wy_rng_seed (&s->rng, o->seed);
   s->last_response_ms = wy_clock_mono_ms (o->clock);
   wy_paths_init (&s->paths, &o->address,
--- a/src/rows/client_state.h
+++ b/src/rows/client_state.h
@@ -35,6 +35,7 @@
 
 struct wy_rows
 {
+  size_t object_bytes; /* limit of an object */
   uv_loop_t *loop;
   const struct wy_clock *clock;
   struct wy_h1_client *http;
--- a/src/rows/rows.h
+++ b/src/rows/rows.h
@@ -124,6 +124,7 @@
   struct sockaddr_in address;
   uint64_t seed;
   struct wy_memory_account *memory; /* NULL: none */
+  size_t object_bytes;              /* limit of an object; 0: the default */
 };
 
 typedef void wy_rows_cb (void *ctx, const struct wy_rows_result *r);
