--- a/src/gate/run_permit.c
+++ b/src/gate/run_permit.c
@@ -267,8 +267,9 @@
   uv_close ((uv_handle_t *)t, on_closed);
 }
 
-/* The run for which P was asked has ended, or won't start.  The permit is
-   released once it is known whether the replica has crashed.  */
+/* The run for which P was asked has ended, or won't start.  Unless it was
+   answered, the permit is released once it is known whether the replica has
+   crashed, and what others have told has arrived.  */
 void
 wy_permit_end (struct wy_permit *p)
 {
@@ -279,7 +280,10 @@
     wy_peer_call_cancel (p->call);
   p->call = NULL;
   if (p->state == WY_PERMIT_GRANTED || p->state == WY_PERMIT_PENDING)
-    uv_timer_start (&p->release_timer, on_release_timer, 0, RELEASE_POLL_MS);
+    uv_timer_start (&p->release_timer, on_release_timer,
+                    is_harmless (p->peers, p->o.fingerprint) ? 0
+                                                             : RELEASE_POLL_MS,
+                    RELEASE_POLL_MS);
   else
     uv_close ((uv_handle_t *)&p->release_timer, on_closed);
 }
