--- a/src/gate/sse.c
+++ b/src/gate/sse.c
@@ -135,9 +135,8 @@
 static size_t
 event_size (const char *p, size_t n, size_t scanned)
 {
-  size_t first = scanned > BLANK_LINE_MAX_BYTES
-                     ? scanned - BLANK_LINE_MAX_BYTES
-                     : 0;
+  size_t first
+      = scanned > BLANK_LINE_MAX_BYTES ? scanned - BLANK_LINE_MAX_BYTES : 0;
 
   for (size_t i = first; i + 1 < n; i++)
     {
--- a/tests/test_crash_unseen.c
+++ b/tests/test_crash_unseen.c
@@ -10,6 +10,8 @@
   GATES = 3,
   ALL_GATES = (1 << GATES) - 1,
   DOWN_MS = 500,
+  /* There have been three crashes by then.  */
+  OBSERVED_MS = 8 * DOWN_MS,
   /* A replica ends 30 ms after it has begun to run the request.  */
   GIVE_UP_MS = 20
 };
@@ -65,7 +67,7 @@
   start (CRASHING);
   uv_timer_init (&x.w.loop, &sender);
   uv_timer_start (&sender, on_impatient, 0, 50);
-  platform_fixture_run_ms (&x.w, 4 * DOWN_MS);
+  platform_fixture_run_ms (&x.w, OBSERVED_MS);
   crash_fixture_expect_rejected (&x);
   uv_close ((uv_handle_t *)&sender, NULL);
   platform_fixture_run_ms (&x.w, DOWN_MS);
@@ -102,7 +104,7 @@
   wy_platform_replica_faults (x.replicas[0].replica)->respond_500 = UINT32_MAX;
   uv_timer_init (&x.w.loop, &sender);
   uv_timer_start (&sender, on_next, 0, 50);
-  platform_fixture_run_ms (&x.w, 8 * DOWN_MS);
+  platform_fixture_run_ms (&x.w, OBSERVED_MS);
   crash_fixture_expect_rejected (&x);
   uv_close ((uv_handle_t *)&sender, NULL);
   crash_fixture_stop (&x);
