--- a/tests/test_crash_witness.c
+++ b/tests/test_crash_witness.c
@@ -459,3 +459,40 @@
   cr_expect_eq (x.runs, 0, "%u runs", x.runs);
   finish ();
 }
+
+/* A replica has ended, and requests that crash nothing come to all entries at
+   once, also while one of these, which gives some of the permits, is paused.
+   Guards against rejecting them.  */
+Test (crash_witness, requests_after_a_crash_are_served)
+{
+  struct platform_response *calls[2 * MANY_GATES];
+  int64_t sent_ms;
+
+  start (&(struct crash_options){ .gates = MANY_GATES,
+                                  .replicas = CRASH_REPLICAS_MAX,
+                                  .down_ms = CRASH_DOWN_MS },
+         0);
+  wy_platform_replica_crash (x.replicas[0].replica);
+  platform_fixture_run_ms (&x.w, CRASH_LAPSE_MS + SETTLE_MS);
+  kill (x.gates[WITNESS].pid, SIGSTOP);
+  sent_ms = wy_clock_mono_ms (wy_clock_system ());
+  for (uint32_t i = 1; i < MANY_GATES; i++)
+    {
+      char body[32];
+
+      snprintf (body, sizeof body, "own-%u", i);
+      calls[2 * i] = crash_fixture_call (&x, i, "equal", "equal");
+      calls[2 * i + 1] = crash_fixture_call (&x, i, "own", body);
+    }
+  for (uint32_t i = 2; i < 2 * MANY_GATES; i++)
+    {
+      cr_assert (
+          platform_fixture_run_until (&x.w, platform_response_done, calls[i]));
+      cr_expect_eq (calls[i]->status, 200, "%u: %d", i, calls[i]->status);
+      platform_response_free (calls[i]);
+    }
+  fprintf (stderr, "served after %d ms\n",
+           (int)(wy_clock_mono_ms (wy_clock_system ()) - sent_ms));
+  kill (x.gates[WITNESS].pid, SIGCONT);
+  finish ();
+}
