--- a/tests/support/endless.c
+++ b/src/standin/endless.c
@@ -1,8 +1,7 @@
-/* A server in trouble: on each connection it sends bytes without end that are
-   no answer, until the caller closes.  */
-#include "support/endless.h"
+/* Stand-in of a server in trouble: on each connection it sends bytes without
+   end that are no answer, until the caller closes.  */
+#include "standin/endless.h"
 
-#include <criterion/criterion.h>
 #include <string.h>
 
 #include <glib.h>
@@ -19,26 +18,26 @@
 {
   const char *begin;
   const char *repeat;
-} texts[ENDLESS_KINDS] = {
-  [ENDLESS_BYTES] = { "", "\x80\x81spam" },
-  [ENDLESS_FIELD] = { "HTTP/1.1 200 OK\r\nX: ", "aaaaaaaa" },
-  [ENDLESS_FIELDS] = { "HTTP/1.1 200 OK\r\n", "X: aaaa\r\n" },
-  [ENDLESS_INTERIM] = { "", "HTTP/1.1 100 Continue\r\n\r\n" },
-  [ENDLESS_BODY] = { OK "\r\n", "aaaaaaaa" },
-  [ENDLESS_CHUNKS]
+} texts[WY_ENDLESS_KINDS] = {
+  [WY_ENDLESS_BYTES] = { "", "\x80\x81spam" },
+  [WY_ENDLESS_FIELD] = { "HTTP/1.1 200 OK\r\nX: ", "aaaaaaaa" },
+  [WY_ENDLESS_FIELDS] = { "HTTP/1.1 200 OK\r\n", "X: aaaa\r\n" },
+  [WY_ENDLESS_INTERIM] = { "", "HTTP/1.1 100 Continue\r\n\r\n" },
+  [WY_ENDLESS_BODY] = { OK "\r\n", "aaaaaaaa" },
+  [WY_ENDLESS_CHUNKS]
   = { OK "Transfer-Encoding: chunked\r\n\r\n", "8\r\naaaaaaaa\r\n" },
-  [ENDLESS_CHUNK_EXTENSION]
+  [WY_ENDLESS_CHUNK_EXTENSION]
   = { OK "Transfer-Encoding: chunked\r\n\r\n8;", "aaaaaaaa" },
-  [ENDLESS_ERROR_BODY]
+  [WY_ENDLESS_ERROR_BODY]
   = { "HTTP/1.1 500 Internal Server Error\r\n\r\n", "aaaaaaaa" },
-  [ENDLESS_EVENTS]
+  [WY_ENDLESS_EVENTS]
   = { OK "Content-Type: text/event-stream\r\n\r\n", ": aaaaaa\n" },
 };
 
 struct conn
 {
   uv_tcp_t tcp; /* must stay first */
-  struct endless *server;
+  struct wy_endless *server;
   uv_write_t write;
   char block[BLOCK_BYTES];
   size_t size_bytes;
@@ -125,7 +124,7 @@
 static void
 on_connection (uv_stream_t *s, int status)
 {
-  struct endless *e = (struct endless *)s;
+  struct wy_endless *e = (struct wy_endless *)s;
   struct conn *c = g_new0 (struct conn, 1);
 
   c->server = e;
@@ -137,9 +136,11 @@
     close_conn (c);
 }
 
-/* Listen on a free port of the loopback address.  */
-void
-endless_start (struct endless *e, uv_loop_t *loop, enum endless_kind kind)
+/* Listen on a free port of the loopback address and send bytes of KIND.
+   Returns false if there is no such port.  */
+bool
+wy_endless_start (struct wy_endless *e, uv_loop_t *loop,
+                  enum wy_endless_kind kind)
 {
   struct sockaddr_in a;
   struct sockaddr_storage bound;
@@ -149,16 +150,20 @@
   e->kind = kind;
   uv_ip4_addr ("127.0.0.1", 0, &a);
   uv_tcp_init (loop, &e->listener);
-  cr_assert_eq (uv_tcp_bind (&e->listener, (struct sockaddr *)&a, 0), 0);
-  cr_assert_eq (
-      uv_listen ((uv_stream_t *)&e->listener, BACKLOG, on_connection), 0);
-  uv_tcp_getsockname (&e->listener, (struct sockaddr *)&bound, &n);
+  if (uv_tcp_bind (&e->listener, (struct sockaddr *)&a, 0)
+      || uv_listen ((uv_stream_t *)&e->listener, BACKLOG, on_connection)
+      || uv_tcp_getsockname (&e->listener, (struct sockaddr *)&bound, &n))
+    {
+      wy_endless_stop (e);
+      return false;
+    }
   e->port = ntohs (((struct sockaddr_in *)&bound)->sin_port);
+  return true;
 }
 
 /* Accept no further connections.  */
 void
-endless_stop (struct endless *e)
+wy_endless_stop (struct wy_endless *e)
 {
   uv_close ((uv_handle_t *)&e->listener, NULL);
 }
--- a/tests/test_endless.c
+++ b/tests/test_endless.c
@@ -10,8 +10,8 @@
 #include "gate/sse.h"
 #include "orders/orderer.h"
 #include "platform/replica_wire.h"
+#include "standin/endless.h"
 #include "support/duty_fixture.h"
-#include "support/endless.h"
 #include "support/job_fixture.h"
 
 enum
@@ -25,7 +25,7 @@
   JOB_MS = 15000
 };
 
-static struct endless endless;
+static struct wy_endless endless;
 static struct platform_fixture w;
 static struct wy_h1_server *server;
 
@@ -110,7 +110,7 @@
    another replica is sound.  */
 Test (endless, requests)
 {
-  for (int kind = 0; kind < ENDLESS_KINDS; kind++)
+  for (int kind = 0; kind < WY_ENDLESS_KINDS; kind++)
     {
       struct wy_h1_server_options o
           = { .loop = &w.loop,
@@ -123,11 +123,11 @@
       platform_fixture_set_routing (&w, WY_ROUTE_IDEMPOTENT, 2);
       cr_assert_eq (wy_h1_server_new (&server, &o), 0);
       platform_fixture_add_replica (&w, NULL, 0);
-      endless_start (&endless, &w.loop, kind);
+      cr_assert (wy_endless_start (&endless, &w.loop, kind));
       add_endless (&w, "svc", NULL);
       send_requests ();
       expect_closed (&w, RESPONSE_BYTES);
-      endless_stop (&endless);
+      wy_endless_stop (&endless);
       wy_h1_server_free (server);
       platform_fixture_free (&w);
     }
@@ -137,12 +137,12 @@
    that grows with what it sends.  */
 Test (endless, items)
 {
-  for (int kind = 0; kind < ENDLESS_KINDS; kind++)
+  for (int kind = 0; kind < WY_ENDLESS_KINDS; kind++)
     {
       int64_t begin_ms;
 
       job_fixture_start (1);
-      endless_start (&endless, &job_fixture.loop, kind);
+      cr_assert (wy_endless_start (&endless, &job_fixture.loop, kind));
       add_endless (&job_fixture, "svc", "m");
       begin_ms = now_ms ();
       cr_expect_eq (job_fixture_submit ("j1", 1), 202);
@@ -152,7 +152,7 @@
                      (int)(now_ms () - begin_ms));
       job_fixture_check_results ("j1");
       expect_closed (&job_fixture, WY_SSE_EVENT_MAX_BYTES);
-      endless_stop (&endless);
+      wy_endless_stop (&endless);
       job_fixture_stop ();
     }
 }
@@ -160,20 +160,20 @@
 /* The same for calls that score texts.  */
 Test (endless, scores)
 {
-  for (int kind = 0; kind < ENDLESS_KINDS; kind++)
+  for (int kind = 0; kind < WY_ENDLESS_KINDS; kind++)
     {
       char *body = job_fixture_scored_body ("h", "c2NvcmU=");
 
       job_fixture_start (1);
       platform_fixture_add_scorer (&job_fixture, "h");
-      endless_start (&endless, &job_fixture.loop, kind);
+      cr_assert (wy_endless_start (&endless, &job_fixture.loop, kind));
       add_endless (&job_fixture, "desk", NULL);
       cr_expect_eq (job_fixture_submit_body ("j1", body), 202);
       for (int i = 0; i < JOB_ITEMS; i++)
         json_decref (job_fixture_await_result ("j1", (uint32_t)i));
       job_fixture_check_results ("j1");
       expect_closed (&job_fixture, 1 << 20);
-      endless_stop (&endless);
+      wy_endless_stop (&endless);
       job_fixture_stop ();
       g_free (body);
     }
@@ -196,7 +196,7 @@
    against calls without end and objects without end.  */
 Test (endless, store)
 {
-  for (int kind = 0; kind < ENDLESS_KINDS; kind++)
+  for (int kind = 0; kind < WY_ENDLESS_KINDS; kind++)
     for (int object = 0; object <= 1; object++)
       {
         struct wy_rows_options o = { .loop = &w.loop,
@@ -208,7 +208,7 @@
 
         platform_fixture_init (&w);
         platform_fixture_add_env (&w, "n1");
-        endless_start (&endless, &w.loop, kind);
+        cr_assert (wy_endless_start (&endless, &w.loop, kind));
         o.http = w.env.http;
         o.address = platform_loopback (endless.port);
         rows = wy_rows_new (&o);
@@ -219,7 +219,7 @@
         cr_expect (platform_fixture_run_until (&w, is_set, &done), "kind %d",
                    kind);
         expect_closed (&w, 4 << 20);
-        endless_stop (&endless);
+        wy_endless_stop (&endless);
         wy_rows_free (rows);
         platform_fixture_free (&w);
       }
@@ -235,7 +235,7 @@
 /* The same of another entry.  */
 Test (endless, peers)
 {
-  for (int kind = 0; kind < ENDLESS_KINDS; kind++)
+  for (int kind = 0; kind < WY_ENDLESS_KINDS; kind++)
     {
       json_t *doc = json_object ();
       bool done = false;
@@ -248,12 +248,12 @@
 
       platform_fixture_init (&w);
       platform_fixture_add_env (&w, "n1");
-      endless_start (&endless, &w.loop, kind);
+      cr_assert (wy_endless_start (&endless, &w.loop, kind));
       o.address = platform_loopback (endless.port);
       wy_peer_call_start (&o);
       cr_expect (platform_fixture_run_until (&w, is_set, &done));
       expect_closed (&w, 1 << 20);
-      endless_stop (&endless);
+      wy_endless_stop (&endless);
       json_decref (doc);
       platform_fixture_free (&w);
     }
@@ -263,7 +263,7 @@
    a report that grows without end.  */
 Test (endless, orderer)
 {
-  for (int kind = 0; kind < ENDLESS_KINDS; kind++)
+  for (int kind = 0; kind < WY_ENDLESS_KINDS; kind++)
     {
       struct wy_orders_settings settings = { .name = "side-1",
                                              .service = "svc",
@@ -279,7 +279,7 @@
 
       platform_fixture_init (&w);
       platform_fixture_add_env (&w, "unused");
-      endless_start (&endless, &w.loop, kind);
+      cr_assert (wy_endless_start (&endless, &w.loop, kind));
       row = g_strdup_printf ("{\"service\":\"svc\",\"address\":\"127.0.0.1:%u"
                              "\",\"zone\":\"z1\",\"version\":\"v1\",\"slots\":"
                              "1,\"state\":\"ready\",\"models\":[],\"born\":1}",
@@ -295,7 +295,7 @@
       platform_fixture_run_ms (&w, 1000);
       wy_orderer_daemon_free (d);
       expect_closed (&w, 1 << 20);
-      endless_stop (&endless);
+      wy_endless_stop (&endless);
       g_ptr_array_free (settings.seeds, TRUE);
       platform_fixture_free (&w);
     }
@@ -310,7 +310,7 @@
 /* The same of the platform that the leader calls.  */
 Test (endless, duties)
 {
-  for (int kind = 0; kind < ENDLESS_KINDS; kind++)
+  for (int kind = 0; kind < WY_ENDLESS_KINDS; kind++)
     {
       struct duty_entry e = { .is_candidate = true };
       struct wy_duty_calls_options o
@@ -323,7 +323,7 @@
       duty_entry_start (&e, "n1");
       cr_assert (platform_fixture_run_until (&duty_fixture,
                                              duty_entry_is_leader, &e));
-      endless_start (&endless, &duty_fixture.loop, kind);
+      cr_assert (wy_endless_start (&endless, &duty_fixture.loop, kind));
       snprintf (address, sizeof address, "127.0.0.1:%u", endless.port);
       o.loop = &duty_fixture.loop;
       o.http = e.http;
@@ -333,7 +333,7 @@
       cr_assert (wy_duty_call (calls, "/x", "{}", 2, on_duty, &done));
       cr_expect (platform_fixture_run_until (&duty_fixture, is_set, &done));
       expect_closed (&duty_fixture, 1 << 20);
-      endless_stop (&endless);
+      wy_endless_stop (&endless);
       wy_duty_calls_free (calls);
       duty_entry_kill (&e);
       duty_fixture_stop ();
