1,024 permits an entry: new requests ask for them too after a crash

Found by reading: with all of 256 in use further requests wait 200 ms before they run. A permit lasts as long as a run, so that an entry which serves 250 requests of 1 s each second needs as many when a replica of their service ends. no_slot_no_permit asks for one more than there are, whatever their number.

--- a/src/decide/run_permits.h
+++ b/src/decide/run_permits.h
@@ -7,7 +7,7 @@
 
 enum
 {
-  WY_RUN_PERMITS_MAX = 256,
+  WY_RUN_PERMITS_MAX = 1024,
   /* Longest time for which a permit is given.  */
   WY_RUN_PERMIT_MAX_MS = 10000
 };
--- a/tests/test_crash_isolation.c
+++ b/tests/test_crash_isolation.c
@@ -55,7 +55,8 @@
 
   for (uint64_t f = 1; f <= WY_RUN_PERMITS_MAX; f++)
     cr_expect (wy_run_permits_take (&p, f, 1, RUN_MS, 0));
-  cr_expect_not (wy_run_permits_take (&p, 1000, 1, RUN_MS, 1));
+  cr_expect_not (
+      wy_run_permits_take (&p, WY_RUN_PERMITS_MAX + 1, 1, RUN_MS, 1));
   cr_expect_not (wy_run_permits_take (&p, 1, 2, RUN_MS, 1));
 }
 
