--- a/src/decide/crash_guard.c
+++ b/src/decide/crash_guard.c
@@ -18,8 +18,8 @@
 }
 
 /* Whether R may run only with a permit, unless it is blocked.  */
-bool
-wy_crash_guard_needs_permit (const struct wy_crash_guard_request *r)
+static bool
+needs_permit (const struct wy_crash_guard_request *r)
 {
   return is_suspect (r) || (r->service_crashed && !r->equal_answered);
 }
@@ -64,7 +64,7 @@
 {
   if (r->crashes >= WY_SUSPECT_CRASHES_MAX)
     return WY_CRASH_GUARD_REJECT_BLOCKED;
-  if (!wy_crash_guard_needs_permit (r))
+  if (!needs_permit (r))
     return WY_CRASH_GUARD_RUN;
   if (r->is_hedge)
     return is_suspect (r) ? WY_CRASH_GUARD_WAIT : WY_CRASH_GUARD_RUN;
--- a/src/decide/crash_guard.h
+++ b/src/decide/crash_guard.h
@@ -39,7 +39,6 @@
   WY_CRASH_GUARD_REJECT_SUSPECT  /* an equal one is still running */
 };
 
-bool wy_crash_guard_needs_permit (const struct wy_crash_guard_request *r);
 enum wy_crash_guard_action
 wy_crash_guard_check (const struct wy_crash_guard_request *r);
 
--- a/src/gate/isolation.c
+++ b/src/gate/isolation.c
@@ -34,13 +34,6 @@
   i->last_crash_ms = now_ms;
 }
 
-/* Whether a target of any service has crashed recently.  */
-bool
-wy_isolation_any_crash (const struct wy_isolation *i, int64_t now_ms)
-{
-  return is_recent (i->last_crash_ms, now_ms);
-}
-
 /* Whether a target of SERVICE has crashed recently.  */
 bool
 wy_isolation_has_crashed (const struct wy_isolation *i, const char *service,
@@ -48,7 +41,7 @@
 {
   const int64_t *seen_ms;
 
-  if (!wy_isolation_any_crash (i, now_ms))
+  if (!is_recent (i->last_crash_ms, now_ms))
     return false;
   seen_ms = g_hash_table_lookup (i->crash_seen_ms, service);
   return seen_ms && is_recent (*seen_ms, now_ms);
--- a/src/gate/isolation.h
+++ b/src/gate/isolation.h
@@ -29,7 +29,6 @@
 
 void wy_isolation_crash_seen (struct wy_isolation *i, const char *service,
                               int64_t now_ms);
-bool wy_isolation_any_crash (const struct wy_isolation *i, int64_t now_ms);
 bool wy_isolation_has_crashed (const struct wy_isolation *i,
                                const char *service, int64_t now_ms);
 void wy_isolation_begin (struct wy_isolation *i, uint64_t fingerprint);
