Entries that give permits have 50 ms each to answer

Three givers shared 50 ms for a request that no crash is known of; when they are late, it runs without a permit.

With 150 ms in all a request that crashes nothing waits 50 ms for each that does not respond.

--- a/src/gate/proxy_isolation.c
+++ b/src/gate/proxy_isolation.c
@@ -8,7 +8,7 @@
   /* Time for an entry to give a permit.  Most requests that need one crash
      nothing, so it is short where no crash is known.  */
   PERMIT_SUSPECT_MAX_MS = 300,
-  PERMIT_MAX_MS = 50
+  PERMIT_MAX_MS = 150
 };
 
 static bool
--- a/tests/test_crash_witness.c
+++ b/tests/test_crash_witness.c
@@ -239,6 +239,42 @@
   send_after (CRASH_DOWN_MS + 250);
 }
 
+static void
+on_givers_resume (uv_timer_t *t)
+{
+  for (uint32_t i = 0; i < MANY_GATES; i++)
+    if (x.gates[i].pid)
+      kill (x.gates[i].pid, SIGCONT);
+}
+
+/* The three entries that would give the permit stall for 100 ms when the
+   others get the request.  Guards against a run at each of these.  */
+Test (crash_witness, givers_stall)
+{
+  enum
+  {
+    STALL_MS = 100,
+    GIVERS = 3
+  };
+
+  start (&(struct crash_options){ .gates = MANY_GATES,
+                                  .replicas = CRASH_REPLICAS_MAX,
+                                  .down_ms = CRASH_DOWN_MS,
+                                  .body = body_of_rank (MANY_GATES - 1,
+                                                        MANY_GATES) },
+         0);
+  x.on_crash = on_third_crash_alone;
+  crash_fixture_send_until_third_crash (&x, 1U << WITNESS);
+  platform_fixture_run_ms (&x.w, CRASH_LAPSE_MS + SETTLE_MS);
+  for (uint32_t i = 1; i < MANY_GATES; i++)
+    if (rank_of (i, MANY_GATES, x.o.body) < GIVERS)
+      kill (x.gates[i].pid, SIGSTOP);
+  uv_timer_start (&kill_timer, on_givers_resume, STALL_MS, 0);
+  crash_fixture_send (&x, others ());
+  crash_fixture_expect_rejected (&x);
+  finish ();
+}
+
 static void
 on_resume (uv_timer_t *t)
 {
