Log which run each event of a stream came from, and why a run was begun

A stream can have several runs: a hedge, or a resumption after a failed one. The log named only those that failed, so of a stream that ended early, or was joined from two runs, it did not show which run had written what.

request.run_started says why a run was begun, beside which other one and after which event; run_ended, run_cancelled and try_failed how many of its events were passed on, and their ids. The first run of a request that is not streamed has no line of its own. No change of behaviour.

--- a/src/gate/proxy_attempt.c
+++ b/src/gate/proxy_attempt.c
@@ -137,13 +137,17 @@
 static void
 on_event (void *ctx, const struct wy_sse_event *ev)
 {
-  struct wy_proxy_request *p = ctx;
+  struct wy_proxy_attempt *t = ctx;
+  struct wy_proxy_request *p = t->p;
 
   p->events_received++;
   if (ev->id >= 0 && ev->id <= p->after_event)
     return;
   if (ev->id >= 0)
     p->after_event = ev->id;
+  if (t->n_events++ == 0)
+    t->first_event = ev->id;
+  t->last_event = ev->id;
   wy_h1_write_response (p->request, ev->raw, ev->raw_n);
 }
 
@@ -176,7 +180,7 @@
       wy_proxy_pause_if_behind (t, NULL);
       return;
     }
-  wy_sse_feed (&p->events, bytes, n, on_event, p);
+  wy_sse_feed (&p->events, bytes, n, on_event, t);
   if (p->events_received > before)
     t->last_received_ms = wy_proxy_now_ms (p);
   if (wy_sse_is_too_long (&p->events))
@@ -265,6 +269,8 @@
   t->p = p;
   t->target = g;
   t->incarnation = g->incarnation;
+  t->first_event = -1;
+  t->last_event = -1;
   t->started_ms = now_ms;
   t->last_received_ms = now_ms;
   wy_proxy_init_source (t);
@@ -276,8 +282,9 @@
   wy_target_ref (g);
   g_ptr_array_add (p->tried, g);
   wy_target_request_started (g);
-  p->sends++;
+  t->number = ++p->sends;
   p->attempts_left--;
+  wy_proxy_log_started (t);
   wy_proxy_isolate (p);
   wy_proxy_usage_begin (p);
   t->call = wy_h1_call_start (p->env->http, &o);
--- a/src/gate/proxy_end.c
+++ b/src/gate/proxy_end.c
@@ -97,15 +97,21 @@
   return WY_TARGET_STALLED;
 }
 
-/* Cancel the attempts of P that are still running and free P.  Its response
-   has been sent.  */
+/* Cancel the attempts of P that are still running, for REASON, and free P.
+   Its response has been sent.  */
 void
-wy_proxy_free (struct wy_proxy_request *p)
+wy_proxy_free (struct wy_proxy_request *p, const char *reason)
 {
   p->ended = true;
   for (size_t i = 0; i < WY_PROXY_ATTEMPTS_MAX; i++)
-    if (p->running[i].target)
-      wy_proxy_end_attempt (&p->running[i], outcome_of (&p->running[i]));
+    {
+      struct wy_proxy_attempt *t = &p->running[i];
+
+      if (!t->target)
+        continue;
+      wy_proxy_log_cancelled (t, reason);
+      wy_proxy_end_attempt (t, outcome_of (t));
+    }
   for (guint i = 0; i < p->tried->len; i++)
     wy_target_unref (p->env->targets, g_ptr_array_index (p->tried, i));
   wy_proxy_usage_end (p, true);
@@ -172,7 +178,83 @@
   p->request = NULL;
   (*p->env->count.hung_up)++;
   log_end (p, "hung_up", 0, "caller");
-  wy_proxy_free (p);
+  wy_proxy_free (p, "caller_left");
+}
+
+/* The number of the attempt of T's request that is in progress beside T; 0:
+   none.  */
+static uint32_t
+number_beside (const struct wy_proxy_attempt *t)
+{
+  for (size_t i = 0; i < WY_PROXY_ATTEMPTS_MAX; i++)
+    {
+      const struct wy_proxy_attempt *other = &t->p->running[i];
+
+      if (other != t && other->target)
+        return other->number;
+    }
+  return 0;
+}
+
+static const char *
+start_reason (const struct wy_proxy_attempt *t, uint32_t beside)
+{
+  if (t->number == 1)
+    return "first";
+  if (beside)
+    return "hedge";
+  return t->p->streaming ? "resumption" : "retry";
+}
+
+/* Log that T has been started, and why.  The first attempt of a request that
+   isn't streamed is left out: the request's end names its target.  */
+void
+wy_proxy_log_started (const struct wy_proxy_attempt *t)
+{
+  const struct wy_proxy_request *p = t->p;
+  uint32_t beside = number_beside (t);
+
+  if (t->number == 1 && p->kind != WY_ROUTE_STREAM)
+    return;
+  wy_json_log ("request.run_started",
+               "id=%s run=%u target=%s reason=%s beside=%u after=%lld "
+               "in_flight=%u",
+               p->id, t->number, t->target->info.id, start_reason (t, beside),
+               beside, (long long)p->after_event, t->target->in_flight);
+}
+
+/* Status of the response to T; 0: none so far.  */
+static int
+status_of (const struct wy_proxy_attempt *t)
+{
+  return t->response ? t->response->status : 0;
+}
+
+/* Log that T, which is still running, is cancelled for REASON.  */
+void
+wy_proxy_log_cancelled (const struct wy_proxy_attempt *t, const char *reason)
+{
+  wy_json_log ("request.run_cancelled",
+               "id=%s run=%u target=%s reason=%s status=%d events=%u "
+               "first=%lld last=%lld ms=%lld",
+               t->p->id, t->number, t->target->info.id, reason, status_of (t),
+               t->n_events, (long long)t->first_event,
+               (long long)t->last_event,
+               (long long)(wy_proxy_now_ms (t->p) - t->started_ms));
+}
+
+/* Log that T has ended the caller's response with its own.  */
+static void
+log_run_ended (const struct wy_proxy_attempt *t, int status)
+{
+  if (t->p->kind != WY_ROUTE_STREAM)
+    return;
+  wy_json_log ("request.run_ended",
+               "id=%s run=%u target=%s status=%d events=%u first=%lld "
+               "last=%lld ms=%lld",
+               t->p->id, t->number, t->target->info.id, status, t->n_events,
+               (long long)t->first_event, (long long)t->last_event,
+               (long long)(wy_proxy_now_ms (t->p) - t->started_ms));
 }
 
 /* Log that T has ended without a usable response, and the known state of its
@@ -185,11 +267,13 @@
   int64_t now_ms = wy_proxy_now_ms (t->p);
 
   wy_json_log ("request.try_failed",
-               "id=%s target=%s outcome=%s ms=%lld in_flight=%u failures=%u "
+               "id=%s run=%u target=%s outcome=%s status=%d events=%u "
+               "first=%lld last=%lld ms=%lld in_flight=%u failures=%u "
                "load=%u load_age_ms=%lld",
-               t->p->id, g->info.id, outcome,
-               (long long)(now_ms - t->started_ms), g->in_flight, g->failures,
-               g->reported_load,
+               t->p->id, t->number, g->info.id, outcome, status_of (t),
+               t->n_events, (long long)t->first_event,
+               (long long)t->last_event, (long long)(now_ms - t->started_ms),
+               g->in_flight, g->failures, g->reported_load,
                g->reported_ms ? (long long)(now_ms - g->reported_ms) : -1LL);
 }
 
@@ -290,7 +374,7 @@
       log_end (p, "failed", status, reason);
       wy_respond_status (r, status, reason, 0);
     }
-  wy_proxy_free (p);
+  wy_proxy_free (p, reason);
 }
 
 /* Pass the response of T on to the caller.  */
@@ -318,6 +402,7 @@
                t->target->info.id, p->sends,
                (long long)(now_ms - p->started_ms),
                (long long)(now_ms - t->started_ms));
+  log_run_ended (t, response->status);
   count_end (p, "answered", "replica");
   wy_rejections_ended (p->env->rejections, p->service);
   if (p->streaming)
@@ -335,5 +420,5 @@
           now_ms);
     }
   wy_proxy_end_attempt (t, WY_TARGET_ANSWERED);
-  wy_proxy_free (p);
+  wy_proxy_free (p, "answered_by_another");
 }
--- a/src/gate/proxy_state.h
+++ b/src/gate/proxy_state.h
@@ -33,6 +33,10 @@
   struct wy_response *response; /* NULL: its head has not arrived */
   struct wy_response_info info;
   uint64_t incarnation; /* of the target */
+  uint32_t number;      /* counts the request's attempts, from 1 */
+  uint32_t n_events;    /* of a stream, passed on to the caller */
+  int64_t first_event;  /* id of the first of these; -1: none */
+  int64_t last_event;
   int64_t started_ms;
   int64_t last_received_ms;
   bool invalid; /* the response must not be passed on */
@@ -105,6 +109,9 @@
                               enum wy_target_outcome outcome,
                               bool may_have_run, const char *reason);
 void wy_proxy_note_cancelled (const struct wy_proxy_attempt *t);
+void wy_proxy_log_started (const struct wy_proxy_attempt *t);
+void wy_proxy_log_cancelled (const struct wy_proxy_attempt *t,
+                             const char *reason);
 bool wy_proxy_is_blocked (struct wy_proxy_request *p);
 enum wy_proxy_go wy_proxy_go (struct wy_proxy_request *p, bool is_hedge);
 void wy_proxy_isolate (struct wy_proxy_request *p);
@@ -117,7 +124,7 @@
 int64_t wy_proxy_now_ms (const struct wy_proxy_request *p);
 void wy_proxy_end_attempt (struct wy_proxy_attempt *t,
                            enum wy_target_outcome outcome);
-void wy_proxy_free (struct wy_proxy_request *p);
+void wy_proxy_free (struct wy_proxy_request *p, const char *reason);
 void wy_proxy_on_hangup (void *ctx);
 void wy_proxy_log_failed_attempt (const struct wy_proxy_attempt *t,
                                   const char *outcome);
