A further run that does not continue a stream no longer ends it as complete

Callers of a resumable stream got a part of its events and then the regular end of the response, and could not tell that text was missing.

Cause: on_end took any complete response as the end of a stream that has begun. The branches for an unclear refusal and for a 500 asked for a stream that has not; everything else, a response of a further run with any status among it, fell through to wy_proxy_succeed, which ends the caller's response.

A stream that has begun now ends only with a complete 200 with events of which at least one was passed on. Any other response fails that run, so the stream is continued elsewhere while attempts are left, and broken off otherwise. A response of another content type is no stream of events, also for the first run: it is passed on whole.

streams::response_that_does_not_continue_breaks_off: 13 of 13 responses (204, 206, 302, 404, 408, 422, 429, 500 with and without a length, 503, and three 200) ended the stream as complete, now none. streams::next_replica_continues_after_a_failed_resumption: 1 of 3 (500), now none.

--- a/src/gate/proxy_attempt.c
+++ b/src/gate/proxy_attempt.c
@@ -126,7 +126,7 @@
     t->invalid = true;
   t->not_run = t->info.not_run;
   t->response = wy_response_new (r->status, r->head, &p->env->memory);
-  if (p->kind == WY_ROUTE_STREAM && r->status == 200 && !t->invalid
+  if (p->kind == WY_ROUTE_STREAM && t->info.has_events && !t->invalid
       && !p->streaming)
     {
       p->streaming = true;
@@ -163,7 +163,7 @@
 {
   struct wy_proxy_attempt *t = ctx;
   struct wy_proxy_request *p = t->p;
-  bool is_stream = p->streaming && t->response->status == 200;
+  bool is_stream = p->streaming && t->info.has_events;
   uint64_t before = p->events_received;
 
   /* The rest of an invalid response may have no end.  */
@@ -191,6 +191,14 @@
     wy_proxy_pause_if_behind (t, p->request);
 }
 
+/* Whether the complete response to T is the end of the stream that has begun.
+   One without events does not show that the stream has none left.  */
+static bool
+continues_stream (const struct wy_proxy_attempt *t)
+{
+  return t->info.has_events && t->n_events > 0;
+}
+
 static void
 on_end (void *ctx, int err)
 {
@@ -227,13 +235,14 @@
     wy_proxy_attempt_failed (
         t, status == 421 ? WY_TARGET_MISDIRECTED : WY_TARGET_REJECTED,
         may_have_run, status == 421 ? "not_there" : "full");
-  else if (wy_attempt_is_unclear_refusal (&a) && !p->streaming)
-    wy_proxy_attempt_failed (t, WY_TARGET_ANSWERED, may_have_run,
-                             "unclear_refusal");
   else if (p->streaming && wy_sse_has_partial (&p->events))
     wy_proxy_attempt_failed (t, WY_TARGET_FAILED, true, "cut_short");
-  else if (status >= 500 && !p->streaming && wy_proxy_is_repeatable (p)
-           && p->attempts_left)
+  else if (p->streaming && !continues_stream (t))
+    wy_proxy_attempt_failed (t, WY_TARGET_ANSWERED, true, "not_continued");
+  else if (wy_attempt_is_unclear_refusal (&a))
+    wy_proxy_attempt_failed (t, WY_TARGET_ANSWERED, may_have_run,
+                             "unclear_refusal");
+  else if (status >= 500 && wy_proxy_is_repeatable (p) && p->attempts_left)
     {
       wy_response_free (p->error_response);
       p->error_response = t->response;
