Once a run has begun a caller's stream, it alone writes and ends it

Callers of a resumable stream whose first event was late read a text that no replica wrote: event 1 of one run, the rest of another.

Cause: a stream was hedged like a plain request, at half of the route's target latency, also once it had begun; a hedge and the first run were both left running, and both fed the one event parser and moved the one position of the request. Ids up to the last one were dropped and gaps passed, so the runs were interleaved by whichever was ahead. A failed or silent run's connection is reset before the next run starts.

What must hold is one decision without I/O now, src/decide/stream_runs. Each run has its own parser. The first run with a whole event owns the response; the others are cancelled before it is passed on, and none is started beside it. Only the owner ends the response as complete. If it fails, a run that was asked to continue after the last event takes over with its first event, which must be the next one; a run that leaves out, repeats or ignores the position is aborted. Streams whose events lack ids or have gaps are broken off rather than continued. The response begins with the first event, not with the head, so a run that fails in between can still be replaced, or answered with 502. The hedge before the first event stays. The limit of 2 s without an event is per run; it holds where another run could take over, and is exact. Before it was checked every 2 s, from the hedge on.

--- a/src/gate/proxy.c
+++ b/src/gate/proxy.c
@@ -3,9 +3,10 @@
    An idempotent request is hedged: if the response is late, the request is
    sent to a second replica while the first still runs it, and the first
    complete response is used.  So a slow or unresponsive replica costs callers
-   at most about half of the route's target latency.  A non-idempotent request
-   is sent to another replica only if the first states, or the lack of a
-   connection proves, that it has not run.  */
+   at most about half of the route's target latency.  A stream that may be
+   resumed is hedged until its first event (decide/stream_runs).  A
+   non-idempotent request is sent to another replica only if the first states,
+   or the lack of a connection proves, that it has not run.  */
 #include "gate/proxy_state.h"
 
 #include "gate/servable.h"
@@ -27,7 +28,8 @@
   CAPACITY_RETRIES_MAX = 6,
   /* The same while an equal request may be about to crash its target.  */
   ISOLATION_RETRY_MS = 20,
-  /* If a stream pauses for this long, its replica counts as failed.  */
+  /* If a stream that another replica could continue pauses for this long, its
+     replica counts as failed.  */
   STREAM_IDLE_TIMEOUT_MS = 2000
 };
 
@@ -55,8 +57,42 @@
   return NULL;
 }
 
-static void
-arm_timer (struct wy_proxy_request *p)
+/* Whether T has to send events at intervals.  It need not if no other attempt
+   could take over: silence is better than the end of the response.  */
+static bool
+is_replaceable_stream (const struct wy_proxy_attempt *t)
+{
+  const struct wy_proxy_request *p = t->p;
+
+  if (!t->target || p->kind != WY_ROUTE_STREAM || p->attempts_left == 0)
+    return false;
+  return p->stream.begun
+             ? wy_stream_may_be_resumed (&p->stream)
+             : p->stream.resumable && t->response && t->info.has_events;
+}
+
+/* When the first attempt of P counts as silent, unless it sends an event
+   until then; INT64_MAX: none.  */
+static int64_t
+silent_due_ms (const struct wy_proxy_request *p)
+{
+  int64_t due_ms = INT64_MAX;
+
+  for (size_t i = 0; i < WY_PROXY_ATTEMPTS_MAX; i++)
+    {
+      const struct wy_proxy_attempt *t = &p->running[i];
+
+      if (is_replaceable_stream (t))
+        due_ms = MIN (due_ms, STREAM_IDLE_TIMEOUT_MS
+                                  + (t->source.paused ? wy_proxy_now_ms (p)
+                                                      : t->last_received_ms));
+    }
+  return due_ms;
+}
+
+/* Set the timer of P to what is due first.  */
+void
+wy_proxy_arm_timer (struct wy_proxy_request *p)
 {
   int64_t now_ms = wy_proxy_now_ms (p);
   int64_t due_ms = p->deadline_ms - RESPONSE_MARGIN_MS;
@@ -65,8 +101,7 @@
     due_ms = p->hedge_due_ms;
   if (p->retry_due_ms && p->retry_due_ms < due_ms)
     due_ms = p->retry_due_ms;
-  if (p->streaming && due_ms > now_ms + STREAM_IDLE_TIMEOUT_MS)
-    due_ms = now_ms + STREAM_IDLE_TIMEOUT_MS;
+  due_ms = MIN (due_ms, silent_due_ms (p));
   uv_update_time (p->env->loop);
   uv_timer_start (&p->timer, on_timer,
                   due_ms > now_ms ? (uint64_t)(due_ms - now_ms) : 0, 0);
@@ -79,7 +114,7 @@
   /* Nothing runs that could be hedged.  */
   p->hedge_due_ms = 0;
   p->retry_due_ms = wy_proxy_now_ms (p) + ms;
-  arm_timer (p);
+  wy_proxy_arm_timer (p);
 }
 
 /* Whether P, of which nothing has been sent, can't be served in its time.
@@ -102,7 +137,7 @@
   wy_proxy_end_permit (p);
   if (wy_targets_count_ready (p->env->targets, p->service) == 0)
     wy_proxy_fail (p, false, "no_target");
-  else if (++p->capacity_retries > CAPACITY_RETRIES_MAX && !p->streaming)
+  else if (++p->capacity_retries > CAPACITY_RETRIES_MAX && !p->stream.begun)
     wy_proxy_fail (p, false, "full");
   else
     retry_after (p, CAPACITY_RETRY_MS);
@@ -120,10 +155,10 @@
     case WY_PROXY_RUN:
       wy_proxy_send (p, g, t);
       p->hedge_due_ms
-          = wy_proxy_is_repeatable (p) && p->attempts_left && !p->streaming
+          = wy_proxy_is_repeatable (p) && p->attempts_left && !p->stream.begun
                 ? wy_proxy_now_ms (p) + p->hedge_delay_ms
                 : 0;
-      arm_timer (p);
+      wy_proxy_arm_timer (p);
       return;
     case WY_PROXY_WAIT:
       if (!is_hedge)
@@ -147,7 +182,7 @@
   struct wy_target *g = pick_target (p, false);
 
   p->retry_due_ms = 0;
-  if (!t)
+  if (!t || !wy_stream_may_start_run (&p->stream, wy_proxy_is_running (p)))
     return;
   if (wy_proxy_is_blocked (p))
     {
@@ -169,6 +204,7 @@
     wait_for_target (p);
 }
 
+/* End an attempt of a stream that has been silent for too long.  */
 static void
 check_stream (struct wy_proxy_request *p)
 {
@@ -176,7 +212,7 @@
     {
       struct wy_proxy_attempt *t = &p->running[i];
 
-      if (t->target && !t->source.paused
+      if (is_replaceable_stream (t) && !t->source.paused
           && wy_proxy_now_ms (p) - t->last_received_ms
                  >= STREAM_IDLE_TIMEOUT_MS)
         {
@@ -184,7 +220,7 @@
           return;
         }
     }
-  arm_timer (p);
+  wy_proxy_arm_timer (p);
 }
 
 static void
@@ -207,7 +243,7 @@
       /* A second response would take more memory, and the first is late
          because it is not read.  */
       p->hedge_due_ms = now_ms + p->hedge_delay_ms;
-      arm_timer (p);
+      wy_proxy_arm_timer (p);
     }
   else if (p->hedge_due_ms && now_ms >= p->hedge_due_ms)
     {
@@ -216,12 +252,10 @@
       p->may_have_run = true;
       wy_proxy_start_attempt (p);
       if (!p->ended)
-        arm_timer (p);
+        wy_proxy_arm_timer (p);
     }
-  else if (p->streaming)
-    check_stream (p);
   else
-    arm_timer (p);
+    check_stream (p);
 }
 
 static void
@@ -259,7 +293,6 @@
   p->env = env;
   p->request = r;
   p->kind = route->kind;
-  p->resumable = route->resumable;
   p->id = g_strdup (info.id ? info.id : "");
   p->route = g_strdup (route->name);
   p->service = g_strdup (
@@ -268,9 +301,8 @@
   p->has_orgs = env->routing->orgs != NULL;
   p->organisation = org ? g_strdup (org->name) : NULL;
   p->attempts_left = route->attempts;
-  p->after_event = info.after_event;
+  wy_stream_init (&p->stream, route->resumable, info.after_event);
   p->tried = g_ptr_array_new ();
-  wy_sse_init (&p->events);
   set_deadlines (p, route, &info, wy_h1_received_ms (r));
   uv_timer_init (env->loop, &p->timer);
   p->timer.data = p;
--- a/src/gate/proxy_attempt.c
+++ b/src/gate/proxy_attempt.c
@@ -26,7 +26,7 @@
 wy_proxy_is_repeatable (const struct wy_proxy_request *p)
 {
   return p->kind == WY_ROUTE_IDEMPOTENT
-         || (p->kind == WY_ROUTE_STREAM && p->resumable);
+         || (p->kind == WY_ROUTE_STREAM && p->stream.resumable);
 }
 
 /* Whether P has been sent to a target that has not responded yet.  */
@@ -44,7 +44,9 @@
 static void
 continue_or_fail (struct wy_proxy_request *p, const char *reason)
 {
-  bool repeatable = wy_proxy_is_repeatable (p) || !p->may_have_run;
+  bool repeatable = p->stream.begun
+                        ? wy_stream_may_be_resumed (&p->stream)
+                        : wy_proxy_is_repeatable (p) || !p->may_have_run;
 
   if (wy_proxy_is_running (p))
     {
@@ -53,7 +55,7 @@
       return;
     }
   if (!repeatable || p->attempts_left == 0
-      || (p->sends >= SENDS_MAX && !p->streaming))
+      || (p->sends >= SENDS_MAX && !p->stream.begun))
     {
       wy_proxy_fail (p, false, reason);
       return;
@@ -102,11 +104,17 @@
   wy_proxy_end_attempt (t, outcome);
   if (!may_have_run && !p->may_have_run && !wy_proxy_is_running (p))
     wy_proxy_usage_end (p, false);
-  wy_sse_reset (&p->events);
   (*p->env->count.retries)++;
   continue_or_fail (p, reason);
 }
 
+/* Whether the response to T is a stream of events.  */
+static bool
+is_stream (const struct wy_proxy_attempt *t)
+{
+  return t->p->kind == WY_ROUTE_STREAM && t->info.has_events && !t->invalid;
+}
+
 static void
 on_head (void *ctx, const struct wy_h1_response *r)
 {
@@ -125,13 +133,32 @@
   if (r->status < 300 && (t->info.encoded || !t->info.stamp))
     t->invalid = true;
   t->not_run = t->info.not_run;
+  t->has_length = r->self_delimited;
   t->response = wy_response_new (r->status, r->head, &p->env->memory);
-  if (p->kind == WY_ROUTE_STREAM && t->info.has_events && !t->invalid
-      && !p->streaming)
+  if (is_stream (t))
+    wy_proxy_arm_timer (p);
+}
+
+/* Begin the response to the caller with that of T, which then owns it: cancel
+   the other attempts.  */
+static void
+begin_stream (struct wy_proxy_attempt *t)
+{
+  struct wy_proxy_request *p = t->p;
+
+  for (size_t i = 0; i < WY_PROXY_ATTEMPTS_MAX; i++)
     {
-      p->streaming = true;
-      wy_response_begin (t->response, p->request);
+      struct wy_proxy_attempt *other = &p->running[i];
+
+      if (other == t || !other->target)
+        continue;
+      wy_proxy_note_cancelled (other);
+      wy_proxy_cancel_attempt (other, "another_has_begun");
     }
+  p->hedge_due_ms = 0;
+  p->retry_due_ms = 0;
+  wy_response_begin (t->response, p->request);
+  wy_proxy_arm_timer (p);
 }
 
 static void
@@ -140,15 +167,24 @@
   struct wy_proxy_attempt *t = ctx;
   struct wy_proxy_request *p = t->p;
 
-  p->events_received++;
-  if (ev->id >= 0 && ev->id <= p->after_event)
+  t->events_received++;
+  if (t->out_of_order)
     return;
-  if (ev->id >= 0)
-    p->after_event = ev->id;
-  if (t->n_events++ == 0)
-    t->first_event = ev->id;
-  t->last_event = ev->id;
-  wy_h1_write_response (p->request, ev->raw, ev->raw_n);
+  switch (wy_stream_on_event (&p->stream, &t->run, ev->id, ev->data_n > 0))
+    {
+    case WY_STREAM_BEGIN:
+      begin_stream (t);
+      wy_h1_write_response (p->request, ev->raw, ev->raw_n);
+      return;
+    case WY_STREAM_PASS:
+      wy_h1_write_response (p->request, ev->raw, ev->raw_n);
+      return;
+    case WY_STREAM_DROP:
+      return;
+    case WY_STREAM_ABORT_RUN:
+      t->out_of_order = true;
+      return;
+    }
 }
 
 /* The response of T can't be used.  Its connection is closed.  */
@@ -163,27 +199,28 @@
 {
   struct wy_proxy_attempt *t = ctx;
   struct wy_proxy_request *p = t->p;
-  bool is_stream = p->streaming && t->info.has_events;
-  uint64_t before = p->events_received;
+  uint64_t before = t->events_received;
 
   /* The rest of an invalid response may have no end.  */
   if (t->invalid
-      || (!is_stream && t->response->body->len + n > RESPONSE_LIMIT_BYTES))
+      || (!is_stream (t) && t->response->body->len + n > RESPONSE_LIMIT_BYTES))
     {
       fail_invalid (t);
       return;
     }
-  if (!is_stream)
+  if (!is_stream (t))
     {
       t->last_received_ms = wy_proxy_now_ms (p);
       wy_response_append (t->response, bytes, n);
       wy_proxy_pause_if_behind (t, NULL);
       return;
     }
-  wy_sse_feed (&p->events, bytes, n, on_event, t);
-  if (p->events_received > before)
+  wy_sse_feed (&t->events, bytes, n, on_event, t);
+  if (t->events_received > before)
     t->last_received_ms = wy_proxy_now_ms (p);
-  if (wy_sse_is_too_long (&p->events))
+  if (t->out_of_order)
+    wy_proxy_attempt_failed (t, WY_TARGET_FAILED, true, "event_out_of_order");
+  else if (wy_sse_is_too_long (&t->events))
     fail_invalid (t);
   else if (wy_h1_unsent_bytes (p->request) > UNSENT_LIMIT_BYTES)
     wy_proxy_fail (p, false, "slow_caller");
@@ -191,12 +228,15 @@
     wy_proxy_pause_if_behind (t, p->request);
 }
 
-/* Whether the complete response to T is the end of the stream that has begun.
-   One without events does not show that the stream has none left.  */
-static bool
-continues_stream (const struct wy_proxy_attempt *t)
+/* What the complete response to T, an attempt of a stream, means.  */
+static enum wy_stream_end_step
+stream_end (const struct wy_proxy_attempt *t)
 {
-  return t->info.has_events && t->n_events > 0;
+  struct wy_stream_end e = { .has_events = is_stream (t),
+                             .in_event = wy_sse_has_partial (&t->events),
+                             .has_length = t->has_length };
+
+  return wy_stream_on_end (&t->p->stream, &t->run, &e);
 }
 
 static void
@@ -235,10 +275,10 @@
     wy_proxy_attempt_failed (
         t, status == 421 ? WY_TARGET_MISDIRECTED : WY_TARGET_REJECTED,
         may_have_run, status == 421 ? "not_there" : "full");
-  else if (p->streaming && wy_sse_has_partial (&p->events))
-    wy_proxy_attempt_failed (t, WY_TARGET_FAILED, true, "cut_short");
-  else if (p->streaming && !continues_stream (t))
-    wy_proxy_attempt_failed (t, WY_TARGET_ANSWERED, true, "not_continued");
+  else if (p->kind == WY_ROUTE_STREAM && stream_end (t) == WY_STREAM_FAILED)
+    wy_proxy_attempt_failed (
+        t, is_stream (t) ? WY_TARGET_FAILED : WY_TARGET_ANSWERED, true,
+        is_stream (t) ? "cut_short" : "no_events");
   else if (wy_attempt_is_unclear_refusal (&a))
     wy_proxy_attempt_failed (t, WY_TARGET_ANSWERED, may_have_run,
                              "unclear_refusal");
@@ -263,7 +303,7 @@
   struct wy_forward_info f
       = { .replica = g->info.id,
           .time_left_ms = p->has_deadline ? p->deadline_ms - now_ms : -1,
-          .after_event = p->after_event,
+          .after_event = p->stream.last_event,
           .has_orgs = p->has_orgs,
           .organisation = p->organisation };
   struct wy_h1_call_options o = { .address = g->info.address,
@@ -278,8 +318,8 @@
   t->p = p;
   t->target = g;
   t->incarnation = g->incarnation;
-  t->first_event = -1;
-  t->last_event = -1;
+  wy_stream_run_started (&p->stream, ++p->sends, &t->run);
+  wy_sse_init (&t->events);
   t->started_ms = now_ms;
   t->last_received_ms = now_ms;
   wy_proxy_init_source (t);
@@ -291,7 +331,6 @@
   wy_target_ref (g);
   g_ptr_array_add (p->tried, g);
   wy_target_request_started (g);
-  t->number = ++p->sends;
   p->attempts_left--;
   wy_proxy_log_started (t);
   wy_proxy_isolate (p);
--- a/src/gate/proxy_end.c
+++ b/src/gate/proxy_end.c
@@ -73,6 +73,8 @@
   t->target = NULL;
   wy_response_free (t->response);
   t->response = NULL;
+  wy_sse_clear (&t->events);
+  wy_stream_run_ended (&t->p->stream, &t->run);
   wy_target_request_ended (t->p->env->targets, g, outcome,
                            wy_proxy_now_ms (t->p));
 }
@@ -97,8 +99,9 @@
   return WY_TARGET_STALLED;
 }
 
-/* Cancel the attempts of P that are still running, for REASON, and free P.
-   Its response has been sent.  */
+/* Cancel the attempts of P that are still running and free P.  Its response
+   has been sent.  REASON is logged for each of them; NULL: they have been
+   logged.  */
 void
 wy_proxy_free (struct wy_proxy_request *p, const char *reason)
 {
@@ -107,17 +110,16 @@
     {
       struct wy_proxy_attempt *t = &p->running[i];
 
-      if (!t->target)
-        continue;
-      wy_proxy_log_cancelled (t, reason);
-      wy_proxy_end_attempt (t, outcome_of (t));
+      if (t->target && reason)
+        wy_proxy_cancel_attempt (t, reason);
+      else
+        wy_proxy_end_attempt (t, outcome_of (t));
     }
   for (guint i = 0; i < p->tried->len; i++)
     wy_target_unref (p->env->targets, g_ptr_array_index (p->tried, i));
   wy_proxy_usage_end (p, true);
   wy_proxy_end_isolation (p);
   g_ptr_array_free (p->tried, TRUE);
-  wy_sse_clear (&p->events);
   wy_response_free (p->error_response);
   g_free (p->id);
   g_free (p->route);
@@ -191,7 +193,7 @@
       const struct wy_proxy_attempt *other = &t->p->running[i];
 
       if (other != t && other->target)
-        return other->number;
+        return other->run.number;
     }
   return 0;
 }
@@ -199,11 +201,11 @@
 static const char *
 start_reason (const struct wy_proxy_attempt *t, uint32_t beside)
 {
-  if (t->number == 1)
+  if (t->run.number == 1)
     return "first";
   if (beside)
     return "hedge";
-  return t->p->streaming ? "resumption" : "retry";
+  return t->p->stream.begun ? "resumption" : "retry";
 }
 
 /* Log that T has been started, and why.  The first attempt of a request that
@@ -214,13 +216,14 @@
   const struct wy_proxy_request *p = t->p;
   uint32_t beside = number_beside (t);
 
-  if (t->number == 1 && p->kind != WY_ROUTE_STREAM)
+  if (t->run.number == 1 && p->kind != WY_ROUTE_STREAM)
     return;
   wy_json_log ("request.run_started",
                "id=%s run=%u target=%s reason=%s beside=%u after=%lld "
                "in_flight=%u",
-               p->id, t->number, t->target->info.id, start_reason (t, beside),
-               beside, (long long)p->after_event, t->target->in_flight);
+               p->id, t->run.number, t->target->info.id,
+               start_reason (t, beside), beside,
+               (long long)p->stream.last_event, t->target->in_flight);
 }
 
 /* Status of the response to T; 0: none so far.  */
@@ -230,17 +233,18 @@
   return t->response ? t->response->status : 0;
 }
 
-/* Log that T, which is still running, is cancelled for REASON.  */
+/* Cancel T, which is still running, for REASON.  */
 void
-wy_proxy_log_cancelled (const struct wy_proxy_attempt *t, const char *reason)
+wy_proxy_cancel_attempt (struct wy_proxy_attempt *t, const char *reason)
 {
   wy_json_log ("request.run_cancelled",
                "id=%s run=%u target=%s reason=%s status=%d events=%u "
                "first=%lld last=%lld ms=%lld",
-               t->p->id, t->number, t->target->info.id, reason, status_of (t),
-               t->n_events, (long long)t->first_event,
-               (long long)t->last_event,
+               t->p->id, t->run.number, t->target->info.id, reason,
+               status_of (t), t->run.n_events, (long long)t->run.first_event,
+               (long long)t->run.last_event,
                (long long)(wy_proxy_now_ms (t->p) - t->started_ms));
+  wy_proxy_end_attempt (t, outcome_of (t));
 }
 
 /* Log that T has ended the caller's response with its own.  */
@@ -252,8 +256,9 @@
   wy_json_log ("request.run_ended",
                "id=%s run=%u target=%s status=%d events=%u first=%lld "
                "last=%lld ms=%lld",
-               t->p->id, t->number, t->target->info.id, status, t->n_events,
-               (long long)t->first_event, (long long)t->last_event,
+               t->p->id, t->run.number, t->target->info.id, status,
+               t->run.n_events, (long long)t->run.first_event,
+               (long long)t->run.last_event,
                (long long)(wy_proxy_now_ms (t->p) - t->started_ms));
 }
 
@@ -270,10 +275,11 @@
                "id=%s run=%u target=%s outcome=%s status=%d events=%u "
                "first=%lld last=%lld ms=%lld in_flight=%u failures=%u "
                "load=%u load_age_ms=%lld",
-               t->p->id, t->number, g->info.id, outcome, status_of (t),
-               t->n_events, (long long)t->first_event,
-               (long long)t->last_event, (long long)(now_ms - t->started_ms),
-               g->in_flight, g->failures, g->reported_load,
+               t->p->id, t->run.number, g->info.id, outcome, status_of (t),
+               t->run.n_events, (long long)t->run.first_event,
+               (long long)t->run.last_event,
+               (long long)(now_ms - t->started_ms), g->in_flight, g->failures,
+               g->reported_load,
                g->reported_ms ? (long long)(now_ms - g->reported_ms) : -1LL);
 }
 
@@ -345,7 +351,7 @@
   int status = wy_attempt_failure_status (p->may_have_run, timed_out);
   struct wy_retry_after_time told = { 0 };
 
-  if (status == STATUS_UNAVAILABLE && !p->streaming && !p->error_response)
+  if (status == STATUS_UNAVAILABLE && !p->stream.begun && !p->error_response)
     told = tell_return (p, reason);
   for (size_t i = 0; i < WY_PROXY_ATTEMPTS_MAX; i++)
     if (p->running[i].target)
@@ -354,7 +360,7 @@
         wy_proxy_note_cancelled (&p->running[i]);
       }
   p->request = NULL;
-  if (p->streaming)
+  if (p->stream.begun)
     {
       (*p->env->count.failed)++;
       log_end (p, "broken_off", 0, reason);
@@ -374,7 +380,7 @@
       log_end (p, "failed", status, reason);
       wy_respond_status (r, status, reason, 0);
     }
-  wy_proxy_free (p, reason);
+  wy_proxy_free (p, NULL);
 }
 
 /* Pass the response of T on to the caller.  */
@@ -405,7 +411,7 @@
   log_run_ended (t, response->status);
   count_end (p, "answered", "replica");
   wy_rejections_ended (p->env->rejections, p->service);
-  if (p->streaming)
+  if (p->stream.begun)
     wy_h1_end_response (r);
   else
     wy_response_send (response, r);
--- a/src/gate/proxy_state.h
+++ b/src/gate/proxy_state.h
@@ -2,6 +2,7 @@
 #ifndef WY_GATE_PROXY_STATE_H
 #define WY_GATE_PROXY_STATE_H
 
+#include "decide/stream_runs.h"
 #include "gate/proxy.h"
 #include "gate/response.h"
 #include "gate/sse.h"
@@ -32,15 +33,16 @@
   struct wy_read_source source;
   struct wy_response *response; /* NULL: its head has not arrived */
   struct wy_response_info info;
-  uint64_t incarnation; /* of the target */
-  uint32_t number;      /* counts the request's attempts, from 1 */
-  uint32_t n_events;    /* of a stream, passed on to the caller */
-  int64_t first_event;  /* id of the first of these; -1: none */
-  int64_t last_event;
+  uint64_t incarnation;        /* of the target */
+  struct wy_stream_run run;    /* numbers the attempts of any request */
+  struct wy_sse_parser events; /* of a stream */
+  uint64_t events_received;    /* with those that are not passed on */
   int64_t started_ms;
   int64_t last_received_ms;
-  bool invalid; /* the response must not be passed on */
-  bool not_run; /* the target states that it did not run the request */
+  bool invalid;      /* the response must not be passed on */
+  bool out_of_order; /* an event can't be the next one of the stream */
+  bool has_length;   /* the response states where it ends */
+  bool not_run;      /* the target states that it did not run the request */
 };
 
 /* Whether a request may be sent to a target.  */
@@ -57,8 +59,6 @@
   struct wy_h1_request *request;
   uv_timer_t timer;
   enum wy_route_kind kind;
-  bool resumable;
-  bool streaming; /* the streamed response to the caller has begun */
   bool ended;
   char *id;
   char *route;
@@ -82,8 +82,7 @@
   int64_t waits_since_ms;    /* for an equal request; 0: it doesn't */
   const char *reject_reason; /* set with WY_PROXY_REJECT */
   bool is_isolated;          /* equal requests wait for this one */
-  int64_t after_event;       /* id of the caller's last event; -1: none */
-  uint64_t events_received;  /* of a stream, from all attempts */
+  struct wy_stream stream;   /* zero-initialized for other kinds of routes */
   bool may_have_run;
   int64_t hedge_due_ms; /* 0: none */
   int64_t retry_due_ms; /* 0: none */
@@ -91,7 +90,6 @@
   struct wy_response *error_response;
   struct wy_proxy_attempt running[WY_PROXY_ATTEMPTS_MAX];
   GPtrArray *tried; /* struct wy_target, referenced */
-  struct wy_sse_parser events;
 };
 
 void wy_proxy_init_source (struct wy_proxy_attempt *t);
@@ -101,6 +99,7 @@
 bool wy_proxy_is_over_memory (const struct wy_proxy_request *p);
 uint64_t wy_proxy_fingerprint (struct wy_proxy_request *p);
 void wy_proxy_start_attempt (struct wy_proxy_request *p);
+void wy_proxy_arm_timer (struct wy_proxy_request *p);
 bool wy_proxy_is_repeatable (const struct wy_proxy_request *p);
 bool wy_proxy_is_running (const struct wy_proxy_request *p);
 void wy_proxy_send (struct wy_proxy_request *p, struct wy_target *g,
@@ -110,8 +109,7 @@
                               bool may_have_run, const char *reason);
 void wy_proxy_note_cancelled (const struct wy_proxy_attempt *t);
 void wy_proxy_log_started (const struct wy_proxy_attempt *t);
-void wy_proxy_log_cancelled (const struct wy_proxy_attempt *t,
-                             const char *reason);
+void wy_proxy_cancel_attempt (struct wy_proxy_attempt *t, const char *reason);
 bool wy_proxy_is_blocked (struct wy_proxy_request *p);
 enum wy_proxy_go wy_proxy_go (struct wy_proxy_request *p, bool is_hedge);
 void wy_proxy_isolate (struct wy_proxy_request *p);
