An item's run that begins anew does not continue the item's text

A result could be joined from two texts. An item is continued on another replica after the last event received; of a run that ignored this and began with its first event, the events up to the last one were dropped and the rest appended. Found by looking for the cause of joined streams in the items' runs; not seen on a deployment: the platform's replicas continue where they are asked to.

The first event of a run must be the one after the text's last; a run that begins earlier is ended as not_continued, its replica counts as failed and the item is placed again.

jobs::resumption_that_begins_anew: before, all items of the job that were cut had the text of two runs ("piece-1 piece-2 other-3 ..."); now none.

--- a/src/jobs/run.c
+++ b/src/jobs/run.c
@@ -52,6 +52,8 @@
       return "no_events";
     case RUN_FAULT_EVENT_MISSING:
       return "event_missing";
+    case RUN_FAULT_NOT_CONTINUED:
+      return "not_continued";
     }
   return "";
 }
@@ -212,8 +214,15 @@
       if (r->fault)
         return;
     }
-  if (ev->id < 0 || (i->last_event >= 0 && ev->id <= i->last_event))
+  if (ev->id < 0)
     return;
+  if (i->last_event >= 0 && ev->id <= i->last_event)
+    {
+      /* Another text: its later events would not continue this one.  */
+      if (r->n_events == 0)
+        r->fault = RUN_FAULT_NOT_CONTINUED;
+      return;
+    }
   if (i->last_event >= 0 && ev->id != i->last_event + 1)
     {
       r->fault = RUN_FAULT_EVENT_MISSING;
@@ -244,6 +253,7 @@
                         fault == RUN_FAULT_OTHER_REQUEST
                                 || fault == RUN_FAULT_NO_EVENTS
                                 || fault == RUN_FAULT_EVENT_MISSING
+                                || fault == RUN_FAULT_NOT_CONTINUED
                             ? WY_TARGET_FAILED
                             : WY_TARGET_CANCELLED,
                         RETRY_MS, fault_name (fault));
--- a/src/standin/platform_replica.c
+++ b/src/standin/platform_replica.c
@@ -32,6 +32,7 @@
   uint32_t sent;
   bool abort;
   bool stalled;
+  bool other_text;
 };
 
 /* Write the data of event number EVENT to OUT of SIZE bytes and return OUT. */
@@ -69,6 +70,7 @@
 {
   char data[64];
   char text[160];
+  const char *prefix = u->other_text ? "other-" : "";
   int n = 0;
 
   if (u->version != u->replica->version)
@@ -78,8 +80,8 @@
                     (long long)u->version);
     }
   n += snprintf (
-      text + n, sizeof text - (size_t)n, "id: %lld\ndata: %s\n\n",
-      (long long)u->next,
+      text + n, sizeof text - (size_t)n, "id: %lld\ndata: %s%s\n\n",
+      (long long)u->next, prefix,
       wy_platform_replica_event_data ((uint32_t)u->next, data, sizeof data));
   wy_h1_write_response (u->request, text, (size_t)n);
   u->next++;
@@ -135,7 +137,8 @@
   u->id = g_strdup (id);
   u->request = q;
   u->version = r->version;
-  u->next = r->last_resume + 1;
+  u->other_text = after && wy_platform_take_fault (&r->faults.ignore_resume);
+  u->next = u->other_text ? 1 : r->last_resume + 1;
   u->abort = wy_platform_take_fault (&r->faults.abort_streams);
   u->stalled = wy_platform_take_fault (&r->faults.stall_streams);
   snprintf (version, sizeof version, "%lld", (long long)r->version);
--- a/src/standin/platform_replica.h
+++ b/src/standin/platform_replica.h
@@ -12,6 +12,7 @@
   uint32_t abort_after_events;    /* events sent before an abort */
   uint32_t abort_streams;         /* aborted after abort_after_events */
   uint32_t stall_streams;         /* stalled after one event */
+  uint32_t ignore_resume;         /* begun anew, with another text */
   uint32_t respond_not_run;       /* rejected with 503 as not run */
   uint32_t respond_500;           /* run, but failed */
   uint32_t respond_503_after_run; /* 503 without Not-Executed */
--- a/tests/test_jobs.c
+++ b/tests/test_jobs.c
@@ -42,6 +42,25 @@
   job_fixture_stop ();
 }
 
+/* Guards against a text joined from two runs: a replica that is asked to
+   continue a text begins it anew.  */
+Test (jobs, resumption_that_begins_anew)
+{
+  job_fixture_start (2);
+  for (uint32_t i = 0; i < 2; i++)
+    {
+      struct wy_platform_replica_faults *f
+          = wy_platform_replica_faults (job_fixture.replicas[i]);
+
+      f->abort_streams = 2;
+      f->abort_after_events = 2;
+      f->ignore_resume = 2;
+    }
+  cr_expect_eq (job_fixture_submit ("j1", 1), 202);
+  job_fixture_check_results ("j1");
+  job_fixture_stop ();
+}
+
 /* The response to the write that accepts a job is lost although the write took
    effect.  Guards against telling the submitter that the job was not accepted,
    and against running it twice.  */
