Soak: streams that can be resumed, and requests that may run once

The soak had plain idempotent requests and jobs only, so it could not show a text joined from two runs or one that ends too early.

The stand-in platform has three replicas of streams now, whose events name the run that sent them and what it was asked to continue after, and callers who check each event and each end. Their faults have a generator of their own, so the draws of the other faults are as before: runs that are late, fail with 500 or 503, are cut, stall or are silent, and events in two parts. Requests on an unsafe route are sent to the desks; none may run twice, or run after a promise that it has not. The calls of the stand-in move to a file of their own.

--- a/scripts/platform.sh
+++ b/scripts/platform.sh
@@ -5,6 +5,7 @@
 declare -A PID=()
 ENGINES=3
 DESKS=3
+TALKERS=3
 
 cleanup() {
   local p
--- a/scripts/soak-platform.sh
+++ b/scripts/soak-platform.sh
@@ -37,7 +37,7 @@
 
 # Ports: three per gate; then the proxy's: callers and store of each gate, the
 # orderers' store, the replicas.
-reserve_ports $((5 * GATES + 1 + ENGINES + DESKS)) "$SEED"
+reserve_ports $((5 * GATES + 1 + ENGINES + DESKS + TALKERS)) "$SEED"
 OWN=("${PORT[@]:0:3*GATES}")
 VIA=("${PORT[@]:3*GATES}")
 callers=("${VIA[@]:0:$GATES}")
@@ -80,6 +80,9 @@
 for ((i = 0; i < DESKS; i++)); do
   links+=("${replicas[$((ENGINES + i))]}=127.0.0.1:$(port_of desk-$i)")
 done
+for ((i = 0; i < TALKERS; i++)); do
+  links+=("${replicas[$((ENGINES + DESKS + i))]}=127.0.0.1:$(port_of talker-$i)")
+done
 cat >"$OUT/proxy.yaml" <<Y
 name: proxy
 ports_file: $OUT/proxy.ports
@@ -231,6 +234,9 @@
 jq -e '.steps >= 1 and .calm_sent > 0 and .calm_answered >= 0.99 * .calm_sent' \
   "$OUT/report.json" >/dev/null \
   || die "no step, or under 99 % of the requests answered after the faults, seed $SEED"
+jq -e '.calm_streams > 0 and .calm_streams_complete >= 0.99 * .calm_streams' \
+  "$OUT/report.json" >/dev/null \
+  || die "under 99 % of the streams complete after the faults, seed $SEED"
 "$BIN/wyctl" check "$OUT/platform.jsonl" "$OUT/proxy.jsonl" \
   || die "an invariant was violated, seed $SEED"
 grep -h '"event":"memory\.' "$OUT"/gate-*.log \
--- a/src/standin/platform.c
+++ b/src/standin/platform.c
@@ -169,6 +169,11 @@
                          wy_platform_replica_id (p->desks[i]),
                          listed_address (p, WY_PLATFORM_ENGINES + i));
     }
+  for (int i = 0; i < WY_PLATFORM_TALKERS; i++)
+    write_replica_row (
+        p, p->streams.replicas[i], "talkers",
+        wy_platform_replica_id (p->streams.replicas[i]),
+        listed_address (p, WY_PLATFORM_ENGINES + WY_PLATFORM_DESKS + i));
 }
 
 static int
@@ -184,13 +189,19 @@
     json_array_append_new (
         list, json_string (g_ptr_array_index (stats->violations, i)));
   doc = json_pack (
-      "{s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:o}",
+      "{s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, "
+      "s:i, s:i, s:o}",
       "usage_windows", (int)wy_platform_duties_window_count (p->duties),
       "calm_sent", (int)stats->sent_after_faults, "calm_answered",
       (int)stats->answered_after_faults, "sent", (int)stats->sent, "answered",
       (int)stats->answered, "refused", (int)stats->rejected, "failed",
       (int)stats->failed, "retries", (int)stats->retries, "steps",
-      (int)stats->steps, "results", (int)stats->results, "violations", list);
+      (int)stats->steps, "results", (int)stats->results, "streams",
+      (int)p->streams.sent, "streams_complete", (int)p->streams.complete,
+      "streams_resumed", (int)p->streams.resumed, "calm_streams",
+      (int)p->streams.calm_sent, "calm_streams_complete",
+      (int)p->streams.calm_complete, "once", (int)p->streams.once_sent,
+      "violations", list);
   if (*s->report)
     err = json_dump_file (doc, s->report, JSON_INDENT (2));
   json_decref (doc);
@@ -236,6 +247,9 @@
   for (int i = 0; i < WY_PLATFORM_ENGINES; i++)
     g_string_append_printf (text, "engine-%d %u\n", i,
                             wy_platform_replica_port (p->engines[i]));
+  for (int i = 0; i < WY_PLATFORM_TALKERS; i++)
+    g_string_append_printf (text, "talker-%d %u\n", i,
+                            wy_platform_replica_port (p->streams.replicas[i]));
   ok = g_file_set_contents (path, text->str, (gssize)text->len, NULL);
   g_string_free (text, TRUE);
   g_free (path);
@@ -251,6 +265,7 @@
 
   if (wy_platform_is_crashing (body, n))
     wy_platform_crasher_ran (p, request, replica, body, n);
+  wy_platform_streams_ran (p, request);
   wy_platform_digest (body, n, digest);
   wy_trace_event (p->standin->trace, "replica.ran", "{s:s, s:s, s:s}", "req",
                   request, "replica", replica, "digest", digest);
@@ -264,7 +279,8 @@
 {
   struct wy_platform *p = ctx;
   bool is_caller = g_str_has_prefix (request, WY_PLATFORM_CALL_ID)
-                   || g_str_has_prefix (request, WY_PLATFORM_PROBE_ID);
+                   || g_str_has_prefix (request, WY_PLATFORM_PROBE_ID)
+                   || g_str_has_prefix (request, WY_PLATFORM_ONCE_ID);
 
   if (key)
     wy_platform_violation (p, "%s: the replica received the access key",
@@ -337,7 +353,7 @@
       p->desks[i] = new_replica (p, id, NULL);
       ok = ok && p->desks[i];
     }
-  return ok;
+  return ok && wy_platform_streams_open (p);
 }
 
 static void
@@ -388,6 +404,7 @@
   update_timer.data = p;
   uv_timer_start (&update_timer, on_update_timer, UPDATE_MS, UPDATE_MS);
   wy_platform_callers_start (p);
+  wy_platform_streams_start (p);
   if (p->random_faults_ms)
     wy_platform_crasher_start (p);
   wy_platform_trainer_start (p);
@@ -415,119 +432,6 @@
   wy_standin_quit (p->standin);
 }
 
-static void
-on_resume_closed (uv_handle_t *h)
-{
-  g_free (h);
-}
-
-static void
-end_pause (struct wy_platform_call *c)
-{
-  if (c->resume)
-    uv_close ((uv_handle_t *)c->resume, on_resume_closed);
-  c->resume = NULL;
-}
-
-static void
-on_resume (uv_timer_t *t)
-{
-  struct wy_platform_call *c = t->data;
-
-  end_pause (c);
-  wy_h1_call_resume (c->call);
-}
-
-/* Stop reading the response to C for a while.  */
-static void
-pause_call (struct wy_platform_call *c)
-{
-  c->resume = g_new0 (uv_timer_t, 1);
-  uv_timer_init (c->platform->standin->loop, c->resume);
-  c->resume->data = c;
-  uv_timer_start (c->resume, on_resume, c->pause_ms, 0);
-  wy_h1_call_pause (c->call);
-}
-
-static void
-on_head (void *ctx, const struct wy_h1_response *r)
-{
-  struct wy_platform_call *c = ctx;
-  const char *after = wy_h1_head_get (r->head, "Retry-After");
-
-  c->status = r->status;
-  c->retry_after_s = after ? g_ascii_strtod (after, NULL) : 0;
-  if (c->pause_ms)
-    pause_call (c);
-}
-
-static void
-on_data (void *ctx, const char *bytes, size_t n)
-{
-  g_string_append_len (((struct wy_platform_call *)ctx)->body, bytes,
-                       (gssize)n);
-}
-
-static void
-on_end (void *ctx, int err)
-{
-  struct wy_platform_call *c = ctx;
-
-  end_pause (c);
-  c->on_done (c, err);
-  g_string_free (c->body, TRUE);
-  g_free (c);
-}
-
-/* Call the next entry, in turn, with the access key of the organisation that
-   uses TARGET.  ID is the attempt id, or NULL.  The caller sets on_done and
-   ctx of the call returned.  */
-struct wy_platform_call *
-wy_platform_call (struct wy_platform *p, const char *method,
-                  const char *target, const char *id, const char *body)
-{
-  bool is_trainer = g_str_has_prefix (target, WY_PLATFORM_JOBS)
-                    || g_str_has_prefix (target, "/api/");
-
-  return wy_platform_call_with_key (p, method, target, id, body,
-                                    is_trainer ? WY_PLATFORM_BANK_KEY
-                                               : WY_PLATFORM_OFFICE_KEY);
-}
-
-/* Like wy_platform_call, with the access key KEY.  */
-struct wy_platform_call *
-wy_platform_call_with_key (struct wy_platform *p, const char *method,
-                           const char *target, const char *id,
-                           const char *body, const char *key)
-{
-  struct wy_platform_call *c = g_new0 (struct wy_platform_call, 1);
-  char credential[64];
-  struct wy_h1_header fields[] = { { "Host", WY_PLATFORM_HOST },
-                                   { "Authorization", credential },
-                                   { "Wait-Milliseconds", "500" },
-                                   { "Deadline-Milliseconds", "2000" },
-                                   { "Attempt-Id", id } };
-  struct wy_h1_call_options o
-      = { .address = g_array_index (p->gates, struct sockaddr_in,
-                                    p->next_gate++ % p->gates->len),
-          .method = method,
-          .target = target,
-          .fields = fields,
-          .n_fields = id ? 5 : 3,
-          .body = body,
-          .body_size_bytes = body ? strlen (body) : 0,
-          .on_head = on_head,
-          .on_data = on_data,
-          .on_end = on_end,
-          .ctx = c };
-
-  g_snprintf (credential, sizeof credential, "Bearer %s", key);
-  c->platform = p;
-  c->body = g_string_new (NULL);
-  c->call = wy_h1_call_start (p->client, &o);
-  return c;
-}
-
 const struct wy_standin_kind wy_standin_platform
     = { .name = "platform",
         .summary = "A platform: store, replicas, operator, trainer, callers.",
--- a/src/standin/platform.h
+++ b/src/standin/platform.h
@@ -12,6 +12,8 @@
 #define WY_PLATFORM_HOST "demo.example"
 #define WY_PLATFORM_JOBS "/steps/"
 #define WY_PLATFORM_CALLS "/desk/"
+#define WY_PLATFORM_STREAMS "/talk/"
+#define WY_PLATFORM_ONCE "/once/"
 #define WY_PLATFORM_MODEL "model"
 /* Organisations: of the callers, and of the trainer.  */
 #define WY_PLATFORM_OFFICE "office"
@@ -20,6 +22,8 @@
 #define WY_PLATFORM_BANK_KEY "bank-key"
 #define WY_PLATFORM_CALL_ID "call-"
 #define WY_PLATFORM_PROBE_ID "probe-"
+#define WY_PLATFORM_STREAM_ID "stream-"
+#define WY_PLATFORM_ONCE_ID "once-"
 /* Bodies of requests that crash replicas begin so.  */
 #define WY_PLATFORM_CRASHING "crash-"
 
@@ -28,6 +32,7 @@
   WY_PLATFORM_DIGEST_SIZE_BYTES = 17,
   WY_PLATFORM_ENGINES = 3,
   WY_PLATFORM_DESKS = 3,
+  WY_PLATFORM_TALKERS = 3, /* replicas of streams */
   /* Desks with random faults; more would change the faults of each seed.  */
   WY_PLATFORM_FAULTY_DESKS = 2,
   WY_PLATFORM_SLOTS = 8,
@@ -63,6 +68,21 @@
   struct wy_rng rng;
 };
 
+/* Callers of streams, and of requests that may run once.  */
+struct wy_platform_streams
+{
+  struct wy_platform_replica *replicas[WY_PLATFORM_TALKERS];
+  uint64_t recovers_ms[WY_PLATFORM_TALKERS];
+  struct wy_rng rng;
+  uint32_t sent;
+  uint32_t complete;
+  uint32_t resumed;   /* changes of the run within a stream */
+  uint32_t calm_sent; /* RECOVERY_MS after the random faults */
+  uint32_t calm_complete;
+  uint32_t once_sent;
+  GHashTable *ran; /* ids that have run once, or were promised not to run */
+};
+
 /* The row of a replica that has crashed.  */
 struct wy_platform_lapse
 {
@@ -82,6 +102,7 @@
   struct wy_platform_stats stats;
   uint32_t updates;
   struct wy_platform_crasher crasher;
+  struct wy_platform_streams streams;
   uint32_t next_gate;
   bool ending;
   bool faults_over;
@@ -134,6 +155,11 @@
 void wy_platform_record_response (const struct wy_platform_call *c,
                                   const char *id, int err);
 void wy_platform_trainer_start (struct wy_platform *p);
+bool wy_platform_streams_open (struct wy_platform *p);
+void wy_platform_streams_start (struct wy_platform *p);
+void wy_platform_streams_ran (struct wy_platform *p, const char *request);
+void wy_platform_streams_update_faults (struct wy_platform *p,
+                                        uint64_t age_ms);
 bool wy_platform_is_crashing (const char *body, size_t n);
 void wy_platform_crasher_start (struct wy_platform *p);
 void wy_platform_crasher_ran (struct wy_platform *p, const char *request,
--- a/src/standin/platform_faults.c
+++ b/src/standin/platform_faults.c
@@ -157,6 +157,7 @@
       apply_fixed_schedule (p, age_ms);
       return;
     }
+  wy_platform_streams_update_faults (p, age_ms);
   end_expired (p, age_ms, age_ms >= p->random_faults_ms);
   if (age_ms >= p->random_faults_ms
       || random_between (p, 1, RANDOM_ONE_IN) != 1)
--- a/src/standin/platform_operator.c
+++ b/src/standin/platform_operator.c
@@ -57,10 +57,17 @@
       "\"timeoutMs\":10000,\"retentionS\":60,\"resultDeadlineMs\":7500},"
       "{\"name\":\"desk\",\"host\":\"%s\",\"prefix\":\"%s\","
       "\"kind\":\"safe\",\"service\":\"desks\",\"attempts\":2,"
-      "\"timeoutMs\":%u,\"targetLatencyMs\":150},",
+      "\"timeoutMs\":%u,\"targetLatencyMs\":150},"
+      "{\"name\":\"talk\",\"host\":\"%s\",\"prefix\":\"%s\","
+      "\"kind\":\"streaming\",\"resumable\":true,\"service\":\"talkers\","
+      "\"attempts\":3,\"timeoutMs\":4000,\"targetLatencyMs\":100},"
+      "{\"name\":\"once\",\"host\":\"%s\",\"prefix\":\"%s\","
+      "\"kind\":\"unsafe\",\"service\":\"desks\",\"attempts\":2,"
+      "\"timeoutMs\":2000,\"targetLatencyMs\":150},",
       v, WY_PLATFORM_HOST, WY_PLATFORM_JOBS, WY_PLATFORM_STEP_ATTEMPTS,
       WY_PLATFORM_HOST, WY_PLATFORM_CALLS,
-      TIMEOUT_MIN_MS + TIMEOUT_STEP_MS * (v % TIMEOUT_STEPS));
+      TIMEOUT_MIN_MS + TIMEOUT_STEP_MS * (v % TIMEOUT_STEPS), WY_PLATFORM_HOST,
+      WY_PLATFORM_STREAMS, WY_PLATFORM_HOST, WY_PLATFORM_ONCE);
   g_string_append_printf (
       s,
       "{\"name\":\"added\",\"host\":\"%s\",\"prefix\":\"%s\","
@@ -68,7 +75,8 @@
       "\"timeoutMs\":2000,\"targetLatencyMs\":150}],"
       "\"services\":[{\"name\":\"engines\",\"connectionLimit\":200,"
       "\"engine\":{\"slots\":%d,\"models\":[{\"name\":\"%s\"}]}},"
-      "{\"name\":\"desks\",\"connectionLimit\":100}],"
+      "{\"name\":\"desks\",\"connectionLimit\":100},"
+      "{\"name\":\"talkers\",\"connectionLimit\":100}],"
       "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":1048576,"
       "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},"
       "\"tenants\":[{\"name\":\"%s\",\"accessKeys\":[\"%s\",\"" KEY_FORMAT
--- a/src/standin/platform_replica.c
+++ b/src/standin/platform_replica.c
@@ -33,6 +33,10 @@
   bool abort;
   bool stalled;
   bool other_text;
+  bool split;
+  GString *rest; /* of an event whose first part was sent */
+  uint32_t number;
+  int64_t after; /* event that it was asked to continue after; 0: none */
 };
 
 /* Write the data of event number EVENT to OUT of SIZE bytes and return OUT. */
@@ -48,6 +52,7 @@
 {
   struct run *u = h->data;
 
+  g_string_free (u->rest, TRUE);
   g_free (u->id);
   g_free (u);
 }
@@ -65,12 +70,43 @@
   end_run (ctx);
 }
 
+/* Format the data of the next event of U.  */
 static void
-send_event (struct run *u)
+format_data (const struct run *u, char *out, size_t size)
 {
   char data[64];
-  char text[160];
-  const char *prefix = u->other_text ? "other-" : "";
+
+  wy_platform_replica_event_data ((uint32_t)u->next, data, sizeof data);
+  if (u->replica->o.names_runs)
+    snprintf (out, size, "%s of %s/%u after %lld", data, u->replica->o.id,
+              u->number, (long long)u->after);
+  else
+    snprintf (out, size, "%s%s", u->other_text ? "other-" : "", data);
+}
+
+/* Send an event of N bytes, or its first half: the rest follows before the
+   next one.  */
+static void
+send_text (struct run *u, const char *text, size_t n)
+{
+  size_t part = u->split ? n / 2 : n;
+
+  wy_h1_write_response (u->request, text, part);
+  g_string_append_len (u->rest, text + part, (gssize)(n - part));
+}
+
+static void
+send_rest (struct run *u)
+{
+  wy_h1_write_response (u->request, u->rest->str, u->rest->len);
+  g_string_truncate (u->rest, 0);
+}
+
+static void
+send_event (struct run *u)
+{
+  char data[128];
+  char text[224];
   int n = 0;
 
   if (u->version != u->replica->version)
@@ -79,11 +115,10 @@
       n = snprintf (text, sizeof text, "weight-versions: %lld\n",
                     (long long)u->version);
     }
-  n += snprintf (
-      text + n, sizeof text - (size_t)n, "id: %lld\ndata: %s%s\n\n",
-      (long long)u->next, prefix,
-      wy_platform_replica_event_data ((uint32_t)u->next, data, sizeof data));
-  wy_h1_write_response (u->request, text, (size_t)n);
+  format_data (u, data, sizeof data);
+  n += snprintf (text + n, sizeof text - (size_t)n, "id: %lld\ndata: %s\n\n",
+                 (long long)u->next, data);
+  send_text (u, text, (size_t)n);
   u->next++;
   u->sent++;
 }
@@ -94,6 +129,7 @@
   struct run *u = t->data;
   struct wy_platform_replica *r = u->replica;
 
+  send_rest (u);
   if (u->next <= r->o.events)
     send_event (u);
   if (u->abort && u->sent >= r->faults.abort_after_events)
@@ -103,7 +139,7 @@
     }
   else if (u->stalled)
     uv_timer_stop (t);
-  else if (u->next > r->o.events)
+  else if (u->next > r->o.events && u->rest->len == 0)
     {
       wy_h1_on_hangup (u->request, NULL, NULL);
       wy_h1_end_response (u->request);
@@ -130,7 +166,8 @@
           { "Server-Load", load },
           { "Weight-Versions", version } };
 
-  r->runs++;
+  u->rest = g_string_new (NULL);
+  u->number = ++r->runs;
   r->running++;
   r->last_resume = after ? g_ascii_strtoll (after, NULL, 10) : 0;
   u->replica = r;
@@ -141,12 +178,18 @@
   u->next = u->other_text ? 1 : r->last_resume + 1;
   u->abort = wy_platform_take_fault (&r->faults.abort_streams);
   u->stalled = wy_platform_take_fault (&r->faults.stall_streams);
+  u->split = wy_platform_take_fault (&r->faults.split_streams);
+  u->after = r->last_resume;
   snprintf (version, sizeof version, "%lld", (long long)r->version);
   snprintf (load, sizeof load, "%u,0,%u", r->running, r->o.slots);
   wy_h1_begin_response (q, 200, fields, G_N_ELEMENTS (fields));
   uv_timer_init (r->o.loop, &u->timer);
   u->timer.data = u;
-  uv_timer_start (&u->timer, on_event_timer, r->o.event_ms, r->o.event_ms);
+  uv_timer_start (&u->timer, on_event_timer,
+                  wy_platform_take_fault (&r->faults.late_streams)
+                      ? r->faults.late_ms
+                      : r->o.event_ms,
+                  r->o.event_ms);
   wy_h1_on_hangup (q, on_disconnect, u);
 }
 
--- a/src/standin/platform_replica.h
+++ b/src/standin/platform_replica.h
@@ -9,9 +9,12 @@
    requests still to be affected.  */
 struct wy_platform_replica_faults
 {
-  uint32_t abort_after_events;    /* events sent before an abort */
-  uint32_t abort_streams;         /* aborted after abort_after_events */
-  uint32_t stall_streams;         /* stalled after one event */
+  uint32_t abort_after_events; /* events sent before an abort */
+  uint32_t abort_streams;      /* aborted after abort_after_events */
+  uint32_t stall_streams;      /* stalled after one event */
+  uint32_t late_streams;       /* first event after late_ms */
+  uint32_t late_ms;
+  uint32_t split_streams;         /* each event in two parts */
   uint32_t ignore_resume;         /* begun anew, with another text */
   uint32_t respond_not_run;       /* rejected with 503 as not run */
   uint32_t respond_500;           /* run, but failed */
@@ -39,6 +42,7 @@
   uint32_t events; /* of a stream */
   uint32_t event_ms;
   const char *model; /* NULL: a plain service */
+  bool names_runs;   /* events name their run and what it continues */
   /* Any of the callbacks may be NULL.  on_run is called when a request or item
      runs; BODY is that of a plain request, else empty.  */
   void (*on_run) (void *ctx, const char *replica, const char *request,
