A text continued after a takeover is not joined with rows of the former holder

An entry that took a job over went on under the id that it had read. A piece that the former holder wrote late, or before it knew, replaced the successor's piece at the same byte; if both ended at the same byte, the next reader joined it with the successor's following pieces, which are of another run.

A text that is taken over gets an id of its own now, and is stored again from its first byte. Pieces under another id are not joined. The rewrite costs some kilobytes for each unfinished item, once a takeover.

jobs::late_text_of_the_former_holder fails before (it-0 has text of both holders), and passes now.

--- a/src/jobs/checkpoint.c
+++ b/src/jobs/checkpoint.c
@@ -381,24 +381,17 @@
   return true;
 }
 
-/* Restore I from T.  SAME_JOB tells that T is in the partition of I's own job,
-   where its further text will be appended.  */
+/* Restore I from T.  Its text is stored anew under an id of its own: the entry
+   that stored T may still write, and its rows must not be joined with those of
+   this one.  */
 static void
-resume_item (struct wy_item *i, const struct wy_saved_text *t, bool same_job)
+resume_item (struct wy_item *i, const struct wy_saved_text *t)
 {
   g_string_assign (i->text, t->text->str);
   wy_item_count_memory (i);
   g_array_set_size (i->versions, 0);
   g_array_append_vals (i->versions, t->versions->data, t->versions->len);
   i->last_event = t->last_event;
-  i->text_id = t->text_id;
-  if (same_job)
-    {
-      i->saved_bytes = t->text->len;
-      i->sent_bytes = t->text->len;
-      i->saved_event = t->last_event;
-      i->saved_complete = t->complete;
-    }
   if (t->complete)
     wy_item_text_complete (i);
 }
@@ -435,7 +428,7 @@
 
       if (!t || i->state != WY_ITEM_WAITING || !is_usable (t, o->spec))
         continue;
-      resume_item (i, t, same_job);
+      resume_item (i, t);
       for (guint r = 0; r < t->keys->len; r++)
         g_ptr_array_add (c->keys, g_strdup (g_ptr_array_index (t->keys, r)));
       n++;
--- a/src/jobs/text_rows.c
+++ b/src/jobs/text_rows.c
@@ -4,7 +4,8 @@
    complete text of ninety events after every few events would add up to some
    hundred kilobytes.  A piece is appended only at the byte where the previous
    one ends and only under the same text id, so what remains in the store of a
-   discarded text is never taken for the rest of the next one.  */
+   discarded text, or comes late from an entry that had the item before, is
+   never taken for the rest of the next one.  */
 #include "jobs/text_rows.h"
 
 #include <stdio.h>
--- a/tests/test_jobs_takeover.c
+++ b/tests/test_jobs_takeover.c
@@ -1,7 +1,9 @@
 /* Jobs: their holders, and their ends: crashes, takeovers, removal.  */
 #include <criterion/criterion.h>
+#include <stdlib.h>
 #include <string.h>
 
+#include "jobs/checkpoint.h"
 #include "support/job_fixture.h"
 
 /* An entry crashes with half of a job done.  Its successor must list the
@@ -58,6 +60,119 @@
   job_fixture_stop ();
 }
 
+/* The stored piece of ITEM's text at byte AT; NULL: there is none.  */
+static json_t *
+stored_piece (const char *item, size_t at)
+{
+  char *key = g_strdup_printf ("%s.%010zu", item, at);
+  char *value = wy_platform_store_value (job_fixture.store,
+                                         WY_CHECKPOINT_TABLE, "j1", key);
+  json_t *piece = value ? json_loads (value, 0, NULL) : NULL;
+
+  g_free (value);
+  g_free (key);
+  return piece;
+}
+
+/* Length of ITEM's stored text.  */
+static size_t
+stored_bytes (const char *item)
+{
+  size_t at = 0;
+  json_t *piece;
+
+  while ((piece = stored_piece (item, at)))
+    {
+      at += strlen (job_fixture_string (piece, "text"));
+      json_decref (piece);
+    }
+  return at;
+}
+
+/* Store a piece of ITEM's text at byte AT, as the holder that has written the
+   first piece would have: as long as the one that is there, if any.  */
+static void
+store_late_piece (const char *item, size_t at, json_t *first)
+{
+  enum
+  {
+    LATE_BYTES = 100
+  };
+  json_t *present = stored_piece (item, at);
+  json_t *late = json_deep_copy (present ? present : first);
+  size_t n
+      = present ? strlen (job_fixture_string (present, "text")) : LATE_BYTES;
+  char *text = g_strnfill (n, 'x');
+  char *key = g_strdup_printf ("%s.%010zu", item, at);
+  char *value;
+
+  json_object_set_new (late, "text", json_string (text));
+  json_object_set (late, "id", json_object_get (first, "id"));
+  value = json_dumps (late, JSON_COMPACT);
+  wy_platform_store_put (job_fixture.store, WY_CHECKPOINT_TABLE, "j1", key,
+                         value);
+  free (value);
+  g_free (key);
+  g_free (text);
+  json_decref (present);
+  json_decref (late);
+}
+
+static void
+stop_holder (void)
+{
+  job_fixture_stop_entry ();
+  platform_fixture_run_ms (&job_fixture, 50);
+}
+
+static void
+start_successor (const char *holder)
+{
+  g_free ((char *)job_fixture.env.holder);
+  job_fixture.env.holder = g_strdup (holder);
+  job_fixture_start_entry ();
+}
+
+/* Guards against a text joined from two runs: a write of the former holder
+   takes effect after its successor has stored how the text goes on.  */
+Test (jobs, late_text_of_the_former_holder)
+{
+  enum
+  {
+    LONG_EVENTS = 1500
+  };
+  json_t *first;
+  json_t *result;
+  size_t end_bytes;
+
+  platform_fixture_init (&job_fixture);
+  platform_fixture_add_env (&job_fixture, "n1");
+  platform_fixture_set_routing (&job_fixture, WY_ROUTE_JOB, 3);
+  platform_fixture_add_replica (&job_fixture, "m", LONG_EVENTS);
+  job_fixture_start_entry ();
+  cr_expect_eq (job_fixture_submit ("j1", 1), 202);
+  platform_fixture_run_ms (&job_fixture, 800);
+  stop_holder ();
+  first = stored_piece ("it-0", 0);
+  end_bytes = stored_bytes ("it-0");
+  cr_assert_not_null (first);
+  start_successor ("n1/2");
+  platform_fixture_run_ms (&job_fixture, 800);
+  stop_holder ();
+  store_late_piece ("it-0", end_bytes, first);
+  start_successor ("n1/3");
+  for (uint32_t i = 0; i < JOB_ITEMS; i++)
+    {
+      result = job_fixture_await_result ("j1", i);
+      cr_expect_null (strchr (job_fixture_string (result, "text"), 'x'),
+                      "%s has text of both holders",
+                      job_fixture_string (result, "id"));
+      json_decref (result);
+    }
+  json_decref (first);
+  job_fixture_stop ();
+}
+
 /* Another entry has taken the job over while this one was suspended.  The
    former holder's writes must have no effect.  */
 Test (jobs, former_holder_writes_nothing)
