A request that may run once is not sent on a connection that it was rejected on

An unsafe request ran twice: its replica rejected it with 503, got it again on the same kept connection some 80 ms later and began to run it; then a second copy of the 503 came, with the same Attempt-Id. It was taken for the answer to the second send, so the request was sent a third time.

The id names the request, not the send, so on a connection that has had one answer to this request a rejection proves nothing about the next send. Such a request is now sent to a replica again on a new connection. The copy then arrives on the old one, which is idle, and closes it. Requests that may be repeated are not concerned. It costs one connection for each further send of such a request to the same replica.

--- a/src/gate/proxy_attempt.c
+++ b/src/gate/proxy_attempt.c
@@ -293,6 +293,16 @@
     wy_proxy_succeed (p, t);
 }
 
+/* Whether P must not be sent to G on a connection that has been used.  On one
+   where G has rejected P, a second copy of that response may still come, and
+   would be taken for the rejection of this attempt, which runs.  */
+static bool
+needs_new_connection (const struct wy_proxy_request *p,
+                      const struct wy_target *g)
+{
+  return !wy_proxy_is_repeatable (p) && g_ptr_array_find (p->tried, g, NULL);
+}
+
 /* Send P to G as its attempt T.  */
 void
 wy_proxy_send (struct wy_proxy_request *p, struct wy_target *g,
@@ -306,13 +316,15 @@
           .after_event = p->stream.last_event,
           .has_orgs = p->has_orgs,
           .organisation = p->organisation };
-  struct wy_h1_call_options o = { .address = g->info.address,
-                                  .method = wy_h1_method (p->request),
-                                  .target = wy_h1_target (p->request),
-                                  .on_head = on_head,
-                                  .on_data = on_data,
-                                  .on_end = on_end,
-                                  .ctx = t };
+  struct wy_h1_call_options o
+      = { .address = g->info.address,
+          .method = wy_h1_method (p->request),
+          .target = wy_h1_target (p->request),
+          .new_connection = needs_new_connection (p, g),
+          .on_head = on_head,
+          .on_data = on_data,
+          .on_end = on_end,
+          .ctx = t };
 
   memset (t, 0, sizeof *t);
   t->p = p;
--- a/tests/support/stream_replica.c
+++ b/tests/support/stream_replica.c
@@ -196,6 +196,7 @@
   const char *after = strstr (u->received->str, "Last-Event-Id: ");
   uint32_t script = MIN (r->n_runs, r->o.n_scripts - 1);
 
+  g_string_truncate (u->received, 0);
   u->number = ++r->n_runs;
   cr_assert_leq (u->number, STREAM_RUNS_MAX);
   r->resumed_after[u->number]
@@ -225,8 +226,16 @@
       return;
     }
   g_string_append_len (u->received, buf->base, n);
-  if (!u->step && strstr (u->received->str, "\r\n\r\n"))
+  if (!strstr (u->received->str, "\r\n\r\n"))
+    return;
+  if (!u->step)
     begin_run (u);
+  else
+    {
+      /* The script goes on as if nothing had come.  */
+      u->replica->n_runs++;
+      g_string_truncate (u->received, 0);
+    }
 }
 
 static void
--- a/tests/test_proxy.c
+++ b/tests/test_proxy.c
@@ -3,7 +3,9 @@
 #include <string.h>
 
 #include "gate/proxy.h"
+#include "platform/replica_wire.h"
 #include "support/platform_fixture.h"
+#include "support/stream_replica.h"
 
 static struct platform_fixture w;
 static struct wy_h1_server *server;
@@ -169,6 +171,42 @@
     }
 }
 
+#define REJECTION                                                             \
+  "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: a-1\r\n"                   \
+  "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+
+/* Guards against a non-idempotent request that runs twice: a second copy of
+   its rejection comes late, after it was sent to the same replica again.  */
+Test (proxy, late_copy_of_a_rejection)
+{
+  static const struct stream_script scripts[]
+      = { { { { .kind = STREAM_TEXT, .text = REJECTION },
+              { .kind = STREAM_TEXT, .wait_ms = 130, .text = REJECTION } } },
+          { { { .kind = STREAM_TEXT,
+                .wait_ms = 300,
+                .text = "HTTP/1.1 200 OK\r\nAttempt-Id: a-1\r\n"
+                        "Response-Stamp: s\r\nContent-Length: 2\r\n\r\n"
+                        "ok" } } } };
+  struct stream_replica_options o
+      = { .name = "A", .scripts = scripts, .n_scripts = 2 };
+  struct wy_replica info = { .id = "A", .service = "svc", .slots = 4 };
+  struct stream_replica *r;
+  struct platform_response *a;
+
+  start (WY_ROUTE_NON_IDEMPOTENT, 2);
+  o.loop = &w.loop;
+  r = stream_replica_new (&o);
+  info.address = stream_replica_address (r);
+  wy_targets_set (w.env.targets, &info);
+  a = send_request ("1500");
+  cr_expect_eq (a->status, 200, "%d", a->status);
+  cr_expect_eq (stream_replica_runs (r), 2, "%u sends",
+                stream_replica_runs (r));
+  platform_response_free (a);
+  stream_replica_free (r);
+  stop ();
+}
+
 /* Without a replica the request must be rejected at once with Retry-After, not
    at its deadline.  */
 Test (proxy, no_target_fails_at_once)
