An error is not passed on while a hedge may still succeed

A caller of an idempotent request got a replica's 500 although another replica was running the request and about to answer it.

Cause: a 500 was final when no attempt was left, also if the last one had gone to a hedge that was still running. It is kept now until that attempt has ended, and passed on if it fails too.

--- a/src/gate/proxy_attempt.c
+++ b/src/gate/proxy_attempt.c
@@ -228,6 +228,16 @@
     wy_proxy_pause_if_behind (t, p->request);
 }
 
+/* Whether another attempt of T's request may still be answered.  */
+static bool
+is_another_running (const struct wy_proxy_attempt *t)
+{
+  for (size_t i = 0; i < WY_PROXY_ATTEMPTS_MAX; i++)
+    if (&t->p->running[i] != t && t->p->running[i].target)
+      return true;
+  return false;
+}
+
 /* What the complete response to T, an attempt of a stream, means.  */
 static enum wy_stream_end_step
 stream_end (const struct wy_proxy_attempt *t)
@@ -282,7 +292,8 @@
   else if (wy_attempt_is_unclear_refusal (&a))
     wy_proxy_attempt_failed (t, WY_TARGET_ANSWERED, may_have_run,
                              "unclear_refusal");
-  else if (status >= 500 && wy_proxy_is_repeatable (p) && p->attempts_left)
+  else if (status >= 500 && wy_proxy_is_repeatable (p)
+           && (p->attempts_left || is_another_running (t)))
     {
       wy_response_free (p->error_response);
       p->error_response = t->response;
--- a/tests/test_proxy.c
+++ b/tests/test_proxy.c
@@ -264,6 +264,30 @@
   stop ();
 }
 
+/* Guards against an error that is passed on while a hedge, which took the last
+   attempt, would still succeed.  */
+Test (proxy, error_while_a_hedge_runs)
+{
+  struct platform_response *a;
+  struct wy_platform_replica_faults *f;
+  struct wy_replica far;
+
+  start (WY_ROUTE_IDEMPOTENT, 2);
+  f = wy_platform_replica_faults (platform_fixture_add_replica (&w, NULL, 0));
+  f->response_ms = 200;
+  f->respond_500 = 1;
+  f = wy_platform_replica_faults (platform_fixture_add_replica (&w, NULL, 0));
+  f->response_ms = 400;
+  far = wy_targets_find (w.env.targets, "i-2")->info;
+  g_strlcpy (far.availability_zone, "far", sizeof far.availability_zone);
+  wy_targets_set (w.env.targets, &far);
+  a = send_request ("1900");
+  cr_expect_eq (a->status, 200, "%d", a->status);
+  cr_expect_eq (*w.env.count.hedges, 1);
+  platform_response_free (a);
+  stop ();
+}
+
 /* A replica does not respond.  After the first request sent to it was hedged,
    the next ones must go to another replica at once, or each caller would wait
    for the hedge.  */
