Streams record how long their replica takes to the first event

Once a stream that has begun was no longer run twice, callers met a slow replica more often. Before, the slow run of such a pair was cancelled and its connection closed, and replicas with an idle connection are preferred, so the slow one was hardly chosen, by accident.

The time to the first event is recorded as the replica's pace, like the time of a plain request, and the choice of a replica uses it.

--- a/src/gate/proxy_attempt.c
+++ b/src/gate/proxy_attempt.c
@@ -145,6 +145,7 @@
 begin_stream (struct wy_proxy_attempt *t)
 {
   struct wy_proxy_request *p = t->p;
+  int64_t now_ms = wy_proxy_now_ms (p);
 
   for (size_t i = 0; i < WY_PROXY_ATTEMPTS_MAX; i++)
     {
@@ -157,6 +158,10 @@
     }
   p->hedge_due_ms = 0;
   p->retry_due_ms = 0;
+  /* Callers wait for the first event; how long the rest takes depends on the
+     text.  */
+  wy_target_record_pace (t->target, WY_WORK_REQUEST,
+                         (double)(now_ms - t->started_ms), now_ms);
   wy_response_begin (t->response, p->request);
   wy_proxy_arm_timer (p);
 }
