Remove a parser function without callers; one start of a job with long texts

Each run of a stream has a parser of its own, so nothing resets one any more: wy_sse_reset had no caller since. Two tests of takeovers started the same job in the same six lines.

--- a/src/gate/sse.c
+++ b/src/gate/sse.c
@@ -35,14 +35,6 @@
   g_string_free (e->data, TRUE);
 }
 
-/* Discard an incomplete event; the next bytes come from another run.  */
-void
-wy_sse_reset (struct wy_sse_parser *e)
-{
-  g_string_truncate (e->partial_event, 0);
-  e->scanned_bytes = 0;
-}
-
 /* Whether the input so far ends inside an event.  */
 bool
 wy_sse_has_partial (const struct wy_sse_parser *e)
--- a/src/gate/sse.h
+++ b/src/gate/sse.h
@@ -31,7 +31,6 @@
 
 void wy_sse_init (struct wy_sse_parser *e);
 void wy_sse_clear (struct wy_sse_parser *e);
-void wy_sse_reset (struct wy_sse_parser *e);
 bool wy_sse_has_partial (const struct wy_sse_parser *e);
 bool wy_sse_is_too_long (const struct wy_sse_parser *e);
 void wy_sse_feed (struct wy_sse_parser *e, const char *p, size_t n,
--- a/tests/test_jobs_takeover.c
+++ b/tests/test_jobs_takeover.c
@@ -31,6 +31,18 @@
   job_fixture_stop ();
 }
 
+/* Start an entry with a job whose texts have N_EVENTS events.  */
+static void
+start_long_job (uint32_t n_events)
+{
+  platform_fixture_init (&job_fixture);
+  platform_fixture_add_env (&job_fixture, "n1");
+  platform_fixture_set_routing (&job_fixture, WY_ROUTE_JOB, 3);
+  platform_fixture_add_replica (&job_fixture, "m", n_events);
+  job_fixture_start_entry ();
+  cr_expect_eq (job_fixture_submit ("j1", 1), 202);
+}
+
 /* An entry crashes while a long item runs.  Its successor must continue from
    the stored text, or the trainer would wait for all of it again.  */
 Test (jobs, takeover_resumes_text)
@@ -41,12 +53,7 @@
   };
   int64_t resumed_at;
 
-  platform_fixture_init (&job_fixture);
-  platform_fixture_add_env (&job_fixture, "n1");
-  platform_fixture_set_routing (&job_fixture, WY_ROUTE_JOB, 3);
-  platform_fixture_add_replica (&job_fixture, "m", LONG_EVENTS);
-  job_fixture_start_entry ();
-  cr_expect_eq (job_fixture_submit ("j1", 1), 202);
+  start_long_job (LONG_EVENTS);
   platform_fixture_run_ms (&job_fixture, 1500);
   job_fixture_stop_entry ();
   platform_fixture_run_ms (&job_fixture, 50);
@@ -145,12 +152,7 @@
   json_t *result;
   size_t end_bytes;
 
-  platform_fixture_init (&job_fixture);
-  platform_fixture_add_env (&job_fixture, "n1");
-  platform_fixture_set_routing (&job_fixture, WY_ROUTE_JOB, 3);
-  platform_fixture_add_replica (&job_fixture, "m", LONG_EVENTS);
-  job_fixture_start_entry ();
-  cr_expect_eq (job_fixture_submit ("j1", 1), 202);
+  start_long_job (LONG_EVENTS);
   platform_fixture_run_ms (&job_fixture, 800);
   stop_holder ();
   first = stored_piece ("it-0", 0);
