Tests: the gate process of the memory tests is a fixture of its own

The tests of clients that come next need the same process, stand-ins and measurements. Moved from tests/test_memory.c; crowds, bounds and checks are unchanged.

--- a/tests/test_memory.c
+++ b/tests/test_memory.c
@@ -4,18 +4,13 @@
 #include <criterion/criterion.h>
 #include <errno.h>
 #include <netinet/tcp.h>
-#include <signal.h>
 #include <string.h>
 #include <sys/socket.h>
-#include <sys/wait.h>
 #include <unistd.h>
 
 #include <jansson.h>
 
-#include "platform/config_wire.h"
-#include "platform/replica_wire.h"
-#include "support/platform_fixture.h"
-#include "support/proc.h"
+#include "support/gate_process.h"
 
 enum
 {
@@ -31,7 +26,7 @@
   LOAD_MS = 3000, /* beyond the 2 s after which silent readers are closed */
   STEP_MS = 4,
   TRIES = 200,
-  TRY_MS = 100
+  TRY_MS = 10
 };
 
 /* One response of the replica, sent as fast as it is read.  */
@@ -45,24 +40,12 @@
   GList link;
 };
 
-static struct platform_fixture w;
-static struct wy_h1_server *replica;
+static struct gate_process g;
 static GQueue flows = G_QUEUE_INIT;
 static GHashTable *ran; /* ids of requests that the replica has received */
 static uv_timer_t pump;
-static GPid gate;
-static uint16_t ports[4];
-static char *dir;
 static char filler[RESPONSE_BYTES];
 
-enum
-{
-  CALLERS,
-  READY,
-  PEERS,
-  METRICS
-};
-
 static void
 on_flow_hangup (void *ctx)
 {
@@ -137,147 +120,29 @@
   wy_h1_begin_response (r, 200, fields, G_N_ELEMENTS (fields));
 }
 
-static void
-list_replica (const char *id, uint16_t port)
-{
-  char *row = g_strdup_printf (
-      "{\"service\":\"svc\",\"address\":\"127.0.0.1:%u\",\"zone\":\"z1\","
-      "\"slots\":1000,\"state\":\"ready\",\"sequence\":1,\"born\":1,"
-      "\"models\":[{\"name\":\"m\",\"version\":1}]}",
-      port);
-
-  wy_platform_store_put (w.store, WY_REPLICA_TABLE, "", id, row);
-  g_free (row);
-}
-
-static void
-write_config (void)
-{
-  static const char *const kinds[][2] = { { "/small/", "safe" },
-                                          { "/large/", "safe" },
-                                          { "/stream/", "streaming" },
-                                          { "/job/", "rollout" } };
-  GString *s = g_string_new ("{\"version\":1,\"routes\":[");
-
-  for (size_t i = 0; i < G_N_ELEMENTS (kinds); i++)
-    g_string_append_printf (
-        s,
-        "%s{\"name\":\"r%zu\",\"host\":\"h\",\"prefix\":\"%s\",\"kind\":\"%s\""
-        ",\"service\":\"svc\",\"attempts\":2,\"timeoutMs\":8000,"
-        "\"retentionS\":100}",
-        i ? "," : "", i, kinds[i][0], kinds[i][1]);
-  g_string_append (
-      s, "],\"services\":[{\"name\":\"svc\",\"connectionLimit\":4000}],"
-         "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":1048576,"
-         "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}");
-  wy_platform_store_put (w.store, WY_OPERATOR_TABLE, "", "config", s->str);
-  g_string_free (s, TRUE);
-}
-
 static struct platform_response *
-call (int listener, const char *method, const char *target, const char *id,
-      const char *body)
+call (const char *method, const char *target, const char *id, const char *body)
 {
-  struct wy_h1_header fields[] = { { "Host", "h" }, { "Attempt-Id", id } };
-
-  return platform_fixture_call (&w, ports[listener], method, target, fields, 2,
-                                body);
+  return gate_process_call (&g, GATE_CALLERS, method, target, id, body);
 }
 
 static void
 finish (struct platform_response *a)
 {
-  cr_assert (platform_fixture_run_until (&w, platform_response_done, a));
-}
-
-/* Repeat a call without a body until it has status 200.  */
-static struct platform_response *
-await (int listener, const char *target)
-{
-  for (int i = 0; i < TRIES; i++)
-    {
-      struct platform_response *a = call (listener, "GET", target, "w", NULL);
-
-      finish (a);
-      if (!a->err && a->status == 200)
-        return a;
-      platform_response_free (a);
-      platform_fixture_run_ms (&w, TRY_MS);
-    }
-  cr_assert_fail ("no response 200 from %s", target);
-  return NULL;
+  cr_assert (platform_fixture_run_until (&g.w, platform_response_done, a));
 }
 
 static void
 start (void)
 {
-  struct wy_h1_server_options o
-      = { .loop = &w.loop,
-          .host = "127.0.0.1",
-          .limits = { 65536, 1 << 20, 5000, 60000, 1 << 28 },
-          .on_request = on_request };
-  const char *bin = g_getenv ("WY_BIN");
-  char *program = g_build_filename (bin ? bin : "build/bin", "wygated", NULL);
-  char *path;
-  char *settings;
-
-  platform_fixture_init (&w);
-  cr_assert_eq (wy_h1_server_new (&replica, &o), 0);
+  struct gate_process_options o
+      = { .memory_mb = MEMORY_MB, .on_request = on_request };
+
   ran = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   memset (filler, 'x', sizeof filler);
-  uv_timer_init (&w.loop, &pump);
+  gate_process_start (&g, &o);
+  uv_timer_init (&g.w.loop, &pump);
   uv_timer_start (&pump, on_pump, STEP_MS, STEP_MS);
-  list_replica ("i-1", wy_h1_server_port (replica));
-  write_config ();
-  for (size_t i = 0; i < G_N_ELEMENTS (ports); i++)
-    ports[i] = platform_fixture_free_port (&w);
-  dir = g_dir_make_tmp ("wy-memory-XXXXXX", NULL);
-  path = g_build_filename (dir, "gate.yaml", NULL);
-  settings = g_strdup_printf (
-      "name: g\navailability_zone: z1\ncallers_address: 127.0.0.1:%u\n"
-      "ready_address: 127.0.0.1:%u\npeers_address: 127.0.0.1:%u\n"
-      "metrics_address: 127.0.0.1:%u\nstore_address: 127.0.0.1:%u\n"
-      "seeds: []\nduties: []\nmemory_mb: %d\n",
-      ports[CALLERS], ports[READY], ports[PEERS], ports[METRICS],
-      wy_platform_store_port (w.store), MEMORY_MB);
-  cr_assert (g_file_set_contents (path, settings, -1, NULL));
-  cr_assert (
-      g_spawn_async (NULL, (char *[]){ program, "--config", path, NULL }, NULL,
-                     G_SPAWN_DO_NOT_REAP_CHILD | G_SPAWN_STDOUT_TO_DEV_NULL,
-                     wy_end_with_parent, NULL, &gate, NULL));
-  platform_response_free (await (READY, "/"));
-  g_free (settings);
-  g_free (path);
-  g_free (program);
-}
-
-static int64_t
-metric (const char *name)
-{
-  struct platform_response *a = await (METRICS, "/metrics");
-  char *line = g_strdup_printf ("\n%s ", name);
-  const char *at = strstr (a->body->str, line);
-  int64_t value = at ? g_ascii_strtoll (at + strlen (line), NULL, 10) : -1;
-
-  g_free (line);
-  platform_response_free (a);
-  return value;
-}
-
-static int64_t
-resident_peak_kb (void)
-{
-  char *path = g_strdup_printf ("/proc/%d/status", (int)gate);
-  char *text = NULL;
-  const char *at;
-  int64_t kb;
-
-  cr_assert (g_file_get_contents (path, &text, NULL, NULL));
-  at = strstr (text, "VmHWM:");
-  kb = at ? g_ascii_strtoll (at + strlen ("VmHWM:"), NULL, 10) : -1;
-  g_free (text);
-  g_free (path);
-  return kb;
 }
 
 /* Check the peaks, and that the process still works.  */
@@ -285,32 +150,25 @@
 check_and_stop (const char *load)
 {
   int64_t kb;
-  char *path = g_build_filename (dir, "gate.yaml", NULL);
 
-  platform_response_free (await (CALLERS, "/small/x"));
-  kb = resident_peak_kb ();
+  platform_response_free (gate_process_await (&g, GATE_CALLERS, "/small/x"));
+  kb = process_resident_peak_kb (g.pid);
   fprintf (stderr,
            "%s: resident peak %lld kB, account %lld of %lld, rejections %lld, "
            "sheds %lld\n",
            load, (long long)kb,
-           (long long)metric ("wy_gate_memory_peak_bytes"),
-           (long long)metric ("wy_gate_memory_budget_bytes"),
-           (long long)metric ("wy_gate_memory_rejections"),
-           (long long)metric ("wy_gate_memory_sheds"));
+           (long long)gate_process_metric (&g, "wy_gate_memory_peak_bytes"),
+           (long long)gate_process_metric (&g, "wy_gate_memory_budget_bytes"),
+           (long long)gate_process_metric (&g, "wy_gate_memory_rejections"),
+           (long long)gate_process_metric (&g, "wy_gate_memory_sheds"));
 #ifndef __SANITIZE_ADDRESS__ /* which multiplies the resident size */
   cr_expect_leq (kb, MEMORY_MB * 1024 / 2, "%s", load);
 #endif
-  cr_expect_leq (metric ("wy_gate_memory_peak_bytes"),
-                 metric ("wy_gate_memory_budget_bytes"), "%s", load);
-  kill (gate, SIGKILL);
-  waitpid (gate, NULL, 0);
-  unlink (path);
-  rmdir (dir);
-  g_free (path);
-  g_free (dir);
+  cr_expect_leq (gate_process_metric (&g, "wy_gate_memory_peak_bytes"),
+                 gate_process_metric (&g, "wy_gate_memory_budget_bytes"), "%s",
+                 load);
   uv_close ((uv_handle_t *)&pump, NULL);
-  wy_h1_server_free (replica);
-  platform_fixture_free (&w);
+  gate_process_stop (&g);
   g_hash_table_destroy (ran);
 }
 
@@ -319,7 +177,7 @@
 static int
 silent_caller (const char *target, int number)
 {
-  struct sockaddr_in a = platform_loopback (ports[CALLERS]);
+  struct sockaddr_in a = platform_loopback (g.ports[GATE_CALLERS]);
   int fd = socket (AF_INET, SOCK_STREAM, 0);
   int segment = 536;
   int buffer = 4096;
@@ -357,8 +215,8 @@
       struct platform_response *a;
 
       start ();
-      a = call (CALLERS, "GET", targets[i], "r", NULL);
-      cr_assert (platform_fixture_run_until (&w, has_run, "r"));
+      a = call ("GET", targets[i], "r", NULL);
+      cr_assert (platform_fixture_run_until (&g.w, has_run, "r"));
       for (int k = 0; k < SILENT_CALLERS; k++)
         fds[k] = silent_caller (targets[i], k);
       finish (a);
@@ -366,8 +224,8 @@
       cr_expect_eq (a->err, 0);
       cr_expect_geq (a->body->len, RESPONSE_BYTES);
       platform_response_free (a);
-      platform_fixture_run_ms (&w, LOAD_MS);
-      a = await (CALLERS, targets[i]);
+      platform_fixture_run_ms (&g.w, LOAD_MS);
+      a = gate_process_await (&g, GATE_CALLERS, targets[i]);
       cr_expect_geq (a->body->len, RESPONSE_BYTES);
       platform_response_free (a);
       check_and_stop (targets[i]);
@@ -395,14 +253,13 @@
   cr_assert_eq (listen (listener, UPLOADS), 0);
   cr_assert_eq (getsockname (listener, (struct sockaddr *)&address, &n), 0);
   start ();
-  list_replica ("i-2", ntohs (address.sin_port));
+  gate_process_list_replica (&g, "i-2", ntohs (address.sin_port));
   for (int k = 0; k < UPLOADS; k++)
     {
       g_snprintf (id, sizeof id, "u-%d", k);
-      all[k]
-          = call (CALLERS, "POST", k % 2 ? "/small/x" : "/silent/x", id, body);
+      all[k] = call ("POST", k % 2 ? "/small/x" : "/silent/x", id, body);
     }
-  platform_fixture_run_ms (&w, LOAD_MS);
+  platform_fixture_run_ms (&g.w, LOAD_MS);
   for (int k = 0; k < UPLOADS; k++)
     {
       g_snprintf (id, sizeof id, "u-%d", k);
@@ -431,7 +288,7 @@
         "\"m\"},\"body\":\"aGVsbG8=\",\"tokens\":9,\"group\":\"g%d\"}",
         k ? "," : "", k, k);
   g_string_append (s, "]}");
-  a = call (CALLERS, "POST", "/job/x", "job-1", s->str);
+  a = call ("POST", "/job/x", "job-1", s->str);
   finish (a);
   cr_assert_eq (a->status, 202, "%d", a->status);
   platform_response_free (a);
@@ -450,7 +307,8 @@
   for (int tries = 0; after < JOB_TEXTS && tries < 10 * TRIES; tries++)
     {
       char *target = g_strdup_printf ("/api/lots/job-1?after=%zu", after);
-      struct platform_response *a = await (CALLERS, target);
+      struct platform_response *a
+          = gate_process_await (&g, GATE_CALLERS, target);
       json_t *doc = json_loads (a->body->str, 0, NULL);
       json_t *result;
       size_t i;
@@ -464,7 +322,7 @@
       json_decref (doc);
       platform_response_free (a);
       g_free (target);
-      platform_fixture_run_ms (&w, TRY_MS / 10);
+      platform_fixture_run_ms (&g.w, TRY_MS);
     }
   cr_expect_eq (after, JOB_TEXTS, "%zu results", after);
   check_and_stop ("job");
