A client that leaves answers unread is not read from; what it holds is counted

Callers saw: a gate of 120 MB grew to 1.4 GB and its readiness check and ordinary requests had no answer for seconds, while 20 connections sent GETs ahead at a path that no route has.

Cause: a response given inside the handler leaves the connection idle, so the loop took the next request whatever was still unsent; one read of 64 kB is some 2,000 requests, answered in one turn of the loop. Two hypotheses, told apart by the classes of the account: what is held is unsent responses (to_callers, 95 % here) or bytes read ahead (bodies). Both occur: requests sent ahead of one in progress were read up to 128 kB a connection. Heads, header tables, buffers of idle connections and of requests in progress were in no class, so the levels did not see them; bodies for unknown paths were never rejected.

Change: no request is taken from a connection while more than unread_response_bytes of its answers are unsent, less when memory is short; reading stops there and TCP does the rest. A turn takes 16 requests of one connection and 256 of all, then the others. Unfinished bodies give way when another needs their room. A submission of a job is closed without a status, since an earlier copy may have been accepted.

--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -3,15 +3,23 @@
 # one line "N passed, N failed".  A program that ends without a count is
 # a failure.  Tests named in KNOWN-RED.txt (first field: PROGRAM:SUITE::TEST)
 # still run; their failure is printed and does not change the verdict.
+# Programs named test_clients_* measure processes under load: they run after all
+# others, one test at a time.
 set -u
 at_once=4
 red=$(dirname "$0")/../KNOWN-RED.txt
 out=$(mktemp -d)
 trap 'rm -rf "$out"' EXIT
-printf '%s\n' "$@" | OUT=$out xargs -P "$at_once" -n 1 sh -c '
+# run PROGRAMS_AT_ONCE TESTS_AT_ONCE: the programs on standard input.
+run ()
+{
+  OUT=$out JOBS=$2 xargs -r -P "$1" -n 1 sh -c '
   name=$(basename "$0")
-  "$0" -j4 --timeout 60 >"$OUT/$name" 2>&1
+  "$0" -j"$JOBS" --timeout 60 >"$OUT/$name" 2>&1
   echo $? >"$OUT/$name.rc"'
+}
+printf '%s\n' "$@" | grep -v '/test_clients_' | run "$at_once" 4
+printf '%s\n' "$@" | grep '/test_clients_' | run 1 1
 passed=0
 failed=0
 known=0
--- a/src/base/memory_account.c
+++ b/src/base/memory_account.c
@@ -98,6 +98,16 @@
   return above_bytes > 0 ? above_bytes : 0;
 }
 
+/* Bytes to free by ending incomplete requests, so that reading is no longer
+   paused; 0: none.  */
+int64_t
+wy_memory_account_to_relieve_bytes (const struct wy_memory_account *a)
+{
+  if (!a || a->level == WY_MEMORY_NORMAL)
+    return 0;
+  return a->total_bytes - a->fall_bytes[WY_MEMORY_PAUSE_READING];
+}
+
 /* Whether a new request must be rejected, and count it if so: from REJECT_NEW
    on one with a body, under SHED any.  */
 bool
@@ -114,9 +124,9 @@
 /* Name of CLASS in log lines and metrics.  */
 const char *wy_memory_class_name (enum wy_memory_class class)
 {
-  static const char *const names[WY_MEMORY_CLASSES] = {
-    "to_callers", "to_replicas", "bodies", "responses", "jobs", "store"
-  };
+  static const char *const names[WY_MEMORY_CLASSES]
+      = { "to_callers", "to_replicas", "bodies", "connections",
+          "responses",  "jobs",        "store" };
 
   return names[class];
 }
--- a/src/base/memory_account.h
+++ b/src/base/memory_account.h
@@ -11,6 +11,7 @@
   WY_MEMORY_TO_REPLICAS, /* requests that replicas or the store have not read
                           */
   WY_MEMORY_BODIES,      /* bodies of callers' requests */
+  WY_MEMORY_CONNECTIONS, /* of callers: heads and bytes not parsed yet */
   WY_MEMORY_RESPONSES,   /* of replicas, stored until they are complete */
   WY_MEMORY_JOBS,        /* bodies and texts of jobs */
   WY_MEMORY_STORE,       /* bodies and responses of calls to the store */
@@ -50,6 +51,7 @@
 enum wy_memory_level
 wy_memory_account_level (const struct wy_memory_account *a);
 int64_t wy_memory_account_to_shed_bytes (const struct wy_memory_account *a);
+int64_t wy_memory_account_to_relieve_bytes (const struct wy_memory_account *a);
 bool wy_memory_account_rejects (struct wy_memory_account *a, bool has_body);
 const char *wy_memory_class_name (enum wy_memory_class class);
 const char *wy_memory_level_name (enum wy_memory_level level);
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -29,6 +29,9 @@
   LEAVE_DIVISOR = 2,
   /* The process exits this long before the grace time ends.  */
   EXIT_MARGIN_MS = 1200,
+  /* Bodies of readiness checks and of requests for metrics are not used.  */
+  PROBE_BODY_BYTES = 4096,
+  PROBE_BUFFERED_BYTES = 65536,
   /* Connections to one target that an entry may always have, even if its share
      of the limit is smaller.  */
   CONNECTIONS_MIN = 1,
@@ -159,46 +162,64 @@
                      uv_strerror (err));
 }
 
-/* Listen at ADDRESS, which SETTING names.  */
+/* One of the addresses that a gate listens at.  */
+struct listener
+{
+  struct wy_h1_server **server;
+  const char *setting; /* that names the address */
+  const char *address;
+  const char *name; /* in logs */
+  uint32_t connections;
+  uint32_t requests_per_turn; /* 0: that of the settings */
+  uint32_t body_bytes;
+  uint64_t buffered_bytes;
+  void (*on_request) (void *ctx, struct wy_h1_request *r);
+};
+
 static int
-listen_at (struct wy_gate *g, struct wy_h1_server **out, const char *setting,
-           const char *address,
-           void (*on_request) (void *ctx, struct wy_h1_request *r))
+listen_at (struct wy_gate *g, const struct listener *l)
 {
+  const struct wy_gate_settings *s = g->o.settings;
   struct sockaddr_in a;
   char ip[INET_ADDRSTRLEN];
   int system_error = 0;
   int err;
+  bool callers = l->on_request == wy_gate_on_request;
   struct wy_h1_server_options o
       = { .loop = g->o.loop,
           .host = ip,
-          .limits
-          = { .header_bytes = WY_GATE_INITIAL_HEADER_BYTES,
-              .body_bytes = (uint32_t)g->o.settings->object_bytes * 2,
-              .header_timeout_ms = WY_GATE_INITIAL_HEADER_TIMEOUT_MS,
-              .idle_timeout_ms = WY_GATE_INITIAL_IDLE_TIMEOUT_MS,
-              .buffered_bytes = (uint64_t)g->o.settings->memory_mb * WY_GATE_MB
-                                / WY_GATE_BODY_MEMORY_DIVISOR },
+          .name = l->name,
+          .limits = { .header_bytes = WY_GATE_INITIAL_HEADER_BYTES,
+                      .body_bytes = l->body_bytes,
+                      .header_timeout_ms = WY_GATE_INITIAL_HEADER_TIMEOUT_MS,
+                      .idle_timeout_ms = WY_GATE_INITIAL_IDLE_TIMEOUT_MS,
+                      .buffered_bytes = l->buffered_bytes },
+          .clients = { .connections = l->connections,
+                       .unread_bytes = (uint32_t)s->unread_response_bytes,
+                       .requests_per_turn
+                       = l->requests_per_turn ? l->requests_per_turn
+                                              : (uint32_t)s->requests_per_turn,
+                       .reader_timeout_ms
+                       = (uint32_t)(s->reader_timeout_s * WY_MS_PER_S) },
+          .overload = &g->overload,
           .memory = &g->env.memory,
-          .on_request = on_request,
-          .on_no_memory
-          = on_request == wy_gate_on_request ? wy_gate_on_no_memory : NULL,
-          .may_reject
-          = on_request == wy_gate_on_request ? wy_gate_may_reject_body : NULL,
+          .on_request = l->on_request,
+          .on_no_memory = callers ? wy_gate_on_no_memory : NULL,
+          .may_reject = callers ? wy_gate_may_reject_body : NULL,
           .on_shed = wy_gate_on_shed_caller,
           .ctx = g,
           .system_error = &system_error };
 
-  if (!wy_address_parse (address, &a))
+  if (!wy_address_parse (l->address, &a))
     {
-      address_failed (g, setting, address, UV_EINVAL);
+      address_failed (g, l->setting, l->address, UV_EINVAL);
       return WY_H1_EBIND;
     }
   uv_ip4_name (&a, ip, sizeof ip);
   o.port = ntohs (a.sin_port);
-  err = wy_h1_server_new (out, &o);
+  err = wy_h1_server_new (l->server, &o);
   if (err)
-    address_failed (g, setting, address, system_error);
+    address_failed (g, l->setting, l->address, system_error);
   return err;
 }
 
@@ -206,17 +227,46 @@
 start_servers (struct wy_gate *g)
 {
   const struct wy_gate_settings *s = g->o.settings;
-  int err = listen_at (g, &g->caller_server, "callers_address", s->callers,
-                       wy_gate_on_request);
-
-  if (!err)
-    err = listen_at (g, &g->ready_server, "ready_address", s->ready,
-                     on_ready_check);
-  if (!err)
-    err = listen_at (g, &g->peer_server, "peers_address", s->peers, on_peer);
-  if (!err && *s->metrics)
-    err = listen_at (g, &g->metrics_server, "metrics_address", s->metrics,
-                     on_metrics);
+  uint32_t body_bytes = (uint32_t)s->object_bytes * 2;
+  uint64_t buffered_bytes
+      = (uint64_t)s->memory_mb * WY_GATE_MB / WY_GATE_BODY_MEMORY_DIVISOR;
+  const struct listener all[] = {
+    { .server = &g->caller_server,
+      .setting = "callers_address",
+      .address = s->callers,
+      .name = "callers",
+      .body_bytes = body_bytes,
+      .buffered_bytes = buffered_bytes,
+      .on_request = wy_gate_on_request },
+    { .server = &g->ready_server,
+      .setting = "ready_address",
+      .address = s->ready,
+      .name = "ready",
+      .body_bytes = PROBE_BODY_BYTES,
+      .buffered_bytes = PROBE_BUFFERED_BYTES,
+      .on_request = on_ready_check },
+    { .server = &g->peer_server,
+      .setting = "peers_address",
+      .address = s->peers,
+      .name = "peers",
+      .body_bytes = body_bytes,
+      .buffered_bytes = buffered_bytes,
+      .on_request = on_peer },
+    /* One document a turn, since each lists hundreds of values.  */
+    { .server = &g->metrics_server,
+      .setting = "metrics_address",
+      .address = s->metrics,
+      .name = "metrics",
+      .requests_per_turn = 1,
+      .body_bytes = PROBE_BODY_BYTES,
+      .buffered_bytes = PROBE_BUFFERED_BYTES,
+      .on_request = on_metrics },
+  };
+  int err = 0;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (all) && !err; i++)
+    if (*all[i].address)
+      err = listen_at (g, &all[i]);
   return err;
 }
 
@@ -352,6 +402,7 @@
       &g->env.memory,
       wy_gate_memory_budget_bytes (o->settings->memory_mb * WY_GATE_MB));
   g->env.read_pauses = wy_read_pauses_new (o->loop, &g->env.memory);
+  wy_gate_start_overload (g);
   wy_rng_seed (&g->env.rng, wy_hash64 (g->incarnation, WY_ID_LEN, 0));
   g->env.targets = wy_targets_new (wy_hash64 (g->incarnation, WY_ID_LEN, 4));
   g->seeds = g_array_new (FALSE, FALSE, sizeof (struct sockaddr_in));
@@ -414,6 +465,7 @@
   wy_h1_server_free (g->peer_server);
   if (g->metrics_server)
     wy_h1_server_free (g->metrics_server);
+  wy_h1_overload_close (&g->overload);
   wy_gate_free_duties (g);
   wy_jobs_free (g->jobs);
   wy_suspect_peers_free (g->env.suspect_peers);
--- a/src/gate/gate_metrics.c
+++ b/src/gate/gate_metrics.c
@@ -178,6 +178,7 @@
   v->scale_orders = wy_metrics_gauge (m, "wy_gate_scale_orders",
                                       "Orders for numbers of replicas");
   wy_gate_register_memory_metrics (g);
+  wy_gate_register_client_metrics (g);
   v->log_dropped = wy_metrics_gauge (m, "wy_gate_log_lines_dropped",
                                      "Log lines left out since the start");
 }
@@ -286,5 +287,6 @@
   *v->config_version = g->env.routing ? g->env.routing->version : 0;
   update_duties (g);
   wy_gate_update_memory_gauges (g);
+  wy_gate_update_client_gauges (g);
   *v->log_dropped = (int64_t)wy_json_log_dropped ();
 }
--- a/src/gate/gate_state.h
+++ b/src/gate/gate_state.h
@@ -42,6 +42,16 @@
   int64_t *sheds;
 };
 
+struct wy_gate_client_gauges
+{
+  int64_t *open; /* connections of callers */
+  int64_t *yields[WY_H1_YIELD_REASONS];
+  int64_t *unread_pauses;
+  int64_t *turns_cut;
+  int64_t *accepts_deferred;
+  int64_t *accepts_failed;
+};
+
 /* Values updated whenever the metrics are requested.  */
 struct wy_gate_gauges
 {
@@ -71,6 +81,7 @@
   int64_t *usage_forced;
   int64_t *scale_orders;
   struct wy_gate_memory_gauges memory;
+  struct wy_gate_client_gauges clients;
   struct wy_metrics_family *store_calls_ended; /* by verb and outcome */
   struct wy_metrics_family *need;              /* by service and model */
   struct wy_metrics_family *share;
@@ -95,6 +106,7 @@
   struct wy_scaler *scaler; /* NULL: scaling is not among the duties */
   struct wy_watch *operator_watch;
   struct wy_watch *replica_watch;
+  struct wy_h1_overload overload; /* of the four servers */
   struct wy_h1_server *caller_server;
   struct wy_h1_server *ready_server;
   struct wy_h1_server *peer_server;
@@ -122,6 +134,10 @@
 void wy_gate_log_memory_level (struct wy_gate *g);
 void wy_gate_register_memory_metrics (struct wy_gate *g);
 void wy_gate_update_memory_gauges (const struct wy_gate *g);
+struct wy_client_shares wy_gate_client_shares (const struct wy_gate *g);
+void wy_gate_start_overload (struct wy_gate *g);
+void wy_gate_register_client_metrics (struct wy_gate *g);
+void wy_gate_update_client_gauges (const struct wy_gate *g);
 void wy_gate_set_limits (struct wy_gate *g);
 void wy_gate_set_relays (struct wy_gate *g);
 void wy_gate_register_metrics (struct wy_gate *g);
--- a/src/gate/memory.c
+++ b/src/gate/memory.c
@@ -51,11 +51,11 @@
   route = g->env.routing && info.host
               ? wy_routing_match (g->env.routing, info.host, wy_h1_target (r))
               : NULL;
-  if (!route || route->kind == WY_ROUTE_JOB)
+  if (route && route->kind == WY_ROUTE_JOB)
     return false;
   wy_json_log ("request.ended",
                "id=%s route=%s outcome=refused status=503 reason=memory",
-               info.id ? info.id : "", route->name);
+               info.id ? info.id : "", route ? route->name : "");
   return true;
 }
 
@@ -98,7 +98,8 @@
       "memory.level",
       "level=%s before=%s highest=%s total=%lld peak=%lld budget=%lld "
       "to_callers=%lld "
-      "to_replicas=%lld bodies=%lld responses=%lld jobs=%lld store=%lld "
+      "to_replicas=%lld bodies=%lld connections=%lld responses=%lld jobs=%lld "
+      "store=%lld "
       "paused=%u rejections=%llu sheds=%llu",
       wy_memory_level_name (level),
       wy_memory_level_name (g->logged_memory_level),
@@ -107,6 +108,7 @@
       (long long)a->bytes[WY_MEMORY_TO_CALLERS],
       (long long)a->bytes[WY_MEMORY_TO_REPLICAS],
       (long long)a->bytes[WY_MEMORY_BODIES],
+      (long long)a->bytes[WY_MEMORY_CONNECTIONS],
       (long long)a->bytes[WY_MEMORY_RESPONSES],
       (long long)a->bytes[WY_MEMORY_JOBS],
       (long long)a->bytes[WY_MEMORY_STORE],
--- a/src/gate/proxy.c
+++ b/src/gate/proxy.c
@@ -292,6 +292,7 @@
   (*env->count.requests)++;
   p->env = env;
   p->request = r;
+  wy_proxy_count_memory (p, 1);
   p->kind = route->kind;
   p->id = g_strdup (info.id ? info.id : "");
   p->route = g_strdup (route->name);
--- a/src/gate/proxy_memory.c
+++ b/src/gate/proxy_memory.c
@@ -1,6 +1,21 @@
 /* Forwarded requests while memory is short: paused responses, rejections.  */
 #include "gate/proxy_state.h"
 
+enum
+{
+  /* What a request in progress occupies here besides its body and its
+     response: its state, the call to a replica and the call's head.  */
+  REQUEST_BYTES = 4096
+};
+
+/* Count P, which starts, or with SIGN -1 ends, in the memory account.  */
+void
+wy_proxy_count_memory (const struct wy_proxy_request *p, int sign)
+{
+  wy_memory_account_add (&p->env->memory, WY_MEMORY_TO_REPLICAS,
+                         (int64_t)REQUEST_BYTES * sign);
+}
+
 /* The time of the pause does not count as silence of the target.  */
 static void
 on_read_resumed (void *ctx)
--- a/src/gate/proxy_state.h
+++ b/src/gate/proxy_state.h
@@ -95,6 +95,7 @@
 void wy_proxy_init_source (struct wy_proxy_attempt *t);
 void wy_proxy_pause_if_behind (struct wy_proxy_attempt *t,
                                const struct wy_h1_request *reader);
+void wy_proxy_count_memory (const struct wy_proxy_request *p, int sign);
 bool wy_proxy_is_paused (const struct wy_proxy_request *p);
 bool wy_proxy_is_over_memory (const struct wy_proxy_request *p);
 uint64_t wy_proxy_fingerprint (struct wy_proxy_request *p);
--- a/src/gate/settings.c
+++ b/src/gate/settings.c
@@ -68,6 +68,52 @@
     .unit = "MB",
     .help = "Memory of the process; half of it holds requests and jobs, an"
             " eighth bodies that are being read" },
+  { .key = "descriptors",
+    .kind = WY_SETTING_INTEGER,
+    .offset = FIELD (descriptors),
+    .default_value = "0",
+    .min = 0,
+    .max = 1 << 24,
+    .help = "Descriptors of the process; of 32 parts, 12 are for callers'"
+            " connections, 4 for peers', 1 each for readiness and metrics, the"
+            " rest for calls to replicas and the store; 0: as many as the"
+            " system allows" },
+  { .key = "caller_connections",
+    .kind = WY_SETTING_INTEGER,
+    .offset = FIELD (caller_connections),
+    .default_value = "0",
+    .min = 0,
+    .max = 1 << 24,
+    .help = "Most connections of callers; further ones take the place of the"
+            " one that is missed least, or wait; 0: their part of the"
+            " descriptors, and at most one for each 8 KB of what requests and"
+            " jobs may hold" },
+  { .key = "unread_response_bytes",
+    .kind = WY_SETTING_INTEGER,
+    .offset = FIELD (unread_response_bytes),
+    .default_value = "65536",
+    .min = 1024,
+    .max = 1 << 30,
+    .unit = "bytes",
+    .help = "A connection's next request waits while its client has left more"
+            " of its responses unread; less when memory is short" },
+  { .key = "requests_per_turn",
+    .kind = WY_SETTING_INTEGER,
+    .offset = FIELD (requests_per_turn),
+    .default_value = "16",
+    .min = 1,
+    .max = 65536,
+    .help = "Requests sent ahead on one connection that are taken before other"
+            " connections have their turn" },
+  { .key = "reader_timeout_s",
+    .kind = WY_SETTING_REAL,
+    .offset = FIELD (reader_timeout_s),
+    .default_value = "60",
+    .min = 1,
+    .max = 86400,
+    .unit = "s",
+    .help = "A connection is closed if its client has taken nothing of a"
+            " response for so long" },
   { .key = "cpu_share",
     .kind = WY_SETTING_REAL,
     .offset = FIELD (cpu_share),
--- a/src/gate/settings.h
+++ b/src/gate/settings.h
@@ -17,6 +17,11 @@
   int64_t object_bytes;
   int64_t row_bytes;
   int64_t memory_mb;
+  int64_t descriptors;        /* 0: as many as the system allows */
+  int64_t caller_connections; /* 0: a share of the descriptors */
+  int64_t unread_response_bytes;
+  int64_t requests_per_turn;
+  double reader_timeout_s;
   double keep_s;
   double cpu_share;
   double grace_s;
--- a/src/h1/head.c
+++ b/src/h1/head.c
@@ -4,6 +4,12 @@
 #include <string.h>
 #include <strings.h>
 
+enum
+{
+  /* Heads of ordinary requests are shorter.  */
+  KEPT_BYTES = 2048
+};
+
 /* Prepare H for its first message.  */
 void
 wy_h1_head_init (struct wy_h1_head *h)
@@ -24,6 +30,25 @@
   h->has_url = false;
 }
 
+/* Free the memory of H if its last message was large, which is then no longer
+   known.  */
+void
+wy_h1_head_trim (struct wy_h1_head *h)
+{
+  if (wy_h1_head_held_bytes (h) <= KEPT_BYTES)
+    return;
+  wy_h1_head_clear (h);
+  wy_h1_head_init (h);
+}
+
+/* Memory that H occupies.  The array of fields grows by doubling.  */
+size_t
+wy_h1_head_held_bytes (const struct wy_h1_head *h)
+{
+  return h->text->allocated_len
+         + (size_t)h->fields->len * 2 * sizeof (struct wy_h1_field);
+}
+
 /* Free what H holds.  */
 void
 wy_h1_head_clear (struct wy_h1_head *h)
--- a/src/h1/head.h
+++ b/src/h1/head.h
@@ -42,6 +42,8 @@
 size_t wy_h1_head_count (const struct wy_h1_head *h);
 struct wy_h1_header wy_h1_head_at (const struct wy_h1_head *h, size_t i);
 size_t wy_h1_head_size_bytes (const struct wy_h1_head *h);
+size_t wy_h1_head_held_bytes (const struct wy_h1_head *h);
+void wy_h1_head_trim (struct wy_h1_head *h);
 
 bool wy_h1_is_hop_by_hop (const char *name);
 void wy_h1_write_fields (GString *out, const struct wy_h1_header *p, size_t n);
--- a/src/h1/server.c
+++ b/src/h1/server.c
@@ -5,21 +5,15 @@
 enum
 {
   LISTEN_BACKLOG = 1024,
-  /* Interval of checks of the timeouts.  */
-  SWEEP_MS = 500,
   /* How long a rejected upload is read and discarded before the connection
      closes: a close with unread bytes resets the connection, and the caller
      would not see the response.  */
-  LINGER_MS = 1000
+  LINGER_MS = 1000,
+  DEFAULT_UNREAD_BYTES = 65536,
+  DEFAULT_REQUESTS_PER_TURN = 16,
+  DEFAULT_READER_TIMEOUT_MS = 60000
 };
 
-static void
-on_accept (uv_stream_t *listener, int status)
-{
-  if (status == 0)
-    wy_h1_conn_accept (listener->data);
-}
-
 static void
 check_timeouts (struct wy_h1_request *c, uint64_t now_ms)
 {
@@ -51,17 +45,15 @@
     }
 }
 
-/* Count for how many sweeps the reader of C has taken nothing; this is not
-   needed while memory is not short.  Sweeps and not the clock are counted,
-   since after a stall of this process the clock has advanced, but nothing was
-   offered to the reader meanwhile.  */
+/* Count for how many sweeps the reader of C has taken nothing.  Sweeps and not
+   the clock are counted, since after a stall of this process the clock has
+   advanced, but nothing was offered to the reader meanwhile.  */
 static void
 check_reader (struct wy_h1_request *c)
 {
   uint64_t taken_bytes;
 
-  if (wy_memory_account_level (c->server->memory) == WY_MEMORY_NORMAL
-      || wy_h1_unsent_bytes (c) == 0)
+  if (wy_h1_unsent_bytes (c) == 0)
     {
       c->silent_sweeps = 0;
       return;
@@ -74,42 +66,16 @@
   c->taken_bytes = taken_bytes;
 }
 
-/* Return the connection with the most unsent bytes whose reader is silent, or
-   NULL.  */
-static struct wy_h1_request *
-find_silent (const struct wy_h1_server *s)
-{
-  struct wy_h1_request *most = NULL;
-
-  for (GList *l = s->connections.head; l; l = l->next)
-    {
-      struct wy_h1_request *c = l->data;
-
-      if (c->silent_sweeps * SWEEP_MS >= WY_H1_SILENT_READER_MS
-          && (!most || c->held_bytes > most->held_bytes))
-        most = c;
-    }
-  return most;
-}
-
-/* Close connections until enough memory is free or no reader is silent.  The
-   account falls only when the pending writes end, on the next turn of the
-   loop.  */
+/* Close C if its reader has taken nothing for too long.  */
 static void
-shed (struct wy_h1_server *s)
+check_reader_timeout (struct wy_h1_request *c)
 {
-  int64_t to_free_bytes = wy_memory_account_to_shed_bytes (s->memory);
-  struct wy_h1_request *c;
+  struct wy_client_view view = wy_h1_conn_view (c);
 
-  while (to_free_bytes > 0 && (c = find_silent (s)))
-    {
-      to_free_bytes -= (int64_t)c->held_bytes;
-      s->memory->sheds++;
-      if (s->on_shed)
-        s->on_shed (s->ctx, c, wy_h1_unsent_bytes (c),
-                    c->silent_sweeps * SWEEP_MS);
-      wy_h1_conn_hang_up (c);
-    }
+  if (c->closing || view.silent_ms < c->server->clients.reader_timeout_ms)
+    return;
+  wy_h1_yield_report (c, &view, WY_H1_YIELD_READER);
+  wy_h1_conn_hang_up (c);
 }
 
 static void
@@ -126,8 +92,10 @@
       next = l->next;
       check_reader (c);
       check_timeouts (c, now_ms);
+      check_reader_timeout (c);
     }
-  shed (s);
+  wy_h1_overload_relieve (s->overload);
+  wy_h1_accept_if_room (s);
 }
 
 static int
@@ -137,7 +105,7 @@
                                      .host = o->host,
                                      .port = o->port,
                                      .backlog = LISTEN_BACKLOG,
-                                     .on_connection = on_accept,
+                                     .on_connection = wy_h1_on_connection,
                                      .data = s };
   int err = wy_tcp_listen (&s->listener, &l, &s->port);
 
@@ -147,6 +115,35 @@
   return err ? WY_H1_EBIND : 0;
 }
 
+static uint32_t
+or_default (uint32_t v, uint32_t default_value)
+{
+  return v ? v : default_value;
+}
+
+static void
+set_client_limits (struct wy_h1_server *s, const struct wy_h1_client_limits *l)
+{
+  s->clients = *l;
+  s->clients.unread_bytes = or_default (l->unread_bytes, DEFAULT_UNREAD_BYTES);
+  s->clients.requests_per_turn
+      = or_default (l->requests_per_turn, DEFAULT_REQUESTS_PER_TURN);
+  s->clients.reader_timeout_ms
+      = or_default (l->reader_timeout_ms, DEFAULT_READER_TIMEOUT_MS);
+}
+
+static void
+join_overload (struct wy_h1_server *s, const struct wy_h1_server_options *o)
+{
+  struct wy_h1_overload_options own = { .loop = o->loop, .memory = o->memory };
+
+  s->overload = o->overload ? o->overload : &s->own_overload;
+  if (!o->overload)
+    wy_h1_overload_init (s->overload, &own);
+  s->overload_link.data = s;
+  g_queue_push_tail_link (&s->overload->servers, &s->overload_link);
+}
+
 /* Start a server with the options O and store it in OUT.  Returns 0 or
    WY_H1_EBIND.  */
 int
@@ -163,6 +160,9 @@
       return err;
     }
   s->limits = o->limits;
+  s->name = o->name ? o->name : "";
+  set_client_limits (s, &o->clients);
+  join_overload (s, o);
   s->memory = o->memory;
   s->on_request = o->on_request;
   s->on_no_memory = o->on_no_memory;
@@ -172,7 +172,7 @@
   g_queue_init (&s->connections);
   uv_timer_init (o->loop, &s->sweep);
   s->sweep.data = s;
-  uv_timer_start (&s->sweep, on_sweep, SWEEP_MS, SWEEP_MS);
+  uv_timer_start (&s->sweep, on_sweep, WY_H1_SWEEP_MS, WY_H1_SWEEP_MS);
   uv_unref ((uv_handle_t *)&s->sweep);
   *out = s;
   return 0;
@@ -242,5 +242,8 @@
   wy_h1_server_stop (s);
   while (s->connections.head)
     wy_h1_conn_close (s->connections.head->data);
+  g_queue_unlink (&s->overload->servers, &s->overload_link);
+  if (s->overload == &s->own_overload)
+    wy_h1_overload_close (s->overload);
   uv_close ((uv_handle_t *)&s->sweep, NULL);
 }
--- a/src/h1/server.h
+++ b/src/h1/server.h
@@ -14,6 +14,7 @@
 
 #include "base/memory_account.h"
 #include "h1/head.h"
+#include "h1/overload.h"
 
 enum wy_h1_error
 {
@@ -45,12 +46,31 @@
   uint64_t buffered_bytes; /* request bodies of all connections */
 };
 
+/* What clients can make a server hold or do.  */
+struct wy_h1_client_limits
+{
+  uint32_t connections; /* 0: no limit */
+  /* Of responses: no further request of a connection is taken while its client
+     has left more unread.  0: the default.  */
+  uint32_t unread_bytes;
+  /* Taken from one connection in a turn of the event loop.  0: the default. */
+  uint32_t requests_per_turn;
+  /* A connection is closed whose reader has taken nothing of a response for
+     this long.  0: the default.  */
+  uint32_t reader_timeout_ms;
+};
+
 struct wy_h1_server_options
 {
   uv_loop_t *loop;
   const char *host; /* IPv4 address */
   uint16_t port;    /* 0: any free port */
   struct wy_h1_limits limits;
+  struct wy_h1_client_limits clients;
+  /* Shared by the servers of a process, which it must outlive.  NULL: the
+     server has its own.  */
+  struct wy_h1_overload *overload;
+  const char *name;                 /* in logs; static; may be NULL */
   struct wy_memory_account *memory; /* NULL: none */
   void (*on_request) (void *ctx, struct wy_h1_request *r);
   /* Called when R, of which only the head is known, is rejected since there is
--- a/src/h1/server_conn.c
+++ b/src/h1/server_conn.c
@@ -7,11 +7,7 @@
 {
   /* Bytes of further requests that a caller may send before it has the
      response to the current one; more stay in the kernel.  */
-  UNPARSED_LIMIT_BYTES = 65536,
-  /* The buffer of unparsed bytes keeps the size of its longest read.  Above
-     this it is freed with the body: 500 connections that have uploaded once
-     would otherwise keep 32 MB.  */
-  LARGE_UNPARSED_BYTES = 8192
+  AHEAD_BYTES = 16384
 };
 
 /* Set the state of C and count the requests in progress.  */
@@ -26,41 +22,6 @@
   c->state_since_ms = uv_now (c->tcp.loop);
 }
 
-/* Bring the memory account up to date with the unparsed bytes of C, of which
-   usually none remain after a read.  */
-static void
-count_unparsed (struct wy_h1_request *c)
-{
-  if (c->unparsed->len == c->unparsed_counted_bytes)
-    return;
-  wy_memory_account_add (c->server->memory, WY_MEMORY_BODIES,
-                         (int64_t)c->unparsed->len
-                             - (int64_t)c->unparsed_counted_bytes);
-  c->unparsed_counted_bytes = c->unparsed->len;
-}
-
-static void
-discard_body (struct wy_h1_request *c)
-{
-  c->server->total_body_bytes -= c->body->len;
-  wy_memory_account_add (c->server->memory, WY_MEMORY_BODIES,
-                         -(int64_t)c->body->len);
-  /* An idle connection keeps no buffer of the size of a read.  */
-  if (c->unparsed_is_large && c->unparsed->len == 0 && !c->parsing)
-    {
-      g_byte_array_free (c->unparsed, TRUE);
-      c->unparsed = g_byte_array_new ();
-      c->unparsed_is_large = false;
-    }
-  if (c->body->allocated_len > WY_H1_READ_SIZE_BYTES)
-    {
-      g_string_free (c->body, TRUE);
-      c->body = g_string_new (NULL);
-    }
-  else
-    g_string_truncate (c->body, 0);
-}
-
 static void
 on_closed (uv_handle_t *h)
 {
@@ -80,11 +41,13 @@
     return;
   c->closing = true;
   wy_h1_conn_set_state (c, CONN_LINGER);
-  discard_body (c);
+  wy_h1_conn_discard_body (c);
   g_byte_array_set_size (c->unparsed, 0);
-  count_unparsed (c);
+  wy_h1_conn_count_held (c);
+  wy_h1_turn_forget (c);
   g_queue_unlink (&c->server->connections, &c->link);
   uv_close ((uv_handle_t *)&c->tcp, on_closed);
+  wy_h1_accept_if_room (c->server);
 }
 
 /* The caller has hung up: close C and notify the handler, which must not use
@@ -102,6 +65,7 @@
 }
 
 static void parse_unparsed (struct wy_h1_request *c);
+static void update_reading (struct wy_h1_request *c);
 
 /* The response is queued: parse the next request, or read until the connection
    can close.  */
@@ -109,18 +73,21 @@
 wy_h1_conn_finish_exchange (struct wy_h1_request *c)
 {
   c->on_hangup = NULL;
-  discard_body (c);
+  wy_h1_conn_discard_body (c);
   if (!c->keep_alive)
     {
       wy_h1_conn_set_state (c, CONN_LINGER);
-      wy_h1_conn_start_reading (c);
+      g_byte_array_set_size (c->unparsed, 0);
+      wy_h1_conn_trim (c);
+      wy_h1_conn_count_held (c);
+      update_reading (c);
       return;
     }
   wy_h1_conn_set_state (c, CONN_IDLE);
   http_parser_pause (&c->parser, 0);
+  wy_h1_accept_if_room (c->server);
   if (!c->parsing)
     parse_unparsed (c);
-  wy_h1_conn_start_reading (c);
 }
 
 static int
@@ -204,6 +171,8 @@
   const struct wy_h1_limits *l = &c->server->limits;
   bool has_length = p->content_length != UINT64_MAX;
 
+  if (has_length && p->content_length <= l->body_bytes)
+    wy_h1_overload_make_body_room (c, p->content_length);
   if (has_length && p->content_length > l->body_bytes)
     c->reject_status = 413;
   /* Bound the total memory of uploads: what does not fit is rejected before it
@@ -229,6 +198,7 @@
   struct wy_h1_request *c = p->data;
   const struct wy_h1_limits *l = &c->server->limits;
 
+  wy_h1_overload_make_body_room (c, n);
   if (c->body->len + n > l->body_bytes)
     c->reject_status = 413;
   else if (c->server->total_body_bytes + n > l->buffered_bytes
@@ -238,7 +208,7 @@
     return -1;
   g_string_append_len (c->body, at, (gssize)n);
   c->server->total_body_bytes += n;
-  wy_memory_account_add (c->server->memory, WY_MEMORY_BODIES, (int64_t)n);
+  wy_h1_conn_count_held (c);
   return 0;
 }
 
@@ -275,19 +245,49 @@
 dispatch_request (struct wy_h1_request *c)
 {
   wy_h1_conn_set_state (c, CONN_BUSY);
+  c->has_served = true;
   c->received_ms = (int64_t)(uv_hrtime () / 1000000);
   c->chunked = false;
   c->server->on_request (c->server->ctx, c);
 }
 
+/* Whether the client of C has left so much unread that its next request has to
+   wait.  */
+static bool
+awaits_reader (const struct wy_h1_request *c)
+{
+  return c->state == CONN_IDLE
+         && c->held_bytes > wy_client_unread_limit (
+                c->server->clients.unread_bytes,
+                wy_memory_account_level (c->server->memory));
+}
+
+/* Whether parsing continues; if not, wy_h1_conn_continue is called later.  */
+static bool
+may_parse (struct wy_h1_request *c)
+{
+  if (c->closing || c->state == CONN_BUSY || c->state == CONN_LINGER)
+    return false;
+  if (c->state != CONN_IDLE)
+    return true;
+  if (awaits_reader (c))
+    {
+      c->server->overload->stats.unread_pauses++;
+      return false;
+    }
+  if (wy_h1_turn_take (c))
+    return true;
+  wy_h1_turn_await (c);
+  return false;
+}
+
 /* Parse the bytes read, one request at a time.  The handler may respond within
    the call; then the next request follows.  */
 static void
 parse_unparsed (struct wy_h1_request *c)
 {
   c->parsing = true;
-  while (c->unparsed->len && !c->closing && c->state != CONN_BUSY
-         && c->state != CONN_LINGER)
+  while (c->unparsed->len && may_parse (c))
     {
       size_t used = http_parser_execute (&c->parser, &callbacks,
                                          (const char *)c->unparsed->data,
@@ -309,21 +309,57 @@
         dispatch_request (c);
     }
   c->parsing = false;
-  count_unparsed (c);
+  if (c->closing)
+    return;
+  wy_h1_conn_trim (c);
+  wy_h1_conn_count_held (c);
+  update_reading (c);
+}
+
+/* Bytes that may be read from C now.  */
+static size_t
+readable_bytes (const struct wy_h1_request *c)
+{
+  size_t ahead_bytes = wy_client_unread_limit (
+      AHEAD_BYTES, wy_memory_account_level (c->server->memory));
+
+  switch (c->state)
+    {
+    case CONN_BUSY:
+      return c->unparsed->len < ahead_bytes ? ahead_bytes - c->unparsed->len
+                                            : 0;
+    case CONN_IDLE:
+      return c->awaits_turn || awaits_reader (c)
+                 ? 0
+                 : (size_t)WY_H1_READ_SIZE_BYTES;
+    default:
+      return WY_H1_READ_SIZE_BYTES;
+    }
 }
 
 static void
 on_alloc (uv_handle_t *h, size_t suggested, uv_buf_t *buf)
 {
-  struct wy_h1_server *s = ((struct wy_h1_request *)h)->server;
+  const struct wy_h1_request *c = (struct wy_h1_request *)h;
+  struct wy_h1_server *s = c->server;
+  size_t n = readable_bytes (c);
+
+  *buf = uv_buf_init (s->read_buffer,
+                      (unsigned)MIN (MAX (n, 1), sizeof s->read_buffer));
+}
 
-  *buf = uv_buf_init (s->read_buffer, sizeof s->read_buffer);
+/* Size that a byte array of N bytes has grown to.  */
+static size_t
+allocation (size_t n)
+{
+  return (size_t)1 << g_bit_storage (n - 1);
 }
 
 static void
 on_read (uv_stream_t *h, ssize_t n, const uv_buf_t *buf)
 {
   struct wy_h1_request *c = (struct wy_h1_request *)h;
+  struct wy_h1_overload *v = c->server->overload;
 
   if (n == 0)
     return;
@@ -335,28 +371,40 @@
   if (c->state == CONN_LINGER)
     return;
   g_byte_array_append (c->unparsed, (const guint8 *)buf->base, (guint)n);
-  c->unparsed_is_large
-      = c->unparsed_is_large || c->unparsed->len > LARGE_UNPARSED_BYTES;
-  if (c->state != CONN_BUSY)
-    parse_unparsed (c);
+  c->unparsed_size_bytes
+      = MAX (c->unparsed_size_bytes, allocation (c->unparsed->len));
+  wy_h1_conn_continue (c);
+  wy_h1_overload_taken (v);
+}
+
+/* Read from C, or stop, as its state and what it holds require.  */
+static void
+update_reading (struct wy_h1_request *c)
+{
+  bool read = !c->closing && readable_bytes (c) > 0;
+
+  if (read == c->reading || c->closing)
+    return;
+  c->reading = read;
+  if (read)
+    uv_read_start ((uv_stream_t *)&c->tcp, on_alloc, on_read);
   else
-    count_unparsed (c);
-  if (!c->closing && c->state == CONN_BUSY
-      && c->unparsed->len > UNPARSED_LIMIT_BYTES)
-    {
-      c->reading = false;
-      uv_read_stop (h);
-    }
+    uv_read_stop ((uv_stream_t *)&c->tcp);
 }
 
-/* Read from C, if it is open and not read yet.  */
+/* Continue with C: it has received or sent bytes, or has a further turn.  */
 void
-wy_h1_conn_start_reading (struct wy_h1_request *c)
+wy_h1_conn_continue (struct wy_h1_request *c)
 {
-  if (c->reading || c->closing)
+  if (c->closing || c->parsing || c->awaits_turn)
     return;
-  c->reading = true;
-  uv_read_start ((uv_stream_t *)&c->tcp, on_alloc, on_read);
+  if (c->state == CONN_BUSY || c->state == CONN_LINGER)
+    {
+      wy_h1_conn_count_held (c);
+      update_reading (c);
+    }
+  else
+    parse_unparsed (c);
 }
 
 /* Accept a connection from S's listener.  */
@@ -368,6 +416,7 @@
 
   c->server = s;
   c->link.data = c;
+  c->turn_link.data = c;
   c->body = g_string_new (NULL);
   c->unparsed = g_byte_array_new ();
   wy_h1_head_init (&c->head);
@@ -382,5 +431,6 @@
       return;
     }
   uv_tcp_nodelay (&c->tcp, 1);
-  wy_h1_conn_start_reading (c);
+  wy_h1_conn_count_held (c);
+  update_reading (c);
 }
--- a/src/h1/server_response.c
+++ b/src/h1/server_response.c
@@ -49,10 +49,14 @@
 
   count_write (c, w->n, -1);
   g_free (w);
+  if (wy_h1_unsent_bytes (c) == 0)
+    c->unread_since_ms = 0;
   if (status < 0 && !c->closing)
     wy_h1_conn_hang_up (c);
   else if (last)
     wy_h1_conn_close (c);
+  else if (!c->closing)
+    wy_h1_conn_continue (c);
 }
 
 /* Send HEAD, which may be NULL, and the N bytes at P; close the connection
@@ -80,6 +84,8 @@
       return;
     }
   c->queued_bytes += w->n;
+  if (!c->unread_since_ms && wy_h1_unsent_bytes (c))
+    c->unread_since_ms = uv_now (c->tcp.loop);
   count_write (c, w->n, 1);
 }
 
