Listeners share the descriptors; a connection that is missed least gives way

Callers saw: with 400 silent connections and a limit of 256 descriptors, every other caller, and the readiness check, was refused or reset for as long as they stayed; nothing was logged.

Cause: connections were accepted without a bound, so the descriptors that calls to replicas, the store and peers need went to whoever connected first.

Change: of 32 parts of the descriptors, callers get 12, peers 4, readiness and metrics one each; the rest is for own calls. At its bound a listener closes what is missed least: unread responses, connections without a request, then the longest idle (wy_client_rank_for_descriptor); with all in use the next one waits in the kernel. At most 64 are accepted in a turn.

--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -230,11 +230,13 @@
   uint32_t body_bytes = (uint32_t)s->object_bytes * 2;
   uint64_t buffered_bytes
       = (uint64_t)s->memory_mb * WY_GATE_MB / WY_GATE_BODY_MEMORY_DIVISOR;
+  struct wy_client_shares shares = wy_gate_client_shares (g);
   const struct listener all[] = {
     { .server = &g->caller_server,
       .setting = "callers_address",
       .address = s->callers,
       .name = "callers",
+      .connections = shares.callers,
       .body_bytes = body_bytes,
       .buffered_bytes = buffered_bytes,
       .on_request = wy_gate_on_request },
@@ -242,6 +244,7 @@
       .setting = "ready_address",
       .address = s->ready,
       .name = "ready",
+      .connections = shares.readiness,
       .body_bytes = PROBE_BODY_BYTES,
       .buffered_bytes = PROBE_BUFFERED_BYTES,
       .on_request = on_ready_check },
@@ -249,6 +252,7 @@
       .setting = "peers_address",
       .address = s->peers,
       .name = "peers",
+      .connections = shares.peers,
       .body_bytes = body_bytes,
       .buffered_bytes = buffered_bytes,
       .on_request = on_peer },
@@ -257,6 +261,7 @@
       .setting = "metrics_address",
       .address = s->metrics,
       .name = "metrics",
+      .connections = shares.metrics,
       .requests_per_turn = 1,
       .body_bytes = PROBE_BODY_BYTES,
       .buffered_bytes = PROBE_BUFFERED_BYTES,
--- a/tests/test_clients_gate.c
+++ b/tests/test_clients_gate.c
@@ -184,6 +184,17 @@
                                    .sent_max_bytes = 10000 } });
 }
 
+/* Each of many connections holds one long answer of the metrics address.  */
+Test (clients_gate, metrics_unread_by_many, .timeout = 60)
+{
+  play (&(struct load){
+      .name = "metrics_unread_by_many",
+      .listener = GATE_METRICS,
+      .crowd = { .connections = 2500,
+                 .again = "GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n",
+                 .sent_max_bytes = 3000 } });
+}
+
 /* The address for other processes takes requests without end.  */
 Test (clients_gate, peers_unread, .timeout = 60)
 {
@@ -302,6 +313,16 @@
                             .sent_max_bytes = 200000 } });
 }
 
+/* A head that arrives a byte at a time holds its connection.  */
+Test (clients_gate, heads_a_byte_at_a_time, .timeout = 60)
+{
+  play (&(struct load){
+      .name = "heads_a_byte_at_a_time",
+      .listener = GATE_CALLERS,
+      .crowd = { .connections = 200, .once = UNKNOWN_PATH, .chunk_bytes = 1 },
+      .descriptors = FEW_DESCRIPTORS });
+}
+
 /* A rejected upload goes on without end.  */
 Test (clients_gate, rejected_uploads_go_on, .timeout = 60)
 {
@@ -326,3 +347,61 @@
                                    .sent_max_bytes = 1 << 20,
                                    .half_close = true } });
 }
+
+/* Silent connections hold all descriptors.  */
+Test (clients_gate, silent_connections, .timeout = 60)
+{
+  play (&(struct load){ .name = "silent_connections",
+                        .listener = GATE_CALLERS,
+                        .crowd = { .connections = 400 },
+                        .descriptors = FEW_DESCRIPTORS });
+}
+
+/* Silent connections to the address for other processes hold all descriptors
+   that the listeners share.  */
+Test (clients_gate, silent_peers, .timeout = 60)
+{
+  play (&(struct load){ .name = "silent_peers",
+                        .listener = GATE_PEERS,
+                        .crowd = { .connections = 400 },
+                        .descriptors = FEW_DESCRIPTORS });
+}
+
+/* The same at the metrics address.  */
+Test (clients_gate, silent_at_metrics, .timeout = 60)
+{
+  play (&(struct load){ .name = "silent_at_metrics",
+                        .listener = GATE_METRICS,
+                        .crowd = { .connections = 400 },
+                        .descriptors = FEW_DESCRIPTORS });
+}
+
+/* The same at the readiness address.  */
+Test (clients_gate, silent_at_readiness, .timeout = 60)
+{
+  play (&(struct load){ .name = "silent_at_readiness",
+                        .listener = GATE_READY,
+                        .crowd = { .connections = 400 },
+                        .descriptors = FEW_DESCRIPTORS });
+}
+
+/* Connections with an unread answer hold all descriptors.  */
+Test (clients_gate, unread_connections, .timeout = 60)
+{
+  play (&(struct load){ .name = "unread_connections",
+                        .listener = GATE_CALLERS,
+                        .crowd = { .connections = 400, .once = UNKNOWN_PATH },
+                        .descriptors = FEW_DESCRIPTORS });
+}
+
+/* Connections are opened and closed without end.  */
+Test (clients_gate, opened_and_closed, .timeout = 60)
+{
+  play (&(struct load){ .name = "opened_and_closed",
+                        .listener = GATE_CALLERS,
+                        .crowd = { .connections = 100,
+                                   .once = UNKNOWN_PATH,
+                                   .opened_max = 20000,
+                                   .reopen = true },
+                        .descriptors = FEW_DESCRIPTORS });
+}
