HTTP client: a connection that can't be opened is reported from the loop

Operators saw: wyagentd and wyentryd ended with SIGSEGV while 400 silent clients held all 256 descriptors.

Cause: without a descriptor h2o fails within the call that starts, before the caller has it; fetch_end then read a context that was not set. The other hypothesis, the limit of unauthenticated connections (256), was not reached: the back trace goes from the poll of the target through h2o_http1client_connect.

Change: such a failure is reported in the next turn, as the interface says.

--- a/src/gate/proxy.c
+++ b/src/gate/proxy.c
@@ -292,7 +292,6 @@
   (*env->count.requests)++;
   p->env = env;
   p->request = r;
-  wy_proxy_count_memory (p, 1);
   p->kind = route->kind;
   p->id = g_strdup (info.id ? info.id : "");
   p->route = g_strdup (route->name);
@@ -316,5 +315,8 @@
   else if (wy_proxy_is_over_memory (p))
     wy_proxy_fail (p, false, WY_PROXY_REASON_MEMORY);
   else
-    wy_proxy_start_attempt (p);
+    {
+      wy_proxy_count_memory (p);
+      wy_proxy_start_attempt (p);
+    }
 }
--- a/src/gate/proxy_end.c
+++ b/src/gate/proxy_end.c
@@ -106,7 +106,7 @@
 wy_proxy_free (struct wy_proxy_request *p, const char *reason)
 {
   p->ended = true;
-  wy_proxy_count_memory (p, -1);
+  wy_proxy_uncount_memory (p);
   for (size_t i = 0; i < WY_PROXY_ATTEMPTS_MAX; i++)
     {
       struct wy_proxy_attempt *t = &p->running[i];
--- a/src/gate/proxy_memory.c
+++ b/src/gate/proxy_memory.c
@@ -8,12 +8,27 @@
   REQUEST_BYTES = 4096
 };
 
-/* Count P, which starts, or with SIGN -1 ends, in the memory account.  */
-void
-wy_proxy_count_memory (const struct wy_proxy_request *p, int sign)
+/* Count BYTES for P in the memory account, in place of what was counted.  */
+static void
+count_bytes (struct wy_proxy_request *p, uint32_t bytes)
 {
   wy_memory_account_add (&p->env->memory, WY_MEMORY_TO_REPLICAS,
-                         (int64_t)REQUEST_BYTES * sign);
+                         (int64_t)bytes - (int64_t)p->counted_bytes);
+  p->counted_bytes = bytes;
+}
+
+/* P has been admitted.  */
+void
+wy_proxy_count_memory (struct wy_proxy_request *p)
+{
+  count_bytes (p, REQUEST_BYTES);
+}
+
+/* P ends.  */
+void
+wy_proxy_uncount_memory (struct wy_proxy_request *p)
+{
+  count_bytes (p, 0);
 }
 
 /* The time of the pause does not count as silence of the target.  */
--- a/src/gate/proxy_state.h
+++ b/src/gate/proxy_state.h
@@ -59,6 +59,7 @@
   struct wy_h1_request *request;
   uv_timer_t timer;
   enum wy_route_kind kind;
+  uint32_t counted_bytes; /* in the memory account */
   bool ended;
   char *id;
   char *route;
@@ -95,7 +96,8 @@
 void wy_proxy_init_source (struct wy_proxy_attempt *t);
 void wy_proxy_pause_if_behind (struct wy_proxy_attempt *t,
                                const struct wy_h1_request *reader);
-void wy_proxy_count_memory (const struct wy_proxy_request *p, int sign);
+void wy_proxy_count_memory (struct wy_proxy_request *p);
+void wy_proxy_uncount_memory (struct wy_proxy_request *p);
 bool wy_proxy_is_paused (const struct wy_proxy_request *p);
 bool wy_proxy_is_over_memory (const struct wy_proxy_request *p);
 uint64_t wy_proxy_fingerprint (struct wy_proxy_request *p);
--- a/src/h1/server.c
+++ b/src/h1/server.c
@@ -31,9 +31,11 @@
         wy_h1_conn_reject (c, 408);
       break;
     case CONN_BODY:
-      /* A body may be large, so it has the idle timeout, counted from the end
-         of the head.  */
-      if (age_ms >= l->idle_timeout_ms)
+      /* A body may be large, so it has the idle timeout unless it has its own,
+         counted from the end of the head.  */
+      if (age_ms >= (c->server->clients.body_timeout_ms
+                         ? c->server->clients.body_timeout_ms
+                         : l->idle_timeout_ms))
         wy_h1_conn_reject (c, 408);
       break;
     case CONN_BUSY:
@@ -200,6 +202,22 @@
   return s->active;
 }
 
+/* Number of connections without a request in progress whose responses have not
+   been sent completely.  */
+uint32_t
+wy_h1_server_unsent (const struct wy_h1_server *s)
+{
+  uint32_t n = 0;
+
+  for (GList *l = s->connections.head; l; l = l->next)
+    {
+      const struct wy_h1_request *c = l->data;
+
+      n += c->state != CONN_BUSY && wy_h1_unsent_bytes (c) > 0;
+    }
+  return n;
+}
+
 /* Number of open connections.  */
 uint32_t
 wy_h1_server_connections (const struct wy_h1_server *s)
--- a/src/h1/server.h
+++ b/src/h1/server.h
@@ -58,6 +58,8 @@
   /* A connection is closed whose reader has taken nothing of a response for
      this long.  0: the default.  */
   uint32_t reader_timeout_ms;
+  uint32_t
+      body_timeout_ms; /* end of head to end of body; 0: idle_timeout_ms */
 };
 
 struct wy_h1_server_options
@@ -94,6 +96,7 @@
                               const struct wy_h1_limits *limits);
 uint16_t wy_h1_server_port (const struct wy_h1_server *s);
 uint32_t wy_h1_server_active (const struct wy_h1_server *s);
+uint32_t wy_h1_server_unsent (const struct wy_h1_server *s);
 uint32_t wy_h1_server_connections (const struct wy_h1_server *s);
 void wy_h1_server_announce_close (struct wy_h1_server *s);
 void wy_h1_server_stop (struct wy_h1_server *s);
@@ -118,6 +121,7 @@
 size_t wy_h1_held_bytes (const struct wy_h1_request *r);
 size_t wy_h1_untaken_bytes (const uv_tcp_t *tcp);
 void wy_h1_end_response (struct wy_h1_request *r);
+void wy_h1_break_off (struct wy_h1_request *r);
 void wy_h1_abort (struct wy_h1_request *r);
 
 #endif
--- a/src/h1/server_response.c
+++ b/src/h1/server_response.c
@@ -199,6 +199,17 @@
   wy_h1_conn_finish_exchange (r);
 }
 
+/* Close the connection when what has been written of the response is sent, but
+   without its end, so that the caller detects that it is incomplete.  R is not
+   valid afterwards.  */
+void
+wy_h1_break_off (struct wy_h1_request *r)
+{
+  r->keep_alive = false;
+  wy_h1_conn_send (r, NULL, NULL, 0, true);
+  wy_h1_conn_finish_exchange (r);
+}
+
 /* Close the connection without the end of the response, so that the caller
    detects that it is incomplete.  R is not valid afterwards.  */
 void
--- a/src/http/client.c
+++ b/src/http/client.c
@@ -27,6 +27,8 @@
   uv_timer_t timer;
   bool chunked;
   bool in_callback;
+  bool starting;    /* within wy_http_call_start */
+  bool not_started; /* h2o could not open a connection */
   bool cancelled;
   bool ended;
   /* for wy_http_fetch */
@@ -193,7 +195,9 @@
 
   if (errstr)
     {
-      finish (call, WY_HTTP_ECONNECT);
+      call->not_started = call->starting;
+      if (!call->starting)
+        finish (call, WY_HTTP_ECONNECT);
       return NULL;
     }
   if (call->o.on_sending)
@@ -215,6 +219,12 @@
   finish (call, WY_HTTP_ETIMEOUT);
 }
 
+static void
+on_not_started (uv_timer_t *t)
+{
+  finish (t->data, WY_HTTP_ECONNECT);
+}
+
 static void
 write_head (GString *s, const struct wy_http_call_options *o)
 {
@@ -248,8 +258,14 @@
   call->timer.data = call;
   if (o->timeout_ms)
     uv_timer_start (&call->timer, on_timeout, o->timeout_ms, 0);
+  call->starting = true;
   h2o_http1client_connect (&call->h2o, call, &c->h2o, host, o->port, 0,
                            on_connect);
+  call->starting = false;
+  /* Without descriptors h2o fails at once; the callback comes later all the
+     same.  */
+  if (call->not_started)
+    uv_timer_start (&call->timer, on_not_started, 0, 0);
   return call;
 }
 
@@ -263,7 +279,8 @@
   call->cancelled = true;
   if (call->in_callback)
     return;
-  h2o_http1client_cancel (call->h2o);
+  if (!call->not_started)
+    h2o_http1client_cancel (call->h2o);
   close_call (call);
 }
 
--- a/src/http/exchange.c
+++ b/src/http/exchange.c
@@ -1,117 +1,72 @@
 /* One request and its response.
 
-   An exchange is allocated in the memory pool of the h2o request and freed
-   with it.  A handler that responds later sets an abort callback, which is the
-   only notice that the caller has disconnected.  */
+   An exchange is freed when its response has been passed on.  A handler that
+   responds later sets an abort callback, which is the only notice that the
+   caller has disconnected.  */
 #include "http/exchange.h"
 
 #include <string.h>
 
 static char *
-pool_dup (h2o_req_t *req, const char *p, size_t n)
+keep (struct wy_http_exchange *ex, char *text)
 {
-  return h2o_strdup (&req->pool, p, n).base;
+  g_ptr_array_add (ex->strings, text);
+  return text;
 }
 
-/* Call the abort callback of EX, at most once, since nobody waits for the
-   response any more.  */
-void
-wy_http_exchange_abort (struct wy_http_exchange *ex)
-{
-  void (*cb) (struct wy_http_exchange *, void *) = ex->on_abort;
-
-  ex->on_abort = NULL;
-  if (cb && !ex->ended)
-    cb (ex, ex->abort_ctx);
-}
-
-/* Called when h2o frees the request, whether or not it got a response.  */
 static void
-exchange_dispose (void *p)
+exchange_free (struct wy_http_exchange *ex)
 {
-  struct wy_http_exchange *ex = p;
-
-  wy_http_exchange_abort (ex);
-  wy_http_server_exchange_closed (ex->server, ex);
-  g_string_free (ex->pending, TRUE);
+  g_array_free (ex->fields, TRUE);
+  g_ptr_array_free (ex->strings, TRUE);
+  g_free (ex);
 }
 
+/* The response has been passed on, or nobody waits for it.  */
 static void
-flush (struct wy_http_exchange *ex)
+end (struct wy_http_exchange *ex)
 {
-  h2o_iovec_t buf;
-  size_t n = ex->pending->len;
-  h2o_send_state_t state = H2O_SEND_STATE_IN_PROGRESS;
-
-  if (ex->sending || (n == 0 && !ex->ended))
-    return;
-  if (ex->ended)
-    state = ex->aborted ? H2O_SEND_STATE_ERROR : H2O_SEND_STATE_FINAL;
-  buf.base = pool_dup (ex->req, ex->pending->str, n);
-  buf.len = n;
-  g_string_truncate (ex->pending, 0);
-  ex->sending = true;
-  h2o_send (ex->req, &buf, n ? 1 : 0, state);
+  if (!ex->aborting)
+    exchange_free (ex);
 }
 
+/* The caller has disconnected.  Without a callback the handler still has the
+   exchange and will respond to it.  */
 static void
-on_proceed (h2o_generator_t *self, h2o_req_t *req)
+on_hangup (void *ctx)
 {
-  struct wy_http_exchange *ex = (struct wy_http_exchange *)self;
+  struct wy_http_exchange *ex = ctx;
 
-  ex->sending = false;
-  flush (ex);
-}
-
-static void
-on_stop (h2o_generator_t *self, h2o_req_t *req)
-{
-  wy_http_exchange_abort ((struct wy_http_exchange *)self);
+  ex->request = NULL;
+  if (!ex->on_abort)
+    return;
+  ex->aborting = true;
+  ex->on_abort (ex, ex->abort_ctx);
+  exchange_free (ex);
 }
 
-/* Create the exchange for REQ on S.  */
+/* Create the exchange for R.  */
 struct wy_http_exchange *
-wy_http_exchange_new (struct wy_http_server *s, h2o_req_t *req)
-{
-  struct wy_http_exchange *ex;
-  size_t path_n = req->input.path.len;
-
-  ex = h2o_mem_alloc_shared (&req->pool, sizeof *ex, exchange_dispose);
-  memset (ex, 0, sizeof *ex);
-  ex->generator.proceed = on_proceed;
-  ex->generator.stop = on_stop;
-  ex->req = req;
-  ex->server = s;
-  ex->link.data = ex;
-  ex->pending = g_string_new (NULL);
-  ex->method = pool_dup (req, req->method.base, req->method.len);
-  ex->query = pool_dup (req, "", 0);
-  if (req->input.query_at < path_n)
-    {
-      path_n = req->input.query_at;
-      ex->query = pool_dup (req, req->input.path.base + path_n + 1,
-                            req->input.path.len - path_n - 1);
-    }
-  ex->path = pool_dup (req, req->input.path.base, path_n);
-  wy_http_server_exchange_opened (s, ex);
+wy_http_exchange_new (struct wy_h1_request *r)
+{
+  struct wy_http_exchange *ex = g_new0 (struct wy_http_exchange, 1);
+  const char *target = wy_h1_target (r);
+  size_t path_n = strcspn (target, "?");
+
+  ex->request = r;
+  ex->strings = g_ptr_array_new_with_free_func (g_free);
+  ex->fields = g_array_new (FALSE, FALSE, sizeof (struct wy_h1_header));
+  ex->path = keep (ex, g_strndup (target, path_n));
+  ex->query = keep (ex, g_strdup (target[path_n] ? target + path_n + 1 : ""));
+  wy_h1_on_hangup (r, on_hangup, ex);
   return ex;
 }
 
-/* File descriptor of the caller's connection; -1 if h2o does not expose
-   it.  */
-int
-wy_http_exchange_fd (struct wy_http_exchange *ex)
-{
-  h2o_socket_t *sock = ex->req->conn->callbacks->get_socket (ex->req->conn);
-
-  return sock ? h2o_socket_get_fd (sock) : -1;
-}
-
 /* Method of the request, such as "GET".  */
 const char *
 wy_http_method (const struct wy_http_exchange *ex)
 {
-  return ex->method;
+  return ex->request ? wy_h1_method (ex->request) : "";
 }
 
 /* Path of the request without the query, not decoded.  */
@@ -128,44 +83,38 @@
   return ex->query;
 }
 
-/* Value of the request header NAME (in lower case), or NULL.  */
+/* Value of the request header NAME, or NULL.  Valid until the response is
+   complete.  */
 const char *
 wy_http_header (struct wy_http_exchange *ex, const char *name)
 {
-  const h2o_header_t *h;
-  ssize_t i
-      = h2o_find_header_by_str (&ex->req->headers, name, strlen (name), -1);
-
-  if (i < 0)
-    return NULL;
-  h = &ex->req->headers.entries[i];
-  return pool_dup (ex->req, h->value.base, h->value.len);
+  return ex->request ? wy_h1_head_get (wy_h1_head (ex->request), name) : NULL;
 }
 
 /* Number of request headers.  */
 size_t
 wy_http_header_count (const struct wy_http_exchange *ex)
 {
-  return ex->req->headers.size;
+  return ex->request ? wy_h1_head_count (wy_h1_head (ex->request)) : 0;
 }
 
-/* Name and value of request header I.  */
+/* Name, in lower case, and value of request header I.  */
 void
 wy_http_header_at (struct wy_http_exchange *ex, size_t i, const char **name,
                    const char **value)
 {
-  const h2o_header_t *h = &ex->req->headers.entries[i];
+  struct wy_h1_header h = wy_h1_head_at (wy_h1_head (ex->request), i);
 
-  *name = pool_dup (ex->req, h->name->base, h->name->len);
-  *value = pool_dup (ex->req, h->value.base, h->value.len);
+  *name = keep (ex, g_ascii_strdown (h.name, -1));
+  *value = h.value;
 }
 
 /* Body of the request; its size in bytes is stored in N.  */
 const char *
 wy_http_body (const struct wy_http_exchange *ex, size_t *n)
 {
-  *n = ex->req->entity.len;
-  return ex->req->entity.base ? ex->req->entity.base : "";
+  *n = 0;
+  return ex->request ? wy_h1_body (ex->request, n) : "";
 }
 
 /* Call CB if the caller disconnects before the response has ended.  EX must
@@ -184,24 +133,22 @@
 wy_http_add_header (struct wy_http_exchange *ex, const char *name,
                     const char *value)
 {
-  h2o_req_t *req = ex->req;
+  struct wy_h1_header h
+      = { keep (ex, g_strdup (name)), keep (ex, g_strdup (value)) };
 
-  h2o_add_header_by_str (&req->pool, &req->res.headers,
-                         pool_dup (req, name, strlen (name)), strlen (name), 1,
-                         NULL, pool_dup (req, value, strlen (value)),
-                         strlen (value));
+  g_array_append_val (ex->fields, h);
 }
 
-static void
-start_response (struct wy_http_exchange *ex, int status,
-                const char *content_type)
+/* Take the request from EX: from here on it is not aborted.  */
+static struct wy_h1_request *
+detach (struct wy_http_exchange *ex)
 {
-  ex->started = true;
-  ex->req->res.status = status;
-  ex->req->res.reason = "";
-  if (content_type)
-    wy_http_add_header (ex, "content-type", content_type);
-  h2o_start_response (ex->req, &ex->generator);
+  struct wy_h1_request *r = ex->request;
+
+  ex->request = NULL;
+  if (r)
+    wy_h1_on_hangup (r, NULL, NULL);
+  return r;
 }
 
 /* Send a complete response with the N bytes at BODY.  Does nothing if the
@@ -210,13 +157,17 @@
 wy_http_respond (struct wy_http_exchange *ex, int status,
                  const char *content_type, const void *body, size_t n)
 {
+  struct wy_h1_request *r;
+
   if (ex->started)
     return;
-  ex->req->res.content_length = n;
-  ex->ended = true;
-  g_string_append_len (ex->pending, body, (gssize)n);
-  start_response (ex, status, content_type);
-  flush (ex);
+  if (content_type)
+    wy_http_add_header (ex, "content-type", content_type);
+  r = detach (ex);
+  if (r)
+    wy_h1_respond (r, status, (const struct wy_h1_header *)ex->fields->data,
+                   ex->fields->len, body, n);
+  end (ex);
 }
 
 /* Start a streamed response.  */
@@ -224,31 +175,40 @@
 wy_http_stream_begin (struct wy_http_exchange *ex, int status,
                       const char *content_type)
 {
-  start_response (ex, status, content_type);
+  ex->started = true;
+  if (content_type)
+    wy_http_add_header (ex, "content-type", content_type);
+  if (ex->request)
+    wy_h1_begin_response (ex->request, status,
+                          (const struct wy_h1_header *)ex->fields->data,
+                          ex->fields->len);
 }
 
 /* Append the N bytes at P to a streamed response.  */
 void
 wy_http_stream_write (struct wy_http_exchange *ex, const void *p, size_t n)
 {
-  g_string_append_len (ex->pending, p, (gssize)n);
-  flush (ex);
+  if (ex->request)
+    wy_h1_write_response (ex->request, p, n);
 }
 
-/* Bytes of a streamed response that are not yet passed to h2o, which takes
-   more as the caller reads.  */
+/* Bytes of a streamed response that the system does not take, since the caller
+   has not read those before them.  */
 size_t
 wy_http_stream_pending_bytes (const struct wy_http_exchange *ex)
 {
-  return ex->pending->len;
+  return ex->request ? wy_h1_unsent_bytes (ex->request) : 0;
 }
 
 /* End a streamed response.  EX must not be used afterwards.  */
 void
 wy_http_stream_end (struct wy_http_exchange *ex)
 {
-  ex->ended = true;
-  flush (ex);
+  struct wy_h1_request *r = detach (ex);
+
+  if (r)
+    wy_h1_end_response (r);
+  end (ex);
 }
 
 /* End a streamed response in such a way that the caller sees that it is
@@ -256,9 +216,11 @@
 void
 wy_http_stream_abort (struct wy_http_exchange *ex)
 {
-  ex->aborted = true;
-  ex->ended = true;
-  flush (ex);
+  struct wy_h1_request *r = detach (ex);
+
+  if (r)
+    wy_h1_break_off (r);
+  end (ex);
 }
 
 /* Close the connection of EX without completing the response; the caller
@@ -267,13 +229,9 @@
 void
 wy_http_close_connection (struct wy_http_exchange *ex)
 {
-  h2o_socket_t *sock = ex->req->conn->callbacks->get_socket (ex->req->conn);
+  struct wy_h1_request *r = detach (ex);
 
-  ex->on_abort = NULL;
-  if (sock)
-    shutdown (h2o_socket_get_fd (sock), SHUT_RDWR);
-  if (ex->started)
-    wy_http_stream_abort (ex);
-  else
-    wy_http_respond (ex, 503, NULL, "", 0);
+  if (r)
+    wy_h1_abort (r);
+  end (ex);
 }
--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -3,36 +3,23 @@
 #define WY_HTTP_EXCHANGE_H
 
 #include <glib.h>
-#include <h2o.h>
 
+#include "h1/server.h"
 #include "http/server.h"
 
 struct wy_http_exchange
 {
-  h2o_generator_t generator; /* must stay first */
-  h2o_req_t *req;
-  struct wy_http_server *server;
-  GList link;
-  char *method;
+  struct wy_h1_request *request; /* NULL: the caller has disconnected */
   char *path;
   char *query;
-  GString *pending; /* written, not yet passed to h2o */
+  GArray *fields;     /* of the response, struct wy_h1_header */
+  GPtrArray *strings; /* char *, freed with the exchange */
   bool started;
-  bool sending;
-  bool ended;
-  bool aborted;
+  bool aborting; /* in the abort callback */
   void (*on_abort) (struct wy_http_exchange *ex, void *ctx);
   void *abort_ctx;
 };
 
-struct wy_http_exchange *wy_http_exchange_new (struct wy_http_server *s,
-                                               h2o_req_t *req);
-void wy_http_exchange_abort (struct wy_http_exchange *ex);
-int wy_http_exchange_fd (struct wy_http_exchange *ex);
-
-void wy_http_server_exchange_opened (struct wy_http_server *s,
-                                     struct wy_http_exchange *ex);
-void wy_http_server_exchange_closed (struct wy_http_server *s,
-                                     struct wy_http_exchange *ex);
+struct wy_http_exchange *wy_http_exchange_new (struct wy_h1_request *r);
 
 #endif
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -1,4 +1,4 @@
-/* HTTP server on h2o and libuv.  */
+/* HTTP server of the daemons that do not run on the platform.  */
 #ifndef WY_HTTP_SERVER_H
 #define WY_HTTP_SERVER_H
 
@@ -8,6 +8,8 @@
 
 #include <uv.h>
 
+#include "h1/overload.h"
+
 struct wy_http_server;
 struct wy_http_exchange;
 
@@ -16,9 +18,13 @@
   uv_loop_t *loop;
   const char *host; /* IPv4 address */
   uint16_t port;    /* 0: any free port */
+  const char *name; /* of the listener in logs; static; may be NULL */
   size_t body_limit_bytes;
+  uint64_t bodies_limit_bytes; /* of all requests together; 0: none */
   uint32_t connection_limit;   /* 0: no limit */
-  uint32_t request_timeout_ms; /* to receive a complete request; 0: h2o's */
+  /* To receive a request's head, and then its body; 0: 10 s.  */
+  uint32_t request_timeout_ms;
+  struct wy_h1_overload *overload; /* NULL: without a limit of memory */
   void (*on_request) (struct wy_http_exchange *ex, void *ctx);
   void *ctx;
   int *system_error; /* set to libuv's with WY_HTTP_EBIND; may be NULL */
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -1,6 +1,7 @@
 /* HTTP server and client, over loopback.  */
 #include <criterion/criterion.h>
 #include <string.h>
+#include <sys/resource.h>
 
 #include <glib.h>
 
@@ -151,6 +152,37 @@
   cr_assert_eq (w.err, WY_HTTP_ECONNECT);
 }
 
+static struct wy_http_call *started; /* NULL: within wy_http_fetch */
+
+static void
+on_late_done (void *ctx, const struct wy_http_response *r)
+{
+  cr_expect_not_null (started, "called before the call has started");
+  on_done (ctx, r);
+}
+
+/* A crowd holds all descriptors of the process, and no connection can be
+   opened.  The caller of the client learns of it from the event loop: it has
+   no call to refer to before.  */
+Test (http, no_descriptors_left)
+{
+  struct fixture w;
+  struct wy_http_call_options o
+      = { .method = "GET", .host = "127.0.0.1", .path = "/" };
+  struct rlimit all;
+  struct rlimit none;
+
+  fixture_init (&w);
+  o.port = wy_http_server_port (w.server);
+  cr_assert_eq (getrlimit (RLIMIT_NOFILE, &all), 0);
+  none = (struct rlimit){ 0, all.rlim_max };
+  cr_assert_eq (setrlimit (RLIMIT_NOFILE, &none), 0);
+  started = wy_http_fetch (w.client, &o, on_late_done, &w);
+  uv_run (&w.loop, UV_RUN_DEFAULT);
+  cr_assert_eq (setrlimit (RLIMIT_NOFILE, &all), 0);
+  cr_assert_eq (w.err, WY_HTTP_ECONNECT);
+}
+
 /* A request body larger than the limit is rejected with 413 and no handler
    runs.  */
 Test (http, oversized_body)
