--- a/src/gate/proxy_state.h
+++ b/src/gate/proxy_state.h
@@ -59,7 +59,6 @@
   struct wy_h1_request *request;
   uv_timer_t timer;
   enum wy_route_kind kind;
-  uint32_t counted_bytes; /* in the memory account */
   bool ended;
   char *id;
   char *route;
@@ -76,6 +75,7 @@
   uint32_t hedge_delay_ms;
   uint32_t attempts;
   uint32_t attempts_left; /* an attempt that has not run isn't counted */
+  uint32_t counted_bytes; /* in the memory account */
   uint32_t sends;         /* all attempts so far */
   uint32_t capacity_retries;
   uint64_t fingerprint;      /* 0: not computed */
