The oldest connection that has not authenticated gives way to a new one

Cause: above 256 connections without a handshake an agent closed new ones, so silent clients that come again kept entries out for 2 s at a time, and with 256 descriptors the limit was never reached.

--- a/src/inner/conn.c
+++ b/src/inner/conn.c
@@ -53,6 +53,8 @@
     return;
   c->state = WY_CONN_CLOSED;
   c->err = err;
+  if (c->listener)
+    wy_listener_conn_closing (c);
   uv_close ((uv_handle_t *)&c->tcp, on_handle_closed);
   uv_close ((uv_handle_t *)&c->timer, on_handle_closed);
   uv_close ((uv_handle_t *)&c->flush, on_handle_closed);
--- a/src/inner/conn_state.h
+++ b/src/inner/conn_state.h
@@ -26,7 +26,8 @@
   const struct wy_inner_identity *identity;
   struct wy_conn_events events;
   struct wy_listener *listener; /* NULL: this side dialed */
-  bool authenticated;           /* not counted in unauthenticated */
+  GList listener_link;          /* while it is not authenticated */
+  bool authenticated;           /* or closing */
   enum wy_conn_state state;
   int err;
   uint32_t handles_open;
@@ -67,6 +68,7 @@
 void wy_heartbeat_ping (struct wy_conn *c);
 void wy_heartbeat_on_send (struct wy_conn *c);
 void wy_heartbeat_on_pong (struct wy_conn *c, uint64_t seq);
+void wy_listener_conn_closing (struct wy_conn *c);
 void wy_listener_conn_closed (struct wy_conn *c);
 void wy_listener_conn_authenticated (struct wy_conn *c);
 
--- a/src/inner/listener.c
+++ b/src/inner/listener.c
@@ -1,4 +1,5 @@
 /* Listening socket for connections from other processes.  */
+#include "base/descriptors.h"
 #include "base/tcp_listen.h"
 #include "inner/conn.h"
 #include "inner/conn_state.h"
@@ -7,9 +8,12 @@
 {
   LISTEN_BACKLOG = 512,
   /* Limit of connections whose peers haven't authenticated.  Each costs a few
-     kilobytes until its handshake times out.  Above the limit new connections
-     are closed; established ones aren't affected.  */
-  UNAUTHENTICATED_MAX = 256
+     kilobytes until its handshake times out.  Above the limit the oldest of
+     them is closed, so that a crowd of silent ones competes with itself;
+     established ones aren't affected.  */
+  UNAUTHENTICATED_MAX = 256,
+  /* The same as a part of the process's descriptors.  */
+  UNAUTHENTICATED_DIVISOR = 4
 };
 
 struct wy_listener
@@ -17,7 +21,8 @@
   uv_tcp_t tcp; /* must stay first */
   struct wy_listener_options o;
   uint16_t port;
-  uint32_t unauthenticated;
+  GQueue unauthenticated; /* struct wy_conn, oldest first */
+  uint32_t unauthenticated_max;
   uint32_t conns; /* connections that refer to this listener */
   bool closed;    /* the socket is closed */
 };
@@ -29,14 +34,21 @@
     g_free (l);
 }
 
+/* C is being closed: it no longer counts as unauthenticated.  */
+void
+wy_listener_conn_closing (struct wy_conn *c)
+{
+  if (!c->authenticated)
+    g_queue_unlink (&c->listener->unauthenticated, &c->listener_link);
+  c->authenticated = true;
+}
+
 /* Remove C, which is closed, from its listener.  */
 void
 wy_listener_conn_closed (struct wy_conn *c)
 {
   struct wy_listener *l = c->listener;
 
-  if (!c->authenticated)
-    l->unauthenticated--;
   l->conns--;
   free_if_unused (l);
 }
@@ -45,8 +57,7 @@
 void
 wy_listener_conn_authenticated (struct wy_conn *c)
 {
-  c->authenticated = true;
-  c->listener->unauthenticated--;
+  wy_listener_conn_closing (c);
 }
 
 static void
@@ -61,9 +72,11 @@
   wy_conn_init (c, l->o.identity, WY_CONN_HELLO);
   c->listener = l;
   l->conns++;
-  l->unauthenticated++;
-  if (uv_accept (s, (uv_stream_t *)&c->tcp)
-      || l->unauthenticated > UNAUTHENTICATED_MAX)
+  c->listener_link.data = c;
+  g_queue_push_tail_link (&l->unauthenticated, &c->listener_link);
+  if (l->unauthenticated.length > l->unauthenticated_max)
+    wy_conn_fail (l->unauthenticated.head->data, WY_INNER_ECLOSED);
+  if (uv_accept (s, (uv_stream_t *)&c->tcp))
     {
       wy_conn_fail (c, WY_INNER_ECLOSED);
       return;
@@ -87,6 +100,9 @@
   int err;
 
   l->o = *o;
+  l->unauthenticated_max
+      = MIN (UNAUTHENTICATED_MAX,
+             MAX (wy_descriptor_limit (0) / UNAUTHENTICATED_DIVISOR, 1));
   err = wy_tcp_listen (&l->tcp, &t, &l->port);
   if (o->system_error)
     *o->system_error = err;
