One HTTP server: the daemons off the platform get the same bounds

Callers saw: wyentryd ended while 400 silent connections held its 256 descriptors, and grew to 237 MB with 1,000 uploads one byte short; wyorderd grew to 127 MB while its metrics were unread, and had no descriptor left for its store.

Cause: src/http's server was h2o's, which holds each body whole, with a limit for one but none for all, and gives no place to bound what a connection holds before its request is complete; two servers would need two sets of bounds. Considered: counting h2o's buffers after each turn (a turn may read from a thousand connections, 64 MB), and a smaller connection limit (16 for 64 MB).

Change: exchanges of src/http run on the server of src/h1, with its account, shares and turns. New settings: memory_mb and descriptors of wyentryd, metrics_connections of wyorderd; counters and log lines as at the gate.

--- a/src/base/memory_account.c
+++ b/src/base/memory_account.c
@@ -11,6 +11,8 @@
 
 #include <string.h>
 
+#include <glib.h>
+
 enum
 {
   PERCENT = 100,
@@ -19,9 +21,27 @@
   SHED_PERCENT = 90,
   /* A level is left when the total has fallen this far below its threshold, so
      that a total near a threshold does not change the level at each write.  */
-  HYSTERESIS_PERCENT = 5
+  HYSTERESIS_PERCENT = 5,
+  MB = 1 << 20,
+  /* A process keeps within this part of its memory.  */
+  BUDGET_DIVISOR = 2,
+  /* Resident size of a process without work, 8 MB, and what is in use beyond
+     the account when it peaks: 4 MB with 500 streams, 7 MB while texts of
+     500 kB are stored, listed and read.  */
+  UNCOUNTED_BYTES = 15 * MB,
+  /* A process with very little memory gets at least the memory divided by
+     this, or it would reject all work.  */
+  BUDGET_MIN_DIVISOR = 8
 };
 
+/* The budget of a process with MEMORY_BYTES.  */
+int64_t
+wy_memory_budget_bytes (int64_t memory_bytes)
+{
+  return MAX (memory_bytes / BUDGET_DIVISOR - UNCOUNTED_BYTES,
+              memory_bytes / BUDGET_MIN_DIVISOR);
+}
+
 static void
 set_threshold (struct wy_memory_account *a, enum wy_memory_level level,
                int64_t percent)
--- a/src/base/memory_account.h
+++ b/src/base/memory_account.h
@@ -44,6 +44,7 @@
   uint64_t rejections;
 };
 
+int64_t wy_memory_budget_bytes (int64_t memory_bytes);
 void wy_memory_account_init (struct wy_memory_account *a,
                              int64_t budget_bytes);
 void wy_memory_account_add (struct wy_memory_account *a,
--- a/src/entry/counters.c
+++ b/src/entry/counters.c
@@ -37,6 +37,23 @@
   n->open = wy_metrics_gauge (m, "wy_requests_open", "Requests in progress");
   n->connections = wy_metrics_gauge (m, "wy_caller_connections",
                                      "Open connections of callers");
+  n->gave_way = wy_metrics_counter (
+      m, "wy_callers_gave_way_total",
+      "Connections closed for others or for lack of memory");
+  n->memory_bytes = wy_metrics_gauge (
+      m, "wy_caller_memory_bytes",
+      "Held by connections, bodies and unread responses of callers");
+  n->unread_pauses = wy_metrics_gauge (
+      m, "wy_caller_unread_pauses",
+      "Times that a request waited until its caller had read");
+  n->turns_cut = wy_metrics_gauge (
+      m, "wy_caller_turns_cut",
+      "Times that requests sent ahead waited for other connections");
+  n->accepts_deferred = wy_metrics_gauge (
+      m, "wy_caller_accepts_deferred",
+      "Times that a connection waited since all others were in use");
+  n->accepts_failed = wy_metrics_gauge (
+      m, "wy_caller_accepts_failed", "Connections that could not be accepted");
   n->peers_connected = wy_metrics_gauge (m, "wy_targets_connected",
                                          "Targets whose agent is connected");
   n->config_revision
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "entry/acks.h"
+#include "entry/clients.h"
 #include "entry/counters.h"
 #include "entry/dispatch.h"
 #include "entry/instance_list.h"
@@ -178,7 +179,10 @@
           .host = s->host,
           .port = (uint16_t)s->port,
           .body_limit_bytes = (size_t)s->body_limit_bytes,
-          .connection_limit = (uint32_t)s->connection_limit,
+          .name = "callers",
+          .bodies_limit_bytes = wy_entry_bodies_limit_bytes (s),
+          .connection_limit = wy_entry_connection_limit (s),
+          .overload = e->overload,
           .request_timeout_ms = (uint32_t)s->request_timeout_ms,
           .on_request = wy_routes_http,
           .ctx = e,
@@ -202,9 +206,10 @@
   if (!err && *e->s->operator_token
       && !strcmp (e->s->operator_token, e->s->trainer_token))
     err = WY_ENTRY_ETOKEN;
-  if (!err)
-    err = listen_http (e);
-  return err;
+  if (err)
+    return err;
+  wy_entry_start_overload (e);
+  return listen_http (e);
 }
 
 static void
@@ -342,6 +347,7 @@
   e->suspect_rows = NULL;
   close_peers (e);
   wy_http_server_free (e->http);
+  wy_h1_overload_close (e->overload);
   uv_close ((uv_handle_t *)&e->start_timer, NULL);
   uv_close ((uv_handle_t *)&e->sweep_timer, NULL);
   uv_close ((uv_handle_t *)&e->list_timer, NULL);
--- a/src/entry/settings.c
+++ b/src/entry/settings.c
@@ -41,7 +41,14 @@
   NUMBER (header_limit, "64", 8, WY_ENTRY_HEADERS_MAX, NULL,
           "most headers of a request"),
   NUMBER (connection_limit, "4096", 1, 1000000, NULL,
-          "most connections of callers at once"),
+          "most connections of callers at once, within three quarters of the"
+          " descriptors; a further one takes the place of the one that is"
+          " missed least, or waits"),
+  NUMBER (memory_mb, "4096", 16, 1 << 20, "MB",
+          "memory of the process; callers' connections, unread responses and"
+          " bodies may take half of it less 15 MB, bodies an eighth"),
+  NUMBER (descriptors, "0", 0, 1 << 24, NULL,
+          "descriptors of the process; 0: as many as the system allows"),
   NUMBER (request_limit, "20000", 1, 1000000, NULL,
           "most requests in progress at once"),
   NUMBER (request_timeout_ms, "10000", 100, 600000, "ms",
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -30,6 +30,8 @@
   int64_t body_limit_bytes;
   int64_t header_limit;
   int64_t connection_limit;
+  int64_t memory_mb;
+  int64_t descriptors; /* 0: as many as the system allows */
   int64_t request_limit;
   int64_t request_timeout_ms;
   int64_t default_deadline_ms;
--- a/src/entry/state.h
+++ b/src/entry/state.h
@@ -17,6 +17,7 @@
 #include "decide/suspect.h"
 #include "entry/entry.h"
 #include "entry/settings.h"
+#include "h1/overload.h"
 #include "http/client.h"
 #include "http/server.h"
 #include "inner/conn.h"
@@ -215,6 +216,12 @@
   uint64_t *crashes;
   int64_t *open;
   int64_t *connections;
+  uint64_t *gave_way;
+  int64_t *memory_bytes;
+  int64_t *unread_pauses;
+  int64_t *turns_cut;
+  int64_t *accepts_deferred;
+  int64_t *accepts_failed;
   int64_t *config_revision;
   int64_t *peers_connected;
   struct wy_hist *latency_us;
@@ -228,6 +235,8 @@
   struct wy_trace *trace;
   struct wy_metrics *metrics;
   struct wy_entry_counters counters;
+  struct wy_memory_account memory; /* of callers' connections */
+  struct wy_h1_overload *overload;
   struct wy_http_server *http;
   struct wy_http_client *client;
   struct wy_inner_key keys[2];
--- a/src/entry/status.c
+++ b/src/entry/status.c
@@ -7,6 +7,7 @@
 
 #include <jansson.h>
 
+#include "entry/clients.h"
 #include "entry/orderer.h"
 #include "entry/peers.h"
 #include "entry/problem.h"
@@ -155,7 +156,7 @@
   while (g_hash_table_iter_next (&i, NULL, &value))
     *e->counters.peers_connected += ((struct wy_peer *)value)->ready;
   *e->counters.config_revision = wy_config_feed_revision (e->feed);
-  *e->counters.connections = wy_http_server_connections (e->http);
+  wy_entry_update_client_gauges (e);
   wy_metrics_print (e->metrics, out);
   wy_http_respond (ex, STATUS_OK, "text/plain; version=0.0.4", out->str,
                    out->len);
--- a/src/gate/clients.c
+++ b/src/gate/clients.c
@@ -1,8 +1,8 @@
 /* What clients can make an entry hold: its shares of descriptors, and what is
    logged and measured when connections give way.  */
 #include <stdio.h>
-#include <sys/resource.h>
 
+#include "base/descriptors.h"
 #include "gate/gate_state.h"
 #include "trace/json_log.h"
 
@@ -11,26 +11,13 @@
   NAME_SIZE_BYTES = 64
 };
 
-/* Descriptors that the process may open: as the settings say, but not more
-   than the system allows.  */
-static uint32_t
-descriptor_limit (const struct wy_gate_settings *s)
-{
-  struct rlimit limit;
-  uint64_t n = s->descriptors ? (uint64_t)s->descriptors : UINT32_MAX;
-
-  if (!getrlimit (RLIMIT_NOFILE, &limit) && limit.rlim_cur < n)
-    n = limit.rlim_cur;
-  return (uint32_t)n;
-}
-
 /* Connections that each listener of G accepts.  */
 struct wy_client_shares
 wy_gate_client_shares (const struct wy_gate *g)
 {
   const struct wy_gate_settings *s = g->o.settings;
   struct wy_client_shares shares;
-  uint32_t descriptors = descriptor_limit (s);
+  uint32_t descriptors = wy_descriptor_limit ((uint64_t)s->descriptors);
 
   wy_client_shares (descriptors, g->env.memory.budget_bytes, &shares);
   if (s->caller_connections)
@@ -73,7 +60,7 @@
                                       .on_accept_failed = on_accept_failed,
                                       .ctx = g };
 
-  wy_h1_overload_init (&g->overload, &o);
+  g->overload = wy_h1_overload_new (&o);
 }
 
 /* Register the metrics of clients' connections.  */
@@ -113,7 +100,7 @@
 wy_gate_update_client_gauges (const struct wy_gate *g)
 {
   const struct wy_gate_client_gauges *v = &g->gauges.clients;
-  const struct wy_h1_overload_stats *s = &g->overload.stats;
+  const struct wy_h1_overload_stats *s = &g->overload->stats;
 
   *v->open = wy_h1_server_connections (g->caller_server);
   for (int r = 0; r < WY_H1_YIELD_REASONS; r++)
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -201,7 +201,7 @@
                                               : (uint32_t)s->requests_per_turn,
                        .reader_timeout_ms
                        = (uint32_t)(s->reader_timeout_s * WY_MS_PER_S) },
-          .overload = &g->overload,
+          .overload = g->overload,
           .memory = &g->env.memory,
           .on_request = l->on_request,
           .on_no_memory = callers ? wy_gate_on_no_memory : NULL,
@@ -405,7 +405,7 @@
   wy_crash_watch_init (&g->env);
   wy_memory_account_init (
       &g->env.memory,
-      wy_gate_memory_budget_bytes (o->settings->memory_mb * WY_GATE_MB));
+      wy_memory_budget_bytes (o->settings->memory_mb * WY_GATE_MB));
   g->env.read_pauses = wy_read_pauses_new (o->loop, &g->env.memory);
   wy_gate_start_overload (g);
   wy_rng_seed (&g->env.rng, wy_hash64 (g->incarnation, WY_ID_LEN, 0));
@@ -470,7 +470,7 @@
   wy_h1_server_free (g->peer_server);
   if (g->metrics_server)
     wy_h1_server_free (g->metrics_server);
-  wy_h1_overload_close (&g->overload);
+  wy_h1_overload_close (g->overload);
   wy_gate_free_duties (g);
   wy_jobs_free (g->jobs);
   wy_suspect_peers_free (g->env.suspect_peers);
--- a/src/gate/gate_state.h
+++ b/src/gate/gate_state.h
@@ -106,7 +106,7 @@
   struct wy_scaler *scaler; /* NULL: scaling is not among the duties */
   struct wy_watch *operator_watch;
   struct wy_watch *replica_watch;
-  struct wy_h1_overload overload; /* of the four servers */
+  struct wy_h1_overload *overload; /* of the four servers */
   struct wy_h1_server *caller_server;
   struct wy_h1_server *ready_server;
   struct wy_h1_server *peer_server;
@@ -125,7 +125,6 @@
 int wy_gate_start_duties (struct wy_gate *g);
 void wy_gate_stop_duties (struct wy_gate *g);
 void wy_gate_free_duties (struct wy_gate *g);
-int64_t wy_gate_memory_budget_bytes (int64_t memory_bytes);
 bool wy_gate_may_reject_body (void *ctx, const struct wy_h1_request *r);
 void wy_gate_on_shed_caller (void *ctx, const struct wy_h1_request *r,
                              size_t unsent_bytes, uint32_t silent_ms);
--- a/src/gate/memory.c
+++ b/src/gate/memory.c
@@ -8,27 +8,10 @@
 
 enum
 {
-  /* A process keeps within this part of its memory.  */
-  BUDGET_DIVISOR = 2,
-  /* Resident size of an entry without work, 8 MB, and what is in use beyond
-     the account when it peaks: 4 MB with 500 streams, 7 MB while texts of
-     500 kB are stored, listed and read.  */
-  UNCOUNTED_BYTES = 15 * WY_GATE_MB,
-  /* An entry with very little memory gets at least the memory divided by this,
-     or it would reject all work.  */
-  BUDGET_MIN_DIVISOR = 8,
   LABELS_SIZE_BYTES = 64,
   ADDRESS_SIZE_BYTES = 32
 };
 
-/* The budget of an entry with MEMORY_BYTES.  */
-int64_t
-wy_gate_memory_budget_bytes (int64_t memory_bytes)
-{
-  return MAX (memory_bytes / BUDGET_DIVISOR - UNCOUNTED_BYTES,
-              memory_bytes / BUDGET_MIN_DIVISOR);
-}
-
 static void
 log_shed (const char *id, const char *peer, size_t unsent_bytes,
           uint32_t silent_ms)
--- a/src/h1/overload.c
+++ b/src/h1/overload.c
@@ -265,23 +265,31 @@
   g_array_free (list, TRUE);
 }
 
-/* Initialize V with the options O.  */
-void
-wy_h1_overload_init (struct wy_h1_overload *v,
-                     const struct wy_h1_overload_options *o)
+/* Create the bounds of a process with the options O.  */
+struct wy_h1_overload *
+wy_h1_overload_new (const struct wy_h1_overload_options *o)
 {
+  struct wy_h1_overload *v = g_new0 (struct wy_h1_overload, 1);
+
   v->o = *o;
   g_queue_init (&v->servers);
   g_queue_init (&v->ready);
   uv_idle_init (o->loop, &v->turn);
   v->turn.data = v;
+  return v;
+}
+
+static void
+on_turn_closed (uv_handle_t *h)
+{
+  g_free (h->data);
 }
 
-/* Close the handle of V, whose servers are closed.  */
+/* Close the handle of V, whose servers are closed; V is freed on the loop.  */
 void
 wy_h1_overload_close (struct wy_h1_overload *v)
 {
-  uv_close ((uv_handle_t *)&v->turn, NULL);
+  uv_close ((uv_handle_t *)&v->turn, on_turn_closed);
 }
 
 /* Name of R in logs and metrics.  */
--- a/src/h1/overload.h
+++ b/src/h1/overload.h
@@ -65,8 +65,8 @@
   int64_t relieved_bytes; /* total of the account after that */
 };
 
-void wy_h1_overload_init (struct wy_h1_overload *v,
-                          const struct wy_h1_overload_options *o);
+struct wy_h1_overload *
+wy_h1_overload_new (const struct wy_h1_overload_options *o);
 void wy_h1_overload_close (struct wy_h1_overload *v);
 const char *wy_h1_yield_name (enum wy_h1_yield_reason r);
 const char *wy_h1_client_state_name (enum wy_client_state s);
--- a/src/h1/server.c
+++ b/src/h1/server.c
@@ -139,9 +139,8 @@
 {
   struct wy_h1_overload_options own = { .loop = o->loop, .memory = o->memory };
 
-  s->overload = o->overload ? o->overload : &s->own_overload;
-  if (!o->overload)
-    wy_h1_overload_init (s->overload, &own);
+  s->owns_overload = !o->overload;
+  s->overload = o->overload ? o->overload : wy_h1_overload_new (&own);
   s->overload_link.data = s;
   g_queue_push_tail_link (&s->overload->servers, &s->overload_link);
 }
@@ -261,7 +260,7 @@
   while (s->connections.head)
     wy_h1_conn_close (s->connections.head->data);
   g_queue_unlink (&s->overload->servers, &s->overload_link);
-  if (s->overload == &s->own_overload)
+  if (s->owns_overload)
     wy_h1_overload_close (s->overload);
   uv_close ((uv_handle_t *)&s->sweep, NULL);
 }
--- a/src/h1/server_state.h
+++ b/src/h1/server_state.h
@@ -79,7 +79,7 @@
   const char *name;
   struct wy_h1_client_limits clients;
   struct wy_h1_overload *overload;
-  struct wy_h1_overload own_overload; /* unless it is shared */
+  bool owns_overload;
   enum wy_h1_accept accept;
   uint64_t accept_turn_ms; /* loop time of the last turn */
   uint32_t accepted_in_turn;
--- a/src/orders/order_metrics.c
+++ b/src/orders/order_metrics.c
@@ -137,6 +137,11 @@
                       .header_timeout_ms = TIMEOUT_MS,
                       .idle_timeout_ms = IDLE_MS,
                       .buffered_bytes = BUFFERED_BYTES },
+          /* One document a turn, since each lists many values.  */
+          .clients
+          = { .connections = (uint32_t)d->o.settings->metrics_connections,
+              .requests_per_turn = 1 },
+          .name = "metrics",
           .on_request = on_request,
           .ctx = d,
           .system_error = &system_error };
--- a/src/orders/settings.h
+++ b/src/orders/settings.h
@@ -10,6 +10,7 @@
   char *target;  /* IP:PORT of the replica on this machine */
   char *service; /* that the replica belongs to */
   char *store;
+  int64_t metrics_connections;
   char *metrics;
   GPtrArray *seeds;
   int64_t replica_shares; /* enum wy_replica_shares_mode */
--- a/tests/support/deployment.c
+++ b/tests/support/deployment.c
@@ -136,8 +136,9 @@
       g_strdup_printf (
           "name: entry-%u\navailability_zone: z0\nkey_1: 1:k\n"
           "table: 127.0.0.1:%u\nobjects: 127.0.0.1:%u\n"
-          "list: 127.0.0.1:%u\noperator_token: op\nlog_level: error\n",
-          i, d->table, d->table, d->list));
+          "list: 127.0.0.1:%u\noperator_token: op\nlog_level: error\n%s",
+          i, d->table, d->table, d->list,
+          d->entry_settings ? d->entry_settings : ""));
   d->entry[i] = wy_proc_port (&d->proc[DEPLOYMENT_ENTRY + i], "http");
 }
 
@@ -176,6 +177,14 @@
 /* Start all programs and wait until both entries are ready.  */
 void
 deployment_start (struct test_deployment *d)
+{
+  deployment_start_with (d, NULL);
+}
+
+/* The same with further lines ENTRY_SETTINGS in the settings of the entries;
+   NULL: none.  */
+void
+deployment_start_with (struct test_deployment *d, const char *entry_settings)
 {
   static const char document[]
       = "{\"conditions\":[],\"writes\":[{\"key\":\"config/current\","
@@ -186,6 +195,7 @@
         "\"drained\":[],\"unblocked\":[]}}}]}";
 
   memset (d, 0, sizeof *d);
+  d->entry_settings = entry_settings;
   d->dir = g_dir_make_tmp ("wy-yard-XXXXXX", NULL);
   d->driver = g_string_new (NULL);
   driver_event (d, "process.start",
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -27,6 +27,7 @@
 struct test_deployment
 {
   struct wy_proc proc[DEPLOYMENT_PROGRAMS];
+  const char *entry_settings; /* further lines; NULL: none */
   bool running[DEPLOYMENT_PROGRAMS];
   uint16_t table;
   uint16_t list;
@@ -38,6 +39,8 @@
 };
 
 void deployment_start (struct test_deployment *d);
+void deployment_start_with (struct test_deployment *d,
+                            const char *entry_settings);
 /* Start entry I, also after a kill.  */
 void deployment_start_entry (struct test_deployment *d, uint32_t i);
 void deployment_restart_agent (struct test_deployment *d, int i);
--- a/tests/support/gate_process.c
+++ b/tests/support/gate_process.c
@@ -67,8 +67,8 @@
 
 /* For g_spawn_async: limit the descriptors of the child to those that DATA
    points at, and end it with the test.  */
-static void
-prepare_child (gpointer data)
+void
+process_limit_descriptors (gpointer data)
 {
   const uint32_t *descriptors = data;
   struct rlimit limit = { *descriptors, *descriptors };
@@ -121,7 +121,7 @@
   cr_assert (
       g_spawn_async (NULL, (char *[]){ program, "--config", path, NULL }, NULL,
                      G_SPAWN_DO_NOT_REAP_CHILD | G_SPAWN_STDOUT_TO_DEV_NULL,
-                     prepare_child, &descriptors, &g->pid, NULL));
+                     process_limit_descriptors, &descriptors, &g->pid, NULL));
   platform_response_free (gate_process_await (g, GATE_READY, "/"));
   g_free (settings);
   g_free (path);
