--- a/src/gate/proxy_state.h
+++ b/src/gate/proxy_state.h
@@ -60,16 +60,15 @@
   uv_timer_t timer;
   enum wy_route_kind kind;
   bool ended;
+  bool has_orgs;
   char *id;
   char *route;
   char *service;
-  bool has_orgs;
   char *organisation;   /* of the caller; NULL: none */
   int64_t usage_window; /* in which it is counted; 0: not counted */
   int64_t config_version;
   int64_t started_ms;
   int64_t deadline_ms;     /* of the response */
-  bool has_deadline;       /* the caller or the route has set it */
   int64_t caller_until_ms; /* when the caller times out; 0: not known */
   enum wy_return returned; /* whether the caller was rejected before */
   uint32_t hedge_delay_ms;
@@ -82,9 +81,10 @@
   struct wy_permit *permit;  /* to run though suspect; NULL: none */
   int64_t waits_since_ms;    /* for an equal request; 0: it doesn't */
   const char *reject_reason; /* set with WY_PROXY_REJECT */
-  bool is_isolated;          /* equal requests wait for this one */
   struct wy_stream stream;   /* zero-initialized for other kinds of routes */
   bool may_have_run;
+  bool has_deadline;    /* the caller or the route has set it */
+  bool is_isolated;     /* equal requests wait for this one */
   int64_t hedge_due_ms; /* 0: none */
   int64_t retry_due_ms; /* 0: none */
   /* A replica's error, passed on if no attempt succeeds.  */
--- a/tests/support/gate_process.c
+++ b/tests/support/gate_process.c
@@ -198,6 +198,32 @@
   return value;
 }
 
+/* Check what must hold under LOAD, whose clients are still connected: the
+   process lives, answers, has stayed below half of MEMORY_MB, and has fewer
+   descriptors than DESCRIPTORS.  */
+void
+gate_process_check (struct gate_process *g, const char *load,
+                    uint32_t memory_mb, uint32_t descriptors)
+{
+  int64_t kb;
+
+  cr_assert (gate_process_lives (g), "%s: the process has ended", load);
+  platform_response_free (gate_process_await (g, GATE_READY, "/"));
+  platform_response_free (gate_process_await (g, GATE_CALLERS, "/small/x"));
+  kb = process_resident_peak_kb (g->pid);
+  fprintf (stderr,
+           "%s: resident peak %lld kB, account %lld of %lld, %u "
+           "descriptors\n",
+           load, (long long)kb,
+           (long long)gate_process_metric (g, "wy_gate_memory_peak_bytes"),
+           (long long)gate_process_metric (g, "wy_gate_memory_budget_bytes"),
+           process_descriptors (g->pid));
+#ifndef __SANITIZE_ADDRESS__ /* which multiplies the resident size */
+  cr_expect_leq (kb, (int64_t)memory_mb * 1024 / 2, "%s", load);
+#endif
+  cr_expect_lt (process_descriptors (g->pid), descriptors, "%s", load);
+}
+
 /* Largest resident size of the process PID so far.  */
 int64_t
 process_resident_peak_kb (GPid pid)
--- a/tests/test_clients_gate.c
+++ b/tests/test_clients_gate.c
@@ -62,30 +62,6 @@
   gate_process_start (&g, &o);
 }
 
-/* Check what must hold under LOAD, of a crowd that is still connected.  */
-static void
-check (const char *load, const struct crowd *c)
-{
-  int64_t kb;
-
-  cr_assert (gate_process_lives (&g), "%s: the process has ended", load);
-  platform_response_free (gate_process_await (&g, GATE_READY, "/"));
-  platform_response_free (gate_process_await (&g, GATE_CALLERS, "/small/x"));
-  kb = process_resident_peak_kb (g.pid);
-  fprintf (stderr,
-           "%s: resident peak %lld kB, account %lld of %lld, %u descriptors, "
-           "sent %llu kB, %u connections open\n",
-           load, (long long)kb,
-           (long long)gate_process_metric (&g, "wy_gate_memory_peak_bytes"),
-           (long long)gate_process_metric (&g, "wy_gate_memory_budget_bytes"),
-           process_descriptors (g.pid),
-           (unsigned long long)crowd_sent_bytes (c) / 1024, crowd_open (c));
-#ifndef __SANITIZE_ADDRESS__ /* which multiplies the resident size */
-  cr_expect_leq (kb, MEMORY_MB * 1024 / 2, "%s", load);
-#endif
-  cr_expect_lt (process_descriptors (g.pid), DESCRIPTORS, "%s", load);
-}
-
 static void
 play (const struct load *l)
 {
@@ -100,7 +76,9 @@
   c = crowd_new (&o);
   platform_fixture_run_ms (&g.w, LOAD_MS);
   crowd_stop_sending (c);
-  check (l->name, c);
+  fprintf (stderr, "sent %llu kB, %u connections open\n",
+           (unsigned long long)crowd_sent_bytes (c) / 1024, crowd_open (c));
+  gate_process_check (&g, l->name, MEMORY_MB, DESCRIPTORS);
   crowd_free (c);
   gate_process_stop (&g);
 }
