A connection that waits for a place takes that of one that was answered

Callers saw: while 200 connections sent requests ahead without end, new ones were accepted by the kernel but never served.

Cause: with a request in progress on each connection none may be closed, and the next request was taken as soon as the last was answered. The counter that tells it from a slow loop: accepts_deferred grows, turns_cut does not, and the readiness check is answered at once.

Change: while a connection waits, a response is the last on its connection, as when a process drains.

clients_gate::busy_connections: no answer in 60 s before, answered now. The orderer gets the log lines and a counter of connections that give way.

--- a/src/gate/clients.c
+++ b/src/gate/clients.c
@@ -4,6 +4,7 @@
 
 #include "base/descriptors.h"
 #include "gate/gate_state.h"
+#include "h1/overload_log.h"
 #include "trace/json_log.h"
 
 enum
@@ -31,34 +32,15 @@
   return shares;
 }
 
-static void
-on_yield (void *ctx, const struct wy_h1_yield *y)
-{
-  wy_json_log ("client.gave_way",
-               "listener=%s reason=%s state=%s held=%llu state_ms=%u "
-               "unread_ms=%u silent_ms=%u connections=%u",
-               y->listener, wy_h1_yield_name (y->reason),
-               wy_h1_client_state_name (y->client.state),
-               (unsigned long long)y->client.held_bytes, y->client.state_ms,
-               y->client.unread_ms, y->client.silent_ms, y->connections);
-}
-
-static void
-on_accept_failed (void *ctx, const char *listener, int err)
-{
-  wy_json_log ("client.not_accepted", "listener=%s error=%s", listener,
-               uv_err_name (err));
-}
-
 /* Prepare the bounds that the servers of G share.  */
 void
 wy_gate_start_overload (struct wy_gate *g)
 {
   struct wy_h1_overload_options o = { .loop = g->o.loop,
                                       .memory = &g->env.memory,
-                                      .on_yield = on_yield,
-                                      .on_accept_failed = on_accept_failed,
-                                      .ctx = g };
+                                      .on_yield = wy_h1_log_yield,
+                                      .on_accept_failed
+                                      = wy_h1_log_accept_failed };
 
   g->overload = wy_h1_overload_new (&o);
 }
@@ -90,6 +72,9 @@
   v->accepts_deferred = wy_metrics_gauge (
       m, "wy_gate_clients_accepts_deferred",
       "Times that a connection waited since all others were in use");
+  v->places_passed = wy_metrics_gauge (
+      m, "wy_gate_clients_places_passed",
+      "Connections closed after a response since another one waited");
   v->accepts_failed
       = wy_metrics_gauge (m, "wy_gate_clients_accepts_failed",
                           "Connections that could not be accepted");
@@ -108,5 +93,6 @@
   *v->unread_pauses = (int64_t)s->unread_pauses;
   *v->turns_cut = (int64_t)s->turns_cut;
   *v->accepts_deferred = (int64_t)s->accepts_deferred;
+  *v->places_passed = (int64_t)s->places_passed;
   *v->accepts_failed = (int64_t)s->accepts_failed;
 }
--- a/src/gate/gate_state.h
+++ b/src/gate/gate_state.h
@@ -49,6 +49,7 @@
   int64_t *unread_pauses;
   int64_t *turns_cut;
   int64_t *accepts_deferred;
+  int64_t *places_passed;
   int64_t *accepts_failed;
 };
 
--- a/src/h1/overload.h
+++ b/src/h1/overload.h
@@ -37,6 +37,7 @@
   uint64_t unread_pauses;    /* a request waited for its client to read */
   uint64_t turns_cut;        /* requests waited for the next turn */
   uint64_t accepts_deferred; /* all connections had a request in progress */
+  uint64_t places_passed;    /* a response was a connection's last for one */
   uint64_t accepts_failed;
 };
 
--- a/src/h1/server_accept.c
+++ b/src/h1/server_accept.c
@@ -1,6 +1,7 @@
 /* HTTP/1.1 server: which connections are accepted.  While the listener has as
    many as it may have, the next one takes the place of the one that is missed
-   least; if all have a request in progress, it waits in the kernel.  */
+   least; if all have a request in progress, it waits in the kernel until one
+   of them is answered, which is that connection's last response.  */
 #include "h1/server_state.h"
 
 enum
@@ -113,3 +114,16 @@
   s->accept = ACCEPT_NEXT_TURN;
   wy_h1_turn_request (s->overload);
 }
+
+/* A response is about to be sent: whether a connection that waits takes the
+   place of this one after it.  Otherwise clients that send requests ahead would
+   keep all places.  */
+bool
+wy_h1_accept_takes_place (struct wy_h1_server *s)
+{
+  if (s->accept != ACCEPT_WHEN_ROOM || !s->listening)
+    return false;
+  wy_h1_accept_if_room (s);
+  s->overload->stats.places_passed++;
+  return true;
+}
--- a/src/h1/server_response.c
+++ b/src/h1/server_response.c
@@ -95,7 +95,7 @@
 {
   GString *out = g_string_sized_new (512);
 
-  if (c->server->announce_close)
+  if (c->server->announce_close || wy_h1_accept_takes_place (c->server))
     c->keep_alive = false;
   g_string_append_printf (out, "HTTP/1.1 %d %s\r\n", status,
                           reason_of (status));
--- a/src/h1/server_state.h
+++ b/src/h1/server_state.h
@@ -117,6 +117,7 @@
 void wy_h1_on_connection (uv_stream_t *listener, int status);
 bool wy_h1_accept_deferred (struct wy_h1_server *s);
 void wy_h1_accept_if_room (struct wy_h1_server *s);
+bool wy_h1_accept_takes_place (struct wy_h1_server *s);
 
 bool wy_h1_turn_take (struct wy_h1_request *c);
 void wy_h1_turn_request (struct wy_h1_overload *v);
--- a/src/orders/order_metrics.c
+++ b/src/orders/order_metrics.c
@@ -2,6 +2,7 @@
    version compared with the one requested by trainers.  */
 #include "orders/orderer_state.h"
 
+#include "h1/overload_log.h"
 #include "platform/replica_wire.h"
 #include "trace/json_log.h"
 
@@ -15,6 +16,15 @@
   BUFFERED_BYTES = 1 << 20
 };
 
+static void
+on_yield (void *ctx, const struct wy_h1_yield *y)
+{
+  struct wy_order_metrics *m = ctx;
+
+  ++*m->gave_way;
+  wy_h1_log_yield (NULL, y);
+}
+
 static void
 create_metrics (struct wy_order_metrics *m)
 {
@@ -48,6 +58,9 @@
                                      "Calls to the store since the start");
   m->store_direct = wy_metrics_gauge (a, "wy_orderer_store_direct",
                                       "1: the direct path to the store works");
+  m->gave_way = wy_metrics_counter (
+      a, "wy_orderer_clients_gave_way_total",
+      "Connections to the metrics that were closed for others");
   m->log_dropped = wy_metrics_gauge (a, "wy_orderer_log_lines_dropped",
                                      "Log lines left out since the start");
 }
@@ -129,6 +142,11 @@
   int system_error = 0;
   struct sockaddr_in a;
   char ip[INET_ADDRSTRLEN];
+  struct wy_h1_overload_options overload
+      = { .loop = d->o.loop,
+          .on_yield = on_yield,
+          .on_accept_failed = wy_h1_log_accept_failed,
+          .ctx = &d->metrics };
   struct wy_h1_server_options o
       = { .loop = d->o.loop,
           .host = ip,
@@ -157,6 +175,8 @@
     }
   uv_ip4_name (&a, ip, sizeof ip);
   o.port = ntohs (a.sin_port);
+  d->metrics.overload = wy_h1_overload_new (&overload);
+  o.overload = d->metrics.overload;
   err = wy_h1_server_new (&d->metrics.server, &o);
   if (err)
     wy_orderer_address_failed (d, "metrics_address", address, system_error);
@@ -168,6 +188,8 @@
 {
   if (d->metrics.server)
     wy_h1_server_free (d->metrics.server);
+  if (d->metrics.overload)
+    wy_h1_overload_close (d->metrics.overload);
 }
 
 /* Count an order that ended with OUTCOME.  */
--- a/src/orders/order_metrics.h
+++ b/src/orders/order_metrics.h
@@ -11,6 +11,8 @@
 {
   struct wy_metrics *all;
   struct wy_h1_server *server;      /* NULL: not served */
+  struct wy_h1_overload *overload;  /* of it */
+  uint64_t *gave_way;               /* connections to the metrics */
   struct wy_metrics_family *orders; /* by outcome */
   struct wy_metrics_family *need;   /* by model */
   struct wy_metrics_family *share;  /* by model */
--- a/tests/test_clients_gate.c
+++ b/tests/test_clients_gate.c
@@ -383,3 +383,17 @@
                                    .reopen = true },
                         .descriptors = FEW_DESCRIPTORS });
 }
+
+/* All connections are held by callers that have their next requests sent ahead,
+   so that each always has one in progress.  */
+Test (clients_gate, busy_connections, .timeout = 60)
+{
+  play (&(struct load){
+      .name = "busy_connections",
+      .listener = GATE_CALLERS,
+      .crowd = { .connections = 200,
+                 .again = "GET /small/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: "
+                          "b\r\n\r\n",
+                 .read_step_bytes = 65536 },
+      .descriptors = FEW_DESCRIPTORS });
+}
