--- a/src/gate/clients.c
+++ b/src/gate/clients.c
@@ -36,11 +36,11 @@
 void
 wy_gate_start_overload (struct wy_gate *g)
 {
-  struct wy_h1_overload_options o = { .loop = g->o.loop,
-                                      .memory = &g->env.memory,
-                                      .on_yield = wy_h1_log_yield,
-                                      .on_accept_failed
-                                      = wy_h1_log_accept_failed };
+  struct wy_h1_overload_options o
+      = { .loop = g->o.loop,
+          .memory = &g->env.memory,
+          .on_yield = wy_h1_log_yield,
+          .on_accept_failed = wy_h1_log_accept_failed };
 
   g->overload = wy_h1_overload_new (&o);
 }
--- a/src/h1/server_accept.c
+++ b/src/h1/server_accept.c
@@ -116,8 +116,8 @@
 }
 
 /* A response is about to be sent: whether a connection that waits takes the
-   place of this one after it.  Otherwise clients that send requests ahead would
-   keep all places.  */
+   place of this one after it.  Otherwise clients that send requests ahead
+   would keep all places.  */
 bool
 wy_h1_accept_takes_place (struct wy_h1_server *s)
 {
--- a/tests/test_clients_gate.c
+++ b/tests/test_clients_gate.c
@@ -384,8 +384,8 @@
                         .descriptors = FEW_DESCRIPTORS });
 }
 
-/* All connections are held by callers that have their next requests sent ahead,
-   so that each always has one in progress.  */
+/* All connections are held by callers that have their next requests sent
+   ahead, so that each always has one in progress.  */
 Test (clients_gate, busy_connections, .timeout = 60)
 {
   play (&(struct load){
