--- a/scripts/soak-platform.sh
+++ b/scripts/soak-platform.sh
@@ -4,7 +4,8 @@
 # processes are killed, stopped, paused and made to reload, at random from the
 # seed and several at once.  Then a period without faults follows, in which all
 # must work again.  Some callers stop reading for seconds, and the gates have
-# little memory.  Reports whether every invariant held.
+# little memory.  Until the faults are over, crowds of clients that don't behave
+# come to all addresses of the gates.  Reports whether every invariant held.
 # Usage: soak-platform.sh BIN OUTDIR SEED SECONDS
 set -u
 BIN=$1
@@ -106,6 +107,16 @@
   launch orderer-$i wyorderd
 done
 
+cat >"$OUT/crowd.yaml" <<Y
+name: crowd
+ports_file: $OUT/crowd.ports
+timeline: $OUT/crowd.jsonl
+seed: $SEED
+seconds: $FAULTS_S
+ports: [$(printf '"%s", ' "${OWN[@]}" | sed 's/, $//')]
+Y
+launch crowd wystandin crowd
+
 # Processes with a fault: name -> time in ms at which it ends, and its kind.
 declare -A BACK=() HOW=()
 # Processes that were started again: name -> time in ms of the start.
@@ -225,9 +236,11 @@
 platform_ends
 rc=$?
 all_live
-kill -TERM "${PID[proxy]}"
-wait "${PID[proxy]}"
-unset "PID[proxy]"
+for name in proxy crowd; do
+  kill -TERM "${PID[$name]}"
+  wait "${PID[$name]}"
+  unset "PID[$name]"
+done
 cat "$OUT/report.json"
 echo
 [ "$rc" = 0 ] || die "an invariant was violated, seed $SEED, see $OUT/report.json"
--- a/src/cmd/wystandin.c
+++ b/src/cmd/wystandin.c
@@ -16,6 +16,7 @@
                                                        &wy_standin_callers,
                                                        &wy_standin_platform,
                                                        &wy_standin_proxy,
+                                                       &wy_standin_crowd,
                                                        NULL };
 
 static int
--- a/tests/support/crowd.c
+++ b/src/standin/crowd.c
@@ -1,6 +1,7 @@
 /* Clients that send and read as no ordinary client does.  */
-#include "support/crowd.h"
+#include "standin/crowd.h"
 
+#include <arpa/inet.h>
 #include <errno.h>
 #include <fcntl.h>
 #include <netinet/tcp.h>
@@ -10,8 +11,6 @@
 
 #include <glib.h>
 
-#include "support/platform_fixture.h"
-
 enum
 {
   STEP_MS = 5,
@@ -30,9 +29,9 @@
   bool opened;
 };
 
-struct crowd
+struct wy_crowd
 {
-  struct crowd_options o;
+  struct wy_crowd_options o;
   struct member *members;
   uint32_t opened;
   uint64_t sent_bytes;
@@ -49,12 +48,14 @@
 
 /* Return whether the descriptors of the test allow a further connection.  */
 static bool
-open_member (struct crowd *c, struct member *m)
+open_member (struct wy_crowd *c, struct member *m)
 {
-  struct sockaddr_in a = platform_loopback (c->o.port);
+  struct sockaddr_in a
+      = { .sin_family = AF_INET, .sin_port = htons (c->o.port) };
   int buffer = RECEIVE_BUFFER_BYTES;
   int segment = SEGMENT_BYTES;
 
+  a.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
   m->fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (m->fd < 0)
     return false;
@@ -75,7 +76,7 @@
 /* The next bytes that M sends; N is set to their number, 0 if there are
    none.  */
 static const char *
-next_bytes (const struct crowd *c, const struct member *m, uint32_t *n)
+next_bytes (const struct wy_crowd *c, const struct member *m, uint32_t *n)
 {
   uint32_t at = m->sent_bytes;
 
@@ -93,7 +94,7 @@
 }
 
 static void
-send_some (struct crowd *c, struct member *m)
+send_some (struct wy_crowd *c, struct member *m)
 {
   uint32_t left_bytes
       = c->o.chunk_bytes ? c->o.chunk_bytes : (uint32_t)SENT_A_STEP_BYTES;
@@ -121,7 +122,7 @@
 }
 
 static void
-read_some (struct crowd *c, struct member *m)
+read_some (struct wy_crowd *c, struct member *m)
 {
   static char bytes[READ_SIZE_BYTES];
   uint32_t left_bytes = c->o.read_step_bytes;
@@ -142,7 +143,7 @@
 }
 
 static void
-end_sending (const struct crowd *c, struct member *m)
+end_sending (const struct wy_crowd *c, struct member *m)
 {
   uint32_t n;
 
@@ -158,7 +159,7 @@
 static void
 on_step (uv_timer_t *t)
 {
-  struct crowd *c = t->data;
+  struct wy_crowd *c = t->data;
   uint32_t to_open = OPENED_A_STEP;
 
   for (uint32_t i = 0; i < c->o.connections; i++)
@@ -178,10 +179,10 @@
 }
 
 /* Start a crowd as O says.  The texts must outlive it.  */
-struct crowd *
-crowd_new (const struct crowd_options *o)
+struct wy_crowd *
+wy_crowd_new (const struct wy_crowd_options *o)
 {
-  struct crowd *c = g_new0 (struct crowd, 1);
+  struct wy_crowd *c = g_new0 (struct wy_crowd, 1);
 
   c->o = *o;
   if (o->once && !o->once_bytes)
@@ -202,7 +203,7 @@
 
 /* Number of connections that the crowd has open.  */
 uint32_t
-crowd_open (const struct crowd *c)
+wy_crowd_open (const struct wy_crowd *c)
 {
   uint32_t n = 0;
 
@@ -213,14 +214,14 @@
 
 /* Bytes that all connections have sent.  */
 uint64_t
-crowd_sent_bytes (const struct crowd *c)
+wy_crowd_sent_bytes (const struct wy_crowd *c)
 {
   return c->sent_bytes;
 }
 
 /* Keep the connections but send nothing further on them.  */
 void
-crowd_stop_sending (struct crowd *c)
+wy_crowd_stop_sending (struct wy_crowd *c)
 {
   c->sends = false;
 }
@@ -228,7 +229,7 @@
 static void
 on_timer_closed (uv_handle_t *h)
 {
-  struct crowd *c = h->data;
+  struct wy_crowd *c = h->data;
 
   g_free (c->members);
   g_free (c);
@@ -236,7 +237,7 @@
 
 /* Close all connections; C is freed on the loop.  */
 void
-crowd_free (struct crowd *c)
+wy_crowd_free (struct wy_crowd *c)
 {
   for (uint32_t i = 0; i < c->o.connections; i++)
     if (c->members[i].fd >= 0)
--- a/tests/support/crowd.h
+++ b/src/standin/crowd.h
@@ -1,14 +1,17 @@
 /* Clients that send and read as no ordinary client does: many connections to
    one address, driven by a timer on the loop of the test.  */
-#ifndef WY_TESTS_CROWD_H
-#define WY_TESTS_CROWD_H
+#ifndef WY_STANDIN_CROWD_H
+#define WY_STANDIN_CROWD_H
 
 #include <stdbool.h>
 #include <stdint.h>
 
+#include <glib.h>
 #include <uv.h>
 
-struct crowd_options
+#include "base/rng.h"
+
+struct wy_crowd_options
 {
   uv_loop_t *loop;
   uint16_t port;
@@ -25,12 +28,14 @@
   bool reopen;              /* close each when all is sent, and open another */
 };
 
-struct crowd;
+struct wy_crowd;
+
+struct wy_crowd *wy_crowd_new (const struct wy_crowd_options *o);
+uint32_t wy_crowd_open (const struct wy_crowd *c);
+uint64_t wy_crowd_sent_bytes (const struct wy_crowd *c);
+void wy_crowd_stop_sending (struct wy_crowd *c);
+void wy_crowd_free (struct wy_crowd *c);
 
-struct crowd *crowd_new (const struct crowd_options *o);
-uint32_t crowd_open (const struct crowd *c);
-uint64_t crowd_sent_bytes (const struct crowd *c);
-void crowd_stop_sending (struct crowd *c);
-void crowd_free (struct crowd *c);
+GString *wy_crowd_draw (struct wy_crowd_options *o, struct wy_rng *rng);
 
 #endif
--- a/tests/test_clients_entry.c
+++ b/tests/test_clients_entry.c
@@ -6,7 +6,7 @@
 #include <string.h>
 #include <sys/resource.h>
 
-#include "support/crowd.h"
+#include "standin/crowd.h"
 #include "support/deployment.h"
 #include "support/gate_process.h"
 
@@ -49,23 +49,23 @@
   uv_stop (t->loop);
 }
 
-static struct crowd *
-run_crowd (struct crowd_options o, uint16_t port)
+static struct wy_crowd *
+run_crowd (struct wy_crowd_options o, uint16_t port)
 {
   uv_timer_t timer;
-  struct crowd *c;
+  struct wy_crowd *c;
 
   o.loop = &loop;
   o.port = port;
   if (!o.sent_max_bytes)
     o.sent_max_bytes = SENT_MAX_BYTES;
-  c = crowd_new (&o);
+  c = wy_crowd_new (&o);
   uv_timer_init (&loop, &timer);
   uv_timer_start (&timer, on_load_over, LOAD_MS, 0);
   uv_run (&loop, UV_RUN_DEFAULT);
   uv_close ((uv_handle_t *)&timer, NULL);
   uv_run (&loop, UV_RUN_NOWAIT);
-  crowd_stop_sending (c);
+  wy_crowd_stop_sending (c);
   return c;
 }
 
@@ -104,17 +104,17 @@
 }
 
 static void
-stop (struct crowd *c)
+stop (struct wy_crowd *c)
 {
-  crowd_free (c);
+  wy_crowd_free (c);
   uv_run (&loop, UV_RUN_NOWAIT);
   deployment_stop_and_check (&y);
 }
 
 static void
-play (const char *load, struct crowd_options o, uint32_t descriptors)
+play (const char *load, struct wy_crowd_options o, uint32_t descriptors)
 {
-  struct crowd *c;
+  struct wy_crowd *c;
 
   start (descriptors);
   c = run_crowd (o, y.entry[0]);
@@ -126,9 +126,9 @@
 Test (clients_entry, unknown_path_unread, .timeout = 90)
 {
   play ("unknown_path_unread",
-        (struct crowd_options){ .connections = 20,
-                                .again
-                                = "GET /none HTTP/1.1\r\nHost: h\r\n\r\n" },
+        (struct wy_crowd_options){ .connections = 20,
+                                   .again
+                                   = "GET /none HTTP/1.1\r\nHost: h\r\n\r\n" },
         DESCRIPTORS);
 }
 
@@ -141,7 +141,7 @@
                                 UPLOAD_BYTES, body);
 
   play ("unfinished_uploads",
-        (struct crowd_options){ .connections = 1000, .once = text },
+        (struct wy_crowd_options){ .connections = 1000, .once = text },
         DESCRIPTORS);
   g_free (text);
   g_free (body);
@@ -155,7 +155,7 @@
   while (text->len < HEAD_BYTES)
     g_string_append (text, "a:\r\n");
   play ("unfinished_heads",
-        (struct crowd_options){ .connections = 3500, .once = text->str },
+        (struct wy_crowd_options){ .connections = 3500, .once = text->str },
         DESCRIPTORS);
   g_string_free (text, TRUE);
 }
@@ -163,7 +163,7 @@
 /* Silent connections hold all descriptors.  */
 Test (clients_entry, silent_connections, .timeout = 90)
 {
-  play ("silent_connections", (struct crowd_options){ .connections = 400 },
+  play ("silent_connections", (struct wy_crowd_options){ .connections = 400 },
         FEW_DESCRIPTORS);
 }
 
@@ -171,17 +171,17 @@
 Test (clients_entry, metrics_unread, .timeout = 90)
 {
   play ("metrics_unread",
-        (struct crowd_options){ .connections = 1000,
-                                .again
-                                = "GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n",
-                                .sent_max_bytes = 4000 },
+        (struct wy_crowd_options){
+            .connections = 1000,
+            .again = "GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n",
+            .sent_max_bytes = 4000 },
         DESCRIPTORS);
 }
 
 static void
-play_agent (const char *load, const char *port, struct crowd_options o)
+play_agent (const char *load, const char *port, struct wy_crowd_options o)
 {
-  struct crowd *c;
+  struct wy_crowd *c;
 
   start (FEW_DESCRIPTORS);
   c = run_crowd (o, wy_proc_port (&y.proc[DEPLOYMENT_MODEL_AGENT], port));
@@ -193,7 +193,7 @@
 Test (clients_entry, agent_metrics_unread, .timeout = 90)
 {
   play_agent ("agent_metrics_unread", "http",
-              (struct crowd_options){
+              (struct wy_crowd_options){
                   .connections = 100,
                   .again = "GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n",
                   .sent_max_bytes = 10000 });
@@ -203,15 +203,15 @@
 Test (clients_entry, agent_silent_links, .timeout = 90)
 {
   play_agent ("agent_silent_links", "inner",
-              (struct crowd_options){ .connections = 400 });
+              (struct wy_crowd_options){ .connections = 400 });
 }
 
 /* Connections to an agent's port for entries that send what no entry does.  */
 Test (clients_entry, agent_links_garbage, .timeout = 90)
 {
   play_agent ("agent_links_garbage", "inner",
-              (struct crowd_options){ .connections = 100,
-                                      .again = "GET / HTTP/1.1\r\n\r\n",
-                                      .opened_max = 5000,
-                                      .reopen = true });
+              (struct wy_crowd_options){ .connections = 100,
+                                         .again = "GET / HTTP/1.1\r\n\r\n",
+                                         .opened_max = 5000,
+                                         .reopen = true });
 }
--- a/tests/test_clients_gate.c
+++ b/tests/test_clients_gate.c
@@ -4,7 +4,7 @@
 #include <criterion/criterion.h>
 #include <string.h>
 
-#include "support/crowd.h"
+#include "standin/crowd.h"
 #include "support/gate_process.h"
 
 enum
@@ -26,7 +26,7 @@
 {
   const char *name;
   enum gate_listener listener;
-  struct crowd_options crowd;
+  struct wy_crowd_options crowd;
   uint32_t descriptors;
 };
 
@@ -65,21 +65,22 @@
 static void
 play (const struct load *l)
 {
-  struct crowd_options o = l->crowd;
-  struct crowd *c;
+  struct wy_crowd_options o = l->crowd;
+  struct wy_crowd *c;
 
   start (l->descriptors);
   o.loop = &g.w.loop;
   o.port = g.ports[l->listener];
   if (!o.sent_max_bytes)
     o.sent_max_bytes = SENT_MAX_BYTES;
-  c = crowd_new (&o);
+  c = wy_crowd_new (&o);
   platform_fixture_run_ms (&g.w, LOAD_MS);
-  crowd_stop_sending (c);
+  wy_crowd_stop_sending (c);
   fprintf (stderr, "sent %llu kB, %u connections open\n",
-           (unsigned long long)crowd_sent_bytes (c) / 1024, crowd_open (c));
+           (unsigned long long)wy_crowd_sent_bytes (c) / 1024,
+           wy_crowd_open (c));
   gate_process_check (&g, l->name, MEMORY_MB, DESCRIPTORS);
-  crowd_free (c);
+  wy_crowd_free (c);
   gate_process_stop (&g);
 }
 
--- a/tests/test_clients_orderer.c
+++ b/tests/test_clients_orderer.c
@@ -6,7 +6,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include "support/crowd.h"
+#include "standin/crowd.h"
 #include "support/gate_process.h"
 #include "support/proc.h"
 
@@ -77,9 +77,9 @@
 }
 
 static void
-play (const char *load, struct crowd_options o)
+play (const char *load, struct wy_crowd_options o)
 {
-  struct crowd *c;
+  struct wy_crowd *c;
   char *path;
   int64_t kb;
 
@@ -89,9 +89,9 @@
   o.port = port;
   if (!o.sent_max_bytes)
     o.sent_max_bytes = SENT_MAX_BYTES;
-  c = crowd_new (&o);
+  c = wy_crowd_new (&o);
   platform_fixture_run_ms (&w, LOAD_MS);
-  crowd_stop_sending (c);
+  wy_crowd_stop_sending (c);
   cr_assert_eq (waitpid (orderer, NULL, WNOHANG), 0, "%s: has ended", load);
   await_metrics ();
   kb = process_resident_peak_kb (orderer);
@@ -101,7 +101,7 @@
   cr_expect_leq (kb, MEMORY_MB * 1024 / 2, "%s", load);
 #endif
   cr_expect_lt (process_descriptors (orderer), DESCRIPTORS, "%s", load);
-  crowd_free (c);
+  wy_crowd_free (c);
   kill (orderer, SIGKILL);
   waitpid (orderer, NULL, 0);
   path = g_build_filename (dir, "orderer.yaml", NULL);
@@ -116,16 +116,16 @@
 Test (clients_orderer, metrics_unread, .timeout = 60)
 {
   play ("metrics_unread",
-        (struct crowd_options){ .connections = 100,
-                                .again
-                                = "GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n",
-                                .sent_max_bytes = 20000 });
+        (struct wy_crowd_options){
+            .connections = 100,
+            .again = "GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n",
+            .sent_max_bytes = 20000 });
 }
 
 /* Silent connections hold all descriptors.  */
 Test (clients_orderer, silent_connections, .timeout = 60)
 {
-  play ("silent_connections", (struct crowd_options){ .connections = 400 });
+  play ("silent_connections", (struct wy_crowd_options){ .connections = 400 });
 }
 
 /* Heads that never end.  */
@@ -136,6 +136,6 @@
   while (text->len < HEAD_BYTES)
     g_string_append (text, "a:\r\n");
   play ("unfinished_heads",
-        (struct crowd_options){ .connections = 400, .once = text->str });
+        (struct wy_crowd_options){ .connections = 400, .once = text->str });
   g_string_free (text, TRUE);
 }
