--- a/tests/test_clients_gate.c
+++ b/tests/test_clients_gate.c
@@ -19,7 +19,8 @@
   UPLOAD_BYTES = 60000,
   JOB_UPLOAD_BYTES = 400000,
   HEAD_BYTES = 13000,
-  LARGE_RESPONSE_BYTES = 400000
+  LARGE_RESPONSE_BYTES = 400000,
+  IDLE_CLIENTS = 20
 };
 
 struct load
@@ -398,3 +399,31 @@
                  .read_step_bytes = 65536 },
       .descriptors = FEW_DESCRIPTORS });
 }
+
+/* A silent crowd takes the connections of clients that were served and are
+   idle for less than the limit.  */
+Test (clients_gate, idle_clients_keep_their_connections, .timeout = 60)
+{
+  struct wy_crowd_options served
+      = { .loop = &g.w.loop,
+          .connections = IDLE_CLIENTS,
+          .once = "GET /small/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: i\r\n\r\n",
+          .read_step_bytes = 65536 };
+  struct wy_crowd_options silent = { .loop = &g.w.loop, .connections = 400 };
+  struct wy_crowd *idle;
+  struct wy_crowd *c;
+
+  start (FEW_DESCRIPTORS);
+  served.port = g.ports[GATE_CALLERS];
+  silent.port = g.ports[GATE_CALLERS];
+  idle = wy_crowd_new (&served);
+  platform_fixture_run_ms (&g.w, LOAD_MS);
+  c = wy_crowd_new (&silent);
+  platform_fixture_run_ms (&g.w, LOAD_MS);
+  gate_process_check (&g, "idle_clients", MEMORY_MB, DESCRIPTORS);
+  cr_expect_eq (wy_crowd_open (idle), IDLE_CLIENTS, "%u",
+                wy_crowd_open (idle));
+  wy_crowd_free (idle);
+  wy_crowd_free (c);
+  gate_process_stop (&g);
+}
--- a/tests/test_h1_memory.c
+++ b/tests/test_h1_memory.c
@@ -147,3 +147,33 @@
   g_free (body);
   close (listener);
 }
+
+static bool
+has_no_connection (void *server)
+{
+  return wy_h1_server_connections (server) == 0;
+}
+
+/* A client leaves its response unread for good.  Its connection would be held
+   for as long as it likes, though memory is not short.  */
+Test (h1_memory, reader_that_takes_nothing_is_closed)
+{
+  struct wy_h1_server_options o
+      = { .loop = &w.loop,
+          .host = "127.0.0.1",
+          .limits = { 512, 64, 600, 60000, 100 },
+          .clients = { .reader_timeout_ms = WY_H1_SILENT_READER_MS },
+          .on_request = on_large_request };
+  struct wy_h1_server *server;
+  int silent;
+
+  platform_fixture_init (&w);
+  cr_assert_eq (wy_h1_server_new (&server, &o), 0);
+  silent = connect_reader (wy_h1_server_port (server), "silent");
+  platform_fixture_run_ms (&w, 100);
+  cr_assert_eq (wy_h1_server_connections (server), 1);
+  cr_expect (platform_fixture_run_until (&w, has_no_connection, server));
+  close (silent);
+  wy_h1_server_free (server);
+  platform_fixture_free (&w);
+}
