--- a/src/h1/server.c
+++ b/src/h1/server.c
@@ -100,6 +100,27 @@
   wy_h1_accept_if_room (s);
 }
 
+/* A handle of S is closed: free S if it was the last one.  */
+void
+wy_h1_server_handle_closed (struct wy_h1_server *s)
+{
+  s->handles--;
+  if (s->freed && s->handles == 0)
+    g_free (s);
+}
+
+static void
+on_listener_closed (uv_handle_t *h)
+{
+  wy_h1_server_handle_closed (h->data);
+}
+
+static void
+on_sweep_closed (uv_handle_t *h)
+{
+  wy_h1_server_handle_closed (h->data);
+}
+
 static int
 listen_on (struct wy_h1_server *s, const struct wy_h1_server_options *o)
 {
@@ -175,6 +196,7 @@
   s->sweep.data = s;
   uv_timer_start (&s->sweep, on_sweep, WY_H1_SWEEP_MS, WY_H1_SWEEP_MS);
   uv_unref ((uv_handle_t *)&s->sweep);
+  s->handles = 2;
   *out = s;
   return 0;
 }
@@ -238,7 +260,7 @@
   if (!s->listening)
     return;
   s->listening = false;
-  uv_close ((uv_handle_t *)&s->listener, NULL);
+  uv_close ((uv_handle_t *)&s->listener, on_listener_closed);
 }
 
 /* Close the listener and all connections as if every caller had hung up.  */
@@ -250,9 +272,8 @@
     wy_h1_conn_hang_up (s->connections.head->data);
 }
 
-/* Close the listener and all connections.  S is not freed, since callbacks of
-   the loop still use it; the caller must run the loop once more.  A process
-   has few servers and ends with them.  */
+/* Close the listener and all connections.  S is freed on the loop, which the
+   caller must run once more.  */
 void
 wy_h1_server_free (struct wy_h1_server *s)
 {
@@ -262,5 +283,6 @@
   g_queue_unlink (&s->overload->servers, &s->overload_link);
   if (s->owns_overload)
     wy_h1_overload_close (s->overload);
-  uv_close ((uv_handle_t *)&s->sweep, NULL);
+  s->freed = true;
+  uv_close ((uv_handle_t *)&s->sweep, on_sweep_closed);
 }
--- a/src/h1/server_conn.c
+++ b/src/h1/server_conn.c
@@ -30,6 +30,7 @@
   wy_h1_head_clear (&c->head);
   g_string_free (c->body, TRUE);
   g_byte_array_free (c->unparsed, TRUE);
+  wy_h1_server_handle_closed (c->server);
   g_free (c);
 }
 
@@ -425,6 +426,7 @@
   c->state_since_ms = uv_now (listener->loop);
   uv_tcp_init (listener->loop, &c->tcp);
   g_queue_push_tail_link (&s->connections, &c->link);
+  s->handles++;
   if (uv_accept (listener, (uv_stream_t *)&c->tcp))
     {
       wy_h1_conn_close (c);
--- a/src/h1/server_state.h
+++ b/src/h1/server_state.h
@@ -74,7 +74,9 @@
   uv_timer_t sweep;
   struct wy_h1_limits limits;
   uint16_t port;
+  uint32_t handles; /* open or closing: listener, sweep, connections */
   bool listening;
+  bool freed; /* when the last handle is closed */
   bool announce_close;
   const char *name;
   struct wy_h1_client_limits clients;
@@ -98,6 +100,7 @@
   char read_buffer[WY_H1_READ_SIZE_BYTES];
 };
 
+void wy_h1_server_handle_closed (struct wy_h1_server *s);
 void wy_h1_conn_accept (struct wy_h1_server *s);
 void wy_h1_conn_close (struct wy_h1_request *c);
 void wy_h1_conn_hang_up (struct wy_h1_request *c);
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -108,12 +108,12 @@
   wy_h1_server_stop (s->h1);
 }
 
-/* Close the listener and all connections.  The memory of S is not freed, since
-   callbacks of the loop refer to it; a process has few servers, which live as
-   long as it does.  */
+/* Close the listener and all connections, whose handlers are told, and free
+   S.  */
 void
 wy_http_server_free (struct wy_http_server *s)
 {
   wy_h1_server_hang_up (s->h1);
   wy_h1_server_free (s->h1);
+  g_free (s);
 }
