A turn is one iteration of the event loop, not one millisecond

Callers saw: half the requests a second on one connection, with delays of 1 to 3 ms, and the process busy meanwhile. The bench of the entry path found it.

Cause: the bound of a turn was renewed when the loop's clock had advanced, so a client that sends 17 requests within a millisecond, none of them ahead, waited for the next one, and the loop span until then. The other hypothesis, more work for each request, would have shown with 64 connections too, where the processor time for a request was unchanged.

Change: turns are counted by the loop's iterations.

--- a/src/h1/overload.c
+++ b/src/h1/overload.c
@@ -24,16 +24,10 @@
 wy_h1_turn_take (struct wy_h1_request *c)
 {
   struct wy_h1_overload *v = c->server->overload;
-  uint64_t now_ms = uv_now (v->o.loop);
 
-  if (v->turn_ms != now_ms)
+  if (c->turn != v->turn)
     {
-      v->turn_ms = now_ms;
-      v->turn_requests = 0;
-    }
-  if (c->turn_ms != now_ms)
-    {
-      c->turn_ms = now_ms;
+      c->turn = v->turn;
       c->turn_requests = 0;
     }
   if (v->turn_requests >= REQUESTS_PER_TURN
@@ -44,12 +38,26 @@
   return true;
 }
 
+static void
+begin_turn (struct wy_h1_overload *v)
+{
+  v->turn++;
+  v->turn_requests = 0;
+}
+
+static void
+on_begin_turn (uv_prepare_t *h)
+{
+  begin_turn (h->data);
+}
+
 static void
 on_turn (uv_idle_t *h)
 {
   struct wy_h1_overload *v = h->data;
   bool more = false;
 
+  begin_turn (v);
   for (guint n = v->ready.length; n > 0; n--)
     {
       GList *l = g_queue_pop_head_link (&v->ready);
@@ -71,7 +79,7 @@
 void
 wy_h1_turn_request (struct wy_h1_overload *v)
 {
-  uv_idle_start (&v->turn, on_turn);
+  uv_idle_start (&v->next_turn, on_turn);
 }
 
 /* C has unparsed bytes: continue with them in the next turn.  */
@@ -218,7 +226,7 @@
     }
   yield_until_free (list, to_free_bytes, WY_H1_YIELD_MEMORY);
   g_array_free (list, TRUE);
-  v->relieved_ms = uv_now (v->o.loop);
+  v->relieved_turn = v->turn;
   v->relieved_bytes = v->o.memory->total_bytes;
 }
 
@@ -232,7 +240,7 @@
 
   if (wy_memory_account_level (a) < WY_MEMORY_REJECT_NEW)
     return;
-  if (v->relieved_ms != uv_now (v->o.loop)
+  if (v->relieved_turn != v->turn
       || a->total_bytes
              > v->relieved_bytes + a->budget_bytes / RELIEF_STEP_DIVISOR)
     wy_h1_overload_relieve (v);
@@ -250,9 +258,9 @@
 
   if (s->total_body_bytes + bytes <= s->limits.buffered_bytes
       || bytes > s->limits.buffered_bytes
-      || s->body_room_ms == uv_now (s->overload->o.loop))
+      || s->body_room_turn == s->overload->turn)
     return;
-  s->body_room_ms = uv_now (s->overload->o.loop);
+  s->body_room_turn = s->overload->turn;
   list = g_array_new (FALSE, FALSE, sizeof (struct candidate));
   for (GList *l = s->connections.head; l; l = l->next)
     if (l->data != c)
@@ -274,22 +282,32 @@
   v->o = *o;
   g_queue_init (&v->servers);
   g_queue_init (&v->ready);
-  uv_idle_init (o->loop, &v->turn);
-  v->turn.data = v;
+  v->turn = 1; /* connections start with 0 */
+  uv_idle_init (o->loop, &v->next_turn);
+  v->next_turn.data = v;
+  uv_prepare_init (o->loop, &v->begin_turn);
+  v->begin_turn.data = v;
+  uv_prepare_start (&v->begin_turn, on_begin_turn);
+  uv_unref ((uv_handle_t *)&v->begin_turn);
+  v->handles = 2;
   return v;
 }
 
 static void
-on_turn_closed (uv_handle_t *h)
+on_handle_closed (uv_handle_t *h)
 {
-  g_free (h->data);
+  struct wy_h1_overload *v = h->data;
+
+  if (--v->handles == 0)
+    g_free (v);
 }
 
-/* Close the handle of V, whose servers are closed; V is freed on the loop.  */
+/* Close the handles of V, whose servers are closed; V is freed on the loop. */
 void
 wy_h1_overload_close (struct wy_h1_overload *v)
 {
-  uv_close ((uv_handle_t *)&v->turn, on_turn_closed);
+  uv_close ((uv_handle_t *)&v->next_turn, on_handle_closed);
+  uv_close ((uv_handle_t *)&v->begin_turn, on_handle_closed);
 }
 
 /* Name of R in logs and metrics.  */
--- a/src/h1/overload.h
+++ b/src/h1/overload.h
@@ -57,12 +57,14 @@
 {
   struct wy_h1_overload_options o;
   struct wy_h1_overload_stats stats;
-  GQueue servers; /* struct wy_h1_server */
-  GQueue ready;   /* connections with unparsed bytes that await a turn */
-  uv_idle_t turn;
-  uint64_t turn_ms;       /* loop time of the present turn */
+  GQueue servers;      /* struct wy_h1_server */
+  GQueue ready;        /* connections with unparsed bytes that await a turn */
+  uv_idle_t next_turn; /* active while a further turn is wanted */
+  uv_prepare_t begin_turn;
+  uint32_t handles;       /* open or closing */
+  uint64_t turn;          /* number of the present one */
   uint32_t turn_requests; /* taken in it */
-  uint64_t relieved_ms;   /* loop time at which memory was last freed */
+  uint64_t relieved_turn; /* in which memory was last freed */
   int64_t relieved_bytes; /* total of the account after that */
 };
 
--- a/src/h1/server_accept.c
+++ b/src/h1/server_accept.c
@@ -13,11 +13,9 @@
 static bool
 take_turn (struct wy_h1_server *s)
 {
-  uint64_t now_ms = uv_now (s->overload->o.loop);
-
-  if (s->accept_turn_ms != now_ms)
+  if (s->accept_turn != s->overload->turn)
     {
-      s->accept_turn_ms = now_ms;
+      s->accept_turn = s->overload->turn;
       s->accepted_in_turn = 0;
     }
   return s->accepted_in_turn++ < ACCEPTS_PER_TURN;
--- a/src/h1/server_state.h
+++ b/src/h1/server_state.h
@@ -51,7 +51,7 @@
   uint32_t silent_sweeps;     /* in which nothing of them was taken */
   uint64_t unread_since_ms;   /* loop time; 0: all responses are sent */
   uint64_t state_since_ms;    /* loop time */
-  uint64_t turn_ms;           /* loop time of the last turn */
+  uint64_t turn;              /* in which it last took a request */
   uint32_t turn_requests;     /* taken in it */
   int64_t received_ms;
   void (*on_hangup) (void *ctx);
@@ -83,9 +83,9 @@
   struct wy_h1_overload *overload;
   bool owns_overload;
   enum wy_h1_accept accept;
-  uint64_t accept_turn_ms; /* loop time of the last turn */
+  uint64_t accept_turn; /* in which one was last accepted */
   uint32_t accepted_in_turn;
-  uint64_t body_room_ms; /* loop time at which it was last made */
+  uint64_t body_room_turn; /* in which it was last made */
   uint64_t total_body_bytes;
   uint32_t active;
   GQueue connections;
--- a/tests/test_h1.c
+++ b/tests/test_h1.c
@@ -444,3 +444,35 @@
   close (listener);
   platform_fixture_free (&w);
 }
+
+/* A client sends its requests one after the other, as fast as they are
+   answered.  The bound of a turn is for requests sent ahead: if it counted
+   these, each would wait, and the process would be busy meanwhile.  */
+Test (h1, requests_one_after_the_other_do_not_wait)
+{
+  enum
+  {
+    REQUESTS = 500
+  };
+  struct handler_state h = { 0 };
+  struct wy_h1_overload *overload;
+  struct wy_h1_server_options o = { .loop = &w.loop,
+                                    .host = "127.0.0.1",
+                                    .limits = { 512, 64, 600, 60000, 100 },
+                                    .clients = { .requests_per_turn = 1 },
+                                    .on_request = on_request,
+                                    .ctx = &h };
+
+  platform_fixture_init (&w);
+  overload = wy_h1_overload_new (
+      &(struct wy_h1_overload_options){ .loop = &w.loop });
+  o.overload = overload;
+  cr_assert_eq (wy_h1_server_new (&h.server, &o), 0);
+  for (int i = 0; i < REQUESTS; i++)
+    cr_assert_eq (post (wy_h1_server_port (h.server), NULL, NULL, "x"), 200);
+  cr_expect_eq (h.requests, REQUESTS);
+  cr_expect_eq (overload->stats.turns_cut, 0);
+  wy_h1_server_free (h.server);
+  wy_h1_overload_close (overload);
+  platform_fixture_free (&w);
+}
