--- a/tests/test_clients_mix.c
+++ b/tests/test_clients_mix.c
@@ -79,6 +79,16 @@
     g_string_free (texts[i], TRUE);
 }
 
+/* Seeds that have failed: callers with requests sent ahead kept all
+   connections (102).  */
+Test (clients_mix, kept_seeds, .timeout = 3600)
+{
+  static const uint32_t seeds[] = { 102 };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (seeds); i++)
+    play (seeds[i]);
+}
+
 /* What no other test lists.  */
 Test (clients_mix, seeds, .timeout = 3600)
 {
