--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -10,16 +10,16 @@
 red=$(dirname "$0")/../KNOWN-RED.txt
 out=$(mktemp -d)
 trap 'rm -rf "$out"' EXIT
-# run PROGRAMS_AT_ONCE TESTS_AT_ONCE: the programs on standard input.
+# run PROGRAMS_AT_ONCE TESTS_AT_ONCE TIMEOUT_S: the programs on standard input.
 run ()
 {
-  OUT=$out JOBS=$2 xargs -r -P "$1" -n 1 sh -c '
+  OUT=$out JOBS=$2 TIMEOUT=$3 xargs -r -P "$1" -n 1 sh -c '
   name=$(basename "$0")
-  "$0" -j"$JOBS" --timeout 60 >"$OUT/$name" 2>&1
+  "$0" -j"$JOBS" --timeout "$TIMEOUT" >"$OUT/$name" 2>&1
   echo $? >"$OUT/$name.rc"'
 }
-printf '%s\n' "$@" | grep -v '/test_clients_' | run "$at_once" 4
-printf '%s\n' "$@" | grep '/test_clients_' | run 1 1
+printf '%s\n' "$@" | grep -v '/test_clients_' | run "$at_once" 4 60
+printf '%s\n' "$@" | grep '/test_clients_' | run 1 1 600
 passed=0
 failed=0
 known=0
