Incomplete requests give way for their own part of the memory only

By reading: from pause_reading on, a request that took over 1 s to arrive gave way even if jobs held the memory, so a slow but ordinary upload would have paid for others.

--- a/src/base/memory_account.c
+++ b/src/base/memory_account.c
@@ -31,7 +31,10 @@
   UNCOUNTED_BYTES = 15 * MB,
   /* A process with very little memory gets at least the memory divided by
      this, or it would reject all work.  */
-  BUDGET_MIN_DIVISOR = 8
+  BUDGET_MIN_DIVISOR = 8,
+  /* Part of the budget that incomplete requests may hold while other work
+     makes memory short.  */
+  RECEIVED_DIVISOR = 4
 };
 
 /* The budget of a process with MEMORY_BYTES.  */
@@ -119,13 +122,20 @@
 }
 
 /* Bytes to free by ending incomplete requests, so that reading is no longer
-   paused; 0: none.  */
+   paused; 0: none.  If memory is short for other work, what connections and
+   bodies hold up to a part of the budget is left to them.  */
 int64_t
 wy_memory_account_to_relieve_bytes (const struct wy_memory_account *a)
 {
+  int64_t received_bytes;
+  int64_t above_bytes;
+
   if (!a || a->level == WY_MEMORY_NORMAL)
     return 0;
-  return a->total_bytes - a->fall_bytes[WY_MEMORY_PAUSE_READING];
+  received_bytes = a->bytes[WY_MEMORY_BODIES] + a->bytes[WY_MEMORY_CONNECTIONS]
+                   - a->budget_bytes / RECEIVED_DIVISOR;
+  above_bytes = a->total_bytes - a->fall_bytes[WY_MEMORY_PAUSE_READING];
+  return MAX (MIN (above_bytes, received_bytes), 0);
 }
 
 /* Whether a new request must be rejected, and count it if so: from REJECT_NEW
--- a/tests/test_memory_account.c
+++ b/tests/test_memory_account.c
@@ -78,3 +78,26 @@
   cr_expect_not (wy_memory_account_rejects (&a, true));
   cr_expect_not (wy_memory_account_rejects (NULL, true));
 }
+
+/* Memory is short.  If jobs hold it, ordinary uploads must not be ended for
+   that; if incomplete requests do, they are.  Each row: held by jobs, by
+   bodies and by connections, and how much is to be freed.  */
+Test (memory_account, incomplete_requests_give_way_for_their_own_part)
+{
+  static const int64_t rows[][4]
+      = { { 900, 50, 10, 0 }, { 600, 200, 51, 1 }, { 0, 0, 700, 150 },
+          { 0, 700, 0, 150 }, { 100, 300, 50, 0 }, { 300, 0, 500, 250 } };
+
+  for (size_t i = 0; i < sizeof rows / sizeof *rows; i++)
+    {
+      struct wy_memory_account a;
+
+      wy_memory_account_init (&a, BUDGET_BYTES);
+      wy_memory_account_add (&a, WY_MEMORY_JOBS, rows[i][0]);
+      wy_memory_account_add (&a, WY_MEMORY_BODIES, rows[i][1]);
+      wy_memory_account_add (&a, WY_MEMORY_CONNECTIONS, rows[i][2]);
+      cr_expect_eq (wy_memory_account_to_relieve_bytes (&a), rows[i][3],
+                    "row %zu: %lld", i,
+                    (long long)wy_memory_account_to_relieve_bytes (&a));
+    }
+}
