An entry without a callers' address does not start, as before

By reading: the loop over the listeners passed over any empty address, while only that of the metrics may be empty; the process would have ended later, on a server that is not there. With callers_address "" wygated logs process.not_started with setting=callers_address again and exits.

--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -270,7 +270,7 @@
   int err = 0;
 
   for (size_t i = 0; i < G_N_ELEMENTS (all) && !err; i++)
-    if (*all[i].address)
+    if (*all[i].address || all[i].server != &g->metrics_server)
       err = listen_at (g, &all[i]);
   return err;
 }
