--- a/tests/support/crash_fixture.c
+++ b/tests/support/crash_fixture.c
@@ -13,6 +13,7 @@
 #include "base/id.h"
 #include "platform/config_wire.h"
 #include "platform/replica_wire.h"
+#include "support/ports.h"
 #include "support/proc.h"
 
 #define TARGET "/p/x"
@@ -21,11 +22,6 @@
 {
   SEND_MS = 50,
   SENDING_MS = 2 * CRASH_DOWN_MS,
-  /* Ports of the gates, which must stay free while these start again: below
-     those that the system gives to connections.  A test locks a block.  */
-  PORT_FIRST = 28000,
-  PORT_BLOCK = 40,
-  PORT_BLOCKS = 100,
   TRY_MS = 20,
   TRIES = 500
 };
@@ -202,69 +198,14 @@
   g_free (program);
 }
 
-static bool
-is_free (uint16_t port)
-{
-  struct sockaddr_in a = platform_loopback (port);
-  int on = 1;
-  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  bool ok;
-
-  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-  ok = bind (fd, (const struct sockaddr *)&a, sizeof a) == 0
-       && listen (fd, 1) == 0;
-  close (fd);
-  return ok;
-}
-
-/* The first of PORT_BLOCK ports that no other test gets while this process
-   lives.  */
-static uint16_t
-reserve_ports (void)
-{
-  char *locks = g_build_filename (g_get_tmp_dir (), "waxwing-ports", NULL);
-  int first = 0;
-  bool locked = false;
-
-  g_mkdir_with_parents (locks, 0700);
-  for (int i = 0; i < PORT_BLOCKS && !locked; i++)
-    {
-      char *path;
-      int fd;
-
-      first = PORT_FIRST + (int)(getpid () + i) % PORT_BLOCKS * PORT_BLOCK;
-      path = g_strdup_printf ("%s/%d", locks, first);
-      fd = open (path, O_RDWR | O_CREAT | O_CLOEXEC, 0600);
-      locked = fd >= 0 && flock (fd, LOCK_EX | LOCK_NB) == 0;
-      if (fd >= 0 && !locked)
-        close (fd);
-      g_free (path);
-    }
-  g_free (locks);
-  cr_assert (locked, "all blocks of ports are in use");
-  return (uint16_t)first;
-}
-
-static uint16_t
-next_port (void)
-{
-  static uint16_t port;
-
-  if (!port)
-    port = reserve_ports ();
-  while (!is_free (port))
-    port++;
-  return port++;
-}
-
 static void
 write_settings (struct crash_fixture *x, uint32_t i)
 {
   char *text;
 
-  x->gates[i].peers = next_port ();
-  x->gates[i].callers = next_port ();
-  x->gates[i].ready = next_port ();
+  x->gates[i].peers = wy_test_port ();
+  x->gates[i].callers = wy_test_port ();
+  x->gates[i].ready = wy_test_port ();
   x->gates[i].path = g_strdup_printf ("%s/gate-%u.yaml", x->dir, i);
   text = g_strdup_printf (
       "name: gate-%u\navailability_zone: z1\n"
--- a/tests/support/gate_process.c
+++ b/tests/support/gate_process.c
@@ -10,6 +10,7 @@
 
 #include "platform/config_wire.h"
 #include "platform/replica_wire.h"
+#include "support/ports.h"
 #include "support/proc.h"
 
 enum
@@ -114,7 +115,7 @@
   gate_process_list_replica (g, "i-1", wy_h1_server_port (g->replica));
   write_config (g, o);
   for (size_t i = 0; i < GATE_LISTENERS; i++)
-    g->ports[i] = platform_fixture_free_port (&g->w);
+    g->ports[i] = wy_test_port ();
   g->dir = g_dir_make_tmp ("wy-gate-XXXXXX", NULL);
   path = g_build_filename (g->dir, "gate.yaml", NULL);
   settings = settings_text (g, o);
--- a/tests/test_clients_orderer.c
+++ b/tests/test_clients_orderer.c
@@ -8,6 +8,7 @@
 
 #include "standin/crowd.h"
 #include "support/gate_process.h"
+#include "support/ports.h"
 #include "support/proc.h"
 
 enum
@@ -37,14 +38,14 @@
   uint32_t descriptors = DESCRIPTORS;
 
   platform_fixture_init (&w);
-  port = platform_fixture_free_port (&w);
+  port = wy_test_port ();
   dir = g_dir_make_tmp ("wy-orderer-XXXXXX", NULL);
   path = g_build_filename (dir, "orderer.yaml", NULL);
   settings = g_strdup_printf (
       "name: o\ntarget_address: 127.0.0.1:%u\nservice: svc\n"
       "metrics_address: 127.0.0.1:%u\nstore_address: 127.0.0.1:%u\n"
       "seeds: []\n",
-      platform_fixture_free_port (&w), port, wy_platform_store_port (w.store));
+      wy_test_port (), port, wy_platform_store_port (w.store));
   cr_assert (g_file_set_contents (path, settings, -1, NULL));
   cr_assert (
       g_spawn_async (NULL, (char *[]){ program, "--config", path, NULL }, NULL,
