--- a/src/cmd/wyentryd.c
+++ b/src/cmd/wyentryd.c
@@ -38,8 +38,6 @@
   bool stopping;
 };
 
-/* Static, as parts of the HTTP server are never freed, and a leak checker must
-   find them reachable.  */
 static struct process process;
 
 static bool
--- a/src/h1/server.h
+++ b/src/h1/server.h
@@ -1,8 +1,9 @@
 /* HTTP/1.1 server on libuv and http-parser.
 
    h2o's server does not read from a connection while it handles its request,
-   so a caller's hang-up shows only at the next write.  This server always
-   reads from each connection and reports a hang-up to the handler at once.  */
+   so a caller's hang-up shows only at the next write.  This server reads on,
+   up to a bound of bytes sent ahead, and reports a hang-up to the handler at
+   once.  */
 #ifndef WY_H1_SERVER_H
 #define WY_H1_SERVER_H
 
