Malformed responses end their call before anything of them is used

What callers saw: a replica answered with a status below 200 and a body, and the gate ended (SIGSEGV); requests that it was serving were cut. With a blank in a field's name, a status of four digits, another version, an unknown transfer coding, or a chunk that does not end where its size says, the caller got the response, or its raw bytes, as a success. The readers of rows, objects, feeds, peers, duties and orders took such responses as well. Cause: the parser library, built without its strict mode, accepts these, and the client passed on what the parser reported. It took any status below 200 for an interim response and called no on_head, while the parser went on to read a body: on_data came without a head, and without a response to append to. Change: src/h1/response_check.c checks the bytes of a response before they are parsed, one byte at a time and without input or output: version, status, names, values, line ends, framing, chunks, trailers. At the first fault the call ends with WY_H1_EMALFORMED and its connection is closed; nothing after the fault is parsed. Both must agree on the framing, and data without a head is an error. 204, 304 and responses to HEAD have no body whatever their fields say: a 304 with a length waited for one. The status of a malformed response no longer decides the outcome of duties, handed on jobs and calls of the store. Log line response.malformed with id, peer and reason; counters of entries and orderers.

--- a/src/duties/calls.c
+++ b/src/duties/calls.c
@@ -146,7 +146,8 @@
   struct call *k = ctx;
   enum wy_duty_outcome outcome = WY_DUTY_NO_RESPONSE;
 
-  if (k->status)
+  /* The status of a malformed response promises nothing.  */
+  if (k->status && err != WY_H1_EMALFORMED)
     switch (wy_duty_response_from_status (k->status))
       {
       case WY_DUTY_RESPONSE_DONE:
--- a/src/gate/env.h
+++ b/src/gate/env.h
@@ -51,6 +51,7 @@
   struct wy_metrics_family *returned;    /* by work, time and outcome */
   struct wy_metrics_family *run_permits; /* by outcome */
   uint64_t *waits;                       /* for an equal request */
+  struct wy_metrics_family *malformed;   /* responses, by reason */
 };
 
 struct wy_demand;
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -8,6 +8,7 @@
 #include "gate/response.h"
 #include "gate/status.h"
 #include "gate/suspect_peers.h"
+#include "h1/malformed_log.h"
 #include "platform/replica_wire.h"
 #include "trace/json_log.h"
 
@@ -342,6 +343,15 @@
   return wy_h1_client_idle_count (client, a);
 }
 
+static void
+on_malformed (void *ctx, const struct wy_h1_malformed *m)
+{
+  const struct wy_gate *g = ctx;
+
+  wy_h1_log_malformed (m);
+  wy_h1_count_malformed (g->env.count.malformed, m);
+}
+
 static int
 start_store (struct wy_gate *g)
 {
@@ -351,6 +361,7 @@
           .idle_timeout_ms = TARGET_IDLE_TIMEOUT_MS,
           .memory = &g->env.memory,
           .on_shed = wy_gate_on_shed_peer,
+          .on_malformed = on_malformed,
           .ctx = g };
   struct wy_rows_options rows
       = { .loop = g->o.loop,
--- a/src/gate/gate_metrics.c
+++ b/src/gate/gate_metrics.c
@@ -3,6 +3,7 @@
 
 #include <stdio.h>
 
+#include "h1/response_check.h"
 #include "jobs/demand.h"
 #include "platform/store_wire.h"
 #include "trace/json_log.h"
@@ -47,6 +48,10 @@
       m, "wy_gate_run_permits_total",
       "Requests for a permit to run where one replica has crashed, by outcome",
       WY_GATE_LABEL_SETS_MAX);
+  c->malformed = wy_metrics_counter_family (
+      m, "wy_gate_malformed_responses_total",
+      "Responses to calls of this process that were malformed, by reason",
+      WY_H1_FAULTS);
   c->retries = wy_metrics_counter (m, "wy_gate_retries_total",
                                    "Tries that failed at one replica");
   c->hedges = wy_metrics_counter (m, "wy_gate_hedges_total",
--- a/src/h1/client.c
+++ b/src/h1/client.c
@@ -2,6 +2,8 @@
    pipelining.  */
 #include "h1/client_state.h"
 
+#include <string.h>
+
 enum
 {
   /* Interval of checks on connections being opened: a call to an unreachable
@@ -90,8 +92,8 @@
 }
 
 /* Start a call with the options O.  All that O points to is copied, except the
-   method, which must be static.  A failure is reported through on_end on a
-   later turn of the loop.  */
+   method, which must be static, and the id.  A failure is reported through
+   on_end on a later turn of the loop.  */
 struct wy_h1_call *
 wy_h1_call_start (struct wy_h1_client *c, const struct wy_h1_call_options *o)
 {
@@ -115,6 +117,7 @@
   k->link.data = k;
   g_queue_push_tail_link (&c->active_calls, &k->link);
   wy_h1_head_reset (&k->head);
+  wy_h1_response_check_init (&k->check, !strcmp (o->method, "HEAD"));
   http_parser_init (&k->parser, HTTP_RESPONSE);
   k->parser.data = k;
   build_request (k, o);
@@ -294,6 +297,7 @@
   c->idle_timeout_ms = o->idle_timeout_ms;
   c->memory = o->memory;
   c->on_shed = o->on_shed;
+  c->on_malformed = o->on_malformed;
   c->ctx = o->ctx;
   c->peers
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
--- a/src/h1/client.h
+++ b/src/h1/client.h
@@ -14,6 +14,7 @@
 #include <uv.h>
 
 #include "h1/head.h"
+#include "h1/response_check.h"
 #include "h1/server.h"
 
 struct wy_h1_client;
@@ -31,6 +32,7 @@
   struct sockaddr_in address;
   const char *method;
   const char *target; /* path and query */
+  const char *id;     /* in logs; must outlive the call; NULL: none */
   const struct wy_h1_header *fields;
   size_t n_fields;
   const void *body;
@@ -41,7 +43,8 @@
   /* Limit of the response, head and body together; 0: of the head alone.  A
      peer in trouble may send bytes without end.  */
   size_t response_limit_bytes;
-  /* The head of the response; the call may be cancelled within.  */
+  /* The head of the final response, with a status from 200 to 599; the call
+     may be cancelled within.  No data comes before it.  */
   void (*on_head) (void *ctx, const struct wy_h1_response *r);
   void (*on_data) (void *ctx, const char *p, size_t n);
   /* Called once, last, unless the call is cancelled.  ERR is 0 if the response
@@ -50,6 +53,16 @@
   void *ctx;
 };
 
+/* A response that is malformed; its call is about to fail.  */
+struct wy_h1_malformed
+{
+  const struct sockaddr_in *peer;
+  const char *id; /* of the call; "": none */
+  enum wy_h1_fault fault;
+  bool after_head;       /* on_head has been called */
+  size_t received_bytes; /* the fault is in the last read of them */
+};
+
 struct wy_h1_client_options
 {
   uv_loop_t *loop;
@@ -60,6 +73,8 @@
      nothing of its request for SILENT_MS.  May be NULL.  */
   void (*on_shed) (void *ctx, const struct sockaddr_in *peer,
                    size_t unsent_bytes, uint32_t silent_ms);
+  /* A call is about to fail with WY_H1_EMALFORMED.  May be NULL.  */
+  void (*on_malformed) (void *ctx, const struct wy_h1_malformed *m);
   void *ctx;
 };
 
--- a/src/h1/client_call.c
+++ b/src/h1/client_call.c
@@ -16,7 +16,10 @@
   LEVEL_SHIFT = 2,
   /* Limit of all that precedes the body, interim responses included.  */
   HEAD_LIMIT_BYTES = 131072,
-  MS_PER_S = 1000
+  MS_PER_S = 1000,
+  /* What the parser's callbacks return.  */
+  SKIP_BODY = 1, /* on_headers_complete: the next byte follows the response */
+  PARSE_ERROR = -1
 };
 
 static void
@@ -153,14 +156,14 @@
   return (uint32_t)(ms / 2 > KEEP_MARGIN_MS ? ms - KEEP_MARGIN_MS : ms / 2);
 }
 
-/* Whether the response tells where it ends, so that a premature close can be
-   detected.  */
+/* Whether the parser takes the body to be framed as the check does.  */
 static bool
-is_self_delimited (const http_parser *p)
+is_framed_as_checked (const http_parser *p,
+                      const struct wy_h1_response_check *c)
 {
-  return p->status_code == HTTP_STATUS_NO_CONTENT
-         || p->status_code == HTTP_STATUS_NOT_MODIFIED
-         || (p->flags & (F_CHUNKED | F_CONTENTLENGTH));
+  return c->chunked == !!(p->flags & F_CHUNKED)
+         && c->has_length == !!(p->flags & F_CONTENTLENGTH)
+         && (!c->has_length || p->content_length == c->length_bytes);
 }
 
 static int
@@ -173,11 +176,14 @@
   if (p->status_code < 200)
     {
       wy_h1_head_reset (&k->head);
-      return 0;
+      return SKIP_BODY;
     }
-  no_body = !strcmp (k->o.method, "HEAD");
+  if (!is_framed_as_checked (p, &k->check))
+    return PARSE_ERROR;
+  no_body = wy_h1_response_check_lacks_body (&k->check);
   k->head_complete = true;
-  k->self_delimited = no_body || is_self_delimited (p);
+  /* Else a premature close can't be told from the end.  */
+  k->self_delimited = no_body || k->check.has_length || k->check.chunked;
   k->keep_alive_ms = parse_keep_alive_ms (k);
   r.status = (int)p->status_code;
   r.head = &k->head;
@@ -186,7 +192,7 @@
     k->no_reuse = true;
   if (k->o.on_head)
     k->o.on_head (k->o.ctx, &r);
-  return no_body ? 1 : 0;
+  return no_body ? SKIP_BODY : 0;
 }
 
 static int
@@ -194,6 +200,8 @@
 {
   struct wy_h1_call *k = p->data;
 
+  if (!k->head_complete)
+    return PARSE_ERROR;
   if (!k->closing && k->o.on_data)
     k->o.on_data (k->o.ctx, at, n);
   return 0;
@@ -235,12 +243,31 @@
              && k->received_bytes > k->o.response_limit_bytes);
 }
 
+/* The bytes read are no response: end the call and close its connection.  */
+static void
+fail_malformed (struct wy_h1_call *k, enum wy_h1_fault fault)
+{
+  const struct wy_h1_client *c = k->client;
+  struct wy_h1_malformed m = { .peer = &k->peer->address,
+                               .id = k->o.id ? k->o.id : "",
+                               .fault = fault,
+                               .after_head = k->head_complete,
+                               .received_bytes = k->received_bytes };
+
+  if (c->on_malformed)
+    c->on_malformed (c->ctx, &m);
+  wy_h1_call_fail (k, WY_H1_EMALFORMED);
+}
+
 static void
 parse (struct wy_h1_call *k, const char *p, size_t n)
 {
-  size_t used = http_parser_execute (&k->parser, &callbacks, p, n);
-  enum http_errno err = HTTP_PARSER_ERRNO (&k->parser);
+  size_t sound = wy_h1_response_check_feed (&k->check, p, n);
+  size_t used = 0;
 
+  /* The parser takes no bytes for the end of the connection.  */
+  if (sound)
+    used = http_parser_execute (&k->parser, &callbacks, p, sound);
   if (k->closing)
     return;
   k->received_bytes += n;
@@ -251,8 +278,12 @@
         k->no_reuse = true;
       finish_response (k);
     }
-  else if (err != HPE_OK || is_too_long (k))
-    wy_h1_call_fail (k, WY_H1_EMALFORMED);
+  else if (HTTP_PARSER_ERRNO (&k->parser) != HPE_OK)
+    fail_malformed (k, WY_H1_FAULT_SYNTAX);
+  else if (k->check.fault)
+    fail_malformed (k, k->check.fault);
+  else if (is_too_long (k))
+    fail_malformed (k, WY_H1_FAULT_TOO_LONG);
 }
 
 /* Whether the connection was reset.  libuv reports the end of the stream when
--- a/src/h1/client_state.h
+++ b/src/h1/client_state.h
@@ -5,6 +5,7 @@
 #include <http_parser.h>
 
 #include "h1/client.h"
+#include "h1/response_check.h"
 
 enum
 {
@@ -17,6 +18,7 @@
   uv_tcp_t tcp; /* must stay first */
   struct wy_h1_client *client;
   struct wy_h1_peer *peer;
+  struct wy_h1_response_check check;
   http_parser parser;
   struct wy_h1_head head;
   struct wy_h1_call_options o;
@@ -64,6 +66,7 @@
   struct wy_memory_account *memory;
   void (*on_shed) (void *ctx, const struct sockaddr_in *peer,
                    size_t unsent_bytes, uint32_t silent_ms);
+  void (*on_malformed) (void *ctx, const struct wy_h1_malformed *m);
   void *ctx;
   char read_buffer[WY_H1_CLIENT_READ_SIZE_BYTES];
 };
--- a/src/jobs/handoff.c
+++ b/src/jobs/handoff.c
@@ -62,7 +62,12 @@
 static void
 on_end (void *ctx, int err)
 {
-  end (ctx, err ? "no_answer" : "answered");
+  struct handoff *h = ctx;
+
+  /* The status of a malformed response promises nothing.  */
+  if (err == WY_H1_EMALFORMED)
+    h->status = 0;
+  end (h, err ? "no_answer" : "answered");
 }
 
 static void
--- a/src/jobs/score.c
+++ b/src/jobs/score.c
@@ -363,6 +363,7 @@
   struct wy_h1_call_options o = { .address = g->info.address,
                                   .method = "POST",
                                   .target = spec->path,
+                                  .id = spec->id,
                                   .body = spec->body,
                                   .body_size_bytes = spec->body_size_bytes,
                                   .has_body = true,
--- a/src/orders/order_metrics.c
+++ b/src/orders/order_metrics.c
@@ -3,6 +3,7 @@
 #include "orders/orderer_state.h"
 
 #include "h1/overload_log.h"
+#include "h1/response_check.h"
 #include "platform/replica_wire.h"
 #include "trace/json_log.h"
 
@@ -58,6 +59,10 @@
                                      "Calls to the store since the start");
   m->store_direct = wy_metrics_gauge (a, "wy_orderer_store_direct",
                                       "1: the direct path to the store works");
+  m->malformed = wy_metrics_counter_family (
+      a, "wy_orderer_malformed_responses_total",
+      "Responses to calls of this process that were malformed, by reason",
+      WY_H1_FAULTS);
   m->gave_way = wy_metrics_counter (
       a, "wy_orderer_clients_gave_way_total",
       "Connections to the metrics that were closed for others");
--- a/src/orders/order_metrics.h
+++ b/src/orders/order_metrics.h
@@ -10,12 +10,13 @@
 struct wy_order_metrics
 {
   struct wy_metrics *all;
-  struct wy_h1_server *server;      /* NULL: not served */
-  struct wy_h1_overload *overload;  /* of it */
-  uint64_t *gave_way;               /* connections to the metrics */
-  struct wy_metrics_family *orders; /* by outcome */
-  struct wy_metrics_family *need;   /* by model */
-  struct wy_metrics_family *share;  /* by model */
+  struct wy_h1_server *server;         /* NULL: not served */
+  struct wy_h1_overload *overload;     /* of it */
+  uint64_t *gave_way;                  /* connections to the metrics */
+  struct wy_metrics_family *orders;    /* by outcome */
+  struct wy_metrics_family *malformed; /* responses, by reason */
+  struct wy_metrics_family *need;      /* by model */
+  struct wy_metrics_family *share;     /* by model */
   struct wy_hist *load_us;
   int64_t *requested; /* newest version requested of any model */
   int64_t *loaded;    /* version of that model that the replica has loaded */
--- a/src/orders/orderer.c
+++ b/src/orders/orderer.c
@@ -11,6 +11,7 @@
 #include <string.h>
 
 #include "decide/crash_tracker.h"
+#include "h1/malformed_log.h"
 #include "platform/config_wire.h"
 #include "platform/replica_wire.h"
 #include "platform/request_wire.h"
@@ -468,6 +469,15 @@
   return false;
 }
 
+static void
+on_malformed (void *ctx, const struct wy_h1_malformed *m)
+{
+  const struct wy_orderer_daemon *d = ctx;
+
+  wy_h1_log_malformed (m);
+  wy_h1_count_malformed (d->metrics.malformed, m);
+}
+
 /* Start an orderer with options O and store it in OUT.  Returns 0 or
    WY_H1_EBIND for an address that can't be parsed or bound.  */
 int
@@ -478,7 +488,9 @@
   struct wy_h1_client_options http
       = { .loop = o->loop,
           .connect_timeout_ms = CONNECT_TIMEOUT_MS,
-          .idle_timeout_ms = TARGET_IDLE_MS };
+          .idle_timeout_ms = TARGET_IDLE_MS,
+          .on_malformed = on_malformed,
+          .ctx = d };
   struct wy_rows_options rows = { .loop = o->loop, .clock = o->clock };
   struct wy_watch_options w = { .loop = o->loop,
                                 .clock = o->clock,
--- a/src/rows/call.c
+++ b/src/rows/call.c
@@ -301,6 +301,14 @@
           + OBJECT_TIMEOUT_MS;
 }
 
+static const char *
+failure_reason (int err, bool sent)
+{
+  if (err == WY_H1_EMALFORMED)
+    return "malformed";
+  return sent ? "broken_off" : "no_connection";
+}
+
 static void
 on_end (void *ctx, int err)
 {
@@ -313,8 +321,11 @@
       bool sent = wy_h1_call_sent (k->http);
 
       k->http = NULL;
+      /* The status of a malformed response promises nothing.  */
+      if (err == WY_H1_EMALFORMED)
+        k->status = 0;
       fail (k, sent ? WY_ROWS_EUNKNOWN : WY_ROWS_EREFUSED,
-            sent ? "broken_off" : "no_connection");
+            failure_reason (err, sent));
       return;
     }
   k->http = NULL;
--- a/tests/support/gate_process.c
+++ b/tests/support/gate_process.c
@@ -42,20 +42,24 @@
 static void
 write_config (struct gate_process *g, const struct gate_process_options *o)
 {
-  static const char *const kinds[][2] = { { "/small/", "safe" },
-                                          { "/large/", "safe" },
-                                          { "/stream/", "streaming" },
-                                          { "/job/", "rollout" } };
+  static const char *const kinds[][3]
+      = { { "/small/", "safe" },
+          { "/large/", "safe" },
+          { "/stream/", "streaming" },
+          { "/resumable/", "streaming", "\"resumable\":true," },
+          { "/unsafe/", "unsafe" },
+          { "/job/", "rollout" } };
   GString *s = g_string_new ("{\"version\":1,\"routes\":[");
 
   for (size_t i = 0; i < G_N_ELEMENTS (kinds); i++)
     g_string_append_printf (
         s,
-        "%s{\"name\":\"r%zu\",\"host\":\"h\",\"prefix\":\"%s\",\"kind\":\"%s\""
+        "%s{%s\"name\":\"r%zu\",\"host\":\"h\",\"prefix\":\"%s\",\"kind\":\"%"
+        "s\""
         ",\"service\":\"svc\",\"attempts\":2,\"timeoutMs\":%u,"
         "\"retentionS\":100}",
-        i ? "," : "", i, kinds[i][0], kinds[i][1],
-        o->timeout_ms ? o->timeout_ms : ROUTE_TIMEOUT_MS);
+        i ? "," : "", kinds[i][2] ? kinds[i][2] : "", i, kinds[i][0],
+        kinds[i][1], o->timeout_ms ? o->timeout_ms : ROUTE_TIMEOUT_MS);
   g_string_append_printf (
       s,
       "],\"services\":[{\"name\":\"svc\",\"connectionLimit\":4000}],"
--- a/tests/test_clients_orderer.c
+++ b/tests/test_clients_orderer.c
@@ -2,115 +2,51 @@
    resident size and descriptors must stay below a bound, and the metrics must
    be answered while the crowd's connections are open.  */
 #include <criterion/criterion.h>
-#include <signal.h>
-#include <sys/wait.h>
-#include <unistd.h>
 
 #include "standin/crowd.h"
 #include "support/gate_process.h"
+#include "support/orderer_process.h"
 #include "support/ports.h"
-#include "support/proc.h"
 
 enum
 {
   /* Of the machine of an orderer.  */
   MEMORY_MB = 192,
   DESCRIPTORS = 256,
-  TRIES = 100,
-  TRY_MS = 100,
   LOAD_MS = 3000,
   SENT_MAX_BYTES = 6 << 20, /* a connection */
   HEAD_BYTES = 7000
 };
 
-static struct platform_fixture w;
-static GPid orderer;
-static uint16_t port;
-static char *dir;
-
-static void
-start (void)
-{
-  const char *bin = g_getenv ("WY_BIN");
-  char *program = g_build_filename (bin ? bin : "build/bin", "wyorderd", NULL);
-  char *path;
-  char *settings;
-  uint32_t descriptors = DESCRIPTORS;
-
-  platform_fixture_init (&w);
-  port = wy_test_port ();
-  dir = g_dir_make_tmp ("wy-orderer-XXXXXX", NULL);
-  path = g_build_filename (dir, "orderer.yaml", NULL);
-  settings = g_strdup_printf (
-      "name: o\ntarget_address: 127.0.0.1:%u\nservice: svc\n"
-      "metrics_address: 127.0.0.1:%u\nstore_address: 127.0.0.1:%u\n"
-      "seeds: []\n",
-      wy_test_port (), port, wy_platform_store_port (w.store));
-  cr_assert (g_file_set_contents (path, settings, -1, NULL));
-  cr_assert (
-      g_spawn_async (NULL, (char *[]){ program, "--config", path, NULL }, NULL,
-                     G_SPAWN_DO_NOT_REAP_CHILD | G_SPAWN_STDOUT_TO_DEV_NULL,
-                     process_limit_descriptors, &descriptors, &orderer, NULL));
-  g_free (settings);
-  g_free (path);
-  g_free (program);
-}
-
-static void
-await_metrics (void)
-{
-  struct wy_h1_header host = { "Host", "h" };
-
-  for (int i = 0; i < TRIES; i++)
-    {
-      struct platform_response *a = platform_fixture_call (
-          &w, port, "GET", "/metrics", &host, 1, NULL);
-      bool answered
-          = platform_fixture_run_until (&w, platform_response_done, a)
-            && !a->err && a->status == 200;
-
-      platform_response_free (a);
-      if (answered)
-        return;
-      platform_fixture_run_ms (&w, TRY_MS);
-    }
-  cr_assert_fail ("no metrics");
-}
+static struct orderer_process p;
 
 static void
 play (const char *load, struct wy_crowd_options o)
 {
   struct wy_crowd *c;
-  char *path;
   int64_t kb;
 
-  start ();
-  await_metrics ();
-  o.loop = &w.loop;
-  o.port = port;
+  orderer_process_init (&p);
+  orderer_process_start (&p, wy_test_port (), DESCRIPTORS);
+  g_free (orderer_process_await_metrics (&p));
+  o.loop = &p.w.loop;
+  o.port = p.metrics_port;
   if (!o.sent_max_bytes)
     o.sent_max_bytes = SENT_MAX_BYTES;
   c = wy_crowd_new (&o);
-  platform_fixture_run_ms (&w, LOAD_MS);
+  platform_fixture_run_ms (&p.w, LOAD_MS);
   wy_crowd_stop_sending (c);
-  cr_assert_eq (waitpid (orderer, NULL, WNOHANG), 0, "%s: has ended", load);
-  await_metrics ();
-  kb = process_resident_peak_kb (orderer);
+  cr_assert (orderer_process_lives (&p), "%s: has ended", load);
+  g_free (orderer_process_await_metrics (&p));
+  kb = process_resident_peak_kb (p.pid);
   fprintf (stderr, "%s: resident peak %lld kB, %u descriptors\n", load,
-           (long long)kb, process_descriptors (orderer));
+           (long long)kb, process_descriptors (p.pid));
 #ifndef __SANITIZE_ADDRESS__ /* which multiplies the resident size */
   cr_expect_leq (kb, MEMORY_MB * 1024 / 2, "%s", load);
 #endif
-  cr_expect_lt (process_descriptors (orderer), DESCRIPTORS, "%s", load);
+  cr_expect_lt (process_descriptors (p.pid), DESCRIPTORS, "%s", load);
   wy_crowd_free (c);
-  kill (orderer, SIGKILL);
-  waitpid (orderer, NULL, 0);
-  path = g_build_filename (dir, "orderer.yaml", NULL);
-  unlink (path);
-  rmdir (dir);
-  g_free (path);
-  g_free (dir);
-  platform_fixture_free (&w);
+  orderer_process_stop (&p);
 }
 
 /* The metrics are asked for without end, and not read.  */
