One reader of responses: calls of src/http go through the client of src/h1

What callers saw: wyentryd, wyagentd and wyctl end (an assertion of the library, or SIGSEGV) when a server of theirs sends a length with a sign, an unknown transfer coding or a folded field; a status such as 099, 600 or 999, or a body after a field that is no field, goes on to callers, is kept with the weights, or is printed by wyctl. Cause: src/http/client.c read responses with a library of its own, which checks none of these. Change: its calls run on the client of src/h1, whose check of responses they get with it: one connection a call, as before. Hosts that are no IP number are still looked up. Names of fields stay in lower case. WY_HTTP_EMALFORMED, log lines and counters. h2o is no longer needed.

--- a/Makefile
+++ b/Makefile
@@ -18,11 +18,11 @@
 endif
 
 PKGS = libuv msgpack glib-2.0 yaml-0.1 jansson libxxhash openssl log4c
-CPPFLAGS += -D_GNU_SOURCE -DH2O_USE_LIBUV=1 -DWY_VERSION='"$(VERSION)"' \
+CPPFLAGS += -D_GNU_SOURCE -DWY_VERSION='"$(VERSION)"' \
             -I. -Isrc -Itests $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
 CFLAGS += -std=c11 -g $(OPT) -Wall -Wextra -Werror -Wno-unused-parameter \
           -Wmissing-prototypes -Wstrict-prototypes -Wvla
-LDLIBS = -lh2o -lhttp_parser $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lm -lpthread
+LDLIBS = -lhttp_parser $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lm -lpthread
 
 PROGRAMS = $(patsubst src/cmd/%.c,%,$(wildcard src/cmd/*.c))
 LIB_SRC = $(filter-out src/cmd/%,$(wildcard src/*/*.c)) $(wildcard platform/*.c)
--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -219,6 +219,7 @@
   wy_agent_register_metrics (a);
   init_state (a);
   a->client = wy_http_client_new (a->loop, CLIENT_SILENCE_MS);
+  wy_http_client_count_malformed (a->client, a->n.malformed_responses);
   wy_agent_dispatch_start (a);
   uv_timer_init (a->loop, &a->sweep_timer);
   a->sweep_timer.data = a;
--- a/src/agent/http.c
+++ b/src/agent/http.c
@@ -100,6 +100,8 @@
   COUNTER (dropped, "results dropped without acknowledgement");
   COUNTER (links_closed, "connections from entries that closed");
   COUNTER (links_bad, "connections closed for a wrong key or bad bytes");
+  COUNTER (malformed_responses,
+           "responses to calls of this process that were malformed");
   COUNTER (paused, "streams paused for callers");
   COUNTER (moved, "streams whose KV memory was exported");
   COUNTER (target_restarts, "new incarnations of the target");
--- a/src/agent/state.h
+++ b/src/agent/state.h
@@ -151,6 +151,7 @@
   uint64_t *dropped; /* discarded without acknowledgement */
   uint64_t *links_closed;
   uint64_t *links_bad;
+  uint64_t *malformed_responses;
   uint64_t *paused;
   uint64_t *moved;
   uint64_t *target_restarts;
--- a/src/cmd/wyentryd.c
+++ b/src/cmd/wyentryd.c
@@ -177,6 +177,11 @@
           .seed = wy_hash64 (p->incarnation, WY_ID_LEN, 1) };
 
   p->client = wy_http_client_new (p->loop, STORE_SILENCE_TIMEOUT_MS);
+  wy_http_client_count_malformed (
+      p->client,
+      wy_metrics_counter (p->metrics, "wy_yard_malformed_responses_total",
+                          "Responses of scoring services that were"
+                          " malformed."));
   o.http = p->client;
   p->runner = wy_entry_runner (p->entry);
   p->orderer = wy_entry_orderer (p->entry);
--- a/src/entry/counters.c
+++ b/src/entry/counters.c
@@ -32,6 +32,9 @@
       m, "wy_chunks_dropped_total", "Chunks that came twice or too early");
   n->list_failed = wy_metrics_counter (m, "wy_list_failures_total",
                                        "Failed reads of the instance list");
+  n->malformed = wy_metrics_counter (
+      m, "wy_malformed_responses_total",
+      "Responses to calls of this process that were malformed");
   n->crashes = wy_metrics_counter (m, "wy_target_crashes_total",
                                    "Requests whose target crashed");
   n->open = wy_metrics_gauge (m, "wy_requests_open", "Requests in progress");
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -262,6 +262,7 @@
   wy_retry_init (&e->budget, &retry);
   wy_suspects_init (&e->suspects);
   e->client = wy_http_client_new (e->loop, (uint32_t)e->s->list_poll_ms);
+  wy_http_client_count_malformed (e->client, e->counters.malformed);
   uv_timer_init (e->loop, &e->start_timer);
   e->start_timer.data = e;
   uv_timer_init (e->loop, &e->sweep_timer);
--- a/src/entry/state.h
+++ b/src/entry/state.h
@@ -213,6 +213,7 @@
   uint64_t *dials;
   uint64_t *chunks_dropped;
   uint64_t *list_failed;
+  uint64_t *malformed; /* responses */
   uint64_t *crashes;
   int64_t *open;
   int64_t *connections;
--- a/src/h1/client.c
+++ b/src/h1/client.c
@@ -86,13 +86,14 @@
   uv_tcp_init (c->loop, &k->tcp);
   uv_tcp_nodelay (&k->tcp, 1);
   p->open++;
+  c->handles++;
   c->stats.open++;
   c->stats.opened++;
   return k;
 }
 
 /* Start a call with the options O.  All that O points to is copied, except the
-   method, which must be static, and the id.  A failure is reported through
+   id.  A failure is reported through
    on_end on a later turn of the loop.  */
 struct wy_h1_call *
 wy_h1_call_start (struct wy_h1_client *c, const struct wy_h1_call_options *o)
@@ -111,6 +112,7 @@
   k->head_complete = false;
   k->keep_alive_ms = 0;
   k->sweeps = 0;
+  k->quiet_sweeps = 0;
   k->received_bytes = 0;
   k->unsent_bytes = 0;
   k->silent_sweeps = 0;
@@ -208,7 +210,8 @@
       struct wy_h1_call *k = l->data;
 
       l = l->next;
-      if (k->connected || k->sweeps * SWEEP_MS <= c->connect_timeout_ms)
+      if (k->connected
+          || (!k->failed && k->sweeps * SWEEP_MS <= c->connect_timeout_ms))
         continue;
       wy_h1_call_fail (k, WY_H1_ECONNECT);
       /* The callback may have cancelled other calls.  */
@@ -216,6 +219,37 @@
     }
 }
 
+static bool
+is_silent (const struct wy_h1_client *c, const struct wy_h1_call *k)
+{
+  return k->connected && !k->paused
+         && k->quiet_sweeps * SWEEP_MS > c->silence_timeout_ms;
+}
+
+/* Fail the calls whose peers have sent nothing for too long, which is counted
+   in sweeps as above.  */
+static void
+sweep_silent (struct wy_h1_client *c)
+{
+  GList *l;
+
+  if (c->silence_timeout_ms == 0)
+    return;
+  for (l = c->active_calls.head; l; l = l->next)
+    ((struct wy_h1_call *)l->data)->quiet_sweeps++;
+  l = c->active_calls.head;
+  while (l)
+    {
+      struct wy_h1_call *k = l->data;
+
+      l = l->next;
+      if (!is_silent (c, k))
+        continue;
+      wy_h1_call_fail (k, WY_H1_ESILENT);
+      l = c->active_calls.head;
+    }
+}
+
 /* Count for how many sweeps the peers have taken nothing of their requests,
    as the server does of responses.  Return the call with the most unsent bytes
    whose peer is silent, or NULL.  */
@@ -272,6 +306,7 @@
   gpointer p;
 
   sweep_connecting (c);
+  sweep_silent (c);
   shed (c);
   if (++c->sweeps % IDLE_SWEEPS)
     return;
@@ -295,6 +330,8 @@
   c->loop = o->loop;
   c->connect_timeout_ms = o->connect_timeout_ms;
   c->idle_timeout_ms = o->idle_timeout_ms;
+  c->silence_timeout_ms = o->silence_timeout_ms;
+  c->handles = 1;
   c->memory = o->memory;
   c->on_shed = o->on_shed;
   c->on_malformed = o->on_malformed;
@@ -309,8 +346,24 @@
   return c;
 }
 
-/* Close all connections and cancel all calls.  C is not freed, since callbacks
-   of the loop still use it; the caller must run the loop once more.  */
+/* One of C's handles has been closed: free C after the last one.  */
+void
+wy_h1_client_release (struct wy_h1_client *c)
+{
+  if (--c->handles)
+    return;
+  g_hash_table_destroy (c->peers);
+  g_free (c);
+}
+
+static void
+on_sweep_closed (uv_handle_t *h)
+{
+  wy_h1_client_release (h->data);
+}
+
+/* Close all connections and cancel all calls.  C is freed when the loop has
+   run once more.  */
 void
 wy_h1_client_free (struct wy_h1_client *c)
 {
@@ -322,7 +375,7 @@
   g_hash_table_iter_init (&it, c->peers);
   while (g_hash_table_iter_next (&it, NULL, &p))
     sweep_idle (p, UINT64_MAX);
-  uv_close ((uv_handle_t *)&c->sweep, NULL);
+  uv_close ((uv_handle_t *)&c->sweep, on_sweep_closed);
 }
 
 /* Copy the statistics of C's connections to OUT.  */
--- a/src/h1/client.h
+++ b/src/h1/client.h
@@ -1,8 +1,8 @@
 /* HTTP/1.1 client on libuv and http-parser with persistent connections.
 
-   h2o's client closes after each call.  Targets charge for new connections and
-   limit the number of open ones, so this client reuses them, and it tells the
-   caller whether a failed request may have reached the peer.  */
+   Targets charge for new connections and limit the number of open ones, so
+   this client reuses them, and it tells the caller whether a failed request
+   may have reached the peer.  */
 #ifndef WY_H1_CLIENT_H
 #define WY_H1_CLIENT_H
 
@@ -43,6 +43,8 @@
   /* Limit of the response, head and body together; 0: of the head alone.  A
      peer in trouble may send bytes without end.  */
   size_t response_limit_bytes;
+  /* The connection is open and the request is about to be sent.  */
+  void (*on_sending) (void *ctx);
   /* The head of the final response, with a status from 200 to 599; the call
      may be cancelled within.  No data comes before it.  */
   void (*on_head) (void *ctx, const struct wy_h1_response *r);
@@ -68,6 +70,7 @@
   uv_loop_t *loop;
   uint32_t connect_timeout_ms;
   uint32_t idle_timeout_ms;         /* if the peer announces none */
+  uint32_t silence_timeout_ms;      /* of calls; 0: none */
   struct wy_memory_account *memory; /* NULL: none */
   /* A call to PEER is about to be ended for lack of memory: the peer has read
      nothing of its request for SILENT_MS.  May be NULL.  */
--- a/src/h1/client_call.c
+++ b/src/h1/client_call.c
@@ -40,6 +40,7 @@
 
   free_request (k);
   wy_h1_head_clear (&k->head);
+  wy_h1_client_release (k->client);
   g_free (k);
 }
 
@@ -331,6 +332,7 @@
 
   if (n == 0)
     return;
+  k->quiet_sweeps = 0;
   if (!k->active)
     {
       /* Closed by the peer, or unsolicited bytes.  */
@@ -368,7 +370,12 @@
 {
   uv_buf_t buf = uv_buf_init (k->request->str, (unsigned)k->request->len);
 
+  if (k->o.on_sending)
+    k->o.on_sending (k->o.ctx);
+  if (k->closing)
+    return;
   k->sent = true;
+  k->quiet_sweeps = 0;
   k->writing = true;
   k->write.data = k;
   if (uv_write (&k->write, (uv_stream_t *)&k->tcp, &buf, 1, on_written))
@@ -412,5 +419,8 @@
   if (uv_tcp_connect (&k->connect, &k->tcp,
                       (const struct sockaddr *)&k->peer->address,
                       on_connected))
-    k->connecting = false; /* the sweep fails it */
+    {
+      k->connecting = false;
+      k->failed = true; /* reported by the sweep */
+    }
 }
--- a/src/h1/client_state.h
+++ b/src/h1/client_state.h
@@ -29,6 +29,7 @@
   uint32_t keep_alive_ms;
   bool connected;
   bool connecting;
+  bool failed; /* no connection can be opened */
   bool writing;
   bool sent;          /* bytes may have been sent */
   bool refused;       /* nothing listens at the peer's port */
@@ -40,6 +41,7 @@
   bool closing;
   bool paused;            /* the response is not read */
   uint32_t sweeps;        /* since the call started */
+  uint32_t quiet_sweeps;  /* since anything was received, unless paused */
   size_t received_bytes;  /* of the response */
   size_t unsent_bytes;    /* of the request, at the last sweep */
   uint32_t silent_sweeps; /* in which nothing of them was taken */
@@ -58,6 +60,8 @@
   uv_loop_t *loop;
   uint32_t connect_timeout_ms;
   uint32_t idle_timeout_ms;
+  uint32_t silence_timeout_ms;
+  uint32_t handles; /* not closed yet: the connections and the timer */
   uv_timer_t sweep;
   uint32_t sweeps;
   GHashTable *peers;   /* struct wy_h1_peer by address */
@@ -71,6 +75,7 @@
   char read_buffer[WY_H1_CLIENT_READ_SIZE_BYTES];
 };
 
+void wy_h1_client_release (struct wy_h1_client *c);
 void wy_h1_call_open (struct wy_h1_call *k);
 void wy_h1_call_send (struct wy_h1_call *k);
 void wy_h1_call_start_reading (struct wy_h1_call *k);
--- a/src/h1/server.h
+++ b/src/h1/server.h
@@ -1,9 +1,7 @@
 /* HTTP/1.1 server on libuv and http-parser.
 
-   h2o's server does not read from a connection while it handles its request,
-   so a caller's hang-up shows only at the next write.  This server reads on,
-   up to a bound of bytes sent ahead, and reports a hang-up to the handler at
-   once.  */
+   While a request is handled the server reads on from its connection, up to a
+   bound of bytes sent ahead, and reports a hang-up to the handler at once.  */
 #ifndef WY_H1_SERVER_H
 #define WY_H1_SERVER_H
 
@@ -20,10 +18,11 @@
 enum wy_h1_error
 {
   WY_H1_EBIND = -1001,
-  WY_H1_ECONNECT = -1002,  /* no connection; nothing was sent */
-  WY_H1_ERESET = -1003,    /* connection lost */
-  WY_H1_EPARTIAL = -1004,  /* connection lost within the response */
-  WY_H1_EMALFORMED = -1005 /* not an HTTP/1.1 response */
+  WY_H1_ECONNECT = -1002,   /* no connection; nothing was sent */
+  WY_H1_ERESET = -1003,     /* connection lost */
+  WY_H1_EPARTIAL = -1004,   /* connection lost within the response */
+  WY_H1_EMALFORMED = -1005, /* not an HTTP/1.1 response */
+  WY_H1_ESILENT = -1006     /* the peer sent nothing for too long */
 };
 
 enum
--- a/src/http/client.c
+++ b/src/http/client.c
@@ -1,36 +1,42 @@
-/* HTTP/1.1 client on h2o and libuv: one connection per call.  */
+/* HTTP/1.1 client of the daemons that do not run on the platform, and of
+   wyctl: calls on the client of src/h1, each on a connection of its own.  */
 #include "http/client.h"
 
-#include <stdbool.h>
 #include <string.h>
 
 #include <glib.h>
-#include <h2o.h>
-#include <h2o/http1client.h>
 
+#include "h1/client.h"
 #include "http/error.h"
+#include "trace/log.h"
+
+enum
+{
+  HOST_SIZE_BYTES = 64
+};
 
 struct wy_http_client
 {
-  h2o_http1client_ctx_t h2o;
-  h2o_timeout_t idle_timeout;
+  struct wy_h1_client *h1;
   uv_loop_t *loop;
+  uint64_t *malformed; /* responses; NULL: not counted */
+};
+
+/* A lookup of a host that is not an IP number.  */
+struct lookup
+{
+  uv_getaddrinfo_t req;
+  struct wy_http_call_options o; /* copied */
+  struct wy_http_call *call;     /* NULL: cancelled */
 };
 
 struct wy_http_call
 {
+  struct wy_http_client *client;
   struct wy_http_call_options o; /* its strings are not valid any more */
-  h2o_http1client_t *h2o;
-  GString *head;
-  GString *body;
-  h2o_iovec_t bufs[2];
+  struct wy_h1_call *h1;         /* NULL: not started, or ended */
+  struct lookup *lookup;         /* NULL: none in progress */
   uv_timer_t timer;
-  bool chunked;
-  bool in_callback;
-  bool starting;    /* within wy_http_call_start */
-  bool not_started; /* h2o could not open a connection */
-  bool cancelled;
-  bool ended;
   /* for wy_http_fetch */
   GString *response;
   int status;
@@ -39,25 +45,50 @@
   void *done_ctx;
 };
 
+static void
+on_malformed (void *ctx, const struct wy_h1_malformed *m)
+{
+  const struct wy_http_client *c = ctx;
+  char ip[INET_ADDRSTRLEN];
+
+  uv_ip4_name (m->peer, ip, sizeof ip);
+  wy_log (WY_LOG_WARN, "response.malformed",
+          "peer=%s:%u reason=%s after_head=%d received=%zu", ip,
+          ntohs (m->peer->sin_port), wy_h1_fault_name (m->fault),
+          m->after_head, m->received_bytes);
+  if (c->malformed)
+    ++*c->malformed;
+}
+
 /* Create a client on LOOP.  A call fails if nothing is received for
    IDLE_TIMEOUT_MS.  */
 struct wy_http_client *
 wy_http_client_new (uv_loop_t *loop, uint32_t idle_timeout_ms)
 {
-  struct wy_http_client *c = g_malloc0 (sizeof *c);
+  struct wy_http_client *c = g_new0 (struct wy_http_client, 1);
+  struct wy_h1_client_options o = { .loop = loop,
+                                    .connect_timeout_ms = idle_timeout_ms,
+                                    .silence_timeout_ms = idle_timeout_ms,
+                                    .on_malformed = on_malformed,
+                                    .ctx = c };
 
   c->loop = loop;
-  h2o_timeout_init (loop, &c->idle_timeout, idle_timeout_ms);
-  c->h2o.loop = loop;
-  c->h2o.io_timeout = &c->idle_timeout;
+  c->h1 = wy_h1_client_new (&o);
   return c;
 }
 
-/* Free C; no call may be in progress.  */
+/* Count C's malformed responses in COUNT.  */
+void
+wy_http_client_count_malformed (struct wy_http_client *c, uint64_t *count)
+{
+  c->malformed = count;
+}
+
+/* Free C; no call may be in progress.  The loop must run once more.  */
 void
 wy_http_client_free (struct wy_http_client *c)
 {
-  h2o_timeout_dispose (c->loop, &c->idle_timeout);
+  wy_h1_client_free (c->h1);
   g_free (c);
 }
 
@@ -66,8 +97,6 @@
 {
   struct wy_http_call *call = h->data;
 
-  g_string_free (call->head, TRUE);
-  g_string_free (call->body, TRUE);
   if (call->response)
     g_string_free (call->response, TRUE);
   g_free (call->etag);
@@ -77,137 +106,90 @@
 static void
 close_call (struct wy_http_call *call)
 {
-  call->ended = true;
+  call->h1 = NULL;
+  call->lookup = NULL;
   uv_close ((uv_handle_t *)&call->timer, on_timer_closed);
 }
 
 static void
 finish (struct wy_http_call *call, int err)
 {
-  if (call->ended)
-    return;
-  if (!call->cancelled && call->o.on_end)
-    {
-      call->in_callback = true;
-      call->o.on_end (call->o.ctx, err);
-    }
   close_call (call);
+  if (call->o.on_end)
+    call->o.on_end (call->o.ctx, err);
 }
 
-/* Whether the body is complete when h2o reports ERRSTR.  If the connection
-   closes between two chunks, before the empty one that ends a body, h2o
-   reports the same as for a complete body, as browsers do; the response of a
-   target that crashed would pass for a complete one.  The two cases differ in
-   that the last chunk comes with bytes read and a closed connection does
-   not.  */
-static bool
-is_complete (const struct wy_http_call *call, const char *errstr)
+static int
+error_of (int h1_err)
 {
-  if (errstr != h2o_http1client_error_is_eos)
-    return false;
-  return !call->chunked || call->h2o->sock->bytes_read > 0;
+  switch (h1_err)
+    {
+    case 0:
+      return 0;
+    case WY_H1_ECONNECT:
+      return WY_HTTP_ECONNECT;
+    case WY_H1_EMALFORMED:
+      return WY_HTTP_EMALFORMED;
+    default:
+      return WY_HTTP_EINCOMPLETE;
+    }
 }
 
-static int
-on_body (h2o_http1client_t *h2o, const char *errstr)
+static void
+on_h1_sending (void *ctx)
 {
-  struct wy_http_call *call = h2o->data;
-  h2o_buffer_t *in = h2o->sock->input;
+  struct wy_http_call *call = ctx;
 
-  if (in->size && call->o.on_data && !call->cancelled)
-    {
-      call->in_callback = true;
-      call->o.on_data (call->o.ctx, in->bytes, in->size);
-      call->in_callback = false;
-    }
-  h2o_buffer_consume (&h2o->sock->input, h2o->sock->input->size);
-  if (call->cancelled)
-    {
-      close_call (call);
-      return -1;
-    }
-  if (errstr)
-    {
-      finish (call, is_complete (call, errstr) ? 0 : WY_HTTP_EINCOMPLETE);
-      return -1;
-    }
-  return 0;
+  if (call->o.on_sending)
+    call->o.on_sending (call->o.ctx);
 }
 
+/* Names are given in lower case.  */
 static void
-deliver_head (struct wy_http_call *call, int status, h2o_header_t *headers,
-              size_t n)
+on_h1_head (void *ctx, const struct wy_h1_response *r)
 {
-  struct wy_http_header_field *pairs
-      = g_new (struct wy_http_header_field, n + 1);
+  struct wy_http_call *call = ctx;
+  size_t n = wy_h1_head_count (r->head);
+  struct wy_http_header_field *pairs;
 
+  if (!call->o.on_head)
+    return;
+  pairs = g_new (struct wy_http_header_field, n + 1);
   for (size_t i = 0; i < n; i++)
     {
-      pairs[i].name = g_strndup (headers[i].name->base, headers[i].name->len);
-      pairs[i].value = g_strndup (headers[i].value.base, headers[i].value.len);
+      struct wy_h1_header h = wy_h1_head_at (r->head, i);
+
+      pairs[i].name = g_ascii_strdown (h.name, -1);
+      pairs[i].value = h.value;
     }
-  call->in_callback = true;
-  call->o.on_head (call->o.ctx, status, pairs, n);
-  call->in_callback = false;
+  call->o.on_head (call->o.ctx, r->status, pairs, n);
   for (size_t i = 0; i < n; i++)
-    {
-      g_free ((char *)pairs[i].name);
-      g_free ((char *)pairs[i].value);
-    }
+    g_free ((char *)pairs[i].name);
   g_free (pairs);
 }
 
-static h2o_http1client_body_cb
-on_head (h2o_http1client_t *h2o, const char *errstr, int minor_version,
-         int status, h2o_iovec_t msg, h2o_header_t *headers,
-         size_t num_headers, int rlen)
+static void
+on_h1_data (void *ctx, const char *p, size_t n)
 {
-  struct wy_http_call *call = h2o->data;
+  struct wy_http_call *call = ctx;
 
-  if (errstr && errstr != h2o_http1client_error_is_eos)
-    {
-      finish (call, WY_HTTP_EINCOMPLETE);
-      return NULL;
-    }
-  for (size_t i = 0; i < num_headers; i++)
-    if (headers[i].name == &H2O_TOKEN_TRANSFER_ENCODING->buf)
-      call->chunked = true;
-  if (call->o.on_head)
-    deliver_head (call, status, headers, num_headers);
-  if (call->cancelled)
-    {
-      close_call (call);
-      return NULL;
-    }
-  if (errstr)
-    {
-      finish (call, 0);
-      return NULL;
-    }
-  return on_body;
+  if (call->o.on_data)
+    call->o.on_data (call->o.ctx, p, n);
 }
 
-static h2o_http1client_head_cb
-on_connect (h2o_http1client_t *h2o, const char *errstr, h2o_iovec_t **reqbufs,
-            size_t *reqbufcnt, int *method_is_head)
+static void
+on_h1_end (void *ctx, int err)
 {
-  struct wy_http_call *call = h2o->data;
+  finish (ctx, error_of (err));
+}
 
-  if (errstr)
-    {
-      call->not_started = call->starting;
-      if (!call->starting)
-        finish (call, WY_HTTP_ECONNECT);
-      return NULL;
-    }
-  if (call->o.on_sending)
-    call->o.on_sending (call->o.ctx);
-  call->bufs[0] = h2o_iovec_init (call->head->str, call->head->len);
-  call->bufs[1] = h2o_iovec_init (call->body->str, call->body->len);
-  *reqbufs = call->bufs;
-  *reqbufcnt = call->body->len ? 2 : 1;
-  *method_is_head = 0;
-  return on_head;
+static void
+stop (struct wy_http_call *call)
+{
+  if (call->lookup)
+    call->lookup->call = NULL;
+  if (call->h1)
+    wy_h1_call_cancel (call->h1);
 }
 
 static void
@@ -215,57 +197,148 @@
 {
   struct wy_http_call *call = t->data;
 
-  h2o_http1client_cancel (call->h2o);
+  stop (call);
   finish (call, WY_HTTP_ETIMEOUT);
 }
 
+static void
+start_h1 (struct wy_http_call *call, const struct wy_http_call_options *o,
+          const struct sockaddr_in *address)
+{
+  struct wy_h1_header *fields = g_new (struct wy_h1_header, o->n_headers + 2);
+  char host[HOST_SIZE_BYTES];
+  struct wy_h1_call_options k = { .address = *address,
+                                  .method = o->method,
+                                  .target = o->path,
+                                  .fields = fields,
+                                  .body = o->body,
+                                  .body_size_bytes = o->body_size_bytes,
+                                  .new_connection = true,
+                                  .on_sending = on_h1_sending,
+                                  .on_head = on_h1_head,
+                                  .on_data = on_h1_data,
+                                  .on_end = on_h1_end,
+                                  .ctx = call };
+
+  g_snprintf (host, sizeof host, "%s:%u", o->host, o->port);
+  fields[k.n_fields++] = (struct wy_h1_header){ "host", host };
+  for (size_t i = 0; i < o->n_headers; i++)
+    fields[k.n_fields++]
+        = (struct wy_h1_header){ o->headers[i].name, o->headers[i].value };
+  fields[k.n_fields++] = (struct wy_h1_header){ "connection", "close" };
+  call->h1 = wy_h1_call_start (call->client->h1, &k);
+  g_free (fields);
+}
+
+/* Copy what O points to into COPY.  */
+static void
+copy_options (struct wy_http_call_options *copy,
+              const struct wy_http_call_options *o)
+{
+  struct wy_http_header_field *headers
+      = g_new (struct wy_http_header_field, o->n_headers + 1);
+
+  *copy = *o;
+  copy->method = g_strdup (o->method);
+  copy->host = g_strdup (o->host);
+  copy->path = g_strdup (o->path);
+  for (size_t i = 0; i < o->n_headers; i++)
+    {
+      headers[i].name = g_strdup (o->headers[i].name);
+      headers[i].value = g_strdup (o->headers[i].value);
+    }
+  copy->headers = headers;
+  copy->body = g_memdup2 (o->body, o->body_size_bytes);
+}
+
+static void
+free_options (struct wy_http_call_options *copy)
+{
+  for (size_t i = 0; i < copy->n_headers; i++)
+    {
+      g_free ((char *)copy->headers[i].name);
+      g_free ((char *)copy->headers[i].value);
+    }
+  g_free ((void *)copy->headers);
+  g_free ((char *)copy->method);
+  g_free ((char *)copy->host);
+  g_free ((char *)copy->path);
+  g_free ((void *)copy->body);
+}
+
+static void
+on_looked_up (uv_getaddrinfo_t *req, int status, struct addrinfo *found)
+{
+  struct lookup *l = req->data;
+  struct wy_http_call *call = l->call;
+
+  if (call)
+    {
+      call->lookup = NULL;
+      if (status < 0)
+        finish (call, WY_HTTP_ECONNECT);
+      else
+        {
+          struct sockaddr_in a = *(struct sockaddr_in *)found->ai_addr;
+
+          a.sin_port = htons (l->o.port);
+          start_h1 (call, &l->o, &a);
+        }
+    }
+  uv_freeaddrinfo (found);
+  free_options (&l->o);
+  g_free (l);
+}
+
 static void
 on_not_started (uv_timer_t *t)
 {
   finish (t->data, WY_HTTP_ECONNECT);
 }
 
+/* Look up the host of O and start CALL then.  */
 static void
-write_head (GString *s, const struct wy_http_call_options *o)
+look_up (struct wy_http_call *call, const struct wy_http_call_options *o)
 {
-  g_string_printf (s, "%s %s HTTP/1.1\r\nhost: %s:%u\r\n", o->method, o->path,
-                   o->host, o->port);
-  for (size_t i = 0; i < o->n_headers; i++)
-    g_string_append_printf (s, "%s: %s\r\n", o->headers[i].name,
-                            o->headers[i].value);
-  if (o->body_size_bytes)
-    g_string_append_printf (s, "content-length: %zu\r\n", o->body_size_bytes);
-  g_string_append (s, "connection: close\r\n\r\n");
+  static const struct addrinfo hints
+      = { .ai_family = AF_INET, .ai_socktype = SOCK_STREAM };
+  struct lookup *l = g_new0 (struct lookup, 1);
+
+  copy_options (&l->o, o);
+  l->call = call;
+  l->req.data = l;
+  if (uv_getaddrinfo (call->client->loop, &l->req, on_looked_up, l->o.host,
+                      NULL, &hints))
+    {
+      free_options (&l->o);
+      g_free (l);
+      uv_timer_start (&call->timer, on_not_started, 0, 0);
+      return;
+    }
+  call->lookup = l;
 }
 
 /* Start the call O; everything O points to is copied.  on_end gets 0,
-   WY_HTTP_ECONNECT if nothing was sent, or WY_HTTP_EINCOMPLETE or
-   WY_HTTP_ETIMEOUT if the target may have run the request.  No callback comes
-   before this returns.  */
+   WY_HTTP_ECONNECT if nothing was sent, or WY_HTTP_EINCOMPLETE,
+   WY_HTTP_EMALFORMED or WY_HTTP_ETIMEOUT if the target may have run the
+   request.  No callback comes before this returns.  */
 struct wy_http_call *
 wy_http_call_start (struct wy_http_client *c,
                     const struct wy_http_call_options *o)
 {
-  struct wy_http_call *call = g_malloc0 (sizeof *call);
-  h2o_iovec_t host = h2o_iovec_init (o->host, strlen (o->host));
+  struct wy_http_call *call = g_new0 (struct wy_http_call, 1);
+  struct sockaddr_in address;
 
+  call->client = c;
   call->o = *o;
-  call->head = g_string_new (NULL);
-  call->body = g_string_new_len (o->body_size_bytes ? o->body : "",
-                                 (gssize)o->body_size_bytes);
-  write_head (call->head, o);
   uv_timer_init (c->loop, &call->timer);
   call->timer.data = call;
   if (o->timeout_ms)
     uv_timer_start (&call->timer, on_timeout, o->timeout_ms, 0);
-  call->starting = true;
-  h2o_http1client_connect (&call->h2o, call, &c->h2o, host, o->port, 0,
-                           on_connect);
-  call->starting = false;
-  /* Without descriptors h2o fails at once; the callback comes later all the
-     same.  */
-  if (call->not_started)
-    uv_timer_start (&call->timer, on_not_started, 0, 0);
+  if (uv_ip4_addr (o->host, o->port, &address))
+    look_up (call, o);
+  else
+    start_h1 (call, o, &address);
   return call;
 }
 
@@ -274,13 +347,9 @@
 void
 wy_http_call_cancel (struct wy_http_call *call)
 {
-  if (call->ended || call->cancelled)
-    return;
-  call->cancelled = true;
-  if (call->in_callback)
+  if (uv_is_closing ((uv_handle_t *)&call->timer))
     return;
-  if (!call->not_started)
-    h2o_http1client_cancel (call->h2o);
+  stop (call);
   close_call (call);
 }
 
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -1,4 +1,5 @@
-/* HTTP/1.1 client on h2o and libuv.  */
+/* HTTP/1.1 client of the daemons that do not run on the platform, and of
+   wyctl.  */
 #ifndef WY_HTTP_CLIENT_H
 #define WY_HTTP_CLIENT_H
 
@@ -19,7 +20,7 @@
 struct wy_http_call_options
 {
   const char *method;
-  const char *host; /* IP address */
+  const char *host; /* IP number, or a name that is looked up */
   uint16_t port;
   const char *path; /* including the query */
   const struct wy_http_header_field *headers;
@@ -51,6 +52,8 @@
 
 struct wy_http_client *wy_http_client_new (uv_loop_t *loop,
                                            uint32_t idle_timeout_ms);
+void wy_http_client_count_malformed (struct wy_http_client *c,
+                                     uint64_t *count);
 void wy_http_client_free (struct wy_http_client *c);
 struct wy_http_call *wy_http_call_start (struct wy_http_client *c,
                                          const struct wy_http_call_options *o);
--- a/src/store/client.c
+++ b/src/store/client.c
@@ -230,6 +230,10 @@
     {
       s->n_retries = wy_metrics_counter (o->metrics, "wy_store_retries_total",
                                          "Calls to the store sent again.");
+      wy_http_client_count_malformed (
+          s->http,
+          wy_metrics_counter (o->metrics, "wy_store_malformed_responses_total",
+                              "Responses of the store that were malformed."));
       s->n_outages = wy_metrics_counter (o->metrics, "wy_store_outages_total",
                                          "Outages of the store seen.");
     }
--- a/tests/support/proc.c
+++ b/tests/support/proc.c
@@ -227,7 +227,8 @@
   uv_run (&loop, UV_RUN_DEFAULT);
   wy_http_client_free (c);
   uv_run (&loop, UV_RUN_NOWAIT);
-  uv_loop_close (&loop);
+  while (uv_loop_close (&loop) == UV_EBUSY)
+    uv_run (&loop, UV_RUN_NOWAIT);
 }
 
 /* Call 127.0.0.1:PORT and wait for the complete response.  HEADERS ends with a
