Requests with blanks in the names of fields are rejected

What callers could do: a request with "Content-Length : 3" or "X Y: v" was accepted, and the line passed on to the replica as it came. For us such a field frames nothing, so that the body counted as the next request; a replica that reads it as a length takes other bytes for the request. Cause: as for responses, the parser library takes blanks in names (it is built without its strict mode). Change: names that are not tokens get 400, as RFC 9112, 5.1, asks of a server.

--- a/src/h1/head.c
+++ b/src/h1/head.c
@@ -151,6 +151,25 @@
   return h->text->len;
 }
 
+/* Whether B may stand in a token (RFC 9110, 5.6.2).  */
+bool
+wy_h1_is_token_byte (unsigned char b)
+{
+  return g_ascii_isalnum (b) || (b && strchr ("!#$%&'*+-.^_`|~", b));
+}
+
+/* Whether the names of all fields are tokens.  The parser library also takes
+   blanks in them.  */
+bool
+wy_h1_head_has_valid_names (const struct wy_h1_head *h)
+{
+  for (size_t i = 0; i < h->fields->len; i++)
+    for (const char *p = wy_h1_head_at (h, i).name; *p; p++)
+      if (!wy_h1_is_token_byte ((unsigned char)*p))
+        return false;
+  return true;
+}
+
 /* Whether the field NAME is hop-by-hop (RFC 9110, 7.6.1) or frames the body,
    so that it must not be forwarded.  */
 bool
--- a/src/h1/head.h
+++ b/src/h1/head.h
@@ -45,6 +45,8 @@
 size_t wy_h1_head_held_bytes (const struct wy_h1_head *h);
 void wy_h1_head_trim (struct wy_h1_head *h);
 
+bool wy_h1_is_token_byte (unsigned char b);
+bool wy_h1_head_has_valid_names (const struct wy_h1_head *h);
 bool wy_h1_is_hop_by_hop (const char *name);
 void wy_h1_write_fields (GString *out, const struct wy_h1_header *p, size_t n);
 
--- a/src/h1/response_check.c
+++ b/src/h1/response_check.c
@@ -3,6 +3,8 @@
 
 #include <string.h>
 
+#include "h1/head.h"
+
 enum
 {
   STATUS_DIGITS = 3,
@@ -56,16 +58,6 @@
   return b == ' ' || b == '\t';
 }
 
-/* Whether B may stand in a token (RFC 9110, 5.6.2).  */
-static bool
-is_token_byte (unsigned char b)
-{
-  unsigned char l = to_lower (b);
-
-  return is_digit (b) || (l >= 'a' && l <= 'z')
-         || (b && strchr ("!#$%&'*+-.^_`|~", b));
-}
-
 /* Whether B may stand in a field value or reason phrase.  */
 static bool
 is_text_byte (unsigned char b)
@@ -267,7 +259,7 @@
       c->state = WY_H1_CHECK_FIELDS_LF;
       return WY_H1_FAULT_NONE;
     }
-  if (!is_token_byte (b))
+  if (!wy_h1_is_token_byte (b))
     return WY_H1_FAULT_FIELD_NAME;
   c->name[0] = (char)to_lower (b);
   c->name_n = 1;
@@ -288,7 +280,7 @@
       c->state = WY_H1_CHECK_VALUE;
       return WY_H1_FAULT_NONE;
     }
-  if (!is_token_byte (b))
+  if (!wy_h1_is_token_byte (b))
     return WY_H1_FAULT_FIELD_NAME;
   if (c->name_n < WY_H1_CHECK_NAME_BYTES)
     c->name[c->name_n++] = (char)to_lower (b);
--- a/src/h1/server_conn.c
+++ b/src/h1/server_conn.c
@@ -172,6 +172,8 @@
   const struct wy_h1_limits *l = &c->server->limits;
   bool has_length = p->content_length != UINT64_MAX;
 
+  if (!wy_h1_head_has_valid_names (&c->head))
+    return -1;
   if (has_length && p->content_length <= l->body_bytes)
     wy_h1_overload_make_body_room (c, p->content_length);
   if (has_length && p->content_length > l->body_bytes)
--- a/tests/test_h1.c
+++ b/tests/test_h1.c
@@ -348,6 +348,24 @@
   stop_server (&h);
 }
 
+/* A blank in a field's name, or before its colon: the field may frame the body
+   for the replica and not for us.  Guards against such a request being passed
+   on, and its body taken for the next request.  */
+Test (h1, requests_with_blanks_in_names_are_rejected)
+{
+  struct handler_state h;
+  uint16_t port = start_server (&h);
+  static const char *const names[]
+      = { "X Y", "X ", "Content-Length ", "Content- Length",
+          "Transfer-Encoding " };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
+    cr_expect_eq (post (port, names[i], "3", "ok"), 400, "\"%s\"", names[i]);
+  cr_expect_eq (h.requests, 0);
+  cr_expect_eq (post (port, "!#$%&'*+-.^_`|~", "3", "ok"), 200);
+  stop_server (&h);
+}
+
 /* Concurrent uploads must stay within their memory limit: what does not fit is
    rejected as not run, and is accepted again after other requests have
    ended.  */
