The client of an entry stays valid after it has been closed

Cause: since calls of src/http use it, the client of src/h1 was freed with its last handle, and what an entry still has to do when it stops may ask its client for idle connections: a lookup in a table that is no more.

--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -489,7 +489,7 @@
   wy_watch_free (g->operator_watch);
   wy_watch_free (g->replica_watch);
   wy_rows_free (g->env.rows);
-  wy_h1_client_free (g->env.http);
+  wy_h1_client_close (g->env.http);
   wy_read_pauses_free (g->env.read_pauses);
   uv_close ((uv_handle_t *)&g->tick, NULL);
 }
--- a/src/h1/client.c
+++ b/src/h1/client.c
@@ -346,11 +346,12 @@
   return c;
 }
 
-/* One of C's handles has been closed: free C after the last one.  */
+/* One of C's handles has been closed: if C is to be freed, free it after the
+   last one.  */
 void
 wy_h1_client_release (struct wy_h1_client *c)
 {
-  if (--c->handles)
+  if (--c->handles || !c->is_freed)
     return;
   g_hash_table_destroy (c->peers);
   g_free (c);
@@ -362,10 +363,10 @@
   wy_h1_client_release (h->data);
 }
 
-/* Close all connections and cancel all calls.  C is freed when the loop has
-   run once more.  */
+/* Close all connections and cancel all calls.  C stays valid, since callbacks
+   of the loop may still use it.  */
 void
-wy_h1_client_free (struct wy_h1_client *c)
+wy_h1_client_close (struct wy_h1_client *c)
 {
   GHashTableIter it;
   gpointer p;
@@ -378,6 +379,15 @@
   uv_close ((uv_handle_t *)&c->sweep, on_sweep_closed);
 }
 
+/* The same, but nothing may use C any more; it is freed when the loop has run
+   once more.  */
+void
+wy_h1_client_free (struct wy_h1_client *c)
+{
+  c->is_freed = true;
+  wy_h1_client_close (c);
+}
+
 /* Copy the statistics of C's connections to OUT.  */
 void
 wy_h1_client_stats (const struct wy_h1_client *c,
--- a/src/h1/client.h
+++ b/src/h1/client.h
@@ -90,6 +90,7 @@
 };
 
 struct wy_h1_client *wy_h1_client_new (const struct wy_h1_client_options *o);
+void wy_h1_client_close (struct wy_h1_client *c);
 void wy_h1_client_free (struct wy_h1_client *c);
 void wy_h1_client_stats (const struct wy_h1_client *c,
                          struct wy_h1_client_stats *out);
--- a/src/h1/client_state.h
+++ b/src/h1/client_state.h
@@ -62,6 +62,7 @@
   uint32_t idle_timeout_ms;
   uint32_t silence_timeout_ms;
   uint32_t handles; /* not closed yet: the connections and the timer */
+  bool is_freed;    /* after the last handle */
   uv_timer_t sweep;
   uint32_t sweeps;
   GHashTable *peers;   /* struct wy_h1_peer by address */
--- a/src/orders/orderer.c
+++ b/src/orders/orderer.c
@@ -536,6 +536,6 @@
   wy_order_metrics_stop (d);
   wy_watch_free (d->operator_rows);
   wy_rows_free (d->rows);
-  wy_h1_client_free (d->http);
+  wy_h1_client_close (d->http);
   uv_close ((uv_handle_t *)&d->tick, NULL);
 }
--- a/tests/support/duty_fixture.c
+++ b/tests/support/duty_fixture.c
@@ -160,7 +160,7 @@
   wy_duty_calls_free (e->calls);
   wy_election_free (e->election);
   wy_rows_free (e->rows);
-  wy_h1_client_free (e->http);
+  wy_h1_client_close (e->http);
 }
 
 /* Whether the entry is the leader.  */
--- a/tests/support/platform_fixture.c
+++ b/tests/support/platform_fixture.c
@@ -283,9 +283,9 @@
   if (w->has_env)
     {
       wy_rows_free (w->env.rows);
-      wy_h1_client_free (w->env.http);
+      wy_h1_client_close (w->env.http);
     }
-  wy_h1_client_free (w->client);
+  wy_h1_client_close (w->client);
   for (int i = 0; i < CLOSE_ROUNDS; i++)
     uv_run (&w->loop, UV_RUN_NOWAIT);
 }
--- a/tests/test_h1_memory.c
+++ b/tests/test_h1_memory.c
@@ -142,7 +142,7 @@
   cr_expect_eq (memory.sheds, 1);
   platform_fixture_run_ms (&w, 20);
   cr_expect_eq (memory.total_bytes, 0);
-  wy_h1_client_free (client);
+  wy_h1_client_close (client);
   platform_fixture_free (&w);
   g_free (body);
   close (listener);
--- a/tests/test_members_fleet.c
+++ b/tests/test_members_fleet.c
@@ -79,7 +79,7 @@
 {
   wy_members_free (e->members);
   wy_rows_free (e->env.rows);
-  wy_h1_client_free (e->env.http);
+  wy_h1_client_close (e->env.http);
   e->members = NULL;
 }
 
