--- a/src/standin/platform_faults.c
+++ b/src/standin/platform_faults.c
@@ -97,6 +97,7 @@
       break;
     case 8:
       f->omit_stamp = 1;
+      f->respond_malformed = n;
       break;
     case 0:
       f->abort_streams = n;
--- a/src/standin/platform_replica.c
+++ b/src/standin/platform_replica.c
@@ -338,6 +338,12 @@
       notify_run (r, head, id, "", 0);
       wy_h1_abort (q);
     }
+  else if (wy_platform_take_fault (&r->faults.respond_malformed))
+    {
+      r->runs++;
+      notify_run (r, head, id, "", 0);
+      wy_platform_replica_respond_malformed (r, q, id);
+    }
   else if (wy_platform_take_fault (&r->faults.respond_422))
     start_plain (r, q, 422, id);
   else if (wy_platform_take_fault (&r->faults.respond_500))
--- a/src/standin/platform_replica.h
+++ b/src/standin/platform_replica.h
@@ -22,6 +22,7 @@
   uint32_t respond_422;           /* rejected for good */
   uint32_t wrong_attempt_id;      /* response names another attempt */
   uint32_t omit_stamp;            /* response lacks Response-Stamp */
+  uint32_t respond_malformed;     /* run or performed, malformed head */
   uint32_t lose_response;         /* run, connection aborted */
   uint32_t lose_order_response;   /* order performed, connection aborted */
   uint32_t hang;                  /* plain services: run without a response */
--- a/src/standin/platform_replica_orders.c
+++ b/src/standin/platform_replica_orders.c
@@ -28,7 +28,10 @@
       (json_int_t)r->started_ms);
   char *text = json_dumps (doc, JSON_COMPACT);
 
-  wy_h1_respond (q, 200, NULL, 0, text, strlen (text));
+  if (wy_platform_take_fault (&r->faults.respond_malformed))
+    wy_platform_replica_respond_malformed (r, q, NULL);
+  else
+    wy_h1_respond (q, 200, NULL, 0, text, strlen (text));
   free (text);
   json_decref (doc);
 }
@@ -76,6 +79,8 @@
   json_decref (doc);
   if (wy_platform_take_fault (&r->faults.lose_order_response))
     wy_h1_abort (q);
+  else if (wy_platform_take_fault (&r->faults.respond_malformed))
+    wy_platform_replica_respond_malformed (r, q, NULL);
   else
     wy_h1_respond (q, status, NULL, 0, "", 0);
 }
--- a/src/standin/platform_replica_state.h
+++ b/src/standin/platform_replica_state.h
@@ -20,6 +20,7 @@
   uint32_t runs;
   uint32_t running;
   uint32_t responses; /* of plain requests */
+  uint32_t malformed_responses;
   struct wy_platform_replica_faults faults;
 };
 
@@ -27,6 +28,9 @@
 void wy_platform_replica_release_port (struct wy_platform_replica *r);
 void wy_platform_replica_crash_soon (struct wy_platform_replica *r);
 bool wy_platform_take_fault (uint32_t *count);
+void wy_platform_replica_respond_malformed (struct wy_platform_replica *r,
+                                            struct wy_h1_request *q,
+                                            const char *id);
 void wy_platform_replica_report (struct wy_platform_replica *r,
                                  struct wy_h1_request *q);
 void wy_platform_replica_order (struct wy_platform_replica *r,
--- a/src/standin/platform_streams.c
+++ b/src/standin/platform_streams.c
@@ -244,6 +244,7 @@
       break;
     case 6:
       f->wrong_attempt_id = 1;
+      f->respond_malformed = n;
       break;
     case 7:
       f->respond_503_after_run = 1;
