Check of responses: GLib's functions of bytes; a stream that has begun

Cause: the check had its own functions for digits and lower case; no test had a stream that has begun when its next chunk is malformed. Change: g_ascii_isdigit, g_ascii_tolower, g_ascii_xdigit_value instead. The test: the caller gets the events up to the fault and sees that the response is incomplete, or the rest from another replica if the stream may be resumed. The chunk of the new test was rejected by the parser before as well.

--- a/src/h1/client.c
+++ b/src/h1/client.c
@@ -93,8 +93,7 @@
 }
 
 /* Start a call with the options O.  All that O points to is copied, except the
-   id.  A failure is reported through
-   on_end on a later turn of the loop.  */
+   id.  A failure is reported through on_end on a later turn of the loop.  */
 struct wy_h1_call *
 wy_h1_call_start (struct wy_h1_client *c, const struct wy_h1_call_options *o)
 {
--- a/src/h1/response_check.c
+++ b/src/h1/response_check.c
@@ -3,6 +3,8 @@
 
 #include <string.h>
 
+#include <glib.h>
+
 #include "h1/head.h"
 
 enum
@@ -40,18 +42,6 @@
   begin_response (c);
 }
 
-static bool
-is_digit (unsigned char b)
-{
-  return b >= '0' && b <= '9';
-}
-
-static unsigned char
-to_lower (unsigned char b)
-{
-  return b >= 'A' && b <= 'Z' ? (unsigned char)(b - 'A' + 'a') : b;
-}
-
 static bool
 is_blank (unsigned char b)
 {
@@ -65,16 +55,6 @@
   return b == '\t' || (b >= ' ' && b != DEL);
 }
 
-static int
-hex_value (unsigned char b)
-{
-  unsigned char l = to_lower (b);
-
-  if (is_digit (b))
-    return b - '0';
-  return l >= 'a' && l <= 'f' ? l - 'a' + 10 : -1;
-}
-
 static enum wy_h1_fault
 take_version (struct wy_h1_response_check *c, unsigned char b)
 {
@@ -93,7 +73,7 @@
 {
   bool has_digit = c->n_read == sizeof version;
 
-  if (!has_digit && is_digit (b))
+  if (!has_digit && g_ascii_isdigit (b))
     {
       c->minor_version = (uint8_t)(b - '0');
       c->n_read++;
@@ -109,7 +89,7 @@
 static enum wy_h1_fault
 take_status (struct wy_h1_response_check *c, unsigned char b)
 {
-  if (!is_digit (b))
+  if (!g_ascii_isdigit (b))
     return WY_H1_FAULT_STATUS;
   c->status = (uint16_t)(c->status * 10 + (b - '0'));
   if (++c->n_read < STATUS_DIGITS)
@@ -167,7 +147,7 @@
     return WY_H1_FAULT_LENGTH;
   for (uint8_t i = 0; i < c->value_n; i++)
     {
-      if (!is_digit ((unsigned char)c->value[i]))
+      if (!g_ascii_isdigit (c->value[i]))
         return WY_H1_FAULT_LENGTH;
       c->length_bytes = c->length_bytes * 10 + (uint64_t)(c->value[i] - '0');
     }
@@ -182,11 +162,9 @@
 
   if (c->has_length)
     return WY_H1_FAULT_LENGTH;
-  if (c->chunked || c->minor_version == 0 || c->value_n != sizeof chunked - 1)
+  if (c->chunked || c->minor_version == 0 || c->value_n != strlen (chunked)
+      || g_ascii_strncasecmp (c->value, chunked, c->value_n) != 0)
     return WY_H1_FAULT_CODING;
-  for (uint8_t i = 0; i < c->value_n; i++)
-    if (to_lower ((unsigned char)c->value[i]) != (unsigned char)chunked[i])
-      return WY_H1_FAULT_CODING;
   c->chunked = true;
   return WY_H1_FAULT_NONE;
 }
@@ -261,7 +239,7 @@
     }
   if (!wy_h1_is_token_byte (b))
     return WY_H1_FAULT_FIELD_NAME;
-  c->name[0] = (char)to_lower (b);
+  c->name[0] = g_ascii_tolower ((char)b);
   c->name_n = 1;
   c->state = WY_H1_CHECK_NAME;
   return WY_H1_FAULT_NONE;
@@ -283,7 +261,7 @@
   if (!wy_h1_is_token_byte (b))
     return WY_H1_FAULT_FIELD_NAME;
   if (c->name_n < WY_H1_CHECK_NAME_BYTES)
-    c->name[c->name_n++] = (char)to_lower (b);
+    c->name[c->name_n++] = g_ascii_tolower ((char)b);
   return WY_H1_FAULT_NONE;
 }
 
@@ -318,7 +296,7 @@
 static enum wy_h1_fault
 take_chunk_size (struct wy_h1_response_check *c, unsigned char b)
 {
-  int digit = hex_value (b);
+  int digit = g_ascii_xdigit_value ((char)b);
 
   if (digit >= 0)
     {
--- a/tests/test_malformed_gate.c
+++ b/tests/test_malformed_gate.c
@@ -49,6 +49,16 @@
   wy_h1_write_response (r, text, strlen (text));
 }
 
+static const char *
+text_of (const struct wy_h1_request *r)
+{
+  if (!is_streamed (r))
+    return "sound";
+  return wy_h1_head_get (wy_h1_head (r), "Last-Event-Id")
+             ? "id: 2\ndata: sound\n\n"
+             : "id: 1\ndata: sound\n\n";
+}
+
 /* The sound replica holds requests to ".../hold".  */
 static void
 on_request (void *ctx, struct wy_h1_request *r)
@@ -67,8 +77,7 @@
         held = r;
       return;
     }
-  respond (r, id ? id : "",
-           is_streamed (r) ? "id: 1\ndata: sound\n\n" : "sound");
+  respond (r, id ? id : "", text_of (r));
   wy_h1_end_response (r);
 }
 
@@ -237,6 +246,52 @@
   cr_expect_eq (groups, GROUPS);
 }
 
+/* A stream has begun when its next chunk is malformed.  Guards against a
+   caller that takes it for complete, or gets bytes from there on.  */
+Test (malformed_gate, stream_that_has_begun, .timeout = 60)
+{
+  static const struct wy_scripted_response begun
+      = { .name = "malformed second chunk",
+          .text = "HTTP/1.1 200 OK\r\nResponse-Stamp: s\r\n"
+                  "Content-Type: text/event-stream\r\n"
+                  "Transfer-Encoding: chunked\r\n\r\n"
+                  "f\r\nid: 1\ndata: a\n\n\r\n"
+                  "xf\r\nid: 2\ndata: spoilt\n\n\r\n0\r\n\r\n" };
+  static const struct
+  {
+    const char *target;
+    bool complete;
+    const char *body;
+  } rows[] = { { "/stream/x", false, "id: 1\ndata: a\n\n" },
+               { "/resumable/x", true,
+                 "id: 1\ndata: a\n\nid: 2\ndata: sound\n\n" } };
+
+  start ();
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    for (int bytewise = 0; bytewise <= 1; bytewise++)
+      {
+        struct wy_scripted_options o
+            = { .loop = &g.w.loop, .response = begun, .bytewise = bytewise };
+        struct platform_response *a;
+        char id[32];
+
+        bad = wy_scripted_new (&o);
+        cr_assert_not_null (bad);
+        snprintf (id, sizeof id, "i-%zu-%d", i, bytewise);
+        gate_process_list_replica (&g, id, bad->port);
+        a = call_bad ("POST", rows[i].target, rows[i].target);
+        cr_expect_eq (a->err == 0, rows[i].complete, "%s: %d", rows[i].target,
+                      a->err);
+        cr_expect_str_eq (a->body->str, rows[i].body, "%s: %s", rows[i].target,
+                          a->body->str);
+        platform_response_free (a);
+        wy_platform_store_delete (g.w.store, WY_REPLICA_TABLE, "", id);
+        wy_scripted_free (bad);
+        bad = NULL;
+      }
+  gate_process_stop (&g);
+}
+
 /* Guards against callers that no longer get what the protocol allows.  */
 Test (malformed_gate, lawful_responses_are_passed_on, .timeout = 120)
 {
