Calls of src/http: host names of any length

Cause: the field of the host was built in 64 bytes, which cut longer names that are looked up. Change: it is as long as the name.

--- a/src/http/client.c
+++ b/src/http/client.c
@@ -10,11 +10,6 @@
 #include "http/error.h"
 #include "trace/log.h"
 
-enum
-{
-  HOST_SIZE_BYTES = 64
-};
-
 struct wy_http_client
 {
   struct wy_h1_client *h1;
@@ -206,7 +201,7 @@
           const struct sockaddr_in *address)
 {
   struct wy_h1_header *fields = g_new (struct wy_h1_header, o->n_headers + 2);
-  char host[HOST_SIZE_BYTES];
+  char *host = g_strdup_printf ("%s:%u", o->host, o->port);
   struct wy_h1_call_options k = { .address = *address,
                                   .method = o->method,
                                   .target = o->path,
@@ -220,7 +215,6 @@
                                   .on_end = on_h1_end,
                                   .ctx = call };
 
-  g_snprintf (host, sizeof host, "%s:%u", o->host, o->port);
   fields[k.n_fields++] = (struct wy_h1_header){ "host", host };
   for (size_t i = 0; i < o->n_headers; i++)
     fields[k.n_fields++]
@@ -228,6 +222,7 @@
   fields[k.n_fields++] = (struct wy_h1_header){ "connection", "close" };
   call->h1 = wy_h1_call_start (call->client->h1, &k);
   g_free (fields);
+  g_free (host);
 }
 
 /* Copy what O points to into COPY.  */
