--- a/review/standin-2/lib.sh
+++ b/review/standin-2/lib.sh
@@ -4,6 +4,7 @@
 
 cd "$(dirname "${BASH_SOURCE[0]}")/../.." || exit 2
 TOOLS=target/review-2
+BIN=${BIN:-target/bin}
 declare -A PID=()
 RECORD=$CASE/record.txt
 
@@ -11,7 +12,7 @@
   OUT=$(mktemp -d) || exit 2
   trap finish EXIT
   : >"$RECORD"
-  [ -x target/bin/wygated ] && [ -x target/bin/wyorderd ] \
+  [ -x "$BIN/wygated" ] && [ -x "$BIN/wyorderd" ] \
     && [ -x $TOOLS/platform ] || cannot "the programs are not built"
 }
 
@@ -83,7 +84,7 @@
 
 # start_gate I
 start_gate() {
-  target/bin/wygated --config "$OUT/gate-$1.yaml" >>"$OUT/gate-$1.log" 2>&1 &
+  "$BIN/wygated" --config "$OUT/gate-$1.yaml" >>"$OUT/gate-$1.log" 2>&1 &
   PID[gate-$1]=$!
 }
 
@@ -98,7 +99,7 @@
 seeds: ["127.0.0.1:${PORTS[2]}"]
 replica_shares: demand
 Y
-  target/bin/wyorderd --config "$OUT/orderer-$1.yaml" >>"$OUT/orderer-$1.log" 2>&1 &
+  "$BIN/wyorderd" --config "$OUT/orderer-$1.yaml" >>"$OUT/orderer-$1.log" 2>&1 &
   PID[orderer-$1]=$!
 }
 
