--- a/review/standin-2/lots.c
+++ b/review/standin-2/lots.c
@@ -5,7 +5,8 @@
           lots end RECORD PORT HOST ID
    submit exits with 0 after a 202.  read reads the results from position 0 on,
    twice a second, until it has all or SECONDS are over, and exits with 0 if
-   it has all, with 1 if not.  */
+   it has all, with 1 if not, and with 4 if it has all but a completed one does
+   not name version 1 of the weights, and only that.  */
 #include "common.h"
 
 #include <glib.h>
@@ -64,6 +65,7 @@
   json_int_t at = 0;
   json_int_t total = -1;
   int completed = 0;
+  int misnamed = 0;
   char fields[256];
   char target[256];
 
@@ -93,10 +95,18 @@
             const char *state
                 = json_string_value (json_object_get (r, "state"));
 
+            json_t *versions = json_object_get (r, "versions");
+            char *names = json_dumps (versions, JSON_COMPACT);
+
+            if (state && !strcmp (state, "completed")
+                && strcmp (names ? names : "", "[1]") != 0)
+              misnamed++;
             completed += state && !strcmp (state, "completed");
-            record ("result %s state=%s bytes=%zu",
+            record ("result %s state=%s bytes=%zu versions=%s",
                     json_string_value (json_object_get (r, "id")), state,
-                    json_string_length (json_object_get (r, "text")));
+                    json_string_length (json_object_get (r, "text")),
+                    names ? names : "");
+            free (names);
           }
           at = json_integer_value (json_object_get (doc, "next"));
           total = json_integer_value (json_object_get (doc, "total"));
@@ -108,7 +118,9 @@
     }
   record ("reader of %s at port %d has %lld of %lld results, %d completed",
           a[5], port, (long long)at, (long long)total, completed);
-  return at == total ? 0 : 1;
+  if (at != total)
+    return 1;
+  return misnamed ? 4 : 0;
 }
 
 static int
--- a/review/standin-2/platform.c
+++ b/review/standin-2/platform.c
@@ -14,6 +14,7 @@
      events=N      events of an item; 0: 8 to 12
      spoil=N       every Nth answer of half of the replicas has one wrong byte
                    (0: none)
+     spoil_head=N  the same, but the byte is that of Weight-Versions
      fail=N        each item fails on its first N runs with 500
      extra=N       every Nth answer of 6 in 10 servers is followed by a second
                    copy, which arrives late: at the point where the next answer
@@ -37,6 +38,7 @@
 static int data_bytes = 120;
 static int item_events;
 static int spoil_every;
+static int spoil_head_every;
 static int fail_first;
 static int extra_every;
 static int shed_id = 1;
@@ -655,6 +657,14 @@
                   "HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\n"
                   "Weight-Versions: %lld\r\nTransfer-Encoding: chunked\r\n\r\n",
                   fields, (long long)s->model_version);
+  if (s->spoils && spoil_head_every
+      && (s->answers + s->running) % spoil_head_every == 0)
+    {
+      char *version = strstr (head, "Weight-Versions: ") + 17;
+
+      *version = (char)(*version | 0x80);
+      record ("server %s spoils the byte of Weight-Versions of %s", s->id, id);
+    }
   if (!write_all (q->fd, head, (size_t)n))
     {
       leave_slot (s);
@@ -783,6 +793,8 @@
         item_events = atoi (v);
       else if (!strcmp (argv[i], "spoil"))
         spoil_every = atoi (v);
+      else if (!strcmp (argv[i], "spoil_head"))
+        spoil_head_every = atoi (v);
       else if (!strcmp (argv[i], "fail"))
         fail_first = atoi (v);
       else if (!strcmp (argv[i], "shed_id"))
