--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -43,8 +43,11 @@
   note "SIGTERM to gate-0"
   kill -TERM "${PID[gate-0]}"
   # The platform kills it gracePeriodS later.
-  (sleep 8; kill -KILL "${PID[gate-0]}") 2>/dev/null &
-  PID[killer]=$!
+  for _ in $(seq 80); do
+    sleep 0.1
+    kill -0 "${PID[gate-0]}" 2>/dev/null || break
+  done
+  kill -0 "${PID[gate-0]}" 2>/dev/null && kill -KILL "${PID[gate-0]}"
 fi
 
 broken=0
--- a/review/standin-2/lib.sh
+++ b/review/standin-2/lib.sh
@@ -21,10 +21,10 @@
   exit 2
 }
 
+# Ends what this shell has started and what still runs.
 finish() {
   local p
-  for p in "${PID[@]}"; do
-    kill -CONT "$p" 2>/dev/null
+  for p in $(jobs -pr) $(jobs -ps); do
     kill -KILL "$p" 2>/dev/null
   done
   wait 2>/dev/null
