Jobs: an event that can't be part of a text ends its run

With a zero byte the item was listed as completed with a text that ended there. A job sent to a path with byte FF ended each entry that it was sent to; one with such an ID was lost or ended the entry.

Cause: encoders that fail on some bytes, and callers that took their failure for an empty value: wy_result_encode wrote an empty row, wy_result_join stopped there for each reader and takeover, wy_job_record_encode handed on NULL, a transaction left out the rows, and so the conditions, that it could not name. Nothing looked at the bytes where they came in. A text was a C string on its way into the result.

Change: an event's data is checked before it is appended; if it is no UTF-8 or has a zero byte, which readers that keep no length take for the end, the run ends like one whose stream is broken: outcome not_text, counted among the malformed responses, another replica continues after the last good event. Runs in a row that add nothing wait longer, as those that break off. Encoders return an error and their callers decide. A submission whose name, path or host can't be stored gets 400 at once. A stamp that is no text is an invalid answer of the scorer. A row that an earlier version has left empty keeps its position: a takeover lets the next result take its place, on the condition that the row is still that one, and a reader that meets one in a job that is done has it taken over. Rows of a job that its trainer has ended are not repaired; reads of it still end there.

--- a/src/jobs/accept.c
+++ b/src/jobs/accept.c
@@ -13,6 +13,7 @@
 #include <string.h>
 
 #include "base/id.h"
+#include "base/text.h"
 #include "gate/response.h"
 #include "jobs/checkpoint.h"
 #include "jobs/score.h"
@@ -22,6 +23,9 @@
 /* Reason for rejecting a job for which there is no memory.  */
 #define REASON_MEMORY "memory"
 
+/* Reason for rejecting a job whose row could not be stored.  */
+#define REASON_NOT_TEXT "not_text"
+
 enum
 {
   /* Attempts to determine the outcome of a write that got no response, each
@@ -31,7 +35,8 @@
   PIECE_ATTEMPTS = 2,
   RETRY_AFTER_MS = 400,
   NAME_SIZE_BYTES = 320,
-  STATUS_ACCEPTED = 202
+  STATUS_ACCEPTED = 202,
+  STATUS_MALFORMED = 400
 };
 
 struct submission
@@ -294,7 +299,10 @@
   if (!a->may_be_written)
     a->record->accepted_ms = store_ms;
   a->writing = true;
-  wy_job_record_write (a->jobs->env->rows, a->record, on_row_written, a);
+  if (!wy_job_record_write (a->jobs->env->rows, a->record, on_row_written, a))
+    return;
+  a->writing = false;
+  end (a, STATUS_MALFORMED, REASON_NOT_TEXT);
 }
 
 static void put_next_piece (struct submission *a);
@@ -405,6 +413,20 @@
   wy_respond_status (v->request, status, why, t.ms);
 }
 
+/* Return whether the row of a job KEY can name what its submission R,
+   described by INFO, was sent to.  */
+static bool
+is_storable (const struct wy_h1_request *r, const struct wy_request_info *info,
+             const char *key)
+{
+  const char *path = wy_h1_target (r);
+
+  return wy_text_is_valid (key, strlen (key))
+         && wy_text_is_valid (path, strlen (path))
+         && (!info->host
+             || wy_text_is_valid (info->host, strlen (info->host)));
+}
+
 static bool
 is_job_name (const char *id)
 {
@@ -444,6 +466,11 @@
   if (wy_rejections_expects_any (j->env->rejections, NULL))
     v.returned = wy_rejections_returned (j->env->rejections, NULL,
                                          fingerprint_of (key));
+  if (!is_storable (r, &info, key))
+    {
+      reject_job (j, &v, STATUS_MALFORMED, REASON_NOT_TEXT);
+      return;
+    }
   if (wy_jobs_find (j, key))
     {
       wy_json_log ("job.submitted", "id=%s status=202 reason=known", key);
--- a/src/jobs/active_job.c
+++ b/src/jobs/active_job.c
@@ -110,6 +110,8 @@
   o->n_waiting = o->n_items;
   o->items = g_new0 (struct wy_item, o->n_items);
   g_queue_init (&o->unlisted);
+  o->unreadable
+      = g_array_new (FALSE, FALSE, sizeof (struct wy_unreadable_result));
   o->batch = g_ptr_array_new ();
   o->groups = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
   wy_retry_init (&o->hedge_budget,
@@ -158,6 +160,7 @@
   wy_item_plan_clear (o);
   g_ptr_array_free (o->batch, TRUE);
   g_queue_clear (&o->unlisted);
+  g_array_free (o->unreadable, TRUE);
   wy_job_spec_free (o->spec);
   wy_job_record_free (o->record);
   g_free (o);
@@ -236,6 +239,27 @@
     }
 }
 
+/* Return the number of positions of the result list of O in the store.  */
+uint64_t
+wy_active_job_positions (const struct wy_active_job *o)
+{
+  return (uint64_t)o->n_listed + o->unreadable->len;
+}
+
+/* Note that the result at the next position, whose row has ROW_VERSION, can't
+   be read.  Its item is among those that wait.  */
+void
+wy_active_job_restore_unreadable (struct wy_active_job *o, int64_t row_version)
+{
+  struct wy_unreadable_result u = { .position = wy_active_job_positions (o),
+                                    .row_version = row_version };
+
+  wy_json_log ("job.result_unreadable", "id=%s position=%llu version=%lld",
+               o->record->id, (unsigned long long)u.position,
+               (long long)u.row_version);
+  g_array_append_val (o->unreadable, u);
+}
+
 static void
 leave_state (struct wy_item *i)
 {
@@ -257,7 +281,8 @@
   struct wy_result *r = wy_result_new (i->spec->id);
 
   r->given_up = given_up;
-  r->text = g_strdup (given_up ? "" : i->text->str);
+  if (!given_up)
+    g_string_append_len (r->text, i->text->str, (gssize)i->text->len);
   r->score = g_strdup (stamp);
   if (!given_up)
     for (guint k = 0; k < i->versions->len; k++)
@@ -275,6 +300,40 @@
   wy_result_list_schedule (i->job);
 }
 
+/* Drop the text of I, which then begins anew.  */
+void
+wy_item_discard_text (struct wy_item *i)
+{
+  g_string_truncate (i->text, 0);
+  wy_item_count_memory (i);
+  g_array_set_size (i->versions, 0);
+  i->last_event = -1;
+  i->text_id = 0;
+  i->saved_bytes = 0;
+  i->sent_bytes = 0;
+  i->saved_event = -1;
+  i->saved_complete = false;
+}
+
+/* The result of I, not listed yet, can't be stored: drop it with its text, and
+   let the item run again.  */
+void
+wy_item_discard_result (struct wy_item *i)
+{
+  struct wy_active_job *o = i->job;
+
+  wy_json_log ("item.result_dropped", "id=%s job=%s bytes=%zu", i->spec->id,
+               o->record->id, i->result->text->len);
+  g_queue_remove (&o->unlisted, i);
+  wy_result_free (i->result);
+  i->result = NULL;
+  wy_item_discard_text (i);
+  if (i->group->missing++ == 0)
+    o->complete_groups--;
+  i->state = WY_ITEM_WAITING;
+  o->n_waiting++;
+}
+
 /* The text of I is complete: it is the result, or it has to be scored
    first.  */
 void
--- a/src/jobs/active_job.h
+++ b/src/jobs/active_job.h
@@ -59,6 +59,14 @@
   struct wy_result *result;
 };
 
+/* A position of the result list whose row can't be read.  Nobody has got a
+   result there, so the next one takes its place.  */
+struct wy_unreadable_result
+{
+  uint64_t position;
+  int64_t row_version;
+};
+
 /* Why this entry no longer runs a job.  */
 enum wy_active_job_end
 {
@@ -84,8 +92,9 @@
   uint32_t n_scoring;
   struct wy_retry_budget hedge_budget;
   uint32_t n_listed;
-  GQueue unlisted;  /* struct wy_item */
-  size_t row_bytes; /* limit of a row in the store */
+  GArray *unreadable; /* struct wy_unreadable_result, by position */
+  GQueue unlisted;    /* struct wy_item */
+  size_t row_bytes;   /* limit of a row in the store */
   uint64_t ticks;
   int64_t started_ms; /* when this entry started to run it */
   bool closed;
@@ -122,6 +131,9 @@
 wy_active_job_new (const struct wy_active_job_options *o);
 void wy_active_job_close (struct wy_active_job *o);
 void wy_active_job_restore_listed (struct wy_active_job *o, const char *item);
+void wy_active_job_restore_unreadable (struct wy_active_job *o,
+                                       int64_t row_version);
+uint64_t wy_active_job_positions (const struct wy_active_job *o);
 bool wy_active_job_store_call_ended (struct wy_active_job *o);
 void wy_active_job_start_items (struct wy_active_job *o);
 void wy_active_job_start_waiting (struct wy_active_job *o, uint32_t max,
@@ -144,6 +156,8 @@
 void wy_item_text_complete (struct wy_item *i);
 void wy_item_scored (struct wy_item *i, const char *stamp);
 void wy_item_give_up (struct wy_item *i);
+void wy_item_discard_text (struct wy_item *i);
+void wy_item_discard_result (struct wy_item *i);
 void wy_result_list_schedule (struct wy_active_job *o);
 
 void wy_run_start (struct wy_item *i, struct wy_target *g,
--- a/src/jobs/calls.c
+++ b/src/jobs/calls.c
@@ -192,40 +192,69 @@
 
 static void read_results (struct call_state *d);
 
+/* The result at position N after the first one that D asks for can't be read.
+   The holder of an open job writes it anew; a job that is done has none, so
+   this entry opens it again.  */
 static void
-respond_results (struct call_state *d, const struct wy_rows_result *r)
+on_unreadable (struct call_state *d, guint n)
+{
+  struct wy_jobs *j = d->jobs;
+  const struct wy_job_record *r = wy_jobs_find (j, d->call.job);
+
+  if (!r || r->state != WY_JOB_DONE || j->env->stopping
+      || g_hash_table_contains (j->starting, r->id)
+      || !wy_jobs_has_memory_for (j, 0))
+    return;
+  wy_json_log ("job.reopened", "id=%s position=%llu", d->call.job,
+               (unsigned long long)(d->call.after + n));
+  wy_jobs_take_over (j, r);
+}
+
+/* Return how many of RESULTS fit into one response, up to the first that can't
+   be read.  */
+static guint
+count_readable (struct call_state *d, const GPtrArray *results)
 {
-  GPtrArray *results = g_ptr_array_new ();
   size_t size = 0;
   guint n = 0;
 
-  wy_result_join (r, results);
-  if (results->len == 0 && r->has_more && !d->whole_page)
-    {
-      g_ptr_array_free (results, TRUE);
-      d->whole_page = true;
-      read_results (d);
-      return;
-    }
-  while (n < results->len)
+  for (; n < results->len; n++)
     {
       const struct wy_result *res = g_ptr_array_index (results, n);
 
-      size += res->text ? strlen (res->text) : 0;
+      if (!res)
+        {
+          on_unreadable (d, n);
+          break;
+        }
+      size += res->text->len;
       if (n && size > max_response_bytes (d))
         break;
-      n++;
     }
+  return n;
+}
+
+static void
+respond_results (struct call_state *d, const GPtrArray *results, guint n)
+{
+  char *text
+      = wy_results_encode (d->record->total, d->call.after + n,
+                           (struct wy_result *const *)results->pdata, n);
+
   wy_json_log (
       "job.read", "id=%s after=%llu results=%u waited_ms=%lld", d->call.job,
       (unsigned long long)d->call.after, n,
       (long long)(wy_clock_mono_ms (d->jobs->env->clock) - d->received_ms));
-  respond_json (
-      d, wy_results_encode (d->record->total, d->call.after + n,
-                            (struct wy_result *const *)results->pdata, n));
-  for (guint i = 0; i < results->len; i++)
-    wy_result_free (g_ptr_array_index (results, i));
-  g_ptr_array_free (results, TRUE);
+  if (text)
+    respond_json (d, text);
+  else
+    reject (d, 503, "not_text", WY_RESULT_ENOTEXT);
+}
+
+static void
+free_result (gpointer p)
+{
+  wy_result_free (p);
 }
 
 static bool
@@ -245,29 +274,49 @@
     read_results (d);
 }
 
+/* Read results for D again when there may be more.  */
+static void
+wait_for_results (struct call_state *d)
+{
+  uv_timer_start (&d->timer, on_poll, d->results_listed ? 0 : POLL_MS, 0);
+  d->results_listed = false;
+  if (d->link.data)
+    return;
+  d->link.data = d;
+  g_queue_push_tail_link (&d->jobs->waiting_calls, &d->link);
+}
+
 static void
 on_results (void *ctx, const struct wy_rows_result *r)
 {
   struct call_state *d = ctx;
   int64_t now_ms = wy_clock_mono_ms (d->jobs->env->clock);
+  GPtrArray *results;
+  guint n;
 
   d->jobs->result_reads--;
   record_row_bytes (d->jobs, r);
   if (!resume_call (d))
     return;
   if (r->err)
-    reject (d, 503, "store_unread", r->err);
-  else if (r->n || now_ms >= d->wait_until_ms || !may_have_more (d))
-    respond_results (d, r);
-  else
     {
-      uv_timer_start (&d->timer, on_poll, d->results_listed ? 0 : POLL_MS, 0);
-      d->results_listed = false;
-      if (d->link.data)
-        return;
-      d->link.data = d;
-      g_queue_push_tail_link (&d->jobs->waiting_calls, &d->link);
+      reject (d, 503, "store_unread", r->err);
+      return;
     }
+  results = g_ptr_array_new_with_free_func (free_result);
+  wy_result_join (r, results);
+  n = count_readable (d, results);
+  if (results->len == 0 && r->has_more && !d->whole_page)
+    {
+      d->whole_page = true;
+      read_results (d);
+    }
+  else if (n == 0 && now_ms < d->wait_until_ms
+           && (results->len || (r->n == 0 && may_have_more (d))))
+    wait_for_results (d);
+  else
+    respond_results (d, results, n);
+  g_ptr_array_free (results, TRUE);
 }
 
 /* Read results for D, or if too many reads are in progress, at its next
@@ -392,6 +441,8 @@
 static void
 write_ended (struct call_state *d)
 {
+  int err;
+
   if (d->record->state == WY_JOB_ENDED)
     {
       wy_h1_respond (d->request, 200, NULL, 0, "", 0);
@@ -400,7 +451,12 @@
     }
   d->record->state = WY_JOB_ENDED;
   d->pending = true;
-  wy_job_record_write (d->jobs->env->rows, d->record, on_ended_written, d);
+  err = wy_job_record_write (d->jobs->env->rows, d->record, on_ended_written,
+                             d);
+  if (!err)
+    return;
+  d->pending = false;
+  reject (d, 503, "not_text", err);
 }
 
 static void
--- a/src/jobs/finish.c
+++ b/src/jobs/finish.c
@@ -48,10 +48,16 @@
 write_done (struct finished *f, const struct wy_job_record *known)
 {
   struct wy_job_record *r = wy_job_record_copy (known);
+  int err;
 
   r->state = WY_JOB_DONE;
   f->writing = true;
-  wy_job_record_write (f->jobs->env->rows, r, on_written, f);
+  err = wy_job_record_write (f->jobs->env->rows, r, on_written, f);
+  if (err)
+    {
+      f->writing = false;
+      wy_json_log ("job.not_marked_done", "id=%s err=%d", f->id, err);
+    }
   wy_job_record_free (r);
 }
 
--- a/src/jobs/handoff.c
+++ b/src/jobs/handoff.c
@@ -87,13 +87,13 @@
                   const struct sockaddr_in *address, const char *body,
                   size_t n)
 {
-  struct handoff *h = g_new0 (struct handoff, 1);
-  char *record = wy_job_record_encode (r);
+  struct handoff *h;
+  char *record = NULL;
   char version[32];
   struct wy_h1_header fields[] = { { "Host", "entry" },
                                    { "Job", r->id },
                                    { "Job-Row-Version", version },
-                                   { "Job-Record", record } };
+                                   { "Job-Record", NULL } };
   struct wy_h1_call_options o = { .address = *address,
                                   .method = "POST",
                                   .target = HANDOFF_TARGET,
@@ -103,9 +103,19 @@
                                   .body_size_bytes = n,
                                   .response_limit_bytes = RESPONSE_LIMIT_BYTES,
                                   .on_head = on_head,
-                                  .on_end = on_end,
-                                  .ctx = h };
+                                  .on_end = on_end };
+  int err = wy_job_record_encode (r, &record);
 
+  if (err)
+    {
+      wy_json_log ("job.handed_on", "id=%s to=%s outcome=not_text status=0",
+                   r->id, r->holder);
+      wy_jobs_take_over (j, r);
+      return;
+    }
+  fields[G_N_ELEMENTS (fields) - 1].value = record;
+  h = g_new0 (struct handoff, 1);
+  o.ctx = h;
   snprintf (version, sizeof version, "%lld", (long long)r->row_version);
   h->jobs = j;
   h->record = wy_job_record_copy (r);
--- a/src/jobs/record.c
+++ b/src/jobs/record.c
@@ -7,6 +7,7 @@
 #include <glib.h>
 #include <jansson.h>
 
+#include "base/text.h"
 #include "platform/request_wire.h"
 
 static const char *const state_names[] = { "open", "ended", "done" };
@@ -76,9 +77,11 @@
   g_free (r);
 }
 
-/* Return R as JSON for the store; the caller frees it.  */
-char *
-wy_job_record_encode (const struct wy_job_record *r)
+/* Write R as JSON for the store to OUT; the caller frees it.  Return 0, or
+   WY_JOB_ENOTEXT if R has bytes that the store can't keep; OUT is then
+   unchanged.  */
+int
+wy_job_record_encode (const struct wy_job_record *r, char **out)
 {
   json_t *doc = json_pack (
       "{s:s, s:s, s:s, s:s, s:s, s:s, s:I, s:I, s:I}", "holder", r->holder,
@@ -86,12 +89,14 @@
       state_names[r->state], "host", r->host, "path", r->path, "object",
       r->object, "pieces", (json_int_t)r->pieces, "total",
       (json_int_t)r->total, "accepted_ms", (json_int_t)r->accepted_ms);
-  char *text = json_dumps (doc, JSON_COMPACT);
-  char *out = g_strdup (text);
+  char *text = doc ? json_dumps (doc, JSON_COMPACT) : NULL;
 
-  free (text);
   json_decref (doc);
-  return out;
+  if (!text)
+    return WY_JOB_ENOTEXT;
+  *out = g_strdup (text);
+  free (text);
+  return 0;
 }
 
 static char *
@@ -134,25 +139,31 @@
 }
 
 /* Write R on the condition that its row still has the version in R (0: no
-   row).  */
-void
+   row).  Return 0, or WY_JOB_ENOTEXT if R can't be written; CB is then not
+   called.  */
+int
 wy_job_record_write (struct wy_rows *rows, const struct wy_job_record *r,
                      wy_rows_cb *cb, void *ctx)
 {
-  char *value = wy_job_record_encode (r);
+  char *value = NULL;
   struct wy_row_ref condition = { .table = WY_JOBS_TABLE,
                                   .key = WY_JOB_ROW_KEY,
                                   .version = r->row_version };
-  struct wy_row_write w = { .table = WY_JOBS_TABLE,
-                            .key = WY_JOB_ROW_KEY,
-                            .value = value,
-                            .size_bytes = strlen (value) };
+  struct wy_row_write w = { .table = WY_JOBS_TABLE, .key = WY_JOB_ROW_KEY };
   struct wy_rows_tx tx = { .partition = r->id,
                            .conditions = &condition,
                            .n_conditions = 1,
                            .writes = &w,
                            .n_writes = 1 };
-
+  int err = wy_text_is_valid (r->id, strlen (r->id))
+                ? wy_job_record_encode (r, &value)
+                : WY_JOB_ENOTEXT;
+
+  if (err)
+    return err;
+  w.value = value;
+  w.size_bytes = strlen (value);
   wy_rows_tx (rows, &tx, cb, ctx);
   g_free (value);
+  return 0;
 }
--- a/src/jobs/record.h
+++ b/src/jobs/record.h
@@ -13,6 +13,11 @@
 #define WY_RESULTS_TABLE "wy-results"
 #define WY_JOB_ROW_KEY "job"
 
+enum wy_job_error
+{
+  WY_JOB_ENOTEXT = -1301 /* a part can't be a JSON string */
+};
+
 enum wy_job_state
 {
   WY_JOB_OPEN,
@@ -41,9 +46,9 @@
 const char *wy_job_state_name (enum wy_job_state state);
 struct wy_job_record *wy_job_record_copy (const struct wy_job_record *r);
 void wy_job_record_free (struct wy_job_record *r);
-char *wy_job_record_encode (const struct wy_job_record *r);
+int wy_job_record_encode (const struct wy_job_record *r, char **out);
 struct wy_job_record *wy_job_record_decode (const struct wy_row *row);
-void wy_job_record_write (struct wy_rows *rows, const struct wy_job_record *r,
-                          wy_rows_cb *cb, void *ctx);
+int wy_job_record_write (struct wy_rows *rows, const struct wy_job_record *r,
+                         wy_rows_cb *cb, void *ctx);
 
 #endif
--- a/src/jobs/result.h
+++ b/src/jobs/result.h
@@ -8,11 +8,16 @@
 
 #include <glib.h>
 
+enum wy_result_error
+{
+  WY_RESULT_ENOTEXT = -1201 /* a part can't be a JSON string */
+};
+
 struct wy_result
 {
   char *item;
   bool given_up;
-  char *text;
+  GString *text;
   char *score;      /* stamp of the response that scored the text; NULL:
                        none */
   GArray *versions; /* int64_t, of the weights that generated the text, by
@@ -22,7 +27,7 @@
 struct wy_result *wy_result_new (const char *item);
 void wy_result_free (struct wy_result *r);
 void wy_result_add_version (struct wy_result *r, int64_t version);
-char *wy_result_encode (const struct wy_result *r);
+int wy_result_encode (const struct wy_result *r, char **out);
 struct wy_result *wy_result_decode (const void *p, size_t n);
 
 #endif
--- a/src/jobs/result_list.c
+++ b/src/jobs/result_list.c
@@ -5,7 +5,8 @@
    this entry knows, so an entry that lost the job to a takeover can't write
    any more.  The first position written must be empty, so a write whose
    response was lost can be sent again: whichever of the two takes effect
-   first, the other one fails.  */
+   first, the other one fails.  In place of an unreadable result, the position
+   must still have the row that was read.  */
 #include "jobs/active_job.h"
 
 #include <string.h>
@@ -72,22 +73,49 @@
     schedule (o, BATCH_DELAY_MS);
 }
 
+/* Return the unreadable result whose place the next write takes, or NULL.  */
+static const struct wy_unreadable_result *
+next_unreadable (const struct wy_active_job *o)
+{
+  return o->unreadable->len
+             ? &g_array_index (o->unreadable, struct wy_unreadable_result, 0)
+             : NULL;
+}
+
+/* Return the position of the next result that is written.  */
+static uint64_t
+next_position (const struct wy_active_job *o)
+{
+  const struct wy_unreadable_result *u = next_unreadable (o);
+
+  return u ? u->position : o->n_listed;
+}
+
 /* Fill the batch with results for one transaction, up to its limits, and
-   append their rows to ROWS.  */
+   append their rows to ROWS.  The place of an unreadable result is taken by
+   one only.  */
 static void
 fill_batch (struct wy_active_job *o, GArray *rows)
 {
   size_t size = 0;
+  guint max = next_unreadable (o) ? 1 : BATCH_MAX;
 
   g_ptr_array_set_size (o->batch, 0);
-  for (GList *l = o->unlisted.head; l && o->batch->len < BATCH_MAX;
-       l = l->next)
+  for (GList *l = o->unlisted.head, *next; l && o->batch->len < max; l = next)
     {
       struct wy_item *i = l->data;
-      char *value = wy_result_encode (i->result);
-      size_t n = strlen (value);
-      uint32_t n_rows = wy_result_row_count (n, o->row_bytes);
+      char *value = NULL;
+      size_t n;
+      uint32_t n_rows;
 
+      next = l->next;
+      if (wy_result_encode (i->result, &value))
+        {
+          wy_item_discard_result (i);
+          continue;
+        }
+      n = strlen (value);
+      n_rows = wy_result_row_count (n, o->row_bytes);
       size += n;
       if (o->batch->len
           && (size > BATCH_BYTES || rows->len + n_rows > BATCH_MAX))
@@ -95,7 +123,8 @@
           g_free (value);
           return;
         }
-      wy_result_split (value, o->n_listed + o->batch->len, o->row_bytes, rows);
+      wy_result_split (value, next_position (o) + o->batch->len, o->row_bytes,
+                       rows);
       g_ptr_array_add (o->batch, i);
       g_free (value);
     }
@@ -181,8 +210,11 @@
   results = g_ptr_array_new_with_free_func (free_result);
   if (!r->err)
     wy_result_join (r, results);
+  if (next_unreadable (o) && results->len && results->pdata[0])
+    g_array_remove_index (o->unreadable, 0);
   for (guint k = 0; k < results->len; k++)
-    any = mark_listed_by_id (o, g_ptr_array_index (results, k)) || any;
+    any = (results->pdata[k] && mark_listed_by_id (o, results->pdata[k]))
+          || any;
   g_ptr_array_free (results, TRUE);
   if (any)
     after_listing (o);
@@ -198,7 +230,7 @@
                                  .partition = o->record->id,
                                  .from = from };
 
-  wy_result_key (o->n_listed, from);
+  wy_result_key (next_position (o), from);
   o->writing = true;
   wy_rows_get (o->env->rows, &range, on_read_back, o);
 }
@@ -254,6 +286,8 @@
     retry (o);
   else
     {
+      if (next_unreadable (o))
+        g_array_remove_index (o->unreadable, 0);
       for (guint k = 0; k < o->batch->len; k++)
         mark_listed (o, g_ptr_array_index (o->batch, k));
       after_listing (o);
@@ -284,9 +318,16 @@
 
   if (o->unlisted.length == 0)
     return;
-  wy_result_key (o->n_listed, first);
+  wy_result_key (next_position (o), first);
+  if (next_unreadable (o))
+    conditions[1].version = next_unreadable (o)->row_version;
   rows = g_array_new (FALSE, FALSE, sizeof (struct wy_result_row));
   fill_batch (o, rows);
+  if (rows->len == 0)
+    {
+      free_rows (rows);
+      return;
+    }
   writes = g_new0 (struct wy_row_write, rows->len);
   for (guint k = 0; k < rows->len; k++)
     {
--- a/src/jobs/result_rows.c
+++ b/src/jobs/result_rows.c
@@ -60,9 +60,10 @@
   return !strncmp (a->key, b->key, POSITION_DIGITS);
 }
 
-/* Append to OUT (struct wy_result *) the results whose rows are all in R, up
-   to the first that is malformed.  The last result of a page that has a next
-   page may be incomplete and is left for that page.  */
+/* Append to OUT (struct wy_result *) the results whose rows are all in R; NULL
+   stands for one that is malformed, so that each keeps its position.  The last
+   result of a page that has a next page may be incomplete and is left for that
+   page.  */
 void
 wy_result_join (const struct wy_rows_result *r, GPtrArray *out)
 {
@@ -81,13 +82,27 @@
       if (i == r->n && r->has_more && first > 0)
         break;
       res = wy_result_decode (value->str, value->len);
-      if (!res)
+      if (!res && i == r->n && r->has_more)
         break;
       g_ptr_array_add (out, res);
     }
   g_string_free (value, TRUE);
 }
 
+/* Return the version of the first row in R of the result at POSITION; 0: there
+   is none.  */
+int64_t
+wy_result_row_version (const struct wy_rows_result *r, uint64_t position)
+{
+  char key[WY_RESULT_KEY_SIZE_BYTES];
+
+  wy_result_key (position, key);
+  for (size_t i = 0; i < r->n; i++)
+    if (!strcmp (r->rows[i].key, key))
+      return r->rows[i].version;
+  return 0;
+}
+
 /* Return the key from which the next page is to be read after POSITION
    results; the caller frees it.  NULL: R was the last page.  */
 char *
--- a/src/jobs/result_rows.h
+++ b/src/jobs/result_rows.h
@@ -24,6 +24,8 @@
 void wy_result_split (const char *value, uint64_t position, size_t row_bytes,
                       GArray *out);
 void wy_result_join (const struct wy_rows_result *r, GPtrArray *out);
+int64_t wy_result_row_version (const struct wy_rows_result *r,
+                               uint64_t position);
 char *wy_result_next_from (const struct wy_rows_result *r, uint64_t position);
 
 #endif
--- a/src/jobs/run.c
+++ b/src/jobs/run.c
@@ -8,12 +8,16 @@
 
 #include <string.h>
 
+#include "base/text.h"
 #include "gate/crash_watch.h"
 #include "gate/response.h"
 #include "jobs/demand.h"
 #include "platform/request_wire.h"
 #include "trace/json_log.h"
 
+/* Reason of RUN_FAULT_NOT_TEXT, in logs and metrics.  */
+#define REASON_NOT_TEXT "not_text"
+
 enum
 {
   /* Delays before the next run, so that a persistent fault doesn't cause a
@@ -54,6 +58,8 @@
       return "event_missing";
     case RUN_FAULT_NOT_CONTINUED:
       return "not_continued";
+    case RUN_FAULT_NOT_TEXT:
+      return REASON_NOT_TEXT;
     }
   return "";
 }
@@ -121,20 +127,6 @@
   end_run (r, outcome);
 }
 
-static void
-discard_text (struct wy_item *i)
-{
-  g_string_truncate (i->text, 0);
-  wy_item_count_memory (i);
-  g_array_set_size (i->versions, 0);
-  i->last_event = -1;
-  i->text_id = 0;
-  i->saved_bytes = 0;
-  i->sent_bytes = 0;
-  i->saved_event = -1;
-  i->saved_complete = false;
-}
-
 /* Cancel R without logging or counting it.  The caller sets the state of the
    item.  */
 void
@@ -228,6 +220,11 @@
       r->fault = RUN_FAULT_EVENT_MISSING;
       return;
     }
+  if (!wy_text_is_valid (ev->data, ev->data_n))
+    {
+      r->fault = RUN_FAULT_NOT_TEXT;
+      return;
+    }
   if (i->last_event >= 0)
     g_string_append_c (i->text, '\n');
   g_string_append_len (i->text, ev->data, (gssize)ev->data_n);
@@ -239,24 +236,50 @@
     add_version (i, r->version);
 }
 
+/* The time until the next run of I, whose last run was of no use.  It grows
+   with the runs in a row that have added nothing to the text.  */
+static int64_t
+useless_run_delay_ms (const struct wy_item *i)
+{
+  return CLAMP (wy_crash_tracker_backoff_ms (i->runs_without_event), RETRY_MS,
+                RETRY_INTERRUPTED_MAX_MS);
+}
+
+static void
+count_not_text (const struct wy_run *r)
+{
+  char *reason = wy_metrics_label ("reason", REASON_NOT_TEXT);
+
+  ++*wy_metrics_family_counter (r->item->job->env->count.malformed, reason);
+  g_free (reason);
+}
+
 static void
 abort_faulty_run (struct wy_run *r)
 {
   struct wy_item *i = r->item;
   enum run_fault fault = r->fault;
+  int64_t delay_ms = RETRY_MS;
 
   wy_h1_call_cancel (r->call);
   r->call = NULL;
   if (fault == RUN_FAULT_OTHER_WEIGHTS)
-    discard_text (i);
+    wy_item_discard_text (i);
+  if (fault == RUN_FAULT_NOT_TEXT)
+    {
+      count_not_text (r);
+      i->runs_without_event += r->n_events == 0;
+      delay_ms = useless_run_delay_ms (i);
+    }
   wy_run_end_for_retry (r,
                         fault == RUN_FAULT_OTHER_REQUEST
                                 || fault == RUN_FAULT_NO_EVENTS
                                 || fault == RUN_FAULT_EVENT_MISSING
                                 || fault == RUN_FAULT_NOT_CONTINUED
+                                || fault == RUN_FAULT_NOT_TEXT
                             ? WY_TARGET_FAILED
                             : WY_TARGET_CANCELLED,
-                        RETRY_MS, fault_name (fault));
+                        delay_ms, fault_name (fault));
 }
 
 static void
@@ -359,11 +382,8 @@
       i->runs_without_event++;
       wy_crash_watch_run_interrupted (i->job->env, &w);
     }
-  wy_run_end_for_retry (
-      r, WY_TARGET_FAILED,
-      CLAMP (wy_crash_tracker_backoff_ms (i->runs_without_event), RETRY_MS,
-             RETRY_INTERRUPTED_MAX_MS),
-      "broken_off");
+  wy_run_end_for_retry (r, WY_TARGET_FAILED, useless_run_delay_ms (i),
+                        "broken_off");
 }
 
 static void
--- a/src/jobs/score.c
+++ b/src/jobs/score.c
@@ -13,6 +13,7 @@
 
 #include <string.h>
 
+#include "base/text.h"
 #include "decide/scoring.h"
 #include "gate/crash_watch.h"
 #include "platform/request_wire.h"
@@ -259,7 +260,9 @@
   t->not_run = info.not_run;
   t->invalid
       = (info.id && strcmp (info.id, t->score->item->spec->scorer->id) != 0)
-        || (a->status == STATUS_OK && (info.encoded || !info.stamp));
+        || (a->status == STATUS_OK
+            && (info.encoded || !info.stamp
+                || !wy_text_is_valid (info.stamp, strlen (info.stamp))));
   g_free (t->stamp);
   t->stamp = g_strdup (info.stamp);
 }
--- a/src/jobs/takeover.c
+++ b/src/jobs/takeover.c
@@ -104,11 +104,20 @@
     {
       struct wy_result *res = g_ptr_array_index (results, k);
 
+      if (!res)
+        {
+          wy_active_job_restore_unreadable (
+              t->active,
+              wy_result_row_version (r, wy_active_job_positions (t->active)));
+          continue;
+        }
       wy_active_job_restore_listed (t->active, res->item);
       wy_result_free (res);
     }
   g_free (t->from);
-  t->from = results->len ? wy_result_next_from (r, t->active->n_listed) : NULL;
+  t->from = results->len
+                ? wy_result_next_from (r, wy_active_job_positions (t->active))
+                : NULL;
   g_ptr_array_free (results, TRUE);
   if (t->from)
     {
@@ -177,17 +186,19 @@
   wy_job_fetch (t->jobs, t->record, on_spec, t);
 }
 
-/* Make this entry the holder of the job of R, if it is not, and run it.  */
+/* Make this entry the holder of the job of R, if it is not, and run it.  A job
+   that is done is opened again: one of its results can't be read.  */
 void
 wy_jobs_take_over (struct wy_jobs *j, const struct wy_job_record *r)
 {
   struct takeover *t = g_new0 (struct takeover, 1);
+  int err;
 
   t->jobs = j;
   t->record = wy_job_record_copy (r);
   t->started_ms = wy_clock_mono_ms (j->env->clock);
   g_hash_table_add (j->starting, g_strdup (r->id));
-  if (!strcmp (r->holder, j->env->holder))
+  if (!strcmp (r->holder, j->env->holder) && r->state == WY_JOB_OPEN)
     {
       wy_job_fetch (j, t->record, on_spec, t);
       return;
@@ -196,5 +207,8 @@
                (long long)r->row_version);
   g_free (t->record->holder);
   t->record->holder = g_strdup (j->env->holder);
-  wy_job_record_write (j->env->rows, t->record, on_holder_written, t);
+  t->record->state = WY_JOB_OPEN;
+  err = wy_job_record_write (j->env->rows, t->record, on_holder_written, t);
+  if (err)
+    end_takeover (t, "not_taken", err);
 }
--- a/src/rows/client.c
+++ b/src/rows/client.c
@@ -4,6 +4,8 @@
 
 #include <string.h>
 
+#include "trace/json_log.h"
+
 /* Names under which calls without a table are counted.  */
 #define OBJECTS "(objects)"
 #define FORWARDED "(forwarded)"
@@ -73,7 +75,12 @@
                                              wy_store_tx_target (), cb, ctx);
   char *body = wy_store_tx_body (tx);
 
-  wy_rows_call_start (k, body, strlen (body));
+  /* Without a body the store refuses the call, so the caller learns that
+     nothing was done.  */
+  if (!body)
+    wy_json_log ("store.unsendable", "table=%s rows=%zu", table_of (tx),
+                 tx->n_writes + tx->n_removals);
+  wy_rows_call_start (k, body, body ? strlen (body) : 0);
   g_free (body);
 }
 
--- a/src/standin/platform_replica.c
+++ b/src/standin/platform_replica.c
@@ -34,6 +34,7 @@
   bool stalled;
   bool other_text;
   bool split;
+  bool spoil;
   GString *rest; /* of an event whose first part was sent */
   uint32_t number;
   int64_t after; /* event that it was asked to continue after; 0: none */
@@ -118,6 +119,8 @@
   format_data (u, data, sizeof data);
   n += snprintf (text + n, sizeof text - (size_t)n, "id: %lld\ndata: %s\n\n",
                  (long long)u->next, data);
+  if (u->spoil && u->next == u->replica->faults.spoil_event)
+    text[(size_t)n - sizeof "\n\n"] = (char)u->replica->faults.spoil_byte;
   send_text (u, text, (size_t)n);
   u->next++;
   u->sent++;
@@ -179,6 +182,7 @@
   u->abort = wy_platform_take_fault (&r->faults.abort_streams);
   u->stalled = wy_platform_take_fault (&r->faults.stall_streams);
   u->split = wy_platform_take_fault (&r->faults.split_streams);
+  u->spoil = wy_platform_take_fault (&r->faults.spoil_streams);
   u->after = r->last_resume;
   snprintf (version, sizeof version, "%lld", (long long)r->version);
   snprintf (load, sizeof load, "%u,0,%u", r->running, r->o.slots);
@@ -241,7 +245,8 @@
           { "Response-Stamp", stamp } };
 
   snprintf (load, sizeof load, "%u,0,%u", r->running - 1, r->o.slots);
-  snprintf (stamp, sizeof stamp, "%s.%s.%u", u->id, r->o.id, r->responses++);
+  snprintf (stamp, sizeof stamp, "%s.%s.%u%s", u->id, r->o.id, r->responses++,
+            wy_platform_take_fault (&r->faults.spoil_stamp) ? "\xff" : "");
   if (r->o.on_response)
     r->o.on_response (r->o.ctx, r->o.id, u->id, u->status, stamp);
   wy_h1_on_hangup (u->request, NULL, NULL);
--- a/src/standin/platform_replica.h
+++ b/src/standin/platform_replica.h
@@ -15,6 +15,9 @@
   uint32_t late_streams;       /* first event after late_ms */
   uint32_t late_ms;
   uint32_t split_streams;         /* each event in two parts */
+  uint32_t spoil_streams;         /* one byte of one event replaced */
+  uint32_t spoil_event;           /* which: number of the event in the text */
+  unsigned char spoil_byte;       /* what replaces it */
   uint32_t ignore_resume;         /* begun anew, with another text */
   uint32_t respond_not_run;       /* rejected with 503 as not run */
   uint32_t respond_500;           /* run, but failed */
@@ -22,6 +25,7 @@
   uint32_t respond_422;           /* rejected for good */
   uint32_t wrong_attempt_id;      /* response names another attempt */
   uint32_t omit_stamp;            /* response lacks Response-Stamp */
+  uint32_t spoil_stamp;           /* the same with a byte that is no UTF-8 */
   uint32_t respond_malformed;     /* run or performed, malformed head */
   uint32_t lose_response;         /* run, connection aborted */
   uint32_t lose_order_response;   /* order performed, connection aborted */
--- a/tests/support/platform_fixture.c
+++ b/tests/support/platform_fixture.c
@@ -136,6 +136,7 @@
   c->told_us = wy_metrics_histogram_family (w->metrics, "told_us", "", 16);
   c->run_permits = wy_metrics_counter_family (w->metrics, "permits", "", 8);
   c->returned = wy_metrics_counter_family (w->metrics, "returned", "", 64);
+  c->malformed = wy_metrics_counter_family (w->metrics, "malformed", "", 8);
 }
 
 /* Create the modules that all parts of the entry NODE share.  */
--- a/tests/test_results.c
+++ b/tests/test_results.c
@@ -35,11 +35,12 @@
 
       g_snprintf (id, sizeof id, "it-%d", i);
       r = wy_result_new (id);
-      r->text = g_strnfill ((gsize)i * 37, 'x');
+      for (int k = 0; k < i * 37; k++)
+        g_string_append_c (r->text, 'x');
       wy_result_add_version (r, 3);
       wy_result_add_version (r, 4);
       wy_result_add_version (r, 3);
-      value = wy_result_encode (r);
+      cr_assert_eq (wy_result_encode (r, &value), 0);
       wy_result_split (value, (uint64_t)i, ROW_BYTES, rows);
       g_free (value);
       wy_result_free (r);
@@ -113,7 +114,8 @@
         {
           const struct wy_result *res = g_ptr_array_index (out, i);
 
-          cr_expect_eq (strlen (res->text), (size_t)i * 37);
+          cr_expect_eq (res->text->len, (size_t)i * 37);
+          cr_expect_eq (strlen (res->text->str), (size_t)i * 37);
           cr_expect_eq (res->versions->len, 2);
         }
       g_ptr_array_free (out, TRUE);
@@ -177,3 +179,57 @@
     wy_staleness_free (staleness[i]);
   platform_fixture_free (&w);
 }
+
+/* Guards against results that nobody can read since a row before them is
+   empty.  */
+Test (results, empty_row_keeps_its_position)
+{
+  GArray *rows = make_rows ();
+  GPtrArray *out = g_ptr_array_new_with_free_func (free_result);
+  struct wy_row buffer[64];
+  struct wy_rows_result r;
+
+  g_array_index (rows, struct wy_result_row, 0).size_bytes = 0;
+  for (guint i = 1; i < rows->len; i++)
+    if (!strncmp (g_array_index (rows, struct wy_result_row, i).key,
+                  "0000000000", 10))
+      g_array_index (rows, struct wy_result_row, i).size_bytes = 0;
+  page_of (rows, NULL, rows->len, buffer, &r);
+  buffer[0].version = 7;
+  wy_result_join (&r, out);
+  cr_assert_eq (out->len, RESULTS);
+  cr_expect_null (out->pdata[0]);
+  cr_expect_not_null (out->pdata[1]);
+  cr_expect_eq (wy_result_row_version (&r, 0), 7);
+  cr_expect_eq (wy_result_row_version (&r, RESULTS), 0);
+  g_ptr_array_free (out, TRUE);
+  free_rows (rows);
+}
+
+/* Guards against a row that is written empty, or a text that is cut, because a
+   byte of a result can't be JSON.  */
+Test (results, bytes_that_are_no_text)
+{
+  static const struct
+  {
+    const char *bytes;
+    size_t n;
+  } texts[] = {
+    { "a\0b", 3 }, { "a\xff", 2 }, { "\xc0", 1 }, { "\xed\xa0\x80", 3 }
+  };
+  struct wy_result *r = wy_result_new ("it-0");
+  char *value = NULL;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (texts); i++)
+    {
+      g_string_truncate (r->text, 0);
+      g_string_append_len (r->text, texts[i].bytes, (gssize)texts[i].n);
+      cr_expect_eq (wy_result_encode (r, &value), WY_RESULT_ENOTEXT);
+    }
+  g_string_assign (r->text, "\xc3\xa9\xf0\x9f\x99\x82");
+  cr_expect_eq (wy_result_encode (r, &value), 0);
+  g_free (value);
+  r->score = g_strdup ("\xff");
+  cr_expect_eq (wy_result_encode (r, &value), WY_RESULT_ENOTEXT);
+  wy_result_free (r);
+}
--- a/tests/test_scores.c
+++ b/tests/test_scores.c
@@ -122,6 +122,19 @@
   job_fixture_stop ();
 }
 
+/* Guards against a result whose score is left out since the stamp that came
+   with it is no UTF-8.  */
+Test (scores, stamp_without_utf8)
+{
+  start (2);
+  faults (SCORER)->spoil_stamp = 2;
+  faults (OTHER_SCORER)->spoil_stamp = 2;
+  submit (SCORED);
+  check_scores ();
+  cr_expect_geq (*job_fixture.env.count.score_calls_failed, 2);
+  job_fixture_stop ();
+}
+
 /* The service itself fails to score a text each time.  The item must be given
    up after as many failures as the larger limit of both routes, not before and
    not much later, or its group would never be complete.  */
