Stop: what reaches a stopping entry is served whole or refused

A request that may run once ended so too, with its outcome unknown where a refusal would have been true; a request without an answer at the end of the grace time ended with a closed connection.

Cause: nothing decided what a stopping entry takes. The stop announced the close in further responses only, so connections that were idle, or whose response had begun before, stayed open, and admission did not look at the time left.

These tests failed before: stream_on_an_idle_connection_late (a 200, cut after 71 of 80 events), response_begun_before (connection still open), unsafe_that_may_not_end (no answer, run once), request_in_progress_at_the_end (no answer); short_requests_early held.

--- a/src/gate/admission.c
+++ b/src/gate/admission.c
@@ -115,7 +115,7 @@
 
   if (access != WY_ACCESS_ALLOW)
     reject_access (g, r, info, access);
-  else
+  else if (!wy_gate_refuse_at_stop (g, r, info, NULL, call))
     wy_jobs_handle_call (g->jobs, r, org ? org->name : "", call);
 }
 
@@ -153,6 +153,8 @@
                          &org);
   if (!route || access != WY_ACCESS_ALLOW)
     reject_access (g, r, &info, access);
+  else if (wy_gate_refuse_at_stop (g, r, &info, route, NULL))
+    return;
   else if (route->kind == WY_ROUTE_JOB && !strcmp (wy_h1_method (r), "POST"))
     wy_jobs_accept (g->jobs, r, org ? org->name : "", is_config_current (g));
   else
--- a/src/gate/env.h
+++ b/src/gate/env.h
@@ -85,6 +85,7 @@
   /* Of models, by which replicas are divided; NULL: they are not.  */
   struct wy_demand *demand;
   struct wy_rejections *rejections;
+  GQueue proxied; /* struct wy_proxy_request in progress */
   struct wy_gate_counters count;
 };
 
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -1,4 +1,4 @@
-/* The gate: its listeners, startup and shutdown.  */
+/* The gate: its listeners and startup.  */
 #include "gate/gate_state.h"
 
 #include <stdio.h>
@@ -22,14 +22,6 @@
      announce it in their responses.  */
   TARGET_IDLE_TIMEOUT_MS = 60000,
   TICK_MS = 200,
-  /* The load balancer checks readiness once a second and acts on the second
-     failure; new connections arrive for this long after a stop request.  */
-  BALANCER_DRAIN_MS = 2500,
-  /* The entry leaves, so that others take over its jobs, when the grace time
-     divided by this has passed.  */
-  LEAVE_DIVISOR = 2,
-  /* The process exits this long before the grace time ends.  */
-  EXIT_MARGIN_MS = 1200,
   /* Bodies of readiness checks and of requests for metrics are not used.  */
   PROBE_BODY_BYTES = 4096,
   PROBE_BUFFERED_BYTES = 65536,
@@ -59,12 +51,6 @@
   return MAX (MAX (share, slots), CONNECTIONS_MIN);
 }
 
-static int64_t
-grace_ms (const struct wy_gate *g)
-{
-  return (int64_t)(g->o.settings->grace_s * WY_MS_PER_S);
-}
-
 static bool
 is_ready (const struct wy_gate *g)
 {
@@ -276,45 +262,6 @@
   return err;
 }
 
-static void
-stop_process (struct wy_gate *g, const char *reason)
-{
-  if (g->stopped)
-    return;
-  g->stopped = true;
-  wy_json_log ("process.stop", "reason=%s requests=%u jobs=%u", reason,
-               wy_h1_server_active (g->caller_server),
-               wy_jobs_running (g->jobs));
-  g->o.on_stopped (g->o.ctx);
-}
-
-/* Continue a requested stop.  Work in progress is finished first.  After half
-   of the grace time this entry announces that it leaves, so that other entries
-   take over the remaining jobs.  */
-static void
-check_stop (struct wy_gate *g)
-{
-  int64_t since_ms = wy_clock_mono_ms (g->env.clock) - g->stop_requested_ms;
-  bool idle = wy_h1_server_active (g->caller_server) == 0;
-
-  if (!g->has_left
-      && (since_ms >= grace_ms (g) / LEAVE_DIVISOR
-          || (since_ms >= BALANCER_DRAIN_MS
-              && wy_jobs_running (g->jobs) == 0)))
-    {
-      g->has_left = true;
-      g->env.stopping = true;
-      wy_members_set_leaving (g->members);
-      wy_json_log ("process.handing_over", "jobs=%u since_ms=%lld",
-                   wy_jobs_running (g->jobs), (long long)since_ms);
-      return;
-    }
-  if (since_ms >= grace_ms (g) - EXIT_MARGIN_MS)
-    stop_process (g, "grace_over");
-  else if (g->has_left && idle && wy_jobs_running (g->jobs) == 0)
-    stop_process (g, "idle");
-}
-
 static void
 on_tick (uv_timer_t *t)
 {
@@ -334,7 +281,7 @@
                                           : -1);
   wy_gate_log_memory_level (g);
   if (g->stop_requested_ms)
-    check_stop (g);
+    wy_gate_check_stop (g);
 }
 
 static uint32_t
@@ -442,26 +389,6 @@
   return 0;
 }
 
-/* Stop within the grace time.  The entry is no longer ready, so the load
-   balancer sends no new connections; work in progress is finished first.  A
-   second call stops at once.  */
-void
-wy_gate_stop (struct wy_gate *g)
-{
-  if (g->stop_requested_ms)
-    {
-      stop_process (g, "asked_twice");
-      return;
-    }
-  g->stop_requested_ms = wy_clock_mono_ms (g->env.clock);
-  wy_json_log ("process.stopping", "requests=%u jobs=%u",
-               wy_h1_server_active (g->caller_server),
-               wy_jobs_running (g->jobs));
-  wy_h1_server_announce_close (g->caller_server);
-  wy_members_set_draining (g->members);
-  wy_gate_stop_duties (g);
-}
-
 /* Apply changed settings S.  Only the seeds can change.  */
 void
 wy_gate_reload (struct wy_gate *g, const struct wy_gate_settings *s)
--- a/src/gate/gate_state.h
+++ b/src/gate/gate_state.h
@@ -10,6 +10,7 @@
 #include "gate/members.h"
 #include "h1/server.h"
 #include "jobs/jobs.h"
+#include "platform/request_wire.h"
 #include "rows/watch.h"
 
 enum
@@ -121,6 +122,11 @@
   bool stopped;
 };
 
+void wy_gate_check_stop (struct wy_gate *g);
+bool wy_gate_refuse_at_stop (struct wy_gate *g, struct wy_h1_request *r,
+                             const struct wy_request_info *info,
+                             const struct wy_route *route,
+                             const struct wy_job_call *call);
 void wy_gate_on_request (void *ctx, struct wy_h1_request *r);
 uint32_t wy_gate_on_no_memory (void *ctx, const struct wy_h1_request *r);
 int wy_gate_start_duties (struct wy_gate *g);
--- a/src/gate/proxy.c
+++ b/src/gate/proxy.c
@@ -292,6 +292,8 @@
   (*env->count.requests)++;
   p->env = env;
   p->request = r;
+  p->link.data = p;
+  g_queue_push_tail_link (&env->proxied, &p->link);
   p->kind = route->kind;
   p->id = g_strdup (info.id ? info.id : "");
   p->route = g_strdup (route->name);
--- a/src/gate/proxy_end.c
+++ b/src/gate/proxy_end.c
@@ -106,6 +106,7 @@
 wy_proxy_free (struct wy_proxy_request *p, const char *reason)
 {
   p->ended = true;
+  g_queue_unlink (&p->env->proxied, &p->link);
   wy_proxy_uncount_memory (p);
   for (size_t i = 0; i < WY_PROXY_ATTEMPTS_MAX; i++)
     {
@@ -384,6 +385,24 @@
   wy_proxy_free (p, NULL);
 }
 
+/* End all requests whose response has not begun, for REASON.  */
+void
+wy_proxy_give_up_all (struct wy_gate_env *env, const char *reason)
+{
+  GList *next;
+
+  for (GList *l = env->proxied.head; l; l = next)
+    {
+      struct wy_proxy_request *p = l->data;
+
+      next = l->next;
+      if (p->stream.begun)
+        continue;
+      p->may_have_run = p->may_have_run || wy_proxy_is_running (p);
+      wy_proxy_fail (p, false, reason);
+    }
+}
+
 /* Pass the response of T on to the caller.  */
 void
 wy_proxy_succeed (struct wy_proxy_request *p, struct wy_proxy_attempt *t)
--- a/src/gate/proxy_state.h
+++ b/src/gate/proxy_state.h
@@ -57,6 +57,7 @@
 {
   struct wy_gate_env *env;
   struct wy_h1_request *request;
+  GList link; /* in env->proxied */
   uv_timer_t timer;
   enum wy_route_kind kind;
   bool ended;
--- a/src/h1/server.c
+++ b/src/h1/server.c
@@ -246,13 +246,35 @@
   return s->connections.length;
 }
 
-/* Add "Connection: close" to each further response.  */
+/* Add "Connection: close" to each further response, and close connections
+   whose response has begun without it at its end.  */
 void
 wy_h1_server_announce_close (struct wy_h1_server *s)
 {
   s->announce_close = true;
 }
 
+/* Close the connections without a request for which CLOSES returns true, given
+   the time for which they have had none.  */
+void
+wy_h1_server_close_idle (struct wy_h1_server *s,
+                         bool (*closes) (void *ctx, int64_t idle_ms),
+                         void *ctx)
+{
+  GList *next;
+
+  for (GList *l = s->connections.head; l; l = next)
+    {
+      struct wy_h1_request *c = l->data;
+
+      next = l->next;
+      if (c->state == CONN_IDLE && c->unparsed->len == 0
+          && wy_h1_unsent_bytes (c) == 0
+          && closes (ctx, (int64_t)(uv_now (c->tcp.loop) - c->state_since_ms)))
+        wy_h1_conn_close (c);
+    }
+}
+
 /* Stop listening; open connections continue.  */
 void
 wy_h1_server_stop (struct wy_h1_server *s)
--- a/src/h1/server.h
+++ b/src/h1/server.h
@@ -99,6 +99,9 @@
 uint32_t wy_h1_server_unsent (const struct wy_h1_server *s);
 uint32_t wy_h1_server_connections (const struct wy_h1_server *s);
 void wy_h1_server_announce_close (struct wy_h1_server *s);
+void wy_h1_server_close_idle (struct wy_h1_server *s,
+                              bool (*closes) (void *ctx, int64_t idle_ms),
+                              void *ctx);
 void wy_h1_server_stop (struct wy_h1_server *s);
 void wy_h1_server_hang_up (struct wy_h1_server *s);
 void wy_h1_server_free (struct wy_h1_server *s);
--- a/src/h1/server_response.c
+++ b/src/h1/server_response.c
@@ -195,6 +195,8 @@
 {
   const char *end = r->chunked ? "0\r\n\r\n" : "";
 
+  if (r->server->announce_close)
+    r->keep_alive = false;
   wy_h1_conn_send (r, NULL, end, strlen (end), !r->keep_alive);
   wy_h1_conn_finish_exchange (r);
 }
--- a/src/jobs/accept.c
+++ b/src/jobs/accept.c
@@ -172,23 +172,30 @@
   free_if_unused (a);
 }
 
-/* End pending submissions when the store is unreachable.  A submitter that
-   gets a response retries here or at another entry until the store is back.
-   One that gets none gives up after a few attempts of one or two seconds each
-   and loses its training step.  */
+/* End pending submissions for REASON: nothing of them runs, or the outcome is
+   open.  */
 void
-wy_jobs_accept_tick (struct wy_jobs *j)
+wy_jobs_end_submissions (struct wy_jobs *j, const char *reason)
 {
-  if (j->submissions->len == 0 || !wy_rows_is_unreachable (j->env->rows))
-    return;
   for (guint i = j->submissions->len; i > 0; i--)
     {
       struct submission *a = g_ptr_array_index (j->submissions, i - 1);
 
-      end (a, a->may_be_written || a->writing ? 502 : 503, "store_away");
+      end (a, a->may_be_written || a->writing ? 502 : 503, reason);
     }
 }
 
+/* End pending submissions when the store is unreachable.  A submitter that
+   gets a response retries here or at another entry until the store is back.
+   One that gets none gives up after a few attempts of one or two seconds each
+   and loses its training step.  */
+void
+wy_jobs_accept_tick (struct wy_jobs *j)
+{
+  if (j->submissions->len && wy_rows_is_unreachable (j->env->rows))
+    wy_jobs_end_submissions (j, "store_away");
+}
+
 /* The checkpoints of earlier jobs have been read; they are of no use if the
    job is already running.  */
 static void
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -56,6 +56,7 @@
                    void (*fn) (void *ctx, const struct wy_job_view *v),
                    void *ctx);
 uint32_t wy_jobs_running (const struct wy_jobs *j);
+void wy_jobs_end_submissions (struct wy_jobs *j, const char *reason);
 void wy_jobs_version_announced (struct wy_jobs *j, const char *model,
                                 int64_t version);
 void wy_jobs_targets_changed (struct wy_jobs *j);
--- /dev/null
+++ b/tests/test_gate_stop.c
@@ -0,0 +1,395 @@
+/* A wygated process that is told to stop while callers use it.  Whatever
+   reaches it is served whole or refused truthfully, and nothing that has begun
+   is cut off.  */
+#include <criterion/criterion.h>
+#include <netinet/tcp.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+
+#include "support/gate_process.h"
+
+enum
+{
+  MEMORY_MB = 280,
+  EVENT_MS = 50,
+  BODY_BYTES = 5000000,
+  /* As on an Ethernet link; the loopback interface would take megabytes ahead
+     of the reader.  */
+  SEGMENT_BYTES = 1460,
+  WINDOW_BYTES = 16384,
+  READ_STEP_MS = 20,
+  WAIT_MAX_MS = 12000
+};
+
+#define GRACE "grace_s: 8\n"
+#define SHORT_GRACE "grace_s: 4\n"
+
+static struct gate_process g;
+static uint32_t runs; /* of requests below "/stream/" and "/unsafe/" */
+
+/* A raw client, which sends requests on one connection and reads at a given
+   pace.  */
+struct client
+{
+  uv_tcp_t tcp;
+  uv_connect_t connect;
+  uv_write_t write;
+  uv_timer_t pace;
+  uint32_t step_bytes; /* each READ_STEP_MS; 0: as fast as it comes */
+  uint32_t room_bytes; /* that may be read in this step */
+  const char *text;
+  GString *got;
+  char buffer[65536];
+  bool ended; /* by the gate */
+};
+
+static void read_on (struct client *c);
+
+static void
+on_alloc (uv_handle_t *h, size_t suggested, uv_buf_t *buf)
+{
+  struct client *c = h->data;
+
+  *buf = uv_buf_init (c->buffer, c->step_bytes
+                                     ? MIN (c->room_bytes, sizeof c->buffer)
+                                     : (unsigned)sizeof c->buffer);
+}
+
+static void
+on_read (uv_stream_t *s, ssize_t n, const uv_buf_t *buf)
+{
+  struct client *c = s->data;
+
+  if (n < 0)
+    {
+      c->ended = true;
+      uv_read_stop (s);
+      return;
+    }
+  g_string_append_len (c->got, buf->base, n);
+  if (!c->step_bytes)
+    return;
+  c->room_bytes -= (uint32_t)n;
+  if (c->room_bytes == 0)
+    uv_read_stop (s);
+}
+
+static void
+read_on (struct client *c)
+{
+  c->room_bytes = c->step_bytes;
+  if (!c->ended)
+    uv_read_start ((uv_stream_t *)&c->tcp, on_alloc, on_read);
+}
+
+static void
+on_pace (uv_timer_t *t)
+{
+  read_on (t->data);
+}
+
+static void
+send_text (struct client *c, const char *text)
+{
+  uv_buf_t buf = uv_buf_init ((char *)text, (unsigned)strlen (text));
+
+  uv_write (&c->write, (uv_stream_t *)&c->tcp, &buf, 1, NULL);
+}
+
+static void
+on_connect (uv_connect_t *r, int status)
+{
+  struct client *c = r->handle->data;
+
+  cr_assert_eq (status, 0);
+  send_text (c, c->text);
+  read_on (c);
+}
+
+/* Send TEXT on a new connection and read BYTES_PER_S (0: without a limit).  */
+static struct client *
+client_new (const char *text, uint32_t bytes_per_s)
+{
+  struct client *c = g_new0 (struct client, 1);
+  struct sockaddr_in a = platform_loopback (g.ports[GATE_CALLERS]);
+  int segment = SEGMENT_BYTES;
+  int window = WINDOW_BYTES;
+  uv_os_fd_t fd;
+
+  c->text = text;
+  c->got = g_string_new (NULL);
+  c->step_bytes = bytes_per_s / 1000 * READ_STEP_MS;
+  uv_tcp_init_ex (&g.w.loop, &c->tcp, AF_INET);
+  c->tcp.data = c;
+  uv_fileno ((uv_handle_t *)&c->tcp, &fd);
+  if (bytes_per_s)
+    {
+      setsockopt (fd, IPPROTO_TCP, TCP_MAXSEG, &segment, sizeof segment);
+      setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &window, sizeof window);
+    }
+  uv_timer_init (&g.w.loop, &c->pace);
+  c->pace.data = c;
+  if (bytes_per_s)
+    uv_timer_start (&c->pace, on_pace, READ_STEP_MS, READ_STEP_MS);
+  uv_tcp_connect (&c->connect, &c->tcp, (struct sockaddr *)&a, on_connect);
+  return c;
+}
+
+static bool
+has_ended (void *client)
+{
+  return ((struct client *)client)->ended;
+}
+
+static bool
+has_answer (void *client)
+{
+  return strstr (((struct client *)client)->got->str, "\r\n\r\n") != NULL;
+}
+
+static void
+run_until (bool (*cond) (void *ctx), struct client *c)
+{
+  for (int ms = 0; ms < WAIT_MAX_MS && !cond (c); ms += READ_STEP_MS)
+    platform_fixture_run_ms (&g.w, READ_STEP_MS);
+}
+
+/* Status of the first response that C has got; 0: none.  */
+static int
+status_of (const struct client *c)
+{
+  return g_str_has_prefix (c->got->str, "HTTP/1.1 ")
+             ? atoi (c->got->str + strlen ("HTTP/1.1 "))
+             : 0;
+}
+
+static bool
+has_field (const struct client *c, const char *field)
+{
+  return strstr (c->got->str, field) != NULL;
+}
+
+/* Whether the streamed response that C has got last is complete.  */
+static bool
+has_stream_end (const struct client *c)
+{
+  return g_str_has_suffix (c->got->str, "\r\n0\r\n\r\n");
+}
+
+/* A streamed response in progress.  */
+struct stream
+{
+  struct wy_h1_request *request;
+  uv_timer_t timer;
+  int64_t left_ms;
+  uint32_t id;
+};
+
+static void
+on_stream_closed (uv_handle_t *h)
+{
+  g_free (h->data);
+}
+
+static void
+on_stream_hangup (void *ctx)
+{
+  struct stream *s = ctx;
+
+  uv_close ((uv_handle_t *)&s->timer, on_stream_closed);
+}
+
+static void
+on_stream_timer (uv_timer_t *t)
+{
+  struct stream *s = t->data;
+  char text[64];
+  int n = snprintf (text, sizeof text, "id: %u\ndata: x\n\n", ++s->id);
+
+  wy_h1_write_response (s->request, text, (size_t)n);
+  s->left_ms -= EVENT_MS;
+  if (s->left_ms > 0)
+    return;
+  wy_h1_on_hangup (s->request, NULL, NULL);
+  wy_h1_end_response (s->request);
+  uv_close ((uv_handle_t *)t, on_stream_closed);
+}
+
+/* A replica: "/stream/N" has events for N ms, "/large/" a response of
+   BODY_BYTES; "/unsafe/" and "/small/slow" have none, others a short one.  */
+static void
+on_request (void *ctx, struct wy_h1_request *r)
+{
+  static char body[BODY_BYTES];
+  const char *target = wy_h1_target (r);
+  const char *id = wy_h1_head_get (wy_h1_head (r), "Attempt-Id");
+  struct wy_h1_header fields[] = { { "Attempt-Id", id ? id : "" },
+                                   { "Response-Stamp", "stamp" },
+                                   { "Content-Type", "text/event-stream" } };
+  struct stream *s;
+
+  if (!strcmp (target, "/small/slow"))
+    return;
+  if (g_str_has_prefix (target, "/unsafe/"))
+    {
+      runs++;
+      return;
+    }
+  if (!g_str_has_prefix (target, "/stream/"))
+    {
+      memset (body, 'x', sizeof body);
+      wy_h1_respond (r, 200, fields, 2, body,
+                     g_str_has_prefix (target, "/large/") ? sizeof body : 2);
+      return;
+    }
+  runs++;
+  s = g_new0 (struct stream, 1);
+  s->request = r;
+  s->left_ms = atoi (target + strlen ("/stream/"));
+  wy_h1_begin_response (r, 200, fields, G_N_ELEMENTS (fields));
+  uv_timer_init (&g.w.loop, &s->timer);
+  s->timer.data = s;
+  uv_timer_start (&s->timer, on_stream_timer, EVENT_MS, EVENT_MS);
+  wy_h1_on_hangup (r, on_stream_hangup, s);
+}
+
+static void
+start (const char *settings, uint32_t idle_timeout_ms)
+{
+  struct gate_process_options o = { .memory_mb = MEMORY_MB,
+                                    .idle_timeout_ms = idle_timeout_ms,
+                                    .settings = settings,
+                                    .on_request = on_request };
+
+  gate_process_start (&g, &o);
+}
+
+static void
+stop_gate (void)
+{
+  kill (g.pid, SIGTERM);
+}
+
+/* The process ends by itself with status 0.  */
+static void
+expect_end (void)
+{
+  int status = -1;
+
+  for (int ms = 0; ms < WAIT_MAX_MS; ms += READ_STEP_MS)
+    {
+      if (waitpid (g.pid, &status, WNOHANG) == g.pid)
+        break;
+      platform_fixture_run_ms (&g.w, READ_STEP_MS);
+    }
+  cr_expect (WIFEXITED (status) && WEXITSTATUS (status) == 0, "status %d",
+             status);
+}
+
+#define GET(target, fields)                                                   \
+  "GET " target " HTTP/1.1\r\nHost: h\r\nAttempt-Id: a\r\n" fields "\r\n"
+
+/* Guards against streams that are taken from idle connections late in a stop
+   and cut off at its end.  */
+Test (gate_stop, stream_on_an_idle_connection_late, .timeout = 60)
+{
+  enum
+  {
+    LATE_MS = 3300
+  };
+  struct client *first;
+  struct client *late;
+
+  start (GRACE, 0);
+  late = client_new (GET ("/small/x", ""), 0);
+  run_until (has_answer, late);
+  cr_expect_eq (status_of (late), 200);
+  first = client_new (GET ("/stream/4500", ""), 0);
+  platform_fixture_run_ms (&g.w, 200);
+  stop_gate ();
+  platform_fixture_run_ms (&g.w, LATE_MS);
+  g_string_truncate (late->got, 0);
+  send_text (late, GET ("/stream/4000", ""));
+  run_until (has_ended, late);
+  run_until (has_ended, first);
+  cr_expect (has_stream_end (first));
+  cr_expect (status_of (late) == 0 || status_of (late) == 503, "%s",
+             late->got->str);
+  cr_expect_eq (runs, 1);
+  expect_end ();
+}
+
+/* Guards against a connection that stays open after its response, which began
+   before the stop and so could not announce the close.  */
+Test (gate_stop, response_begun_before, .timeout = 60)
+{
+  struct client *c;
+
+  start (GRACE, 0);
+  c = client_new (GET ("/stream/1000", ""), 0);
+  run_until (has_answer, c);
+  stop_gate ();
+  platform_fixture_run_ms (&g.w, 1400);
+  cr_expect (has_stream_end (c));
+  cr_expect (c->ended);
+  expect_end ();
+}
+
+/* Guards against a request that may run once only and ends without an answer,
+   its outcome unknown, though it could have been refused.  */
+Test (gate_stop, unsafe_that_may_not_end, .timeout = 60)
+{
+  struct client *c;
+
+  start (GRACE, 0);
+  stop_gate ();
+  platform_fixture_run_ms (&g.w, 500);
+  c = client_new (GET ("/unsafe/x", "Deadline-Milliseconds: 7500\r\n"), 0);
+  run_until (has_ended, c);
+  cr_expect_eq (status_of (c), 503);
+  cr_expect (has_field (c, "Retry-After: "));
+  cr_expect_eq (runs, 0);
+  expect_end ();
+}
+
+/* Guards against refusing what a stopping entry can serve: for a while it
+   still gets new connections.  */
+Test (gate_stop, short_requests_early, .timeout = 60)
+{
+  struct client *kept;
+  struct client *fresh;
+
+  start (GRACE, 0);
+  kept = client_new (GET ("/small/x", ""), 0);
+  run_until (has_answer, kept);
+  stop_gate ();
+  platform_fixture_run_ms (&g.w, 500);
+  g_string_truncate (kept->got, 0);
+  send_text (kept, GET ("/small/y", "Deadline-Milliseconds: 2000\r\n"));
+  fresh
+      = client_new (GET ("/stream/300", "Deadline-Milliseconds: 2000\r\n"), 0);
+  run_until (has_ended, kept);
+  run_until (has_ended, fresh);
+  cr_expect_eq (status_of (kept), 200);
+  cr_expect (has_field (kept, "Connection: close"));
+  cr_expect (has_stream_end (fresh));
+  expect_end ();
+}
+
+/* Guards against a request that was passed on and ends with a closed
+   connection at the end of the grace time.  */
+Test (gate_stop, request_in_progress_at_the_end, .timeout = 60)
+{
+  struct client *c;
+
+  start (SHORT_GRACE, 0);
+  c = client_new (GET ("/small/slow", ""), 0);
+  platform_fixture_run_ms (&g.w, 200);
+  stop_gate ();
+  run_until (has_ended, c);
+  cr_expect_eq (status_of (c), 502);
+  expect_end ();
+}
