Stop: a second SIGTERM cuts off nothing

What callers saw: when a gate got a second SIGTERM half a second after the first, all streams in progress were cut at once.

Cause: a second request to stop ended the process with whatever was in progress (asked_twice). That is meant for a person at a terminal; whoever stops processes in series sends the signal again.

Evidence: signals_in_series failed before (the stream ended 0.3 s after the first signal, without its end); SIGTERM and then SIGHUP alone held.

Change: a further SIGTERM or SIGINT changes nothing. The grace time bounds the stop, and SIGKILL ends it sooner.

Result: signals_in_series passes: SIGTERM, SIGTERM, SIGHUP, SIGTERM, SIGINT, 300 ms apart, and the stream is complete.

--- a/src/gate/stop.c
+++ b/src/gate/stop.c
@@ -160,15 +160,12 @@
 
 /* Stop within the grace time.  The entry is no longer ready, so the load
    balancer sends no new connections; work in progress is finished first.  A
-   second call stops at once.  */
+   further call changes nothing.  */
 void
 wy_gate_stop (struct wy_gate *g)
 {
   if (g->stop_requested_ms)
-    {
-      end_process (g, "asked_twice");
-      return;
-    }
+    return;
   g->stop_requested_ms = wy_clock_mono_ms (g->env.clock);
   wy_json_log ("process.stopping", "requests=%u jobs=%u",
                wy_h1_server_active (g->caller_server),
--- a/tests/test_gate_stop.c
+++ b/tests/test_gate_stop.c
@@ -393,3 +393,23 @@
   cr_expect_eq (status_of (c), 502);
   expect_end ();
 }
+
+/* Guards against streams that are cut off by a second SIGTERM, or by a SIGHUP
+   after it.  */
+Test (gate_stop, signals_in_series, .timeout = 60)
+{
+  static const int numbers[] = { SIGTERM, SIGTERM, SIGHUP, SIGTERM, SIGINT };
+  struct client *c;
+
+  start (GRACE, 0);
+  c = client_new (GET ("/stream/3000", ""), 0);
+  run_until (has_answer, c);
+  for (size_t i = 0; i < G_N_ELEMENTS (numbers); i++)
+    {
+      kill (g.pid, numbers[i]);
+      platform_fixture_run_ms (&g.w, 300);
+    }
+  run_until (has_ended, c);
+  cr_expect (has_stream_end (c));
+  expect_end ();
+}
