Start: signals are handled from the first line of the program on

What callers saw: a gate that got SIGHUP in the first milliseconds ended, and an operator's SIGTERM then counted as a death by a signal.

Cause: the handlers were installed once the gate had started, after the settings had been read and the addresses bound.

Change: wygated and wyorderd watch their signals before they read the settings. The loop runs only after the start, so that is when they are handled.

--- a/src/cmd/wygated.c
+++ b/src/cmd/wygated.c
@@ -95,16 +95,20 @@
                                .settings = &process.settings,
                                .on_stopped = on_stopped,
                                .ctx = &process };
-  int rc = wy_program_start (&program, argc, argv);
+  int rc;
   int err;
 
+  /* Before the settings are read: a signal that comes during the start is
+     handled after it.  */
+  process.loop = uv_default_loop ();
+  watch_signals (&process);
+  rc = wy_program_start (&program, argc, argv);
   if (rc >= 0)
     return rc;
   /* A caller that closes its connection during a write must not end the
      process; the write fails instead.  */
   signal (SIGPIPE, SIG_IGN);
   process.path = program.path;
-  process.loop = uv_default_loop ();
   o.loop = process.loop;
   o.reason = g_string_new (NULL);
   err = wy_gate_new (&process.gate, &o);
@@ -114,7 +118,6 @@
       fprintf (stderr, "wygated: cannot start: %s\n", o.reason->str);
       return WY_EXIT_FAILED;
     }
-  watch_signals (&process);
   uv_run (process.loop, UV_RUN_DEFAULT);
   finish (&process);
   return WY_EXIT_OK;
--- a/src/cmd/wyorderd.c
+++ b/src/cmd/wyorderd.c
@@ -10,7 +10,8 @@
 enum
 {
   /* Loop iterations to run the close callbacks of the handles at the end.  */
-  CLOSING_ITERATIONS = 20
+  CLOSING_ITERATIONS = 20,
+  SIGNALS = 3
 };
 
 /* No setting can change while the process runs, so SIGHUP, the request to
@@ -24,12 +25,22 @@
     uv_stop (s->loop);
 }
 
+static void
+watch_signals (uv_loop_t *loop, uv_signal_t *signals)
+{
+  static const int numbers[SIGNALS] = { SIGTERM, SIGINT, SIGHUP };
+
+  for (size_t i = 0; i < SIGNALS; i++)
+    {
+      uv_signal_init (loop, &signals[i]);
+      uv_signal_start (&signals[i], on_signal, numbers[i]);
+    }
+}
+
 static int
-run (const struct wy_orders_settings *settings)
+run (uv_loop_t *loop, uv_signal_t *signals,
+     const struct wy_orders_settings *settings)
 {
-  static const int numbers[] = { SIGTERM, SIGINT, SIGHUP };
-  uv_signal_t signals[G_N_ELEMENTS (numbers)];
-  uv_loop_t *loop = uv_default_loop ();
   struct wy_orderer_daemon_options o = { .loop = loop,
                                          .clock = wy_clock_system (),
                                          .settings = settings,
@@ -43,14 +54,9 @@
       fprintf (stderr, "wyorderd: cannot start: %s\n", o.reason->str);
       return WY_EXIT_FAILED;
     }
-  for (size_t i = 0; i < G_N_ELEMENTS (numbers); i++)
-    {
-      uv_signal_init (loop, &signals[i]);
-      uv_signal_start (&signals[i], on_signal, numbers[i]);
-    }
   uv_run (loop, UV_RUN_DEFAULT);
   wy_orderer_daemon_free (d);
-  for (size_t i = 0; i < G_N_ELEMENTS (numbers); i++)
+  for (size_t i = 0; i < SIGNALS; i++)
     uv_close ((uv_handle_t *)&signals[i], NULL);
   for (int i = 0; i < CLOSING_ITERATIONS; i++)
     uv_run (loop, UV_RUN_NOWAIT);
@@ -62,6 +68,8 @@
 main (int argc, char **argv)
 {
   static struct wy_orders_settings settings;
+  uv_signal_t signals[SIGNALS];
+  uv_loop_t *loop = uv_default_loop ();
   struct wy_program program
       = { .name = "wyorderd",
           .summary = "Orders the replica on this machine to load new weight"
@@ -69,10 +77,14 @@
           .table = wy_orders_settings_table,
           .n = wy_orders_settings_count,
           .settings = &settings };
-  int rc = wy_program_start (&program, argc, argv);
+  int rc;
 
+  /* Before the settings are read: a signal that comes during the start is
+     handled after it.  */
+  watch_signals (loop, signals);
+  rc = wy_program_start (&program, argc, argv);
   if (rc >= 0)
     return rc;
   signal (SIGPIPE, SIG_IGN);
-  return run (&settings);
+  return run (loop, signals, &settings);
 }
