Stop: the process waits for answers that are not sent yet

What callers saw: a gate that was told to stop exited 2.8 s later, 5 s before the end of its grace time, and cut off answers that their readers were still taking (review/7: 3 of 5 pages of results, 738 KB each).

Cause: the process counted as idle when no request was in progress, and a request is no longer in progress once its response is handed to the event loop. Requests of other processes were not counted at all.

Change: the end waits, within the grace time, until no connection at any of the four addresses has a request that is not read or answered completely, or bytes of a response that its peer has not taken. process.stopping and process.stop tell both apart: requests, unsent, unfinished.

--- a/src/gate/stop.c
+++ b/src/gate/stop.c
@@ -26,14 +26,27 @@
   };
 }
 
+/* Connections of callers and other processes that must not be cut off.  */
+static uint32_t
+unfinished (const struct wy_gate *g)
+{
+  return wy_h1_server_unfinished (g->caller_server)
+         + wy_h1_server_unfinished (g->ready_server)
+         + wy_h1_server_unfinished (g->peer_server)
+         + (g->metrics_server ? wy_h1_server_unfinished (g->metrics_server)
+                              : 0);
+}
+
 static void
 end_process (struct wy_gate *g, const char *reason)
 {
   if (g->stopped)
     return;
   g->stopped = true;
-  wy_json_log ("process.stop", "reason=%s requests=%u jobs=%u", reason,
+  wy_json_log ("process.stop",
+               "reason=%s requests=%u unsent=%u unfinished=%u jobs=%u", reason,
                wy_h1_server_active (g->caller_server),
+               wy_h1_server_unsent (g->caller_server), unfinished (g),
                wy_jobs_running (g->jobs));
   g->o.on_stopped (g->o.ctx);
 }
@@ -59,10 +72,9 @@
 wy_gate_check_stop (struct wy_gate *g)
 {
   struct wy_stop s = stop_of (g);
-  struct wy_stop_work w
-      = { .connections = wy_h1_server_active (g->caller_server),
-          .jobs = wy_jobs_running (g->jobs),
-          .has_left = g->has_left };
+  struct wy_stop_work w = { .connections = unfinished (g),
+                            .jobs = wy_jobs_running (g->jobs),
+                            .has_left = g->has_left };
 
   wy_h1_server_close_idle (g->caller_server, closes_idle, &s);
   if (wy_stop_gives_up (&s))
@@ -167,8 +179,9 @@
   if (g->stop_requested_ms)
     return;
   g->stop_requested_ms = wy_clock_mono_ms (g->env.clock);
-  wy_json_log ("process.stopping", "requests=%u jobs=%u",
+  wy_json_log ("process.stopping", "requests=%u unsent=%u jobs=%u",
                wy_h1_server_active (g->caller_server),
+               wy_h1_server_unsent (g->caller_server),
                wy_jobs_running (g->jobs));
   wy_h1_server_announce_close (g->caller_server);
   wy_members_set_draining (g->members);
--- a/src/h1/server.c
+++ b/src/h1/server.c
@@ -239,6 +239,23 @@
   return n;
 }
 
+/* Number of connections that a stop would cut off: with a request that is not
+   read or not answered completely, or with bytes of responses that their peers
+   have not taken, also those in the kernel.  */
+uint32_t
+wy_h1_server_unfinished (const struct wy_h1_server *s)
+{
+  uint32_t n = 0;
+
+  for (GList *l = s->connections.head; l; l = l->next)
+    {
+      const struct wy_h1_request *c = l->data;
+
+      n += c->state != CONN_IDLE || wy_h1_untaken_bytes (&c->tcp) > 0;
+    }
+  return n;
+}
+
 /* Number of open connections.  */
 uint32_t
 wy_h1_server_connections (const struct wy_h1_server *s)
--- a/src/h1/server.h
+++ b/src/h1/server.h
@@ -97,6 +97,7 @@
 uint16_t wy_h1_server_port (const struct wy_h1_server *s);
 uint32_t wy_h1_server_active (const struct wy_h1_server *s);
 uint32_t wy_h1_server_unsent (const struct wy_h1_server *s);
+uint32_t wy_h1_server_unfinished (const struct wy_h1_server *s);
 uint32_t wy_h1_server_connections (const struct wy_h1_server *s);
 void wy_h1_server_announce_close (struct wy_h1_server *s);
 void wy_h1_server_close_idle (struct wy_h1_server *s,
--- a/tests/test_gate_stop.c
+++ b/tests/test_gate_stop.c
@@ -109,12 +109,13 @@
   read_on (c);
 }
 
-/* Send TEXT on a new connection and read BYTES_PER_S (0: without a limit).  */
+/* Send TEXT to LISTENER on a new connection and read BYTES_PER_S (0: without a
+   limit).  */
 static struct client *
-client_new (const char *text, uint32_t bytes_per_s)
+client_to (enum gate_listener listener, const char *text, uint32_t bytes_per_s)
 {
   struct client *c = g_new0 (struct client, 1);
-  struct sockaddr_in a = platform_loopback (g.ports[GATE_CALLERS]);
+  struct sockaddr_in a = platform_loopback (g.ports[listener]);
   int segment = SEGMENT_BYTES;
   int window = WINDOW_BYTES;
   uv_os_fd_t fd;
@@ -138,6 +139,13 @@
   return c;
 }
 
+/* The same, to the listener for callers.  */
+static struct client *
+client_new (const char *text, uint32_t bytes_per_s)
+{
+  return client_to (GATE_CALLERS, text, bytes_per_s);
+}
+
 static bool
 has_ended (void *client)
 {
@@ -179,6 +187,15 @@
   return g_str_has_suffix (c->got->str, "\r\n0\r\n\r\n");
 }
 
+/* Body bytes of the response that C has got.  */
+static size_t
+body_bytes (const struct client *c)
+{
+  const char *end = strstr (c->got->str, "\r\n\r\n");
+
+  return end ? c->got->len - (size_t)(end + 4 - c->got->str) : 0;
+}
+
 /* A streamed response in progress.  */
 struct stream
 {
@@ -394,6 +411,57 @@
   expect_end ();
 }
 
+/* Guards against answers that are cut off since the process exits while their
+   readers are slow.  */
+Test (gate_stop, answer_read_slowly, .timeout = 60)
+{
+  struct client *c;
+
+  start (GRACE, 0);
+  c = client_new (GET ("/large/x", ""), 1000000);
+  run_until (has_answer, c);
+  stop_gate ();
+  run_until (has_ended, c);
+  cr_expect_eq (body_bytes (c), BODY_BYTES);
+  expect_end ();
+}
+
+/* Guards against a call of another entry, relayed to the store, that ends
+   without an answer since only callers' requests are waited for.  */
+Test (gate_stop, peer_call_in_progress, .timeout = 60)
+{
+  enum
+  {
+    LATE_MS = 2300
+  };
+  struct client *c;
+
+  start (GRACE, 0);
+  stop_gate ();
+  platform_fixture_run_ms (&g.w, LATE_MS);
+  wy_platform_store_faults (g.w.store)->silent = true;
+  c = client_to (GATE_PEERS, GET ("/api/rows-get?table=wy-jobs&part=x", ""),
+                 0);
+  run_until (has_answer, c);
+  cr_expect_neq (status_of (c), 0);
+  expect_end ();
+}
+
+/* Guards against a stop that waits past its grace time for a reader that has
+   stopped reading.  */
+Test (gate_stop, answer_not_read, .timeout = 60)
+{
+  struct client *c;
+
+  start (SHORT_GRACE, 0);
+  c = client_new (GET ("/large/x", ""), 50000);
+  run_until (has_answer, c);
+  uv_timer_stop (&c->pace);
+  uv_read_stop ((uv_stream_t *)&c->tcp);
+  stop_gate ();
+  expect_end ();
+}
+
 /* Guards against streams that are cut off by a second SIGTERM, or by a SIGHUP
    after it.  */
 Test (gate_stop, signals_in_series, .timeout = 60)
