Server: a connection is idle only once its response is sent

What callers saw: without any stop, an answer of 738 KB that its client read at 35 KB/s without a pause was cut off after 19 s.

Cause: a connection whose response is handed to the event loop counted as idle, and was closed after the idle timeout with the bytes that it had queued.

Evidence: slow_reader_is_not_idle failed before, at an idle timeout of 1 s and a reader of 1 MB/s that needs 5 s.

Change: a connection is not closed as idle while bytes of its response are queued, and its idle time begins when the last one is sent. A reader that takes nothing is still closed after the reader's timeout, and gives way when memory or descriptors are short.

--- a/src/h1/server.c
+++ b/src/h1/server.c
@@ -23,7 +23,7 @@
   switch (c->state)
     {
     case CONN_IDLE:
-      if (age_ms >= l->idle_timeout_ms)
+      if (age_ms >= l->idle_timeout_ms && wy_h1_unsent_bytes (c) == 0)
         wy_h1_conn_close (c);
       break;
     case CONN_HEAD:
--- a/src/h1/server_response.c
+++ b/src/h1/server_response.c
@@ -50,7 +50,12 @@
   count_write (c, w->n, -1);
   g_free (w);
   if (wy_h1_unsent_bytes (c) == 0)
-    c->unread_since_ms = 0;
+    {
+      c->unread_since_ms = 0;
+      /* A connection is idle from the moment that its response is sent.  */
+      if (c->state == CONN_IDLE)
+        wy_h1_conn_set_state (c, CONN_IDLE);
+    }
   if (status < 0 && !c->closing)
     wy_h1_conn_hang_up (c);
   else if (last)
--- a/tests/test_gate_stop.c
+++ b/tests/test_gate_stop.c
@@ -481,3 +481,21 @@
   cr_expect (has_stream_end (c));
   expect_end ();
 }
+
+/* Guards against an answer that is cut off as idle while its reader takes it
+   slowly, without a stop.  */
+Test (gate_stop, slow_reader_is_not_idle, .timeout = 60)
+{
+  enum
+  {
+    IDLE_MS = 1000
+  };
+  struct client *c;
+
+  start (GRACE, IDLE_MS);
+  c = client_new (GET ("/large/x", ""), 1000000);
+  run_until (has_ended, c);
+  cr_expect_eq (body_bytes (c), BODY_BYTES);
+  kill (g.pid, SIGTERM);
+  expect_end ();
+}
