Tests: status 000 in each framing, to items, scores and orders

Cause: the list of malformed responses had status 000 with a length and without a body, and the orderer's test took one of the two. Change: four rows more, which all clients get: in chunks, to the close, before a 200, with an event that an item would take for its text. The orderer gets all that begin with 000.

--- a/src/standin/malformed.c
+++ b/src/standin/malformed.c
@@ -116,6 +116,17 @@
   { .name = "blank in the name of a trailer",
     .text = CHUNKED "6\r\nspoilt\r\n0\r\nX Y: spoilt\r\n\r\n" },
   { .name = "bytes of another protocol", .text = "spoilt\x80\x81\r\n\r\n" },
+  { .name = "status 000 in chunks",
+    .text = "HTTP/1.1 000 Spoilt\r\n" FIELDS IN_CHUNKS },
+  { .name = "status 000 to the close",
+    .text = "HTTP/1.1 000 Spoilt\r\n" FIELDS BODY,
+    .ends = true },
+  { .name = "status 000 before a 200",
+    .text = "HTTP/1.1 000 Spoilt\r\n\r\n" HEAD ("HTTP/1.1 200 OK") },
+  { .name = "status 000 with an event",
+    .text = "HTTP/1.1 000 Spoilt\r\n" FIELDS
+            "Content-Type: text/event-stream\r\nContent-Length: 20\r\n\r\n"
+            "id: 1\ndata: spoilt\n\n" },
 };
 
 const size_t wy_n_malformed_responses = G_N_ELEMENTS (wy_malformed_responses);
--- a/tests/test_malformed_gate.c
+++ b/tests/test_malformed_gate.c
@@ -18,7 +18,7 @@
   TRY_MS = 20,
   /* Responses that a test brings; each test has a process of its own.  */
   RESPONSES_PER_TEST = 14,
-  GROUPS = 5
+  GROUPS = 6
 };
 
 static struct gate_process g;
@@ -237,6 +237,8 @@
 
 Test (malformed_gate, responses_5, .timeout = 120) { play_group (4); }
 
+Test (malformed_gate, responses_6, .timeout = 120) { play_group (5); }
+
 /* All responses are in the groups above.  */
 Test (malformed_gate, all_are_played)
 {
--- a/tests/test_malformed_orderer.c
+++ b/tests/test_malformed_orderer.c
@@ -108,10 +108,13 @@
 /* The same for responses to orders, which may have been obeyed.  */
 Test (malformed_orderer, orders, .timeout = 120)
 {
-  for (size_t i = 0; i < wy_n_malformed_responses; i += ORDERS_STEP)
+  for (size_t i = 0; i < wy_n_malformed_responses; i++)
     {
       char *metrics;
 
+      if (i % ORDERS_STEP
+          && !g_str_has_prefix (wy_malformed_responses[i].name, "status 000"))
+        continue;
       start (&wy_malformed_responses[i], "POST");
       await_call (wy_malformed_responses[i].name);
       await_call (wy_malformed_responses[i].name);
