Soak: spoilt events, signals in series at a stop, kept connections, slow readers

Change: engines spoil one byte of an event (FF, C0, 80, 00), drawn from a generator of its own so that the other faults of a seed stay. Two of three stops get further signals: SIGTERM twice more, or SIGHUP and SIGTERM. A new kind of stand-in, keepers, has four callers at each gate that keep their connections: three use them again after up to 6 s, one reads 600 kB at 300 kB/s. The run fails if an answer of theirs is cut off, or a request runs and gets no answer, without a kill of that gate, or if a refusal does not say when to return.

--- a/scripts/soak-platform.sh
+++ b/scripts/soak-platform.sh
@@ -5,7 +5,9 @@
 # seed and several at once.  Then a period without faults follows, in which all
 # must work again.  Some callers stop reading for seconds, and the gates have
 # little memory.  Until the faults are over, crowds of clients that don't behave
-# come to all addresses of the gates.  Reports whether every invariant held.
+# come to all addresses of the gates, and callers keep connections to each gate,
+# use them again seconds later and read long answers slowly: what such a caller
+# sends is cut off only by a kill.  Reports whether every invariant held.
 # Usage: soak-platform.sh BIN OUTDIR SEED SECONDS
 set -u
 BIN=$1
@@ -117,8 +119,26 @@
 Y
 launch crowd wystandin crowd
 
+kept=()
+for ((i = 0; i < GATES; i++)); do
+  kept+=("${OWN[$((3 * i))]}")
+done
+cat >"$OUT/keepers.yaml" <<Y
+name: keepers
+ports_file: $OUT/keepers.ports
+timeline: $OUT/keepers.jsonl
+seed: $SEED
+seconds: $FAULTS_S
+ports: [$(printf '"%s", ' "${kept[@]}" | sed 's/, $//')]
+Y
+launch keepers wystandin keepers
+: >"$OUT/kills"
+
 # Processes with a fault: name -> time in ms at which it ends, and its kind.
 declare -A BACK=() HOW=()
+# Further signals for processes that stop: name -> TIME_MS:SIGNAL...
+declare -A SERIES=()
+terms=0
 # Processes that were started again: name -> time in ms of the start.
 declare -A STARTED=()
 again() {
@@ -150,15 +170,40 @@
   HOW[$name]=$how
   case $how in
   kill)
+    echo "$name $((${EPOCHREALTIME/./} / 1000))" >>"$OUT/kills"
     kill -9 "${PID[$name]}"
     wait "${PID[$name]}" 2>/dev/null
     ;;
-  term) kill -TERM "${PID[$name]}" ;;
+  term)
+    kill -TERM "${PID[$name]}"
+    # Two of three stops get further signals, a second SIGTERM among them.
+    terms=$((terms + 1))
+    case $(((SEED + terms) % 3)) in
+    1) SERIES[$name]="$(($(now_ms) + 300)):TERM $(($(now_ms) + 900)):TERM" ;;
+    2) SERIES[$name]="$(($(now_ms) + 200)):HUP $(($(now_ms) + 600)):TERM" ;;
+    esac
+    ;;
   pause) kill -STOP "${PID[$name]}" ;;
   hup) kill -HUP "${PID[$name]}" ;;
   esac
 }
 
+# send_series: the signals that are due, to processes that stop.
+send_series() {
+  local name one rest
+  for name in "${!SERIES[@]}"; do
+    rest=
+    for one in ${SERIES[$name]}; do
+      if [ "$(now_ms)" -lt "${one%%:*}" ]; then
+        rest+=" $one"
+      elif [ "${HOW[$name]:-}" = term ] && kill -"${one##*:}" "${PID[$name]}" 2>/dev/null; then
+        say "${one##*:} to $name, which stops"
+      fi
+    done
+    if [ -n "$rest" ]; then SERIES[$name]=$rest; else unset "SERIES[$name]"; fi
+  done
+}
+
 end_one() {
   local name=$1 how=${HOW[$1]}
   case $how in
@@ -170,12 +215,13 @@
     fi
     wait "${PID[$name]}"
     [ $? = 0 ] || die "$name ended with an error after SIGTERM, see $OUT/$name.log"
+    unset "SERIES[$name]"
     again "$name"
     ;;
   pause) kill -CONT "${PID[$name]}" ;;
   hup) ;;
   esac
-  unset "BACK[$name]"
+  unset "BACK[$name]" "HOW[$name]"
 }
 
 end_due() {
@@ -210,6 +256,7 @@
 next_ms=1500
 while now=$(now_ms) && [ "$now" -lt $((FAULTS_S * 1000)) ]; do
   end_due due
+  send_series
   all_live
   if [ "$now" -ge $next_ms ]; then
     inject
@@ -236,7 +283,7 @@
 platform_ends
 rc=$?
 all_live
-for name in proxy crowd; do
+for name in proxy crowd keepers; do
   kill -TERM "${PID[$name]}"
   wait "${PID[$name]}"
   unset "PID[$name]"
@@ -250,7 +297,28 @@
 jq -e '.calm_streams > 0 and .calm_streams_complete >= 0.99 * .calm_streams' \
   "$OUT/report.json" >/dev/null \
   || die "under 99 % of the streams complete after the faults, seed $SEED"
-"$BIN/wyctl" check "$OUT/platform.jsonl" "$OUT/proxy.jsonl" \
+# cut_off EVENT: requests of keepers that ended so, "ENTRY MS REQUEST" a line, but
+# for those of a gate that was killed in the seconds before or just after.
+cut_off() {
+  jq -r --arg ev "$1" 'select(.ev == $ev) | "\(.entry) \(.hlc / 65536 | floor) \(.req)"' \
+    "$OUT/keepers.jsonl" \
+    | awk 'NR == FNR {n[$1]++; at[$1, n[$1]] = $2; next}
+      {name = "gate-" $1
+       for (i = 1; i <= n[name]; i++)
+         if ($2 >= at[name, i] - 100 && $2 <= at[name, i] + 3000) next
+       print}' "$OUT/kills" -
+}
+[ "$(jq -s 'map(select(.ev == "caller.got" and .status == 200)) | length' "$OUT/keepers.jsonl")" -gt 0 ] \
+  || die "no keeper was answered, seed $SEED"
+grep -q '"ev":"keeper.not_told"' "$OUT/keepers.jsonl" \
+  && die "a refusal does not say when to return, seed $SEED, see $OUT/keepers.jsonl"
+cut=$(cut_off keeper.cut)
+[ -z "$cut" ] || die "answers were cut off without a kill, seed $SEED: $cut"
+cut_off keeper.unanswered | while read -r _ _ req; do
+  grep -q "\"ev\":\"replica.ran\".*\"req\":\"$req\"" "$OUT/platform.jsonl" && echo "$req"
+done >"$OUT/lost"
+[ -s "$OUT/lost" ] && die "requests ran and got no answer without a kill, seed $SEED: $(cat "$OUT/lost")"
+"$BIN/wyctl" check "$OUT/platform.jsonl" "$OUT/proxy.jsonl" "$OUT/keepers.jsonl" \
   || die "an invariant was violated, seed $SEED"
 grep -h '"event":"memory\.' "$OUT"/gate-*.log \
   | jq -r '.event + " " + (.highest // "")' | sort | uniq -c
--- a/src/cmd/wystandin.c
+++ b/src/cmd/wystandin.c
@@ -6,11 +6,19 @@
 #include "config/program.h"
 #include "standin/kinds.h"
 
-static const struct wy_standin_kind *const kinds[]
-    = { &wy_standin_engine,  &wy_standin_service, &wy_standin_table,
-        &wy_standin_weights, &wy_standin_scoring, &wy_standin_list,
-        &wy_standin_trainer, &wy_standin_callers, &wy_standin_platform,
-        &wy_standin_proxy,   &wy_standin_crowd,   NULL };
+static const struct wy_standin_kind *const kinds[] = { &wy_standin_engine,
+                                                       &wy_standin_service,
+                                                       &wy_standin_table,
+                                                       &wy_standin_weights,
+                                                       &wy_standin_scoring,
+                                                       &wy_standin_list,
+                                                       &wy_standin_trainer,
+                                                       &wy_standin_callers,
+                                                       &wy_standin_platform,
+                                                       &wy_standin_proxy,
+                                                       &wy_standin_crowd,
+                                                       &wy_standin_keepers,
+                                                       NULL };
 
 static int
 help (FILE *out, int rc)
--- a/src/standin/kinds.h
+++ b/src/standin/kinds.h
@@ -15,5 +15,6 @@
 extern const struct wy_standin_kind wy_standin_platform;
 extern const struct wy_standin_kind wy_standin_proxy;
 extern const struct wy_standin_kind wy_standin_crowd;
+extern const struct wy_standin_kind wy_standin_keepers;
 
 #endif
--- a/src/standin/platform.c
+++ b/src/standin/platform.c
@@ -397,6 +397,7 @@
   p->step_limit_ms
       = (uint64_t)(((const struct settings *)s->settings)->step_limit_s
                    * WY_MS_PER_S);
+  wy_rng_seed (&p->spoil_rng, (uint64_t)s->common->seed + 1);
   wy_platform_operator_start (p);
   write_replica_rows (p);
   started_at_ms = uv_now (s->loop);
--- a/src/standin/platform.h
+++ b/src/standin/platform.h
@@ -109,6 +109,7 @@
   uint64_t random_faults_ms; /* duration of random faults; 0: fixed schedule */
   uint64_t step_limit_ms;
   uint64_t store_recovers_ms;
+  struct wy_rng spoil_rng; /* of spoilt events */
   uint64_t engine_recovers_ms[WY_PLATFORM_ENGINES];
   uint64_t desk_recovers_ms[WY_PLATFORM_DESKS];
   struct wy_platform_lapse lapses[WY_PLATFORM_DESKS];
--- a/src/standin/platform_faults.c
+++ b/src/standin/platform_faults.c
@@ -126,6 +126,25 @@
     }
 }
 
+/* Let an engine spoil one byte of an event in some of its next streams.  Drawn
+   from a generator of its own, so that the other faults of a seed stay.  */
+static void
+inject_spoilt_events (struct wy_platform *p)
+{
+  static const unsigned char bytes[] = { 0xff, 0xc0, 0x80, 0 };
+  struct wy_platform_replica_faults *f;
+  uint32_t engine
+      = (uint32_t)wy_rng_below (&p->spoil_rng, WY_PLATFORM_ENGINES);
+
+  if (wy_rng_below (&p->spoil_rng, RANDOM_ONE_IN) != 0)
+    return;
+  f = wy_platform_replica_faults (p->engines[engine]);
+  f->spoil_streams = 1 + (uint32_t)wy_rng_below (&p->spoil_rng, CALLS_MAX);
+  f->spoil_event
+      = 1 + (uint32_t)wy_rng_below (&p->spoil_rng, WY_PLATFORM_EVENTS);
+  f->spoil_byte = bytes[wy_rng_below (&p->spoil_rng, sizeof bytes)];
+}
+
 static void
 end_expired (struct wy_platform *p, uint64_t now_ms, bool all)
 {
@@ -139,8 +158,15 @@
       f->stall_feed = false;
     }
   for (int i = 0; i < WY_PLATFORM_ENGINES; i++)
-    if (all || now_ms >= p->engine_recovers_ms[i])
-      wy_platform_replica_faults (p->engines[i])->silent = false;
+    {
+      struct wy_platform_replica_faults *engine
+          = wy_platform_replica_faults (p->engines[i]);
+
+      if (all || now_ms >= p->engine_recovers_ms[i])
+        engine->silent = false;
+      if (all)
+        engine->spoil_streams = 0;
+    }
   for (int i = 0; i < WY_PLATFORM_FAULTY_DESKS; i++)
     if (all || now_ms >= p->desk_recovers_ms[i])
       wy_platform_replica_faults (p->desks[i])->silent = false;
@@ -160,6 +186,8 @@
     }
   wy_platform_streams_update_faults (p, age_ms);
   end_expired (p, age_ms, age_ms >= p->random_faults_ms);
+  if (age_ms < p->random_faults_ms)
+    inject_spoilt_events (p);
   if (age_ms >= p->random_faults_ms
       || random_between (p, 1, RANDOM_ONE_IN) != 1)
     return;
