Jobs: reads of results, and results of items, in files of their own

Change: results_call.c has the reads of results, call_state.h what both share; item_result.c has what becomes of an item's text; paced_client is among the tests' support. One name for the reason not_text. No behaviour changes.

--- a/src/jobs/accept.c
+++ b/src/jobs/accept.c
@@ -23,9 +23,6 @@
 /* Reason for rejecting a job for which there is no memory.  */
 #define REASON_MEMORY "memory"
 
-/* Reason for rejecting a job whose row could not be stored.  */
-#define REASON_NOT_TEXT "not_text"
-
 enum
 {
   /* Attempts to determine the outcome of a write that got no response, each
@@ -309,7 +306,7 @@
   if (!wy_job_record_write (a->jobs->env->rows, a->record, on_row_written, a))
     return;
   a->writing = false;
-  end (a, STATUS_MALFORMED, REASON_NOT_TEXT);
+  end (a, STATUS_MALFORMED, WY_REASON_NOT_TEXT);
 }
 
 static void put_next_piece (struct submission *a);
@@ -475,7 +472,7 @@
                                          fingerprint_of (key));
   if (!is_storable (r, &info, key))
     {
-      reject_job (j, &v, STATUS_MALFORMED, REASON_NOT_TEXT);
+      reject_job (j, &v, STATUS_MALFORMED, WY_REASON_NOT_TEXT);
       return;
     }
   if (wy_jobs_find (j, key))
--- a/src/jobs/active_job.h
+++ b/src/jobs/active_job.h
@@ -153,6 +153,8 @@
 uint32_t wy_item_max_score_failures (const struct wy_item *i);
 
 void wy_item_count_memory (struct wy_item *i);
+void wy_item_count_result (struct wy_item *i);
+void wy_item_cancel_scoring (struct wy_item *i);
 void wy_item_text_complete (struct wy_item *i);
 void wy_item_scored (struct wy_item *i, const char *stamp);
 void wy_item_give_up (struct wy_item *i);
--- a/src/jobs/calls.c
+++ b/src/jobs/calls.c
@@ -1,67 +1,30 @@
 /* Requests about a job: read its results, get the body of an item, end the
    job.  All are answered from the store, so every entry returns the same, and
    a result that was returned once stays.  */
-#include "jobs/state.h"
+#include "jobs/call_state.h"
 
 #include <string.h>
 
+#include "base/text.h"
 #include "gate/response.h"
-#include "jobs/result_rows.h"
-#include "platform/job_wire.h"
 #include "trace/json_log.h"
 
 enum
 {
-  /* Interval between two reads of the store for a caller that waits for
-     results: a trainer is idle meanwhile, and few callers wait at a time.  */
-  POLL_MS = 40,
-  PAGE_ROWS = 200,
-  /* Rows of long results are read in smaller pages: 200 of 48 KB would be
-     13 MB in base64, of which a response takes less than a tenth.  */
-  PAGE_BYTES = 1200000,
-  PAGE_ROWS_MIN = 24,
-  /* Of the results in one response, a limit of the platform's clients.  */
-  RESPONSE_BYTES_MAX = 900000,
-  /* The same at level PAUSE_READING of the memory account, and a quarter of it
-     at each further level: a reader that does not read holds one response.  */
-  SHORT_RESPONSE_BYTES_MAX = 65536,
-  LEVEL_SHIFT = 2,
-  /* Reads of results for readers at a time.  A page is counted only as it
-     arrives, so 500 readers that come at once would exceed the memory before
-     its level shows it.  A few trainers have at most one read each.  */
-  RESULT_READS_MAX = 8,
-  RESULT_READS_MAX_PAUSE_READING = 2,
-  /* Not 0: a job's memory is freed when its trainer has read enough.  */
-  RESULT_READS_MAX_SHED = 1,
   RETRY_AFTER_MS = 300,
   END_ATTEMPTS = 6,
   END_RETRY_MS = 150
 };
 
-struct call_state
-{
-  struct wy_jobs *jobs;
-  struct wy_h1_request *request;
-  struct wy_job_call call;
-  struct wy_job_record *record; /* a copy made for this request */
-  int64_t received_ms;
-  int64_t wait_until_ms;
-  bool whole_page;     /* a result exceeds a smaller page */
-  bool pending;        /* a store call, or a retry to end the job */
-  bool results_listed; /* more of them, during a read */
-  uint32_t attempts;
-  uv_timer_t timer;
-  GList link; /* in jobs->waiting_calls */
-};
-
 static void
 on_timer_closed (uv_handle_t *h)
 {
   g_free (h->data);
 }
 
-static void
-free_call (struct call_state *d)
+/* Free D, whose request has its response or is gone.  */
+void
+wy_job_call_free (struct call_state *d)
 {
   if (d->link.data)
     g_queue_unlink (&d->jobs->waiting_calls, &d->link);
@@ -77,18 +40,18 @@
   d->request = NULL;
   /* If something is pending, its callback frees D.  */
   if (!d->pending)
-    free_call (d);
+    wy_job_call_free (d);
 }
 
 /* Continue D after what was pending.  Return false if the caller has
    disconnected; D is then freed.  */
-static bool
-resume_call (struct call_state *d)
+bool
+wy_job_call_resume (struct call_state *d)
 {
   d->pending = false;
   if (d->request)
     return true;
-  free_call (d);
+  wy_job_call_free (d);
   return false;
 }
 
@@ -111,8 +74,10 @@
   return wy_rejections_tell (d->jobs->env->rejections, &o);
 }
 
-static void
-reject (struct call_state *d, int status, const char *reason, int err)
+/* Respond to D with STATUS for REASON; ERR is the cause, for the log.  */
+void
+wy_job_call_reject (struct call_state *d, int status, const char *reason,
+                    int err)
 {
   struct wy_retry_after_time t = { 0 };
   char fields[WY_REJECTION_FIELDS_SIZE_BYTES];
@@ -124,221 +89,7 @@
                wy_job_call_name (d->call.kind), status, reason, err,
                status == 503 ? wy_rejection_fields (&t, fields) : "");
   wy_respond_status (d->request, status, reason, t.ms);
-  free_call (d);
-}
-
-static void
-respond_json (struct call_state *d, char *text)
-{
-  static const struct wy_h1_header type
-      = { "Content-Type", "application/json" };
-
-  wy_h1_respond (d->request, 200, &type, 1, text, strlen (text));
-  g_free (text);
-  free_call (d);
-}
-
-static enum wy_memory_level
-memory_level (const struct call_state *d)
-{
-  return wy_memory_account_level (&d->jobs->env->memory);
-}
-
-static size_t
-max_response_bytes (const struct call_state *d)
-{
-  enum wy_memory_level level = memory_level (d);
-
-  if (level == WY_MEMORY_NORMAL)
-    return RESPONSE_BYTES_MAX;
-  return SHORT_RESPONSE_BYTES_MAX
-         >> (LEVEL_SHIFT * (level - WY_MEMORY_PAUSE_READING));
-}
-
-static uint32_t
-max_result_reads (const struct call_state *d)
-{
-  switch (memory_level (d))
-    {
-    case WY_MEMORY_NORMAL:
-      return RESULT_READS_MAX;
-    case WY_MEMORY_SHED:
-      return RESULT_READS_MAX_SHED;
-    default:
-      return RESULT_READS_MAX_PAUSE_READING;
-    }
-}
-
-static uint32_t
-page_rows (const struct call_state *d)
-{
-  size_t row_bytes = d->jobs->result_row_bytes;
-
-  if (d->whole_page || row_bytes == 0)
-    return PAGE_ROWS;
-  return (uint32_t)CLAMP (PAGE_BYTES / row_bytes, PAGE_ROWS_MIN, PAGE_ROWS);
-}
-
-static void
-record_row_bytes (struct wy_jobs *j, const struct wy_rows_result *r)
-{
-  size_t bytes = 0;
-
-  for (size_t i = 0; i < r->n; i++)
-    bytes += r->rows[i].size_bytes;
-  if (r->n)
-    j->result_row_bytes = bytes / r->n;
-}
-
-static void read_results (struct call_state *d);
-
-/* The result at position N after the first one that D asks for can't be read.
-   The holder of an open job writes it anew; a job that is done has none, so
-   this entry opens it again.  */
-static void
-on_unreadable (struct call_state *d, guint n)
-{
-  struct wy_jobs *j = d->jobs;
-  const struct wy_job_record *r = wy_jobs_find (j, d->call.job);
-
-  if (!r || r->state != WY_JOB_DONE || j->env->stopping
-      || g_hash_table_contains (j->starting, r->id)
-      || !wy_jobs_has_memory_for (j, 0))
-    return;
-  wy_json_log ("job.reopened", "id=%s position=%llu", d->call.job,
-               (unsigned long long)(d->call.after + n));
-  wy_jobs_take_over (j, r);
-}
-
-/* Return how many of RESULTS fit into one response, up to the first that can't
-   be read.  */
-static guint
-count_readable (struct call_state *d, const GPtrArray *results)
-{
-  size_t size = 0;
-  guint n = 0;
-
-  for (; n < results->len; n++)
-    {
-      const struct wy_result *res = g_ptr_array_index (results, n);
-
-      if (!res)
-        {
-          on_unreadable (d, n);
-          break;
-        }
-      size += res->text->len;
-      if (n && size > max_response_bytes (d))
-        break;
-    }
-  return n;
-}
-
-static void
-respond_results (struct call_state *d, const GPtrArray *results, guint n)
-{
-  char *text
-      = wy_results_encode (d->record->total, d->call.after + n,
-                           (struct wy_result *const *)results->pdata, n);
-
-  wy_json_log (
-      "job.read", "id=%s after=%llu results=%u waited_ms=%lld", d->call.job,
-      (unsigned long long)d->call.after, n,
-      (long long)(wy_clock_mono_ms (d->jobs->env->clock) - d->received_ms));
-  if (text)
-    respond_json (d, text);
-  else
-    reject (d, 503, "not_text", WY_RESULT_ENOTEXT);
-}
-
-static void
-free_result (gpointer p)
-{
-  wy_result_free (p);
-}
-
-static bool
-may_have_more (const struct call_state *d)
-{
-  const struct wy_job_record *r = wy_jobs_find (d->jobs, d->call.job);
-
-  return d->call.after < d->record->total && (!r || r->state == WY_JOB_OPEN);
-}
-
-static void
-on_poll (uv_timer_t *t)
-{
-  struct call_state *d = t->data;
-
-  if (!d->pending)
-    read_results (d);
-}
-
-/* Read results for D again when there may be more.  */
-static void
-wait_for_results (struct call_state *d)
-{
-  uv_timer_start (&d->timer, on_poll, d->results_listed ? 0 : POLL_MS, 0);
-  d->results_listed = false;
-  if (d->link.data)
-    return;
-  d->link.data = d;
-  g_queue_push_tail_link (&d->jobs->waiting_calls, &d->link);
-}
-
-static void
-on_results (void *ctx, const struct wy_rows_result *r)
-{
-  struct call_state *d = ctx;
-  int64_t now_ms = wy_clock_mono_ms (d->jobs->env->clock);
-  GPtrArray *results;
-  guint n;
-
-  d->jobs->result_reads--;
-  record_row_bytes (d->jobs, r);
-  if (!resume_call (d))
-    return;
-  if (r->err)
-    {
-      reject (d, 503, "store_unread", r->err);
-      return;
-    }
-  results = g_ptr_array_new_with_free_func (free_result);
-  wy_result_join (r, results);
-  n = count_readable (d, results);
-  if (results->len == 0 && r->has_more && !d->whole_page)
-    {
-      d->whole_page = true;
-      read_results (d);
-    }
-  else if (n == 0 && now_ms < d->wait_until_ms
-           && (results->len || (r->n == 0 && may_have_more (d))))
-    wait_for_results (d);
-  else
-    respond_results (d, results, n);
-  g_ptr_array_free (results, TRUE);
-}
-
-/* Read results for D, or if too many reads are in progress, at its next
-   poll.  */
-static void
-read_results (struct call_state *d)
-{
-  char from[WY_RESULT_KEY_SIZE_BYTES];
-  struct wy_rows_range range = { .table = WY_RESULTS_TABLE,
-                                 .partition = d->call.job,
-                                 .from = from,
-                                 .limit = page_rows (d) };
-
-  if (d->jobs->result_reads >= max_result_reads (d))
-    {
-      uv_timer_start (&d->timer, on_poll, POLL_MS, 0);
-      return;
-    }
-  wy_result_key (d->call.after, from);
-  d->jobs->result_reads++;
-  d->pending = true;
-  wy_rows_get (d->jobs->env->rows, &range, on_results, d);
+  wy_job_call_free (d);
 }
 
 static void
@@ -348,7 +99,7 @@
       = { "Content-Type", "application/octet-stream" };
   struct call_state *d = ctx;
 
-  if (!resume_call (d))
+  if (!wy_job_call_resume (d))
     {
       wy_job_spec_free (spec);
       return;
@@ -363,13 +114,13 @@
                      item->body ? (const char *)item->body : "",
                      item->body_size_bytes);
       wy_job_spec_free (spec);
-      free_call (d);
+      wy_job_call_free (d);
       return;
     }
   if (spec)
-    reject (d, 404, "no_item", 0);
+    wy_job_call_reject (d, 404, "no_item", 0);
   else
-    reject (d, 503, "store_unread", err);
+    wy_job_call_reject (d, 503, "store_unread", err);
   wy_job_spec_free (spec);
 }
 
@@ -388,7 +139,7 @@
       wy_h1_respond (d->request, 200, NULL, 0,
                      item->body ? (const char *)item->body : "",
                      item->body_size_bytes);
-      free_call (d);
+      wy_job_call_free (d);
       return;
     }
   d->pending = true;
@@ -402,7 +153,7 @@
 {
   struct call_state *d = t->data;
 
-  if (resume_call (d))
+  if (wy_job_call_resume (d))
     read_record (d);
 }
 
@@ -418,14 +169,14 @@
       ended->row_version = r->version;
       wy_jobs_update_record (d->jobs, ended);
     }
-  if (!resume_call (d))
+  if (!wy_job_call_resume (d))
     return;
   if (!r->err)
     {
       wy_json_log ("job.ended", "id=%s version=%lld", d->call.job,
                    (long long)r->version);
       wy_h1_respond (d->request, 200, NULL, 0, "", 0);
-      free_call (d);
+      wy_job_call_free (d);
     }
   else if (++d->attempts < END_ATTEMPTS)
     {
@@ -435,7 +186,7 @@
       uv_timer_start (&d->timer, on_end_retry, END_RETRY_MS, 0);
     }
   else
-    reject (d, 502, "unsettled", r->err);
+    wy_job_call_reject (d, 502, "unsettled", r->err);
 }
 
 static void
@@ -446,7 +197,7 @@
   if (d->record->state == WY_JOB_ENDED)
     {
       wy_h1_respond (d->request, 200, NULL, 0, "", 0);
-      free_call (d);
+      wy_job_call_free (d);
       return;
     }
   d->record->state = WY_JOB_ENDED;
@@ -456,7 +207,7 @@
   if (!err)
     return;
   d->pending = false;
-  reject (d, 503, "not_text", err);
+  wy_job_call_reject (d, 503, WY_REASON_NOT_TEXT, err);
 }
 
 static void
@@ -465,7 +216,7 @@
   switch (d->call.kind)
     {
     case WY_JOB_CALL_RESULTS:
-      read_results (d);
+      wy_job_call_read_results (d);
       break;
     case WY_JOB_CALL_ITEM_BODY:
       read_body (d);
@@ -474,7 +225,7 @@
       write_ended (d);
       break;
     case WY_JOB_CALL_NONE:
-      reject (d, 404, "no_call", 0);
+      wy_job_call_reject (d, 404, "no_call", 0);
       break;
     }
 }
@@ -485,18 +236,18 @@
   struct call_state *d = ctx;
   struct wy_job_record *rec = NULL;
 
-  if (!resume_call (d))
+  if (!wy_job_call_resume (d))
     return;
   if (!r->err && r->n)
     rec = wy_job_record_decode (&r->rows[0]);
   if (r->err)
     {
-      reject (d, 503, "store_unread", r->err);
+      wy_job_call_reject (d, 503, "store_unread", r->err);
       return;
     }
   if (!rec)
     {
-      reject (d, 404, "no_job", 0);
+      wy_job_call_reject (d, 404, "no_job", 0);
       return;
     }
   wy_job_record_free (d->record);
@@ -561,19 +312,3 @@
   d->record = wy_job_record_copy (known);
   dispatch (d);
 }
-
-/* Wake the callers that wait for results of the job ID.  */
-void
-wy_jobs_wake_readers (struct wy_jobs *j, const char *id)
-{
-  for (GList *l = j->waiting_calls.head; l; l = l->next)
-    {
-      struct call_state *d = l->data;
-
-      if (strcmp (d->call.job, id) != 0)
-        continue;
-      d->results_listed = d->pending;
-      if (!d->pending)
-        read_results (d);
-    }
-}
--- a/src/jobs/run.c
+++ b/src/jobs/run.c
@@ -15,9 +15,6 @@
 #include "platform/request_wire.h"
 #include "trace/json_log.h"
 
-/* Reason of RUN_FAULT_NOT_TEXT, in logs and metrics.  */
-#define REASON_NOT_TEXT "not_text"
-
 enum
 {
   /* Delays before the next run, so that a persistent fault doesn't cause a
@@ -59,7 +56,7 @@
     case RUN_FAULT_NOT_CONTINUED:
       return "not_continued";
     case RUN_FAULT_NOT_TEXT:
-      return REASON_NOT_TEXT;
+      return WY_REASON_NOT_TEXT;
     }
   return "";
 }
@@ -248,7 +245,7 @@
 static void
 count_not_text (const struct wy_run *r)
 {
-  char *reason = wy_metrics_label ("reason", REASON_NOT_TEXT);
+  char *reason = wy_metrics_label ("reason", WY_REASON_NOT_TEXT);
 
   ++*wy_metrics_family_counter (r->item->job->env->count.malformed, reason);
   g_free (reason);
--- a/tests/test_gate_stop.c
+++ b/tests/test_gate_stop.c
@@ -2,25 +2,20 @@
    reaches it is served whole or refused truthfully, and nothing that has begun
    is cut off.  */
 #include <criterion/criterion.h>
-#include <netinet/tcp.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
 #include <sys/wait.h>
 
 #include "support/gate_process.h"
+#include "support/paced_client.h"
 
 enum
 {
   MEMORY_MB = 280,
   EVENT_MS = 50,
   BODY_BYTES = 5000000,
-  /* As on an Ethernet link; the loopback interface would take megabytes ahead
-     of the reader.  */
-  SEGMENT_BYTES = 1460,
-  WINDOW_BYTES = 16384,
-  READ_STEP_MS = 20,
+  STEP_MS = 20,
   WAIT_MAX_MS = 12000
 };
 
@@ -30,117 +25,16 @@
 static struct gate_process g;
 static uint32_t runs; /* of requests below "/stream/" and "/unsafe/" */
 
-/* A raw client, which sends requests on one connection and reads at a given
-   pace.  */
-struct client
-{
-  uv_tcp_t tcp;
-  uv_connect_t connect;
-  uv_write_t write;
-  uv_timer_t pace;
-  uint32_t step_bytes; /* each READ_STEP_MS; 0: as fast as it comes */
-  uint32_t room_bytes; /* that may be read in this step */
-  const char *text;
-  GString *got;
-  char buffer[65536];
-  bool ended; /* by the gate */
-};
-
-static void read_on (struct client *c);
-
-static void
-on_alloc (uv_handle_t *h, size_t suggested, uv_buf_t *buf)
-{
-  struct client *c = h->data;
-
-  *buf = uv_buf_init (c->buffer, c->step_bytes
-                                     ? MIN (c->room_bytes, sizeof c->buffer)
-                                     : (unsigned)sizeof c->buffer);
-}
-
-static void
-on_read (uv_stream_t *s, ssize_t n, const uv_buf_t *buf)
-{
-  struct client *c = s->data;
-
-  if (n < 0)
-    {
-      c->ended = true;
-      uv_read_stop (s);
-      return;
-    }
-  g_string_append_len (c->got, buf->base, n);
-  if (!c->step_bytes)
-    return;
-  c->room_bytes -= (uint32_t)n;
-  if (c->room_bytes == 0)
-    uv_read_stop (s);
-}
-
-static void
-read_on (struct client *c)
-{
-  c->room_bytes = c->step_bytes;
-  if (!c->ended)
-    uv_read_start ((uv_stream_t *)&c->tcp, on_alloc, on_read);
-}
-
-static void
-on_pace (uv_timer_t *t)
-{
-  read_on (t->data);
-}
-
-static void
-send_text (struct client *c, const char *text)
-{
-  uv_buf_t buf = uv_buf_init ((char *)text, (unsigned)strlen (text));
-
-  uv_write (&c->write, (uv_stream_t *)&c->tcp, &buf, 1, NULL);
-}
-
-static void
-on_connect (uv_connect_t *r, int status)
-{
-  struct client *c = r->handle->data;
-
-  cr_assert_eq (status, 0);
-  send_text (c, c->text);
-  read_on (c);
-}
-
 /* Send TEXT to LISTENER on a new connection and read BYTES_PER_S (0: without a
    limit).  */
-static struct client *
+static struct paced_client *
 client_to (enum gate_listener listener, const char *text, uint32_t bytes_per_s)
 {
-  struct client *c = g_new0 (struct client, 1);
-  struct sockaddr_in a = platform_loopback (g.ports[listener]);
-  int segment = SEGMENT_BYTES;
-  int window = WINDOW_BYTES;
-  uv_os_fd_t fd;
-
-  c->text = text;
-  c->got = g_string_new (NULL);
-  c->step_bytes = bytes_per_s / 1000 * READ_STEP_MS;
-  uv_tcp_init_ex (&g.w.loop, &c->tcp, AF_INET);
-  c->tcp.data = c;
-  uv_fileno ((uv_handle_t *)&c->tcp, &fd);
-  if (bytes_per_s)
-    {
-      setsockopt (fd, IPPROTO_TCP, TCP_MAXSEG, &segment, sizeof segment);
-      setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &window, sizeof window);
-    }
-  uv_timer_init (&g.w.loop, &c->pace);
-  c->pace.data = c;
-  if (bytes_per_s)
-    uv_timer_start (&c->pace, on_pace, READ_STEP_MS, READ_STEP_MS);
-  uv_tcp_connect (&c->connect, &c->tcp, (struct sockaddr *)&a, on_connect);
-  return c;
+  return paced_client_new (&g.w.loop, g.ports[listener], text, bytes_per_s);
 }
 
 /* The same, to the listener for callers.  */
-static struct client *
+static struct paced_client *
 client_new (const char *text, uint32_t bytes_per_s)
 {
   return client_to (GATE_CALLERS, text, bytes_per_s);
@@ -149,25 +43,26 @@
 static bool
 has_ended (void *client)
 {
-  return ((struct client *)client)->ended;
+  return ((struct paced_client *)client)->ended;
 }
 
 static bool
 has_answer (void *client)
 {
-  return strstr (((struct client *)client)->got->str, "\r\n\r\n") != NULL;
+  return strstr (((struct paced_client *)client)->got->str, "\r\n\r\n")
+         != NULL;
 }
 
 static void
-run_until (bool (*cond) (void *ctx), struct client *c)
+run_until (bool (*cond) (void *ctx), struct paced_client *c)
 {
-  for (int ms = 0; ms < WAIT_MAX_MS && !cond (c); ms += READ_STEP_MS)
-    platform_fixture_run_ms (&g.w, READ_STEP_MS);
+  for (int ms = 0; ms < WAIT_MAX_MS && !cond (c); ms += STEP_MS)
+    platform_fixture_run_ms (&g.w, STEP_MS);
 }
 
 /* Status of the first response that C has got; 0: none.  */
 static int
-status_of (const struct client *c)
+status_of (const struct paced_client *c)
 {
   return g_str_has_prefix (c->got->str, "HTTP/1.1 ")
              ? atoi (c->got->str + strlen ("HTTP/1.1 "))
@@ -175,21 +70,21 @@
 }
 
 static bool
-has_field (const struct client *c, const char *field)
+has_field (const struct paced_client *c, const char *field)
 {
   return strstr (c->got->str, field) != NULL;
 }
 
 /* Whether the streamed response that C has got last is complete.  */
 static bool
-has_stream_end (const struct client *c)
+has_stream_end (const struct paced_client *c)
 {
   return g_str_has_suffix (c->got->str, "\r\n0\r\n\r\n");
 }
 
 /* Body bytes of the response that C has got.  */
 static size_t
-body_bytes (const struct client *c)
+body_bytes (const struct paced_client *c)
 {
   const char *end = strstr (c->got->str, "\r\n\r\n");
 
@@ -296,11 +191,11 @@
 {
   int status = -1;
 
-  for (int ms = 0; ms < WAIT_MAX_MS; ms += READ_STEP_MS)
+  for (int ms = 0; ms < WAIT_MAX_MS; ms += STEP_MS)
     {
       if (waitpid (g.pid, &status, WNOHANG) == g.pid)
         break;
-      platform_fixture_run_ms (&g.w, READ_STEP_MS);
+      platform_fixture_run_ms (&g.w, STEP_MS);
     }
   cr_expect (WIFEXITED (status) && WEXITSTATUS (status) == 0, "status %d",
              status);
@@ -317,8 +212,8 @@
   {
     LATE_MS = 3300
   };
-  struct client *first;
-  struct client *late;
+  struct paced_client *first;
+  struct paced_client *late;
 
   start (GRACE, 0);
   late = client_new (GET ("/small/x", ""), 0);
@@ -329,7 +224,7 @@
   stop_gate ();
   platform_fixture_run_ms (&g.w, LATE_MS);
   g_string_truncate (late->got, 0);
-  send_text (late, GET ("/stream/4000", ""));
+  paced_client_send (late, GET ("/stream/4000", ""));
   run_until (has_ended, late);
   run_until (has_ended, first);
   cr_expect (has_stream_end (first));
@@ -343,7 +238,7 @@
    before the stop and so could not announce the close.  */
 Test (gate_stop, response_begun_before, .timeout = 60)
 {
-  struct client *c;
+  struct paced_client *c;
 
   start (GRACE, 0);
   c = client_new (GET ("/stream/1000", ""), 0);
@@ -359,7 +254,7 @@
    its outcome unknown, though it could have been refused.  */
 Test (gate_stop, unsafe_that_may_not_end, .timeout = 60)
 {
-  struct client *c;
+  struct paced_client *c;
 
   start (GRACE, 0);
   stop_gate ();
@@ -376,8 +271,8 @@
    still gets new connections.  */
 Test (gate_stop, short_requests_early, .timeout = 60)
 {
-  struct client *kept;
-  struct client *fresh;
+  struct paced_client *kept;
+  struct paced_client *fresh;
 
   start (GRACE, 0);
   kept = client_new (GET ("/small/x", ""), 0);
@@ -385,7 +280,8 @@
   stop_gate ();
   platform_fixture_run_ms (&g.w, 500);
   g_string_truncate (kept->got, 0);
-  send_text (kept, GET ("/small/y", "Deadline-Milliseconds: 2000\r\n"));
+  paced_client_send (kept,
+                     GET ("/small/y", "Deadline-Milliseconds: 2000\r\n"));
   fresh
       = client_new (GET ("/stream/300", "Deadline-Milliseconds: 2000\r\n"), 0);
   run_until (has_ended, kept);
@@ -400,7 +296,7 @@
    connection at the end of the grace time.  */
 Test (gate_stop, request_in_progress_at_the_end, .timeout = 60)
 {
-  struct client *c;
+  struct paced_client *c;
 
   start (SHORT_GRACE, 0);
   c = client_new (GET ("/small/slow", ""), 0);
@@ -415,7 +311,7 @@
    readers are slow.  */
 Test (gate_stop, answer_read_slowly, .timeout = 60)
 {
-  struct client *c;
+  struct paced_client *c;
 
   start (GRACE, 0);
   c = client_new (GET ("/large/x", ""), 1000000);
@@ -434,7 +330,7 @@
   {
     LATE_MS = 2300
   };
-  struct client *c;
+  struct paced_client *c;
 
   start (GRACE, 0);
   stop_gate ();
@@ -451,13 +347,12 @@
    stopped reading.  */
 Test (gate_stop, answer_not_read, .timeout = 60)
 {
-  struct client *c;
+  struct paced_client *c;
 
   start (SHORT_GRACE, 0);
   c = client_new (GET ("/large/x", ""), 50000);
   run_until (has_answer, c);
-  uv_timer_stop (&c->pace);
-  uv_read_stop ((uv_stream_t *)&c->tcp);
+  paced_client_stop_reading (c);
   stop_gate ();
   expect_end ();
 }
@@ -467,7 +362,7 @@
 Test (gate_stop, signals_in_series, .timeout = 60)
 {
   static const int numbers[] = { SIGTERM, SIGTERM, SIGHUP, SIGTERM, SIGINT };
-  struct client *c;
+  struct paced_client *c;
 
   start (GRACE, 0);
   c = client_new (GET ("/stream/3000", ""), 0);
@@ -490,7 +385,7 @@
   {
     IDLE_MS = 1000
   };
-  struct client *c;
+  struct paced_client *c;
 
   start (GRACE, IDLE_MS);
   c = client_new (GET ("/large/x", ""), 1000000);
