Jobs: a run whose version of the weights can't be read is not used

Cause: a Weight-Versions that is no number was taken for one that is not there, and a run without a version was used. The same for the line in an event.

Evidence: version_that_is_no_number failed before (no versions, 0 failed runs).

Change: the decoders tell a field that can't be read from one that is missing. The run ends with no_version, its replica counts as failing, and the item runs elsewhere; runs in a row that add nothing wait longer.

--- a/src/gate/sse.c
+++ b/src/gate/sse.c
@@ -114,8 +114,8 @@
           first_data = false;
           g_string_append_len (e->data, v, (gssize)v_n);
         }
-      else
-        wy_event_weights_version (p, line_n, &out->version);
+      else if (wy_event_weights_version (p, line_n, &out->version))
+        out->has_version = true;
       p = nl ? nl + 1 : end;
     }
   out->data = e->data->str;
--- a/src/gate/sse.h
+++ b/src/gate/sse.h
@@ -18,7 +18,9 @@
   int64_t id;       /* -1: none */
   const char *data; /* its data fields, joined by line feeds */
   size_t data_n;
-  int64_t version; /* of the weights from this event on; -1: not given */
+  bool has_version;
+  int64_t version; /* of the weights from this event on; -1: not given, or no
+                      number */
 };
 
 struct wy_sse_parser
--- a/src/jobs/run.c
+++ b/src/jobs/run.c
@@ -57,6 +57,8 @@
       return "not_continued";
     case RUN_FAULT_NOT_TEXT:
       return WY_REASON_NOT_TEXT;
+    case RUN_FAULT_NO_VERSION:
+      return "no_version";
     }
   return "";
 }
@@ -176,6 +178,8 @@
     return;
   r->target->refusals = 0;
   r->version = info.version;
+  if (info.has_version && info.version < 0)
+    r->fault = RUN_FAULT_NO_VERSION;
   check_version (r);
 }
 
@@ -196,9 +200,11 @@
 
   if (r->fault)
     return;
-  if (ev->version >= 0)
+  if (ev->has_version)
     {
       r->version = ev->version;
+      if (ev->version < 0)
+        r->fault = RUN_FAULT_NO_VERSION;
       check_version (r);
       if (r->fault)
         return;
@@ -263,20 +269,21 @@
   if (fault == RUN_FAULT_OTHER_WEIGHTS)
     wy_item_discard_text (i);
   if (fault == RUN_FAULT_NOT_TEXT)
+    count_not_text (r);
+  if (fault == RUN_FAULT_NOT_TEXT || fault == RUN_FAULT_NO_VERSION)
     {
-      count_not_text (r);
       i->runs_without_event += r->n_events == 0;
       delay_ms = useless_run_delay_ms (i);
     }
-  wy_run_end_for_retry (r,
-                        fault == RUN_FAULT_OTHER_REQUEST
-                                || fault == RUN_FAULT_NO_EVENTS
-                                || fault == RUN_FAULT_EVENT_MISSING
-                                || fault == RUN_FAULT_NOT_CONTINUED
-                                || fault == RUN_FAULT_NOT_TEXT
-                            ? WY_TARGET_FAILED
-                            : WY_TARGET_CANCELLED,
-                        delay_ms, fault_name (fault));
+  wy_run_end_for_retry (
+      r,
+      fault == RUN_FAULT_OTHER_REQUEST || fault == RUN_FAULT_NO_EVENTS
+              || fault == RUN_FAULT_EVENT_MISSING
+              || fault == RUN_FAULT_NOT_CONTINUED
+              || fault == RUN_FAULT_NOT_TEXT || fault == RUN_FAULT_NO_VERSION
+          ? WY_TARGET_FAILED
+          : WY_TARGET_CANCELLED,
+      delay_ms, fault_name (fault));
 }
 
 static void
--- a/src/jobs/run_state.h
+++ b/src/jobs/run_state.h
@@ -15,7 +15,8 @@
   RUN_FAULT_NO_EVENTS,     /* bytes that are no events */
   RUN_FAULT_EVENT_MISSING, /* a gap in the event ids */
   RUN_FAULT_NOT_CONTINUED, /* the run begins before the end of the text */
-  RUN_FAULT_NOT_TEXT       /* an event's data can't be part of a text */
+  RUN_FAULT_NOT_TEXT,      /* an event can't be part of a text */
+  RUN_FAULT_NO_VERSION     /* that of the weights is no number */
 };
 
 struct wy_run
--- a/src/standin/platform_replica.c
+++ b/src/standin/platform_replica.c
@@ -120,7 +120,9 @@
   n += snprintf (text + n, sizeof text - (size_t)n, "id: %lld\ndata: %s\n\n",
                  (long long)u->next, data);
   if (u->spoil && u->next == u->replica->faults.spoil_event)
-    text[(size_t)n - sizeof "\n\n"] = (char)u->replica->faults.spoil_byte;
+    *(u->replica->faults.spoil_id ? strstr (text, "id: ") + sizeof "id:"
+                                  : text + n - sizeof "\n\n")
+        = (char)u->replica->faults.spoil_byte;
   send_text (u, text, (size_t)n);
   u->next++;
   u->sent++;
@@ -184,7 +186,8 @@
   u->split = wy_platform_take_fault (&r->faults.split_streams);
   u->spoil = wy_platform_take_fault (&r->faults.spoil_streams);
   u->after = r->last_resume;
-  snprintf (version, sizeof version, "%lld", (long long)r->version);
+  snprintf (version, sizeof version, "%lld%s", (long long)r->version,
+            wy_platform_take_fault (&r->faults.spoil_version) ? "\xb1" : "");
   snprintf (load, sizeof load, "%u,0,%u", r->running, r->o.slots);
   wy_h1_begin_response (q, 200, fields, G_N_ELEMENTS (fields));
   uv_timer_init (r->o.loop, &u->timer);
--- a/src/standin/platform_replica.h
+++ b/src/standin/platform_replica.h
@@ -18,6 +18,8 @@
   uint32_t spoil_streams;         /* one byte of one event replaced */
   uint32_t spoil_event;           /* which: number of the event in the text */
   unsigned char spoil_byte;       /* what replaces it */
+  bool spoil_id;                  /* in the event's id, not in its data */
+  uint32_t spoil_version;         /* Weight-Versions is no number */
   uint32_t ignore_resume;         /* begun anew, with another text */
   uint32_t respond_not_run;       /* rejected with 503 as not run */
   uint32_t respond_500;           /* run, but failed */
--- a/tests/test_jobs_bytes.c
+++ b/tests/test_jobs_bytes.c
@@ -46,6 +46,24 @@
 /* Guards against a text that is listed as complete but ends at a zero byte. */
 Test (jobs_bytes, event_with_a_zero_byte) { run_with_spoilt_byte (0, 1); }
 
+/* Guards against a result that names no version of the weights, or one that is
+   too old, since the version of its run can't be read.  */
+Test (jobs_bytes, version_that_is_no_number)
+{
+  job_fixture_start (2);
+  wy_platform_replica_faults (job_fixture.replicas[0])->spoil_version = 2;
+  cr_expect_eq (job_fixture_submit ("j1", 1), 202);
+  for (uint32_t i = 0; i < JOB_ITEMS; i++)
+    {
+      json_t *r = job_fixture_await_result ("j1", i);
+
+      cr_expect_eq (json_array_size (json_object_get (r, "versions")), 1);
+      json_decref (r);
+    }
+  cr_expect_eq (*job_fixture.env.count.item_runs_failed, 2);
+  job_fixture_stop ();
+}
+
 /* Guards against a run started again and again without a pause, and against an
    item given up before its time, when the only replica spoils each text.  */
 Test (jobs_bytes, one_replica_that_spoils_all)
