Jobs: an event whose id can't be read or does not follow ends its run

An item was listed as completed without its last event, or without those after its first one.

Cause: an event whose id is no number was left out, like one that has none on purpose; as the last one nothing came after it that showed the gap. An event with an id that was already reached was left out as repeated, so that a first event with too large an id stood for those that followed.

Evidence: last_event_without_an_id, last_event_with_a_spoilt_id and first_event_with_another_id failed before (texts of 1 to 5 of 6 events, listed as completed); middle_event_with_another_id held.

Change: the whole event must be text, not only its data. One that has data and no id, or an id that does not follow the one before in its run, ends the run as event_missing. If the second event of a text does not follow the first, the text begins anew, since the id of either may be wrong.

--- a/src/jobs/run.c
+++ b/src/jobs/run.c
@@ -200,6 +200,11 @@
 
   if (r->fault)
     return;
+  if (!wy_text_is_valid (ev->raw, ev->raw_n))
+    {
+      r->fault = RUN_FAULT_NOT_TEXT;
+      return;
+    }
   if (ev->has_version)
     {
       r->version = ev->version;
@@ -210,12 +215,17 @@
         return;
     }
   if (ev->id < 0)
-    return;
+    {
+      /* Its place in the text is not known.  */
+      if (ev->data_n)
+        r->fault = RUN_FAULT_EVENT_MISSING;
+      return;
+    }
   if (i->last_event >= 0 && ev->id <= i->last_event)
     {
       /* Another text: its later events would not continue this one.  */
-      if (r->n_events == 0)
-        r->fault = RUN_FAULT_NOT_CONTINUED;
+      r->fault = r->n_events == 0 ? RUN_FAULT_NOT_CONTINUED
+                                  : RUN_FAULT_EVENT_MISSING;
       return;
     }
   if (i->last_event >= 0 && ev->id != i->last_event + 1)
@@ -223,11 +233,6 @@
       r->fault = RUN_FAULT_EVENT_MISSING;
       return;
     }
-  if (!wy_text_is_valid (ev->data, ev->data_n))
-    {
-      r->fault = RUN_FAULT_NOT_TEXT;
-      return;
-    }
   if (i->last_event >= 0)
     g_string_append_c (i->text, '\n');
   g_string_append_len (i->text, ev->data, (gssize)ev->data_n);
@@ -266,11 +271,16 @@
 
   wy_h1_call_cancel (r->call);
   r->call = NULL;
-  if (fault == RUN_FAULT_OTHER_WEIGHTS)
+  /* If the second event does not follow the first, the id of either may be
+     wrong.  */
+  if (fault == RUN_FAULT_OTHER_WEIGHTS
+      || (fault == RUN_FAULT_EVENT_MISSING && r->begins_text
+          && r->n_events == 1))
     wy_item_discard_text (i);
   if (fault == RUN_FAULT_NOT_TEXT)
     count_not_text (r);
-  if (fault == RUN_FAULT_NOT_TEXT || fault == RUN_FAULT_NO_VERSION)
+  if (fault == RUN_FAULT_NOT_TEXT || fault == RUN_FAULT_NO_VERSION
+      || fault == RUN_FAULT_EVENT_MISSING)
     {
       i->runs_without_event += r->n_events == 0;
       delay_ms = useless_run_delay_ms (i);
@@ -472,6 +482,7 @@
   r->incarnation = g->incarnation;
   r->version = -1;
   r->single_version = route->single_version;
+  r->begins_text = i->last_event < 0;
   r->allowed_failures = route->attempts;
   r->started_ms = wy_run_now_ms (r);
   r->progress_ms = r->started_ms;
--- a/src/jobs/run_state.h
+++ b/src/jobs/run_state.h
@@ -30,6 +30,7 @@
   int status;
   bool not_run; /* the replica states that it did not run the request */
   bool single_version;
+  bool begins_text; /* the item had no text when it started */
   enum run_fault fault;
   int64_t version;
   uint64_t incarnation; /* of the target */
--- a/tests/test_jobs_bytes.c
+++ b/tests/test_jobs_bytes.c
@@ -11,9 +11,10 @@
   MIDDLE_EVENT = 3
 };
 
-/* Run a job whose first two streams have BYTE in the data of EVENT.  */
+/* Run a job whose first two streams have BYTE in the data of EVENT, or with
+   IN_ID in its id.  */
 static void
-run_with_spoilt_byte (unsigned char byte, uint32_t event)
+run_with_spoilt_event (unsigned char byte, uint32_t event, bool in_id)
 {
   struct wy_platform_replica_faults *f;
 
@@ -22,6 +23,7 @@
   f->spoil_streams = 2;
   f->spoil_event = event;
   f->spoil_byte = byte;
+  f->spoil_id = in_id;
   cr_expect_eq (job_fixture_submit ("j1", 1), 202);
   job_fixture_check_results ("j1");
   cr_expect_eq (f->spoil_streams, 0);
@@ -30,6 +32,12 @@
   job_fixture_stop ();
 }
 
+static void
+run_with_spoilt_byte (unsigned char byte, uint32_t event)
+{
+  run_with_spoilt_event (byte, event, false);
+}
+
 /* Guards against a job whose results can't be read from the item on whose
    event has a byte that is no UTF-8.  */
 Test (jobs_bytes, event_without_utf8)
@@ -46,6 +54,32 @@
 /* Guards against a text that is listed as complete but ends at a zero byte. */
 Test (jobs_bytes, event_with_a_zero_byte) { run_with_spoilt_byte (0, 1); }
 
+/* Guards against a text that is listed as complete without its last event,
+   whose id can't be read.  */
+Test (jobs_bytes, last_event_without_an_id)
+{
+  run_with_spoilt_event ('x', JOB_EVENTS, true);
+}
+
+/* The same where the byte is no UTF-8.  */
+Test (jobs_bytes, last_event_with_a_spoilt_id)
+{
+  run_with_spoilt_event (0xb6, JOB_EVENTS, true);
+}
+
+/* Guards against a text that is listed as complete without the events after
+   its first one, whose id has become another number.  */
+Test (jobs_bytes, first_event_with_another_id)
+{
+  run_with_spoilt_event ('5', 1, true);
+}
+
+/* The same for an event in the middle.  */
+Test (jobs_bytes, middle_event_with_another_id)
+{
+  run_with_spoilt_event ('2', MIDDLE_EVENT, true);
+}
+
 /* Guards against a result that names no version of the weights, or one that is
    too old, since the version of its run can't be read.  */
 Test (jobs_bytes, version_that_is_no_number)
