wyorderd: its daemon stays reachable until the exit

No earlier test let wyorderd end by itself. Change: the pointer to it is static, as that of wygated.

--- a/src/cmd/wyorderd.c
+++ b/src/cmd/wyorderd.c
@@ -45,7 +45,8 @@
                                          .clock = wy_clock_system (),
                                          .settings = settings,
                                          .reason = g_string_new (NULL) };
-  struct wy_orderer_daemon *d;
+  /* Its memory stays until the exit: store calls may still refer to it.  */
+  static struct wy_orderer_daemon *d;
   int err = wy_orderer_daemon_new (&d, &o);
 
   if (err)
